--- /dev/null
+++ b/acaciapath/main.go
@@ -0,0 +1,4 @@
+// Command acaciapath is being built.
+package main
+
+func main() {}
--- /dev/null
+++ b/controld/main.go
@@ -0,0 +1,4 @@
+// Command controld is being built.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/design/doc.go
@@ -0,0 +1,3 @@
+// Package design describes the platform's interfaces, from which package gen
+// is generated.
+package design
--- /dev/null
+++ b/core/peer/client.go
@@ -0,0 +1,107 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Client calls one peer. It connects at the first call and again after a
+// failure. It is safe for concurrent use.
+type Client struct {
+	address string
+	config  *tls.Config
+	mu      sync.Mutex
+	rpc     *jsonrpc2.Conn
+	closed  bool
+}
+
+// NewClient returns a client of the peer at address, an IP number and a port.
+// A nil config means no TLS.
+func NewClient(address string, config *tls.Config) *Client {
+	return &Client{address: address, config: config}
+}
+
+// Status returns the state of the peer.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var status Status
+	err := c.call(ctx, MethodStatus, nil, &status)
+	return status, err
+}
+
+// Head tells the peer the caller's head and returns the peer's.
+func (c *Client) Head(ctx context.Context, head Head) (Head, error) {
+	var answer Head
+	err := c.call(ctx, MethodHead, head, &answer)
+	return answer, err
+}
+
+// GetConfig returns the content of a revision.
+func (c *Client) GetConfig(ctx context.Context, revision uint64) (ConfigContent, error) {
+	var content ConfigContent
+	err := c.call(ctx, MethodGetConfig, GetConfig{Revision: revision}, &content)
+	return content, err
+}
+
+// Close ends the connection. Later calls return ErrClosed.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.rpc == nil {
+		return nil
+	}
+	return c.rpc.Close()
+}
+
+func (c *Client) call(ctx context.Context, method string, params, result any) error {
+	rpc, err := c.connect(ctx)
+	if err != nil {
+		return err
+	}
+	if err := rpc.Call(ctx, method, params, result); err != nil {
+		return merry.Prependf(err, "peer: %s at %s", method, c.address)
+	}
+	return nil
+}
+
+// connect returns the open connection or opens one.
+func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, ErrClosed
+	}
+	if c.rpc != nil {
+		select {
+		case <-c.rpc.DisconnectNotify():
+		default:
+			return c.rpc, nil
+		}
+	}
+	conn, err := c.dial(ctx)
+	if err != nil {
+		return nil, merry.Prepend(err, "peer: connect")
+	}
+	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
+	c.rpc = jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuse))
+	return c.rpc, nil
+}
+
+func (c *Client) dial(ctx context.Context) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	if c.config == nil {
+		return dialer.DialContext(ctx, "tcp", c.address)
+	}
+	secure := tls.Dialer{NetDialer: &dialer, Config: c.config}
+	return secure.DialContext(ctx, "tcp", c.address)
+}
+
+// refuse answers calls from the server side, which makes none.
+func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "clients answer no calls"}
+}
--- /dev/null
+++ b/core/peer/messages.go
@@ -0,0 +1,117 @@
+package peer
+
+import "time"
+
+// Methods of a peers' port.
+const (
+	// MethodStatus returns a Status; it takes no parameters.
+	MethodStatus = "status"
+	// MethodHead takes a Head and returns the receiver's Head: both tell each
+	// other which revision they have in force.
+	MethodHead = "config-head"
+	// MethodGetConfig takes a GetConfig and returns a ConfigContent.
+	MethodGetConfig = "config-get"
+)
+
+// Role is what a process does.
+type Role string
+
+// The roles of a daemon.
+const (
+	RoleEntry   Role = "entry"
+	RoleControl Role = "control"
+)
+
+// Status is what a daemon tells of itself.
+type Status struct {
+	// Name is the name of the daemon's VM.
+	Name string `json:"name"`
+	// Role is the role of the daemon.
+	Role Role `json:"role"`
+	// FailureDomain is the failure domain of the daemon.
+	FailureDomain string `json:"failure-domain"`
+	// Version is the version of the program.
+	Version string `json:"version"`
+	// Revision is the configuration in force; 0 means none.
+	Revision uint64 `json:"revision"`
+	// ConfirmedAt is when the revision was last known to be the newest.
+	ConfirmedAt time.Time `json:"confirmed-at"`
+	// Rejected is the newest revision that failed the daemon's own check, or 0.
+	Rejected uint64 `json:"rejected"`
+	// Leaving says whether the daemon shuts down.
+	Leaving bool `json:"leaving"`
+	// Connections is the number of callers' connections.
+	Connections int `json:"connections"`
+	// Queues are the queues of an entry daemon, in the order of model and tier.
+	Queues []Queue `json:"queues"`
+	// BackendServers are those that an entry daemon routes to, by name.
+	BackendServers []BackendServer `json:"backend-servers"`
+	// Leases are those that a control daemon knows of, by name.
+	Leases []Lease `json:"leases"`
+}
+
+// Queue is the state of the requests of one model and service class.
+type Queue struct {
+	// Model is the name of the model.
+	Model string `json:"model"`
+	// ServiceClass is the name of the service class.
+	ServiceClass string `json:"service-class"`
+	// Waiting is the number of requests that wait.
+	Waiting int `json:"waiting"`
+	// Running is the number of requests that run.
+	Running int `json:"running"`
+	// Oldest is how long the oldest has waited.
+	Oldest time.Duration `json:"oldest"`
+}
+
+// BackendServer is the state of a backend server as an entry daemon sees it.
+type BackendServer struct {
+	// Name is the name of the backend server.
+	Name string `json:"name"`
+	// FailureDomain is its failure domain.
+	FailureDomain string `json:"failure-domain"`
+	// Kind is the way in which it was bought.
+	Kind string `json:"kind"`
+	// Serves is the models or the plain service that it serves.
+	Serves []string `json:"serves"`
+	// Running is the number of this daemon's requests on it.
+	Running int `json:"running"`
+	// Places is the number of requests that it runs at once.
+	Places int `json:"places"`
+	// State is ready, leaving or failed.
+	State string `json:"state"`
+}
+
+// Lease is the state of a lease as a control daemon sees it.
+type Lease struct {
+	// Name is the name of the lease.
+	Name string `json:"name"`
+	// Holder is the process that holds it; empty if nobody does.
+	Holder string `json:"holder"`
+	// Fence is the fencing number.
+	Fence uint64 `json:"fence"`
+	// Held says whether this daemon is the holder.
+	Held bool `json:"held"`
+}
+
+// Head says which configuration a daemon has in force.
+type Head struct {
+	// Name is the name of the daemon.
+	Name string `json:"name"`
+	// Revision is the revision in force.
+	Revision uint64 `json:"revision"`
+}
+
+// GetConfig asks for the content of a revision.
+type GetConfig struct {
+	// Revision is the revision that is asked for.
+	Revision uint64 `json:"revision"`
+}
+
+// ConfigContent is the content of a revision.
+type ConfigContent struct {
+	// Revision is the revision.
+	Revision uint64 `json:"revision"`
+	// Data is the content in its stored form.
+	Data []byte `json:"data"`
+}
--- /dev/null
+++ b/core/peer/peer.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Limits of a peer's connection.
+const (
+	dialTimeout   = 2 * time.Second
+	maxConnection = 1024
+)
+
+// Errors of this package.
+var (
+	// ErrPlain is returned for a peers' port without TLS off loopback.
+	ErrPlain = merry.Sentinel("peer: a peers' port without TLS must be on a loopback address")
+	// ErrClosed is returned by a call on a closed client.
+	ErrClosed = merry.Sentinel("peer: client is closed")
+)
+
+// Handler answers the calls of peers. It is called by several threads.
+type Handler interface {
+	// Status returns the state of the daemon.
+	Status(ctx context.Context) (Status, error)
+	// Head takes a peer's head and returns the daemon's own.
+	Head(ctx context.Context, head Head) (Head, error)
+	// GetConfig returns the content of a revision.
+	GetConfig(ctx context.Context, get GetConfig) (ConfigContent, error)
+}
+
+// Server accepts peers on one port.
+type Server struct {
+	handler  Handler
+	listener net.Listener
+	wait     sync.WaitGroup
+	mu       sync.Mutex
+	conns    map[*jsonrpc2.Conn]struct{}
+	closed   bool
+}
+
+// Listen starts a server on address, an IP number and a port. A nil config
+// means no TLS, and then ErrPlain is returned unless address is on loopback.
+func Listen(address string, config *tls.Config, handler Handler) (*Server, error) {
+	if config == nil && !isLoopback(address) {
+		return nil, merry.Wrap(ErrPlain, merry.WithValue("address", address))
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, merry.Prepend(err, "peer: listen")
+	}
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
+	s := &Server{
+		handler:  handler,
+		listener: listener,
+		conns:    make(map[*jsonrpc2.Conn]struct{}),
+	}
+	s.wait.Go(s.accept)
+	return s, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close stops the server and ends its connections.
+func (s *Server) Close() error {
+	err := s.listener.Close()
+	s.mu.Lock()
+	s.closed = true
+	conns := make([]*jsonrpc2.Conn, 0, len(s.conns))
+	for conn := range s.conns {
+		conns = append(conns, conn)
+	}
+	s.mu.Unlock()
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+	s.wait.Wait()
+	return err
+}
+
+func (s *Server) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.wait.Go(func() { s.serve(conn) })
+	}
+}
+
+// acceptPause keeps a failing listener from taking a whole core.
+const acceptPause = 10 * time.Millisecond
+
+func (s *Server) serve(conn net.Conn) {
+	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
+	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
+	rpc := jsonrpc2.NewConn(context.Background(), stream, handler)
+	if !s.add(rpc) {
+		_ = rpc.Close()
+		return
+	}
+	<-rpc.DisconnectNotify()
+	s.mu.Lock()
+	delete(s.conns, rpc)
+	s.mu.Unlock()
+}
+
+// add registers a connection. It reports false if the server is closed or has
+// too many.
+func (s *Server) add(rpc *jsonrpc2.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= maxConnection {
+		return false
+	}
+	s.conns[rpc] = struct{}{}
+	return true
+}
+
+func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	switch req.Method {
+	case MethodStatus:
+		return s.handler.Status(ctx)
+	case MethodHead:
+		return handleParams(ctx, req, s.handler.Head)
+	case MethodGetConfig:
+		return handleParams(ctx, req, s.handler.GetConfig)
+	}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method: " + req.Method}
+}
+
+// handleParams decodes the parameters of a call and answers it by method.
+func handleParams[P, R any](ctx context.Context, req *jsonrpc2.Request, method func(context.Context, P) (R, error)) (any, error) {
+	var params P
+	if req.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "parameters are missing"}
+	}
+	if err := json.Unmarshal(*req.Params, &params); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	return method(ctx, params)
+}
+
+func isLoopback(address string) bool {
+	ap, err := netip.ParseAddrPort(address)
+	return err == nil && ap.Addr().IsLoopback()
+}
--- /dev/null
+++ b/core/refusal/refusal.go
@@ -0,0 +1,121 @@
+// Package refusal defines the answers that callers get when a request is not
+// served whole.
+package refusal
+
+import (
+	"net/http"
+	"time"
+)
+
+// Run says whether a refused request may have run.
+type Run string
+
+// The values of Run.
+const (
+	// NotRun is only said when it is certain that no backend server began the
+	// request.
+	NotRun Run = "not-run"
+	// Unknown is said in all other cases.
+	Unknown Run = "unknown"
+)
+
+// Code is a stable name of a kind of refusal.
+type Code string
+
+// The kinds of refusals.
+const (
+	InvalidRequest      Code = "invalid-request"
+	BodyTooLarge        Code = "body-too-large"
+	BodyTimeout         Code = "body-timeout"
+	KeyMissing          Code = "key-missing"
+	KeyInvalid          Code = "key-invalid"
+	KeyWithdrawn        Code = "key-withdrawn"
+	ClassNotBought      Code = "class-not-bought"
+	RouteUnknown        Code = "route-unknown"
+	ModelUnknown        Code = "model-unknown"
+	RateLimited         Code = "rate-limited"
+	TooManyRequests     Code = "too-many-requests"
+	QueueFull           Code = "queue-full"
+	WaitTooLong         Code = "wait-too-long"
+	NoBackendServer     Code = "no-backend-server"
+	BackendServerFailed Code = "backend-server-failed"
+	BackendTimeout      Code = "backend-timeout"
+	AnswerIncomplete    Code = "answer-incomplete"
+	PlatformUnavailable Code = "platform-unavailable"
+	IdempotencyMissing  Code = "idempotency-key-missing"
+	IdempotencyReused   Code = "idempotency-key-reused"
+	CallInProgress      Code = "call-in-progress"
+	OutcomeUnknown      Code = "outcome-unknown"
+	ShuttingDown        Code = "shutting-down"
+	NotConfigured       Code = "not-configured"
+	Internal            Code = "internal"
+)
+
+// statuses gives the HTTP status of each kind of refusal.
+var statuses = map[Code]int{
+	InvalidRequest:      http.StatusBadRequest,
+	BodyTooLarge:        http.StatusRequestEntityTooLarge,
+	BodyTimeout:         http.StatusRequestTimeout,
+	KeyMissing:          http.StatusUnauthorized,
+	KeyInvalid:          http.StatusUnauthorized,
+	KeyWithdrawn:        http.StatusUnauthorized,
+	ClassNotBought:      http.StatusForbidden,
+	RouteUnknown:        http.StatusNotFound,
+	ModelUnknown:        http.StatusNotFound,
+	RateLimited:         http.StatusTooManyRequests,
+	TooManyRequests:     http.StatusTooManyRequests,
+	QueueFull:           http.StatusServiceUnavailable,
+	WaitTooLong:         http.StatusServiceUnavailable,
+	NoBackendServer:     http.StatusServiceUnavailable,
+	BackendServerFailed: http.StatusBadGateway,
+	BackendTimeout:      http.StatusGatewayTimeout,
+	AnswerIncomplete:    http.StatusBadGateway,
+	PlatformUnavailable: http.StatusServiceUnavailable,
+	IdempotencyMissing:  http.StatusBadRequest,
+	IdempotencyReused:   http.StatusUnprocessableEntity,
+	CallInProgress:      http.StatusConflict,
+	OutcomeUnknown:      http.StatusConflict,
+	ShuttingDown:        http.StatusServiceUnavailable,
+	NotConfigured:       http.StatusServiceUnavailable,
+	Internal:            http.StatusInternalServerError,
+}
+
+// Refusal is an answer to a request that is not served whole.
+type Refusal struct {
+	// Code is the kind of refusal.
+	Code Code
+	// Message tells a person what is wrong and what to do.
+	Message string
+	// Run says whether the request may have run.
+	Run Run
+	// RetryAfter is when asking again may help; 0 if waiting does not help.
+	RetryAfter time.Duration
+}
+
+// New returns a refusal of a request that did not run.
+func New(code Code, message string) *Refusal {
+	return &Refusal{Code: code, Message: message, Run: NotRun}
+}
+
+// NewUnknown returns a refusal of a request that may have run.
+func NewUnknown(code Code, message string) *Refusal {
+	return &Refusal{Code: code, Message: message, Run: Unknown}
+}
+
+// After returns the refusal with a time after which asking again may help.
+func (r *Refusal) After(wait time.Duration) *Refusal {
+	r.RetryAfter = wait
+	return r
+}
+
+// Error returns the code and the message.
+func (r *Refusal) Error() string { return string(r.Code) + ": " + r.Message }
+
+// Status returns the HTTP status of the refusal.
+func (r *Refusal) Status() int {
+	status, ok := statuses[r.Code]
+	if !ok {
+		return http.StatusInternalServerError
+	}
+	return status
+}
--- /dev/null
+++ b/core/settings/settings.go
@@ -0,0 +1,47 @@
+// Package settings reads the one INI file that tells a daemon who it is and
+// whom it speaks to. Every setting can be changed by a flag.
+package settings
+
+import (
+	"time"
+
+	"acaciapath.example/core/peer"
+)
+
+// Settings are what one daemon is told at its start.
+type Settings struct {
+	// Name is the name of the VM that the daemon runs on, never used again
+	// after the VM is replaced.
+	Name string
+	// FailureDomain is the failure domain of the VM.
+	FailureDomain string
+	// Address is the IP number that the daemon listens on.
+	Address string
+	// CallersPort takes callers' requests; 0 takes any free port, here and in
+	// the other ports.
+	CallersPort int
+	// PeerPort takes peers.
+	PeerPort int
+	// OpsPort serves /metrics, /healthz and /readyz.
+	OpsPort int
+	// PlatformAddress is the IP number and port of the platform.
+	PlatformAddress string
+	// PlatformTimeout bounds each call of the platform. PlatformTimeout > 0.
+	PlatformTimeout time.Duration
+	// ConfigPoll is how often the platform is asked for a newer revision.
+	// ConfigPoll > 0.
+	ConfigPoll time.Duration
+	// DrainTimeout bounds a graceful shutdown. DrainTimeout > 0.
+	DrainTimeout time.Duration
+	// Lease is how long a lease lasts without being renewed. Lease > 0.
+	Lease time.Duration
+	// TLS names the files for the peers' port.
+	TLS peer.Files
+	// LogLevel is a level of logrus.
+	LogLevel string
+	// LogFormat is json or text.
+	LogFormat string
+	// TraceEndpoint is the IP number and port of an OTLP/HTTP collector; empty
+	// means that spans are not exported.
+	TraceEndpoint string
+}
--- /dev/null
+++ b/core/telemetry/telemetry.go
@@ -0,0 +1,87 @@
+// Package telemetry sets up the logs, traces and operations port that all
+// daemons have in common.
+package telemetry
+
+import (
+	"context"
+	"io"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+)
+
+// Fields of structured logs. A client account's key is never logged.
+const (
+	FieldRequestID     = "request-id"
+	FieldClientAccount = "client-account"
+	FieldServiceClass  = "service-class"
+	FieldBackendServer = "backend-server"
+	FieldKeyName       = "key-name"
+	FieldModel         = "model"
+	FieldCode          = "code"
+	FieldRevision      = "revision"
+	FieldVM            = "vm"
+)
+
+// Formats of logs.
+const (
+	FormatJSON = "json"
+	FormatText = "text"
+)
+
+// ErrFormat is returned for an unknown format of logs.
+var ErrFormat = merry.Sentinel("telemetry: log format must be json or text")
+
+// NewLogger returns a logger that writes to w. It returns an error for an
+// unknown level or format.
+func NewLogger(level, format string, w io.Writer) (*logrus.Logger, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, merry.Prepend(err, "telemetry: log level")
+	}
+	logger := logrus.New()
+	logger.SetLevel(parsed)
+	logger.SetOutput(w)
+	switch format {
+	case FormatJSON:
+		logger.SetFormatter(&logrus.JSONFormatter{})
+	case FormatText:
+		logger.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
+	default:
+		return nil, merry.Wrap(ErrFormat, merry.WithValue("format", format))
+	}
+	return logger, nil
+}
+
+// NewTracerProvider returns a provider of tracers for a program on a VM. Spans
+// are exported by OTLP over HTTP to endpoint, an IP number and a port; with an
+// empty endpoint they only carry the trace context on. The caller shuts the
+// provider down.
+func NewTracerProvider(ctx context.Context, endpoint, program, vm string) (*sdktrace.TracerProvider, error) {
+	options := []sdktrace.TracerProviderOption{
+		sdktrace.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", program),
+			attribute.String("service.instance.id", vm),
+		)),
+	}
+	if endpoint != "" {
+		exporter, err := otlptracehttp.New(ctx,
+			otlptracehttp.WithEndpoint(endpoint),
+			otlptracehttp.WithInsecure(),
+		)
+		if err != nil {
+			return nil, merry.Prepend(err, "telemetry: trace exporter")
+		}
+		options = append(options, sdktrace.WithBatcher(exporter))
+	}
+	return sdktrace.NewTracerProvider(options...), nil
+}
+
+// Propagator carries the trace context in HTTP headers by W3C Trace Context.
+// Baggage is not carried, because callers could put anything into it.
+func Propagator() propagation.TextMapPropagator { return propagation.TraceContext{} }
--- /dev/null
+++ b/entryd/main.go
@@ -0,0 +1,4 @@
+// Command entryd is being built.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is being built.
+package main
+
+func main() {}
