core: decide order, limits, replica and retries as pure functions

Ruled out: strict priority with a turn for other classes every so many dispatches; turns count requests, and patient answers are several times longer than urgent ones, so the guaranteed share is counted in tokens instead.

--- /dev/null
+++ b/core/dispatch/dispatch.go
@@ -0,0 +1,278 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/engine"
+	"acaciapath.example/core/limit"
+	"acaciapath.example/core/queue"
+	"acaciapath.example/core/refusal"
+	"acaciapath.example/core/replica"
+	"acaciapath.example/core/retry"
+)
+
+// minRetryAfter is the shortest time that a refused caller is told to wait.
+const minRetryAfter = time.Second
+
+// Dispatcher holds the requests of one entry daemon. T is what the daemon
+// keeps with each.
+type Dispatcher[T any] struct {
+	// FailureDomain is that of the daemon.
+	FailureDomain string
+	// Limiter holds client accounts to their limits.
+	Limiter *limit.Limiter
+	// Budget bounds retries.
+	Budget retry.Budget
+
+	// pools are in the order of their names.
+	pools    []*pool[T]
+	replicas map[string]*replica.Replica
+	random   *rand.Rand
+}
+
+// New returns a dispatcher without replicas.
+func New[T any](failureDomain string, retryPercent int, random *rand.Rand) *Dispatcher[T] {
+	return &Dispatcher[T]{
+		FailureDomain: failureDomain,
+		Limiter:       limit.New(1),
+		Budget:        retry.NewBudget(retryPercent),
+		replicas:      make(map[string]*replica.Replica),
+		random:        random,
+	}
+}
+
+// SetReplicas replaces all replicas, keeping the state of those that stay.
+// Requests on those that go keep running. A name stands for one backend server
+// for ever; if its address differs it is a new replica.
+func (d *Dispatcher[T]) SetReplicas(specs []replica.Spec) {
+	replicas := make(map[string]*replica.Replica, len(specs))
+	for _, p := range d.pools {
+		p.replicas = nil
+	}
+	for _, spec := range specs {
+		r, ok := d.replicas[spec.Name]
+		if !ok || r.Spec.Address != spec.Address {
+			r = replica.New(spec)
+		}
+		r.Spec = spec
+		replicas[spec.Name] = r
+		for _, serves := range spec.Serves {
+			p := d.pool(serves)
+			p.replicas = append(p.replicas, r)
+		}
+	}
+	d.replicas = replicas
+}
+
+// Report takes in a load that a backend server published.
+func (d *Dispatcher[T]) Report(name string, load engine.Load) {
+	if r := d.replicas[name]; r != nil {
+		r.Report(load)
+	}
+}
+
+// Observe takes in the changes of a backend server's prefix cache.
+func (d *Dispatcher[T]) Observe(name string, events []engine.CacheEvent) {
+	r := d.replicas[name]
+	if r == nil {
+		return
+	}
+	for _, e := range events {
+		r.Observe(e)
+	}
+}
+
+// Enter takes a request in to wait for a replica, or returns why it is refused.
+// A request is never refused for one of a less urgent tier: only its own
+// class's limit, its client account's limits and requests at least as urgent
+// count against it. The ticket must be ended by Finish.
+func (d *Dispatcher[T]) Enter(request Request, value T, now time.Time) (*Ticket[T], *refusal.Refusal) {
+	p := d.pool(request.Serves)
+	if r := d.refuse(p, request, now); r != nil {
+		return nil, r
+	}
+	if verdict := d.Limiter.Enter(request.Account, now); verdict.Reason != limit.None {
+		return nil, limited(verdict)
+	}
+	t := &Ticket[T]{Request: request, Value: value, pool: p}
+	t.entry = queue.Entry[*Ticket[T]]{
+		Value:   t,
+		Account: request.Account.Name,
+		Tier:    request.Class.Tier,
+		Arrived: now,
+	}
+	p.count(request.Class)
+	p.queue.Push(&t.entry)
+	d.Budget.Earn()
+	return t, nil
+}
+
+// Next starts the waiting request that is served next on a replica of its
+// choice, and returns its ticket, or nil if none can start at present. The
+// daemon calls it until it returns nil, after every change and whenever a
+// replica may have recovered.
+func (d *Dispatcher[T]) Next(now time.Time) *Ticket[T] {
+	t := d.mostUrgent(now)
+	if t == nil {
+		return nil
+	}
+	p := t.pool
+	r := replica.Choose(p.replicas, d.wish(t), p.median, now, d.random)
+	if r == nil {
+		return nil
+	}
+	p.queue.Take(&t.entry, p.completion)
+	d.start(t, r, now)
+	return t
+}
+
+// Retry puts a request that certainly did not run back into the queue, at the
+// place of its arrival, and leaves the replica that failed it alone for a time.
+// It reports false, and changes nothing, if the budget has no retry at hand or
+// no other replica is left; the daemon then finishes the request.
+func (d *Dispatcher[T]) Retry(t *Ticket[T], now time.Time) bool {
+	failed := t.Replica
+	tried := append(slices.Clone(t.tried), failed.Spec.Name)
+	if !hasOther(t, tried) || !d.Budget.Spend() {
+		return false
+	}
+	failed.Fail(now)
+	d.stop(t)
+	d.charge(t, -t.charged, now)
+	t.tried = tried
+	t.pool.queue.Push(&t.entry)
+	return true
+}
+
+// Finish ends a request, whether it waited or ran. A second call does nothing.
+func (d *Dispatcher[T]) Finish(t *Ticket[T], result Result, now time.Time) {
+	if t.ended {
+		return
+	}
+	t.ended = true
+	t.pool.queue.Remove(&t.entry)
+	d.charge(t, result.PromptTokens+result.CompletionTokens-t.charged, now)
+	d.Limiter.Leave(t.Request.Account.Name, now)
+	r := t.Replica
+	if r == nil {
+		return
+	}
+	d.stop(t)
+	if result.Failed {
+		r.Fail(now)
+		return
+	}
+	r.Succeed()
+	r.ObservePace(result.Pace)
+	t.pool.observe(t.Request, result, now.Sub(t.Started))
+}
+
+// mostUrgent returns the request that is served next among those of all pools:
+// the one of the most urgent tier, and of these the one that arrived first.
+func (d *Dispatcher[T]) mostUrgent(now time.Time) *Ticket[T] {
+	var best *Ticket[T]
+	for _, p := range d.pools {
+		t := p.next(now)
+		if t != nil && (best == nil || before(t, best)) {
+			best = t
+		}
+	}
+	return best
+}
+
+func before[T any](a, b *Ticket[T]) bool {
+	if a.entry.Tier != b.entry.Tier {
+		return a.entry.Tier < b.entry.Tier
+	}
+	return a.entry.Arrived.Before(b.entry.Arrived)
+}
+
+// hasOther reports whether a replica that is not in tried may run the request.
+func hasOther[T any](t *Ticket[T], tried []string) bool {
+	return slices.ContainsFunc(t.pool.replicas, func(r *replica.Replica) bool {
+		if r.Spec.Leaving || (r.Spec.Kind == config.KindCheap && !t.Request.Class.CheapServers) {
+			return false
+		}
+		return !slices.Contains(tried, r.Spec.Name)
+	})
+}
+
+func (d *Dispatcher[T]) refuse(p *pool[T], request Request, now time.Time) *refusal.Refusal {
+	class := request.Class
+	if len(p.replicas) == 0 {
+		message := fmt.Sprintf("no backend server serves %q at present", request.Serves)
+		return refusal.New(refusal.NoBackendServer, message).After(minRetryAfter)
+	}
+	if p.queue.Waiting(class.Tier) >= class.QueueLimit {
+		message := fmt.Sprintf("%d requests of service class %q wait already", class.QueueLimit, class.Name)
+		return refusal.New(refusal.QueueFull, message).After(d.retryAfter(p, class, now))
+	}
+	places := p.places(d.FailureDomain, class.CheapServers, now)
+	if wait := p.expectedWait(class.Tier, places); wait > class.MaxWait {
+		message := fmt.Sprintf("a request of service class %q would wait longer than %s", class.Name, class.MaxWait)
+		return refusal.New(refusal.WaitTooLong, message).After(wait - class.MaxWait)
+	}
+	return nil
+}
+
+// retryAfter returns when the queue of a class is expected to have emptied.
+func (d *Dispatcher[T]) retryAfter(p *pool[T], class *config.ServiceClass, now time.Time) time.Duration {
+	places := p.places(d.FailureDomain, class.CheapServers, now)
+	return max(p.expectedWait(class.Tier, places), minRetryAfter)
+}
+
+func limited(verdict limit.Verdict) *refusal.Refusal {
+	message := fmt.Sprintf("the client account's limit %s is reached", verdict.Reason)
+	if verdict.Reason == limit.Concurrent {
+		return refusal.New(refusal.TooManyRequests, message).After(minRetryAfter)
+	}
+	return refusal.New(refusal.RateLimited, message).After(max(verdict.Wait, minRetryAfter))
+}
+
+func (d *Dispatcher[T]) wish(t *Ticket[T]) replica.Wish {
+	return replica.Wish{
+		FailureDomain: d.FailureDomain,
+		Cheap:         t.Request.Class.CheapServers,
+		Prefixes:      t.Request.Prefixes,
+		Tried:         t.tried,
+	}
+}
+
+// start accounts for a request that begins on a replica, and charges what it is
+// expected to cost.
+func (d *Dispatcher[T]) start(t *Ticket[T], r *replica.Replica, now time.Time) {
+	t.Replica = r
+	t.Started = now
+	t.Attempts++
+	r.Start(t.Request.Prefixes)
+	t.pool.count(t.Request.Class).running++
+	d.charge(t, t.pool.expectedCost(t.Request), now)
+}
+
+// stop takes a request off its replica.
+func (d *Dispatcher[T]) stop(t *Ticket[T]) {
+	t.Replica.Finish()
+	t.Replica = nil
+	t.pool.count(t.Request.Class).running--
+}
+
+func (d *Dispatcher[T]) charge(t *Ticket[T], tokens int, now time.Time) {
+	t.charged += tokens
+	t.pool.queue.Charge(t.Request.Class.Tier, t.Request.Account.Name, float64(tokens))
+	d.Limiter.Charge(t.Request.Account.Name, tokens, now)
+}
+
+func (d *Dispatcher[T]) pool(serves string) *pool[T] {
+	i, ok := slices.BinarySearchFunc(d.pools, serves, func(p *pool[T], name string) int {
+		return strings.Compare(p.name, name)
+	})
+	if !ok {
+		d.pools = slices.Insert(d.pools, i, newPool[T](serves))
+	}
+	return d.pools[i]
+}
--- /dev/null
+++ b/core/dispatch/dispatch_bench_test.go
@@ -0,0 +1,27 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+
+	"acaciapath.example/core/dispatch"
+	"acaciapath.example/core/replica"
+)
+
+func BenchmarkEnterNextFinish(b *testing.B) {
+	for _, size := range []int{10, 100, 720} {
+		b.Run(fmt.Sprintf("replicas=%d", size), func(b *testing.B) {
+			specs := make([]replica.Spec, size)
+			for i := range specs {
+				specs[i] = spec(fmt.Sprint("r", i), 8)
+			}
+			d := newDispatcher(specs...)
+			b.ReportAllocs()
+			for range b.N {
+				ticket, _ := d.Enter(request(letters), 0, start)
+				d.Next(start)
+				d.Finish(ticket, dispatch.Result{CompletionTokens: 100}, start)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/dispatch/dispatch_test.go
@@ -0,0 +1,377 @@
+package dispatch_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/dispatch"
+	"acaciapath.example/core/engine"
+	"acaciapath.example/core/peer"
+	"acaciapath.example/core/refusal"
+	"acaciapath.example/core/replica"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var (
+	chat = &config.ServiceClass{
+		Name: "chat", Tier: 1, MaxWait: 10 * time.Second, QueueLimit: 4,
+	}
+	letters = &config.ServiceClass{
+		Name: "letters", Tier: 3, MaxWait: time.Hour, QueueLimit: 100, CheapServers: true,
+	}
+	shop = &config.ClientAccount{Name: "shop", Classes: []string{"chat", "letters"}}
+)
+
+func newDispatcher(replicas ...replica.Spec) *dispatch.Dispatcher[int] {
+	d := dispatch.New[int]("quito-a", 10, rand.New(rand.NewPCG(1, 2)))
+	d.SetReplicas(replicas)
+	return d
+}
+
+func spec(name string, places int) replica.Spec {
+	return replica.Spec{
+		Name:          name,
+		Address:       "127.0.0.1:1",
+		FailureDomain: "quito-a",
+		Serves:        []string{"assistant"},
+		Kind:          config.KindStandard,
+		Places:        places,
+	}
+}
+
+func request(class *config.ServiceClass) dispatch.Request {
+	return dispatch.Request{Serves: "assistant", Account: shop, Class: class, PromptTokens: 10}
+}
+
+func TestStartsWhenAPlaceIsFree(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(spec("a", 1))
+	first, r := d.Enter(request(letters), 1, start)
+	c.Assert(r == nil, qt.IsTrue)
+	c.Assert(d.Next(start), qt.Equals, first)
+	late, r := d.Enter(request(letters), 2, start)
+	c.Assert(r == nil, qt.IsTrue)
+	urgent, r := d.Enter(request(chat), 3, start)
+	c.Assert(r == nil, qt.IsTrue)
+	c.Assert(d.Next(start), qt.IsNil)
+	d.Finish(first, dispatch.Result{CompletionTokens: 5}, start.Add(time.Second))
+	c.Assert(d.Next(start), qt.Equals, urgent)
+	d.Finish(urgent, dispatch.Result{}, start)
+	c.Assert(d.Next(start), qt.Equals, late)
+}
+
+func TestRefusals(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		name    string
+		prepare func(d *dispatch.Dispatcher[int])
+		account config.ClientAccount
+		want    refusal.Code
+	}{
+		{
+			name:    "no backend server",
+			prepare: func(d *dispatch.Dispatcher[int]) { d.SetReplicas(nil) },
+			want:    refusal.NoBackendServer,
+		},
+		{
+			name: "own class's queue is full",
+			prepare: func(d *dispatch.Dispatcher[int]) {
+				for range chat.QueueLimit {
+					d.Enter(request(chat), 0, start)
+				}
+			},
+			want: refusal.QueueFull,
+		},
+		{
+			name:    "client account's limit",
+			prepare: func(*dispatch.Dispatcher[int]) {},
+			account: config.ClientAccount{Name: "small", RequestsPerMinute: 1},
+			want:    refusal.RateLimited,
+		},
+		{
+			name:    "client account's requests at once",
+			prepare: func(*dispatch.Dispatcher[int]) {},
+			account: config.ClientAccount{Name: "small", ConcurrentRequests: 1},
+			want:    refusal.TooManyRequests,
+		},
+	} {
+		c.Run(test.name, func(c *qt.C) {
+			d := newDispatcher(spec("a", 1))
+			test.prepare(d)
+			req := request(chat)
+			if test.account.Name != "" {
+				req.Account = &test.account
+				_, r := d.Enter(req, 0, start)
+				c.Assert(r == nil, qt.IsTrue)
+			}
+			_, r := d.Enter(req, 0, start)
+			c.Assert(r != nil, qt.IsTrue)
+			c.Assert(r.Code, qt.Equals, test.want)
+			c.Assert(r.Run, qt.Equals, refusal.NotRun)
+		})
+	}
+}
+
+// TestNotRefusedForLowerTier fills the queue of a patient class and checks that
+// an urgent request still enters and is served next.
+func TestNotRefusedForLowerTier(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(spec("a", 1))
+	for range letters.QueueLimit {
+		_, r := d.Enter(request(letters), 0, start)
+		c.Assert(r == nil, qt.IsTrue)
+	}
+	urgent, r := d.Enter(request(chat), 1, start)
+	c.Assert(r == nil, qt.IsTrue)
+	c.Assert(d.Next(start), qt.Equals, urgent)
+}
+
+func TestRefusedWhenTheWaitIsTooLong(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(spec("a", 1))
+	now := start
+	for range 10 {
+		ticket, r := d.Enter(request(chat), 0, now)
+		c.Assert(r == nil, qt.IsTrue)
+		c.Assert(d.Next(now), qt.Equals, ticket)
+		now = now.Add(6 * time.Second)
+		d.Finish(ticket, dispatch.Result{CompletionTokens: 50}, now)
+	}
+	for range 2 {
+		_, r := d.Enter(request(chat), 0, now)
+		c.Assert(r == nil, qt.IsTrue)
+	}
+	_, r := d.Enter(request(chat), 0, now)
+	c.Assert(r != nil, qt.IsTrue)
+	c.Assert(r.Code, qt.Equals, refusal.WaitTooLong)
+	c.Assert(r.RetryAfter, qt.Equals, 2*time.Second)
+}
+
+func TestRetry(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(spec("a", 1), spec("b", 1))
+	ticket, r := d.Enter(request(chat), 0, start)
+	c.Assert(r == nil, qt.IsTrue)
+	c.Assert(d.Next(start), qt.Equals, ticket)
+	first := ticket.Replica
+	c.Assert(d.Retry(ticket, start), qt.IsTrue)
+	c.Assert(ticket.Waiting(), qt.IsTrue)
+	c.Assert(d.Next(start), qt.Equals, ticket)
+	c.Assert(ticket.Replica, qt.Not(qt.Equals), first)
+	c.Assert(first.State(start), qt.Equals, replica.Failed)
+	c.Assert(d.Retry(ticket, start), qt.IsFalse, qt.Commentf("no other replica is left"))
+	d.Finish(ticket, dispatch.Result{Failed: true}, start)
+	c.Assert(d.Queues(start)[0].Running, qt.Equals, 0)
+}
+
+func TestRetriesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(spec("a", 100), spec("b", 100), spec("c", 100))
+	now, retries := start, 0
+	for range 200 {
+		ticket, r := d.Enter(request(letters), 0, now)
+		c.Assert(r == nil, qt.IsTrue)
+		c.Assert(d.Next(now), qt.Equals, ticket)
+		for d.Retry(ticket, now) {
+			retries++
+			now = now.Add(time.Minute)
+			c.Assert(d.Next(now), qt.Equals, ticket)
+		}
+		d.Finish(ticket, dispatch.Result{Failed: true}, now)
+		now = now.Add(time.Minute)
+	}
+	// The burst of 10, and 10 in 100 of all requests but the first, which found
+	// the budget full.
+	c.Assert(retries, qt.Equals, (10*100+199*10)/100)
+}
+
+func TestSharedReplica(t *testing.T) {
+	c := qt.New(t)
+	both := spec("a", 1)
+	both.Serves = []string{"assistant", "drafts"}
+	d := newDispatcher(both)
+	one, _ := d.Enter(request(chat), 1, start)
+	other := request(chat)
+	other.Serves = "drafts"
+	_, r := d.Enter(other, 2, start)
+	c.Assert(r == nil, qt.IsTrue)
+	c.Assert(d.Next(start), qt.Equals, one)
+	c.Assert(d.Next(start), qt.IsNil, qt.Commentf("the one place is taken"))
+}
+
+func TestGoneReplicaFinishes(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(spec("a", 1))
+	ticket, _ := d.Enter(request(chat), 1, start)
+	c.Assert(d.Next(start), qt.Equals, ticket)
+	d.SetReplicas([]replica.Spec{spec("b", 1)})
+	d.Finish(ticket, dispatch.Result{CompletionTokens: 3}, start)
+	c.Assert(d.Replicas(start), qt.HasLen, 1)
+	c.Assert(d.Queues(start)[0].Running, qt.Equals, 0)
+}
+
+// TestInvariants checks over random interleavings that no replica is given more
+// than its places, that each ticket starts at most once between retries and
+// ends once, that nothing starts while a more urgent request that could start
+// waits (but for the guaranteed share), and that the counts agree.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDispatcher(spec("a", 2), spec("b", 3))
+		now := start
+		waiting := make(map[*dispatch.Ticket[int]]bool)
+		running := make(map[*dispatch.Ticket[int]]bool)
+		pick := func(t *rapid.T, from map[*dispatch.Ticket[int]]bool) *dispatch.Ticket[int] {
+			want := rapid.IntRange(0, 50).Draw(t, "ticket")
+			for ticket := range from {
+				if ticket.Value%50 == want {
+					return ticket
+				}
+			}
+			return nil
+		}
+		next := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"enter": func(t *rapid.T) {
+				class := rapid.SampledFrom([]*config.ServiceClass{chat, letters}).Draw(t, "class")
+				before := d.Queues(now)
+				ticket, r := d.Enter(request(class), next, now)
+				if r != nil {
+					checkRefusal(t, class, before, r)
+					return
+				}
+				next++
+				waiting[ticket] = true
+			},
+			"next": func(t *rapid.T) {
+				ticket := d.Next(now)
+				if ticket == nil {
+					return
+				}
+				if !waiting[ticket] || running[ticket] {
+					t.Fatalf("ticket %d started twice", ticket.Value)
+				}
+				delete(waiting, ticket)
+				running[ticket] = true
+			},
+			"finish": func(t *rapid.T) {
+				ticket := pick(t, running)
+				if ticket == nil {
+					return
+				}
+				delete(running, ticket)
+				result := dispatch.Result{
+					PromptTokens:     10,
+					CompletionTokens: rapid.IntRange(0, 500).Draw(t, "tokens"),
+					Failed:           rapid.Bool().Draw(t, "failed"),
+				}
+				d.Finish(ticket, result, now)
+				d.Finish(ticket, result, now)
+			},
+			"cancel": func(t *rapid.T) {
+				if ticket := pick(t, waiting); ticket != nil {
+					delete(waiting, ticket)
+					d.Finish(ticket, dispatch.Result{}, now)
+				}
+			},
+			"retry": func(t *rapid.T) {
+				ticket := pick(t, running)
+				if ticket != nil && d.Retry(ticket, now) {
+					delete(running, ticket)
+					waiting[ticket] = true
+				}
+			},
+			"report": func(t *rapid.T) {
+				name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "replica")
+				age := time.Duration(rapid.IntRange(0, 5).Draw(t, "age")) * time.Second
+				d.Report(name, engine.Load{At: now.Add(-age), Running: rapid.IntRange(0, 5).Draw(t, "running")})
+			},
+			"pass time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) { checkCounts(t, d, now, len(waiting), len(running)) },
+		})
+	})
+}
+
+func checkRefusal(t *rapid.T, class *config.ServiceClass, before []peer.Queue, r *refusal.Refusal) {
+	ahead := 0
+	for _, q := range before {
+		if q.ServiceClass == class.Name || q.ServiceClass == chat.Name {
+			ahead += q.Waiting
+		}
+	}
+	if ahead == 0 {
+		t.Fatalf("a %s request was refused (%s) with nothing at least as urgent ahead", class.Name, r.Code)
+	}
+}
+
+func checkCounts(t *rapid.T, d *dispatch.Dispatcher[int], now time.Time, waiting, running int) {
+	for _, q := range d.Queues(now) {
+		waiting -= q.Waiting
+		running -= q.Running
+	}
+	if waiting != 0 || running != 0 {
+		t.Fatalf("counts differ by %d waiting and %d running", waiting, running)
+	}
+	for _, b := range d.Replicas(now) {
+		if b.Running > b.Places || b.Running < 0 {
+			t.Fatalf("%s runs %d in %d places", b.Name, b.Running, b.Places)
+		}
+	}
+}
+
+// TestPatientQueueDoesNotCount checks that requests of a less urgent tier count
+// for nothing in the expected wait of an urgent one.
+func TestPatientQueueDoesNotCount(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(spec("a", 1))
+	now := start
+	for range 10 {
+		ticket, r := d.Enter(request(letters), 0, now)
+		c.Assert(r == nil, qt.IsTrue)
+		c.Assert(d.Next(now), qt.Equals, ticket)
+		now = now.Add(6 * time.Second)
+		d.Finish(ticket, dispatch.Result{CompletionTokens: 50}, now)
+	}
+	for range 50 {
+		_, r := d.Enter(request(letters), 0, now)
+		c.Assert(r == nil, qt.IsTrue)
+	}
+	_, r := d.Enter(request(chat), 0, now)
+	c.Assert(r == nil, qt.IsTrue)
+}
+
+func TestSecondFinishDoesNothing(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(spec("a", 9))
+	req := request(chat)
+	req.Account = &config.ClientAccount{Name: "small", ConcurrentRequests: 2}
+	first, _ := d.Enter(req, 1, start)
+	_, r := d.Enter(req, 2, start)
+	c.Assert(r == nil, qt.IsTrue)
+	d.Finish(first, dispatch.Result{}, start)
+	d.Finish(first, dispatch.Result{}, start)
+	_, r = d.Enter(req, 3, start)
+	c.Assert(r == nil, qt.IsTrue)
+	_, r = d.Enter(req, 4, start)
+	c.Assert(r != nil, qt.IsTrue)
+}
+
+func TestMostUrgentOfAllModels(t *testing.T) {
+	c := qt.New(t)
+	both := spec("a", 1)
+	both.Serves = []string{"assistant", "drafts"}
+	d := newDispatcher(both)
+	_, r := d.Enter(request(letters), 1, start)
+	c.Assert(r == nil, qt.IsTrue)
+	other := request(chat)
+	other.Serves = "drafts"
+	urgent, _ := d.Enter(other, 2, start.Add(time.Second))
+	c.Assert(d.Next(start.Add(time.Second)), qt.Equals, urgent)
+}
--- /dev/null
+++ b/core/limit/limit_test.go
@@ -0,0 +1,130 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/limit"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestEnter(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		name    string
+		account config.ClientAccount
+		before  func(l *limit.Limiter, a *config.ClientAccount)
+		wait    time.Duration
+		want    limit.Reason
+	}{
+		{
+			name:    "no limits",
+			account: config.ClientAccount{Name: "a"},
+			before:  func(l *limit.Limiter, a *config.ClientAccount) { l.Charge(a.Name, 1_000_000, start) },
+			want:    limit.None,
+		},
+		{
+			name:    "requests used up",
+			account: config.ClientAccount{Name: "a", RequestsPerMinute: 2},
+			before:  enter(2),
+			want:    limit.Requests,
+		},
+		{
+			name:    "requests refilled",
+			account: config.ClientAccount{Name: "a", RequestsPerMinute: 2},
+			before:  enter(2),
+			wait:    30 * time.Second,
+			want:    limit.None,
+		},
+		{
+			name:    "tokens in debt",
+			account: config.ClientAccount{Name: "a", TokensPerMinute: 100},
+			before:  func(l *limit.Limiter, a *config.ClientAccount) { enter(1)(l, a); l.Charge(a.Name, 200, start) },
+			wait:    59 * time.Second,
+			want:    limit.Tokens,
+		},
+		{
+			name:    "debt repaid",
+			account: config.ClientAccount{Name: "a", TokensPerMinute: 100},
+			before:  func(l *limit.Limiter, a *config.ClientAccount) { enter(1)(l, a); l.Charge(a.Name, 200, start) },
+			wait:    61 * time.Second,
+			want:    limit.None,
+		},
+		{
+			name:    "too many at once",
+			account: config.ClientAccount{Name: "a", ConcurrentRequests: 2},
+			before:  enter(2),
+			wait:    time.Hour,
+			want:    limit.Concurrent,
+		},
+		{
+			name:    "one left",
+			account: config.ClientAccount{Name: "a", ConcurrentRequests: 2},
+			before:  func(l *limit.Limiter, a *config.ClientAccount) { enter(2)(l, a); l.Leave(a.Name, start) },
+			want:    limit.None,
+		},
+	} {
+		c.Run(test.name, func(c *qt.C) {
+			l := limit.New(1)
+			test.before(l, &test.account)
+			verdict := l.Enter(&test.account, start.Add(test.wait))
+			c.Assert(verdict.Reason, qt.Equals, test.want)
+		})
+	}
+}
+
+func enter(n int) func(*limit.Limiter, *config.ClientAccount) {
+	return func(l *limit.Limiter, a *config.ClientAccount) {
+		for range n {
+			l.Enter(a, start)
+		}
+	}
+}
+
+func TestWaitIsEnough(t *testing.T) {
+	c := qt.New(t)
+	l := limit.New(1)
+	a := &config.ClientAccount{Name: "a", RequestsPerMinute: 7}
+	enter(7)(l, a)
+	verdict := l.Enter(a, start)
+	c.Assert(verdict.Reason, qt.Equals, limit.Requests)
+	c.Assert(l.Enter(a, start.Add(verdict.Wait+time.Millisecond)).Reason, qt.Equals, limit.None)
+}
+
+// TestNeverExceeded checks over random times, also some that go back, that no
+// more requests enter than the limit allows, and a minute's worth at once.
+func TestNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perMinute := rapid.IntRange(1, 100).Draw(t, "limit")
+		shares := rapid.IntRange(1, 9).Draw(t, "shares")
+		a := &config.ClientAccount{Name: "a", RequestsPerMinute: perMinute}
+		limiters := make([]*limit.Limiter, shares)
+		for i := range limiters {
+			limiters[i] = limit.New(1 / float64(shares))
+		}
+		now, earliest, latest, entered := start, start, start, 0
+		for range 300 {
+			now = now.Add(time.Duration(rapid.IntRange(-1000, 3000).Draw(t, "step")) * time.Millisecond)
+			if now.Before(earliest) {
+				earliest = now
+			}
+			if now.After(latest) {
+				latest = now
+			}
+			l := limiters[rapid.IntRange(0, shares-1).Draw(t, "daemon")]
+			if l.Enter(a, now).Reason == limit.None {
+				entered++
+				l.Leave(a.Name, now)
+			}
+			allowed := float64(perMinute)*(1+latest.Sub(earliest).Minutes()) + float64(shares)
+			if float64(entered) > allowed {
+				t.Fatalf("%d entered, %.1f allowed", entered, allowed)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/replica/replica.go
@@ -0,0 +1,165 @@
+package replica
+
+import (
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/engine"
+)
+
+// State says whether a replica is given work.
+type State string
+
+// The states of a replica.
+const (
+	// Ready is given work.
+	Ready State = "ready"
+	// Leaving finishes its work and is given none.
+	Leaving State = "leaving"
+	// Failed is given none until it has had time to recover.
+	Failed State = "failed"
+)
+
+// Times of failures.
+const (
+	// baseRest is how long a replica is left alone after its first failure.
+	baseRest = 500 * time.Millisecond
+	// maxRest bounds the time after many failures.
+	maxRest = 15 * time.Second
+)
+
+// Spec is what is known of a replica from the configuration or the platform.
+type Spec struct {
+	// Name is the name of the backend server.
+	Name string
+	// Address is an IP number and a port.
+	Address string
+	// FailureDomain is its failure domain.
+	FailureDomain string
+	// Serves are the models, or the one plain service, that it serves.
+	Serves []string
+	// Kind is the way in which it was bought.
+	Kind config.ServerKind
+	// Places is the number of requests that it runs at once. Places ≥ 1.
+	Places int
+	// Leaving says whether it is about to be taken away.
+	Leaving bool
+}
+
+// Replica is a backend server as one entry daemon knows it. It is not safe for
+// concurrent use.
+type Replica struct {
+	// Spec is what it is.
+	Spec Spec
+	// Running is the number of this daemon's requests on it. Running ≥ 0.
+	Running int
+	// Load is what it last published, with Load.At zero if it never did.
+	Load engine.Load
+	// Failures is the number of failures since the last success.
+	Failures int
+	// RestsUntil is when it is given work again after a failure.
+	RestsUntil time.Time
+	// Pace is the average time between tokens; 0 if nothing is known.
+	Pace time.Duration
+
+	// since is the change of Running since Load.At.
+	since int
+	// cached are the prefixes that were sent to it lately.
+	cached prefixSet
+}
+
+// New returns a replica on which nothing runs.
+func New(spec Spec) *Replica {
+	return &Replica{Spec: spec}
+}
+
+// State returns whether the replica is given work at now.
+func (r *Replica) State(now time.Time) State {
+	if r.Spec.Leaving {
+		return Leaving
+	}
+	if now.Before(r.RestsUntil) {
+		return Failed
+	}
+	return Ready
+}
+
+// Occupied returns how many of the replica's places are taken, as far as is
+// known: what it last published, with what this daemon started and ended since,
+// and no less than what this daemon runs on it.
+func (r *Replica) Occupied() int {
+	if r.Load.At.IsZero() {
+		return r.Running
+	}
+	return max(r.Running, r.Load.Running+r.Load.Waiting+r.since)
+}
+
+// Free returns how many places are free, as far as is known.
+func (r *Replica) Free() int { return max(0, r.Spec.Places-r.Occupied()) }
+
+// Start accounts for a request that begins with the given prompt prefixes.
+func (r *Replica) Start(prefixes []uint64) {
+	r.Running++
+	r.since++
+	for _, p := range prefixes {
+		r.cached.add(p)
+	}
+}
+
+// Finish accounts for a request that ended.
+func (r *Replica) Finish() {
+	r.Running--
+	r.since--
+}
+
+// Succeed ends a row of failures.
+func (r *Replica) Succeed() {
+	r.Failures = 0
+	r.RestsUntil = time.Time{}
+}
+
+// Fail leaves the replica alone for a time that doubles with every failure.
+func (r *Replica) Fail(now time.Time) {
+	rest := maxRest
+	if r.Failures < 5 {
+		rest = baseRest << r.Failures
+	}
+	r.Failures++
+	r.RestsUntil = now.Add(rest)
+}
+
+// paceWeight is the weight of a new sample in the average pace.
+const paceWeight = 0.2
+
+// ObservePace accounts for the average time between the tokens of an answer.
+func (r *Replica) ObservePace(pace time.Duration) {
+	if pace <= 0 {
+		return
+	}
+	if r.Pace == 0 {
+		r.Pace = pace
+		return
+	}
+	r.Pace += time.Duration(paceWeight * float64(pace-r.Pace))
+}
+
+// Report takes in a published load, unless it is older than the one known.
+func (r *Replica) Report(load engine.Load) {
+	if !load.At.After(r.Load.At) {
+		return
+	}
+	r.Load = load
+	r.since = 0
+}
+
+// Cached reports whether a prefix was sent to the replica lately.
+func (r *Replica) Cached(prefix uint64) bool { return r.cached.has(prefix) }
+
+// Observe takes in a published change of the prefix cache.
+func (r *Replica) Observe(event engine.CacheEvent) {
+	if event.Stored {
+		r.cached.add(event.Prefix)
+		return
+	}
+	r.cached.remove(event.Prefix)
+}
--- /dev/null
+++ b/core/replica/replica_test.go
@@ -0,0 +1,177 @@
+package replica_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/engine"
+	"acaciapath.example/core/replica"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func standard(name string) *replica.Replica {
+	return replica.New(replica.Spec{
+		Name:          name,
+		Address:       "127.0.0.1:1",
+		FailureDomain: "quito-a",
+		Kind:          config.KindStandard,
+		Places:        4,
+	})
+}
+
+func TestChoose(t *testing.T) {
+	c := qt.New(t)
+	near := replica.Wish{FailureDomain: "quito-a"}
+	for _, test := range []struct {
+		name    string
+		prepare func(a, b *replica.Replica)
+		wish    replica.Wish
+		median  time.Duration
+		want    string
+	}{
+		{
+			name:    "least occupied",
+			prepare: func(a, _ *replica.Replica) { a.Start(nil) },
+			wish:    near,
+			want:    "b",
+		},
+		{
+			name:    "none free",
+			prepare: func(a, b *replica.Replica) { fill(a); fill(b) },
+			wish:    near,
+			want:    "",
+		},
+		{
+			name:    "own failure domain first",
+			prepare: func(a, b *replica.Replica) { a.Start(nil); b.Spec.FailureDomain = "cuenca-a" },
+			wish:    near,
+			want:    "a",
+		},
+		{
+			name:    "other failure domain when own is full",
+			prepare: func(a, b *replica.Replica) { fill(a); b.Spec.FailureDomain = "cuenca-a" },
+			wish:    near,
+			want:    "b",
+		},
+		{
+			name:    "cheap only for work that allows it",
+			prepare: func(a, b *replica.Replica) { a.Start(nil); b.Spec.Kind = config.KindCheap },
+			wish:    near,
+			want:    "a",
+		},
+		{
+			name:    "cheap preferred by work that allows it",
+			prepare: func(_, b *replica.Replica) { b.Spec.Kind = config.KindCheap },
+			wish:    replica.Wish{FailureDomain: "quito-a", Cheap: true},
+			want:    "b",
+		},
+		{
+			name:    "leaving gets nothing",
+			prepare: func(a, b *replica.Replica) { a.Spec.Leaving = true; b.Start(nil) },
+			wish:    near,
+			want:    "b",
+		},
+		{
+			name:    "failed rests",
+			prepare: func(a, b *replica.Replica) { a.Fail(start); b.Start(nil) },
+			wish:    near,
+			want:    "b",
+		},
+		{
+			name:    "cached prefix",
+			prepare: func(a, _ *replica.Replica) { a.Start([]uint64{1, 2}) },
+			wish:    replica.Wish{FailureDomain: "quito-a", Prefixes: []uint64{1, 2}},
+			want:    "a",
+		},
+		{
+			name: "straggler",
+			prepare: func(a, b *replica.Replica) {
+				a.ObservePace(90 * time.Millisecond)
+				b.ObservePace(30 * time.Millisecond)
+				b.Start(nil)
+			},
+			wish:   near,
+			median: 30 * time.Millisecond,
+			want:   "b",
+		},
+		{
+			name:    "tried only as the last",
+			prepare: func(_, b *replica.Replica) { b.Start(nil) },
+			wish:    replica.Wish{FailureDomain: "quito-a", Tried: []string{"a"}},
+			want:    "b",
+		},
+		{
+			name: "load published by others",
+			prepare: func(a, _ *replica.Replica) {
+				a.Report(engine.Load{At: start, Running: 3})
+			},
+			wish: near,
+			want: "b",
+		},
+	} {
+		c.Run(test.name, func(c *qt.C) {
+			a, b := standard("a"), standard("b")
+			test.prepare(a, b)
+			got := ""
+			random := rand.New(rand.NewPCG(1, 2))
+			if r := replica.Choose([]*replica.Replica{a, b}, test.wish, test.median, start, random); r != nil {
+				got = r.Spec.Name
+			}
+			c.Assert(got, qt.Equals, test.want)
+		})
+	}
+}
+
+func fill(r *replica.Replica) {
+	for r.Free() > 0 {
+		r.Start(nil)
+	}
+}
+
+func TestOccupied(t *testing.T) {
+	c := qt.New(t)
+	r := standard("a")
+	r.Start(nil)
+	r.Report(engine.Load{At: start, Running: 2, Waiting: 1})
+	c.Assert(r.Occupied(), qt.Equals, 3)
+	r.Start(nil)
+	c.Assert(r.Occupied(), qt.Equals, 4)
+	r.Finish()
+	r.Finish()
+	c.Assert(r.Occupied(), qt.Equals, 2)
+	r.Report(engine.Load{At: start.Add(-time.Second), Running: 4})
+	c.Assert(r.Occupied(), qt.Equals, 2, qt.Commentf("an older load is left out"))
+}
+
+func TestFailRestsLonger(t *testing.T) {
+	c := qt.New(t)
+	r := standard("a")
+	last := time.Duration(0)
+	for range 10 {
+		r.Fail(start)
+		rest := r.RestsUntil.Sub(start)
+		c.Assert(rest >= last, qt.IsTrue)
+		last = rest
+	}
+	c.Assert(last, qt.Equals, 15*time.Second)
+	c.Assert(r.State(start), qt.Equals, replica.Failed)
+	r.Succeed()
+	c.Assert(r.State(start), qt.Equals, replica.Ready)
+}
+
+func TestPrefixesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	r := standard("a")
+	for i := range uint64(1000) {
+		r.Observe(engine.CacheEvent{Stored: true, Prefix: i})
+	}
+	c.Assert(r.Cached(0), qt.IsFalse)
+	c.Assert(r.Cached(999), qt.IsTrue)
+	r.Observe(engine.CacheEvent{Prefix: 999})
+	c.Assert(r.Cached(999), qt.IsFalse)
+}
