--- /dev/null
+++ b/core/config/price.go
@@ -0,0 +1,83 @@
+package config
+
+import (
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+
+	"acaciapath.example/core/ini"
+)
+
+// Units of prices.
+const (
+	perMillionTokens = "Mtok"
+	perHour          = "h"
+	perCall          = "call"
+)
+
+// microDigits is the number of decimals of a millionth.
+const microDigits = 6
+
+// maxPriceMicros is the greatest price, in millionths of the currency unit.
+const maxPriceMicros = 1_000_000_000_000
+
+var (
+	// decimalPattern matches an amount of money, without a sign.
+	decimalPattern = regexp.MustCompile(`^[0-9]{1,9}(\.[0-9]{1,6})?$`)
+	// currencyPattern matches the form of the codes of ISO 4217.
+	currencyPattern = regexp.MustCompile(`^[A-Z]{3}$`)
+)
+
+// price returns a parser of prices for each unit, in millionths of the currency
+// unit. That the currency is the one of the bills is checked afterwards.
+func price(unit string) ini.Parser[int64] {
+	example := "0.40 USD/" + unit
+	return ini.Parser[int64]{
+		Type:  "price, such as `" + example + "`",
+		Range: "0 to 1000000, at most 6 decimals",
+		Parse: func(text string) (int64, error) {
+			amount, per, found := strings.Cut(text, " ")
+			if !found {
+				return 0, merry.Errorf("%s has no unit; write a price such as %s", ini.Quote(text), example)
+			}
+			if !decimalPattern.MatchString(amount) {
+				return 0, merry.Errorf("%s is not an amount such as 0.40", ini.Quote(amount))
+			}
+			currency, u, _ := strings.Cut(strings.TrimSpace(per), "/")
+			if !currencyPattern.MatchString(currency) || u != unit {
+				return 0, merry.Errorf("%s is not a currency and unit such as USD/%s", ini.Quote(per), unit)
+			}
+			return micros(amount)
+		},
+	}
+}
+
+// micros returns a decimal amount in millionths.
+func micros(amount string) (int64, error) {
+	whole, decimals, _ := strings.Cut(amount, ".")
+	decimals += strings.Repeat("0", microDigits-len(decimals))
+	n, err := strconv.ParseInt(whole+decimals, 10, 64)
+	if err != nil || n > maxPriceMicros {
+		return 0, merry.Errorf("%s is out of the range 0 to 1000000", ini.Quote(amount))
+	}
+	return n, nil
+}
+
+// priceCurrency returns the currency of a price that price has parsed.
+func priceCurrency(text string) string {
+	_, per, _ := strings.Cut(text, " ")
+	currency, _, _ := strings.Cut(strings.TrimSpace(per), "/")
+	return currency
+}
+
+// currency returns a parser of the codes of ISO 4217.
+func currency() ini.Parser[string] {
+	return ini.Parser[string]{Type: "currency code of ISO 4217", Parse: func(text string) (string, error) {
+		if !currencyPattern.MatchString(text) {
+			return "", merry.Errorf("%s is not a currency code such as USD", ini.Quote(text))
+		}
+		return text, nil
+	}}
+}
