Load settings from one INI file and the flags

Cause: programs take their addresses from one file, each setting of which a flag can change, and are to report all that is wrong at once. Flags become values of the parsed sections, so that file and flags share the table, the parsers and the findings of core/ini. Ruled out: parsing flags by their own pflag types, because those stop at the first fault. Roles decide what is required: entry, control, command.

--- a/core/config/folder.go
+++ b/core/config/folder.go
@@ -1,14 +1,12 @@
 package config
 
 import (
-	"errors"
-	"io"
 	"io/fs"
 	"os"
-	"path/filepath"
 	"slices"
 
 	"acaciapath.example/core/finding"
+	"acaciapath.example/core/ini"
 )
 
 // MaxFileBytes is the greatest size of one file of a folder.
@@ -25,7 +23,7 @@
 	var findings finding.List
 	files := readFolder(dir, &findings)
 	if len(files) == 0 && findings.Err() == nil {
-		findings.Add(syntax(dir, "the folder holds no file with the extension "+extension))
+		findings.Add(folderFinding(dir, "the folder holds no file with the extension "+extension))
 	}
 	if err := findings.Err(); err != nil {
 		return nil, err
@@ -33,64 +31,33 @@
 	return files, nil
 }
 
+// readFolder reads the files. The root refuses symbolic links that leave the
+// folder.
 func readFolder(dir string, findings *finding.List) []File {
 	root, err := os.OpenRoot(dir)
 	if err != nil {
-		findings.Add(syntax(dir, "the folder cannot be read: "+reason(err)))
+		findings.Add(folderFinding(dir, "the folder cannot be read: "+ini.Reason(err)))
 		return nil
 	}
 	defer root.Close()
 	names, err := fs.Glob(root.FS(), "*"+extension)
 	if err != nil {
-		findings.Add(syntax(dir, "the folder cannot be read: "+reason(err)))
+		findings.Add(folderFinding(dir, "the folder cannot be read: "+ini.Reason(err)))
 		return nil
 	}
 	slices.Sort(names)
 	var files []File
 	for _, name := range names {
-		if text, problem := readFile(root, name); problem != "" {
-			findings.Add(syntax(name, problem))
-		} else {
-			files = append(files, File{Name: name, Text: text})
+		f, problem := ini.ReadFile(root.FS(), name, MaxFileBytes)
+		if problem != nil {
+			findings.Add(*problem)
+			continue
 		}
+		files = append(files, f)
 	}
 	return files
 }
 
-// readFile returns the text of a file, or what is wrong with it. The root
-// refuses symbolic links that leave the folder.
-func readFile(root *os.Root, name string) (text, problem string) {
-	info, err := root.Stat(name)
-	if err != nil {
-		return "", "the file cannot be read: " + reason(err)
-	}
-	if !info.Mode().IsRegular() {
-		return "", "this is not a regular file"
-	}
-	f, err := root.Open(name)
-	if err != nil {
-		return "", "the file cannot be read: " + reason(err)
-	}
-	defer f.Close()
-	content, err := io.ReadAll(io.LimitReader(f, MaxFileBytes+1))
-	if err != nil {
-		return "", "the file cannot be read: " + reason(err)
-	}
-	if len(content) > MaxFileBytes {
-		return "", "the file is larger than 64MiB"
-	}
-	return string(content), ""
-}
-
-func syntax(file, message string) finding.Finding {
-	return finding.Finding{Kind: finding.Syntax, File: filepath.ToSlash(file), Message: message}
-}
-
-// reason returns why a call of the file system failed, without the path.
-func reason(err error) string {
-	var pathError *fs.PathError
-	if errors.As(err, &pathError) {
-		return pathError.Err.Error()
-	}
-	return err.Error()
+func folderFinding(dir, message string) finding.Finding {
+	return finding.Finding{Kind: finding.Syntax, File: dir, Message: message}
 }
--- a/core/ini/parse.go
+++ b/core/ini/parse.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// set puts a value in force.
-func (s *Section) set(v Value) {
+// Set puts a value in force.
+func (s *Section) Set(v Value) {
 	if old := s.Value(v.Setting); old != nil {
 		*old = v
 		return
@@ -147,7 +147,7 @@
 	}
 	seen[h.title] = h.line
 	for i, p := range h.settings {
-		section.set(Value{Setting: p.name, Text: keys[i].Value(), Place: Place{File: file, Line: p.line}})
+		section.Set(Value{Setting: p.name, Text: keys[i].Value(), Place: Place{File: file, Line: p.line}})
 	}
 }
 
--- /dev/null
+++ b/core/ini/read.go
@@ -0,0 +1,46 @@
+package ini
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+
+	"acaciapath.example/core/finding"
+)
+
+// ReadFile returns a file of at most limit bytes. It returns a finding if the
+// file is larger, is not a regular file or cannot be read.
+func ReadFile(fsys fs.FS, name string, limit int64) (File, *finding.Finding) {
+	info, err := fs.Stat(fsys, name)
+	if err != nil {
+		return File{}, unreadable(name, "the file cannot be read: "+Reason(err))
+	}
+	if !info.Mode().IsRegular() {
+		return File{}, unreadable(name, "this is not a regular file")
+	}
+	f, err := fsys.Open(name)
+	if err != nil {
+		return File{}, unreadable(name, "the file cannot be read: "+Reason(err))
+	}
+	content, err := io.ReadAll(io.LimitReader(f, limit+1))
+	if err = errors.Join(err, f.Close()); err != nil {
+		return File{}, unreadable(name, "the file cannot be read: "+Reason(err))
+	}
+	if int64(len(content)) > limit {
+		return File{}, unreadable(name, "the file is larger than "+shortSize(limit))
+	}
+	return File{Name: name, Text: string(content)}, nil
+}
+
+// Reason returns why a call of the file system failed, without the path.
+func Reason(err error) string {
+	var pathError *fs.PathError
+	if errors.As(err, &pathError) {
+		return pathError.Err.Error()
+	}
+	return err.Error()
+}
+
+func unreadable(name, message string) *finding.Finding {
+	return &finding.Finding{Kind: finding.Syntax, File: name, Message: message}
+}
--- /dev/null
+++ b/core/settings/flags.go
@@ -0,0 +1,149 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/spf13/pflag"
+
+	"acaciapath.example/core/finding"
+	"acaciapath.example/core/ini"
+)
+
+const (
+	// fileFlag names the settings file.
+	fileFlag = "settings"
+	// commandLine stands for the file in findings about flags.
+	commandLine = "command line"
+	// maxFileBytes is the greatest size of a settings file.
+	maxFileBytes = 1 << 20
+)
+
+// Flags are the flags of a program for its settings.
+type Flags struct {
+	set   *pflag.FlagSet
+	role  Role
+	kinds []ini.Kind[Settings]
+}
+
+// NewFlags adds --settings and a flag for each setting that matters to the role
+// to a set of flags, and returns them.
+func NewFlags(set *pflag.FlagSet, role Role) *Flags {
+	f := &Flags{set: set, role: role, kinds: kinds(role)}
+	set.String(fileFlag, "", "INI `file` with settings; each can be changed by a flag")
+	for _, k := range f.kinds {
+		if !role.daemon() && !slices.Contains(commandSections, k.Name) {
+			continue
+		}
+		for _, s := range k.Settings {
+			set.String(flagName(k.Name, s.Name), s.Default, s.Help)
+		}
+	}
+	return f
+}
+
+// Load returns the settings of the file, if one was given, changed by the
+// flags. If anything is wrong, Load returns all of it as a *finding.List, in
+// which a flag's findings have the file "command line" and the flag as setting.
+// Settings that do not matter to the role are checked but not required, so that
+// programs can share a file. Load is called after the flags were parsed.
+func (f *Flags) Load() (*Settings, error) {
+	var findings finding.List
+	sections, ok := f.sections(&findings)
+	if !ok {
+		return nil, findings.Err()
+	}
+	var s Settings
+	decoder := ini.NewDecoder(sections, &findings)
+	decoder.CheckKinds(sections, f.kindNames()...)
+	byKind := make(map[string]*ini.Section)
+	for _, section := range sections {
+		if section.Name == "" {
+			byKind[section.Kind] = section
+		} else {
+			findings.Add(section.Finding(finding.Unknown, "", "sections of settings have no name"))
+		}
+	}
+	for _, k := range f.kinds {
+		k.Decode(decoder, byKind[k.Name], &s)
+	}
+	f.check(&s, byKind, &findings)
+	if err := findings.Err(); err != nil {
+		nameFlags(findings.Findings)
+		findings.Sort()
+		return nil, err
+	}
+	return &s, nil
+}
+
+// sections returns the file's sections, changed by the flags. It returns one of
+// each kind, and false if the file cannot be read.
+func (f *Flags) sections(findings *finding.List) ([]*ini.Section, bool) {
+	file, ok := f.read(findings)
+	if !ok {
+		return nil, false
+	}
+	sections := ini.Parse([]ini.File{file}, findings)
+	for _, k := range f.kinds {
+		i := slices.IndexFunc(sections, func(s *ini.Section) bool { return s.Title() == k.Name })
+		if i < 0 {
+			i = len(sections)
+			sections = append(sections, &ini.Section{Kind: k.Name, Place: ini.Place{File: file.Name}})
+		}
+		f.apply(sections[i], k)
+	}
+	return sections, true
+}
+
+// read returns the settings file, or an empty one if none was given.
+func (f *Flags) read(findings *finding.List) (ini.File, bool) {
+	flag := f.set.Lookup(fileFlag)
+	if !flag.Changed {
+		return ini.File{Name: commandLine}, true
+	}
+	path := flag.Value.String()
+	file, problem := ini.ReadFile(os.DirFS(filepath.Dir(path)), filepath.Base(path), maxFileBytes)
+	if problem != nil {
+		problem.File = path
+		findings.Add(*problem)
+		return ini.File{}, false
+	}
+	file.Name = path
+	return file, true
+}
+
+// apply puts the flags of a section in force.
+func (f *Flags) apply(section *ini.Section, k ini.Kind[Settings]) {
+	for _, s := range k.Settings {
+		flag := f.set.Lookup(flagName(k.Name, s.Name))
+		if flag == nil || !flag.Changed {
+			continue
+		}
+		section.Set(ini.Value{
+			Setting: s.Name, Text: flag.Value.String(), Place: ini.Place{File: commandLine},
+		})
+	}
+}
+
+func (f *Flags) kindNames() []string {
+	names := make([]string, len(f.kinds))
+	for i, k := range f.kinds {
+		names[i] = k.Name
+	}
+	return names
+}
+
+// flagName returns the name of the flag for a setting.
+func flagName(section, setting string) string { return section + "-" + setting }
+
+// nameFlags puts the flag in place of section and setting in the findings about
+// the command line.
+func nameFlags(findings []finding.Finding) {
+	for i := range findings {
+		if f := &findings[i]; f.File == commandLine && f.Section != "" {
+			f.Setting = "--" + flagName(f.Section, f.Setting)
+			f.Section = ""
+		}
+	}
+}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -1,13 +1,32 @@
-// Package settings reads the one INI file that tells a daemon who it is and
-// whom it speaks to. Every setting can be changed by a flag.
+// Package settings reads the one INI file that tells a program who it is and
+// whom it speaks to. Every setting can be changed by a flag, which is named
+// after its section and setting: --platform-address for address in [platform].
 package settings
 
 import (
+	"net/netip"
 	"time"
 
 	"acaciapath.example/core/peer"
 )
 
+// Role is the kind of program that the settings are for.
+type Role string
+
+// The roles.
+const (
+	// RoleEntry is an entry daemon.
+	RoleEntry Role = "entry"
+	// RoleControl is a control daemon.
+	RoleControl Role = "control"
+	// RoleCommand is the operators' command line, which has no daemon of its
+	// own to set up.
+	RoleCommand Role = "command"
+)
+
+// daemon reports whether the role is that of a daemon.
+func (r Role) daemon() bool { return r != RoleCommand }
+
 // Settings are what one daemon is told at its start.
 type Settings struct {
 	// Name is the name of the VM that the daemon runs on, never used again
@@ -35,7 +54,8 @@
 	DrainTimeout time.Duration
 	// Lease is how long a lease lasts without being renewed. Lease > 0.
 	Lease time.Duration
-	// TLS names the files for the peers' port.
+	// TLS names the files for the peers' port. Without them Address is a
+	// loopback address.
 	TLS peer.Files
 	// LogLevel is a level of logrus.
 	LogLevel string
@@ -45,3 +65,18 @@
 	// means that spans are not exported.
 	TraceEndpoint string
 }
+
+// Default returns settings in which only those that have a default are set.
+func Default() Settings {
+	var s Settings
+	for _, k := range kinds(RoleCommand) {
+		k.SetDefaults(&s)
+	}
+	return s
+}
+
+// loopback reports whether the daemon listens on a loopback address.
+func (s *Settings) loopback() bool {
+	address, err := netip.ParseAddr(s.Address)
+	return err == nil && address.IsLoopback()
+}
