--- /dev/null
+++ b/core/revision/apply.go
@@ -0,0 +1,195 @@
+package revision
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"time"
+
+	"acaciapath.example/core/gen/objects"
+	"acaciapath.example/core/gen/table"
+	"acaciapath.example/core/platform"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cenkalti/backoff/v5"
+)
+
+// Retries of a write whose reply was lost.
+const (
+	writeAttempts     = 5
+	firstWriteBackoff = 20 * time.Millisecond
+)
+
+// Change is what an operator applies.
+type Change struct {
+	// Base is the revision that the change was made against, 0 if there is none.
+	Base uint64
+	// Files are all files of the new revision.
+	Files []File
+	// Author is the operator.
+	Author string
+	// Message says what was changed.
+	Message string
+}
+
+// Applied is the result of applying a change.
+type Applied struct {
+	// Meta is the newest revision, which has the content of the change.
+	Meta Meta
+	// Unchanged says that the newest revision already had this content, and
+	// that none was made.
+	Unchanged bool
+}
+
+// Apply stores a change as a new revision if its base is the newest one. It
+// makes no revision if the newest one has the same files. A lost reply is
+// settled by sending the same transaction again, which can take effect once,
+// and by reading back which revision won.
+//
+// It returns a *RaceError if the base is not the newest revision, ErrUnsettled,
+// ErrUnavailable, ErrTooLarge or ErrCorrupt.
+func (s *Store) Apply(ctx context.Context, change Change, now time.Time) (Applied, error) {
+	bundle, err := Pack(change.Files)
+	if err != nil {
+		return Applied{}, err
+	}
+	head, version, err := s.readHead(ctx)
+	if err != nil {
+		return Applied{}, err
+	}
+	newest, err := s.newest(ctx, head)
+	if err != nil {
+		return Applied{}, err
+	}
+	if newest.SHA256 == bundle.SHA256 {
+		return Applied{Meta: newest, Unchanged: true}, nil
+	}
+	if head != change.Base {
+		return Applied{}, &RaceError{Base: change.Base, Newest: newest}
+	}
+	meta := newMeta(change, bundle, now)
+	if err := s.put(ctx, meta.Object, bundle.Data); err != nil {
+		return Applied{}, err
+	}
+	return s.commit(ctx, meta, version)
+}
+
+// newMeta describes the revision that a change makes.
+func newMeta(change Change, bundle Bundle, now time.Time) Meta {
+	return Meta{
+		Revision: change.Base + 1,
+		Parent:   change.Base,
+		Author:   change.Author,
+		Message:  change.Message,
+		At:       now.UTC().Round(0),
+		Object:   objectPrefix + bundle.SHA256,
+		Size:     len(bundle.Data),
+		SHA256:   bundle.SHA256,
+	}
+}
+
+// newest returns the description of the newest revision, whose number is given.
+func (s *Store) newest(ctx context.Context, head uint64) (Meta, error) {
+	if head == 0 {
+		return Meta{}, nil
+	}
+	return s.Get(ctx, head)
+}
+
+// put stores an object. Its name is the hash of its content, so that it may be
+// stored again.
+func (s *Store) put(ctx context.Context, name string, data []byte) error {
+	_, err := retry(ctx, func() (struct{}, error) {
+		err := s.platform.Objects.Put(ctx, &objects.PutPayload{Name: name, Data: data})
+		if err != nil && platform.HadNoEffect(err) {
+			err = backoff.Permanent(err)
+		}
+		return struct{}{}, err
+	})
+	if err != nil {
+		return unavailable(err)
+	}
+	return nil
+}
+
+// commit writes the row of a revision and the head, whose version is given.
+func (s *Store) commit(ctx context.Context, meta Meta, version uint64) (Applied, error) {
+	value, err := json.Marshal(meta)
+	if err != nil {
+		return Applied{}, merry.Prepend(err, "revision: encode")
+	}
+	head, err := json.Marshal(headValue{Revision: meta.Revision})
+	if err != nil {
+		return Applied{}, merry.Prepend(err, "revision: encode")
+	}
+	key := revisionKey(meta.Revision)
+	transaction := &table.CommitPayload{
+		Conditions: []*table.Condition{{Key: headKey, Version: version}, {Key: key, Version: 0}},
+		Writes:     []*table.Write{{Key: headKey, Value: head}, {Key: key, Value: value}},
+	}
+	uncertain, err := s.send(ctx, transaction)
+	if err == nil {
+		return Applied{Meta: meta}, nil
+	}
+	if platform.AsConflict(err) != nil {
+		return s.settle(ctx, meta, value, uncertain)
+	}
+	if uncertain {
+		return Applied{}, merry.Wrap(ErrUnsettled, merry.AppendMessage(err.Error()), merry.WithCause(err))
+	}
+	return Applied{}, unavailable(err)
+}
+
+// send commits a transaction, again if the reply is lost. It reports whether an
+// attempt may have taken effect without being answered.
+func (s *Store) send(ctx context.Context, transaction *table.CommitPayload) (uncertain bool, err error) {
+	_, err = retry(ctx, func() (struct{}, error) {
+		_, err := s.platform.Table.Commit(ctx, transaction)
+		switch {
+		case err == nil:
+		case platform.AsConflict(err) != nil:
+			err = backoff.Permanent(err)
+		case !platform.HadNoEffect(err):
+			uncertain = true
+		case !uncertain:
+			err = backoff.Permanent(err)
+		}
+		return struct{}{}, err
+	})
+	return uncertain, err
+}
+
+// settle finds out who wrote the row of a revision after a conflict. The row is
+// written once, so that what it holds is final.
+func (s *Store) settle(ctx context.Context, meta Meta, value []byte, uncertain bool) (Applied, error) {
+	rows, err := s.platform.Read(ctx, revisionKey(meta.Revision), headKey)
+	if err != nil {
+		if uncertain {
+			return Applied{}, merry.Wrap(ErrUnsettled, merry.AppendMessage(err.Error()), merry.WithCause(err))
+		}
+		return Applied{}, unavailable(err)
+	}
+	if uncertain && bytes.Equal(rows[0].Value, value) {
+		return Applied{Meta: meta}, nil
+	}
+	head, err := decodeRow[headValue](rows[1].Value)
+	if err != nil {
+		return Applied{}, err
+	}
+	newest, err := s.newest(ctx, head.Revision)
+	if err != nil {
+		return Applied{}, err
+	}
+	if newest.SHA256 == meta.SHA256 {
+		return Applied{Meta: newest, Unchanged: true}, nil
+	}
+	return Applied{}, &RaceError{Base: meta.Parent, Newest: newest}
+}
+
+// retry calls operation until it succeeds, fails for good, or the attempts are
+// used up.
+func retry[T any](ctx context.Context, operation backoff.Operation[T]) (T, error) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = firstWriteBackoff
+	return backoff.Retry(ctx, operation, backoff.WithBackOff(wait), backoff.WithMaxTries(writeAttempts))
+}
--- /dev/null
+++ b/core/revision/bundle.go
@@ -0,0 +1,116 @@
+package revision
+
+import (
+	"bytes"
+	"cmp"
+	"compress/gzip"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// MaxBytes bounds the files of a revision before compression.
+const MaxBytes = 16 << 20
+
+// File is one file of the configuration folder.
+type File struct {
+	// Name is the name of the file in the folder.
+	Name string
+	// Text is the content of the file.
+	Text string
+}
+
+// Bundle is the stored form of the files of a revision. The same files always
+// have the same SHA256.
+type Bundle struct {
+	// SHA256 is the hash of the files before compression, in hexadecimal.
+	SHA256 string
+	// Data is the compressed content.
+	Data []byte
+}
+
+// bundledFile is a file in its stored form.
+type bundledFile struct {
+	Name string `json:"name"`
+	Text string `json:"text"`
+}
+
+// Pack returns the stored form of files, whose order does not matter.
+// It returns ErrTooLarge for more than MaxBytes.
+func Pack(files []File) (Bundle, error) {
+	bundled := make([]bundledFile, len(files))
+	for i, f := range files {
+		bundled[i] = bundledFile(f)
+	}
+	slices.SortFunc(bundled, func(a, b bundledFile) int { return cmp.Compare(a.Name, b.Name) })
+	plain, err := json.Marshal(bundled)
+	if err != nil {
+		return Bundle{}, merry.Prepend(err, "revision: pack")
+	}
+	if len(plain) > MaxBytes {
+		return Bundle{}, merry.Wrap(ErrTooLarge, merry.WithValue("bytes", len(plain)))
+	}
+	var data bytes.Buffer
+	compressor := gzip.NewWriter(&data)
+	if _, err := compressor.Write(plain); err != nil {
+		return Bundle{}, merry.Prepend(err, "revision: pack")
+	}
+	if err := compressor.Close(); err != nil {
+		return Bundle{}, merry.Prepend(err, "revision: pack")
+	}
+	return Bundle{SHA256: hash(plain), Data: data.Bytes()}, nil
+}
+
+// Unpack returns the files of a stored form in the order of their names.
+// It returns ErrCorrupt for content that Pack did not make, and ErrTooLarge.
+func Unpack(data []byte) ([]File, error) {
+	plain, err := decompress(data)
+	if err != nil {
+		return nil, err
+	}
+	var bundled []bundledFile
+	if err := json.Unmarshal(plain, &bundled); err != nil {
+		return nil, corrupt(err)
+	}
+	files := make([]File, len(bundled))
+	for i, f := range bundled {
+		files[i] = File(f)
+	}
+	return files, nil
+}
+
+// verify returns ErrCorrupt unless data holds content with the given hash.
+func verify(data []byte, sha256 string) error {
+	plain, err := decompress(data)
+	if err != nil {
+		return err
+	}
+	if hash(plain) != sha256 {
+		return merry.Wrap(ErrCorrupt, merry.AppendMessage("hash does not match"))
+	}
+	return nil
+}
+
+func decompress(data []byte) ([]byte, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, corrupt(err)
+	}
+	plain, err := io.ReadAll(io.LimitReader(reader, MaxBytes+1))
+	if err != nil {
+		return nil, corrupt(err)
+	}
+	if len(plain) > MaxBytes {
+		return nil, ErrTooLarge
+	}
+	return plain, nil
+}
+
+func hash(plain []byte) string {
+	sum := sha256.Sum256(plain)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/core/revision/meta.go
@@ -0,0 +1,53 @@
+package revision
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Names in the platform's table service and object store.
+const (
+	headKey        = "config/head"
+	revisionPrefix = "config/revision/"
+	objectPrefix   = "config/"
+)
+
+// Meta describes one stored revision. It is never changed once stored.
+type Meta struct {
+	// Revision is the number of the revision. Revision ≥ 1.
+	Revision uint64 `json:"revision"`
+	// Parent is the revision that it was made against. Parent = Revision − 1.
+	Parent uint64 `json:"parent"`
+	// Author is the operator who applied it.
+	Author string `json:"author"`
+	// Message says what was changed.
+	Message string `json:"message"`
+	// At is when it was applied, by the operator's clock.
+	At time.Time `json:"at"`
+	// Object is the name of the content in the object store.
+	Object string `json:"object"`
+	// Size is the size of the content in bytes.
+	Size int `json:"size"`
+	// SHA256 is the hash of the files before compression, in hexadecimal.
+	SHA256 string `json:"sha256"`
+}
+
+// headValue is the content of the row that names the newest revision.
+type headValue struct {
+	Revision uint64 `json:"revision"`
+}
+
+// revisionKey returns the key of the row of a revision. Keys sort by number.
+func revisionKey(revision uint64) string {
+	return fmt.Sprintf("%s%020d", revisionPrefix, revision)
+}
+
+// decodeRow decodes the content of a row.
+func decodeRow[T any](value []byte) (T, error) {
+	var decoded T
+	if err := json.Unmarshal(value, &decoded); err != nil {
+		return decoded, corrupt(err)
+	}
+	return decoded, nil
+}
