--- /dev/null
+++ b/core/revision/store_test.go
@@ -0,0 +1,285 @@
+package revision_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"acaciapath.example/core/revision"
+
+	"github.com/anishathalye/porcupine"
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// change returns a change of the one file to text.
+func change(base uint64, text string) revision.Change {
+	return revision.Change{Base: base, Files: files(text), Author: "ana", Message: "set " + text}
+}
+
+// applied applies texts one after the other.
+func applied(c *qt.C, store *revision.Store, texts ...string) {
+	for _, text := range texts {
+		head, err := store.Head(context.Background())
+		c.Assert(err, qt.IsNil)
+		_, err = store.Apply(context.Background(), change(head, text), start)
+		c.Assert(err, qt.IsNil)
+	}
+}
+
+func TestPackIsDeterministic(t *testing.T) {
+	c := qt.New(t)
+	a, b := revision.File{Name: "a", Text: "1"}, revision.File{Name: "b", Text: "2"}
+	one, err := revision.Pack([]revision.File{a, b})
+	c.Assert(err, qt.IsNil)
+	other, err := revision.Pack([]revision.File{b, a})
+	c.Assert(err, qt.IsNil)
+	c.Assert(one, qt.DeepEquals, other)
+	unpacked, err := revision.Unpack(one.Data)
+	c.Assert(err, qt.IsNil)
+	c.Assert(unpacked, qt.DeepEquals, []revision.File{a, b})
+	_, err = revision.Unpack([]byte("no bundle"))
+	c.Assert(err, qt.ErrorIs, revision.ErrCorrupt)
+}
+
+func TestPackRefusesLargeFiles(t *testing.T) {
+	c := qt.New(t)
+	_, err := revision.Pack(files(string(make([]byte, revision.MaxBytes))))
+	c.Assert(err, qt.ErrorIs, revision.ErrTooLarge)
+}
+
+func TestStore(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	store := revision.NewStore(newFakePlatform().client())
+	head, err := store.Head(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(head, qt.Equals, uint64(0))
+
+	applied(c, store, "one", "two", "three")
+	meta, err := store.Get(ctx, 2)
+	c.Assert(err, qt.IsNil)
+	c.Assert(meta.Parent, qt.Equals, uint64(1))
+	c.Assert(meta.At.Equal(start), qt.IsTrue)
+	got, err := store.Files(ctx, 2)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.DeepEquals, files("two"))
+	_, err = store.Get(ctx, 4)
+	c.Assert(err, qt.ErrorIs, revision.ErrNotFound)
+
+	history, err := store.History(ctx, 2)
+	c.Assert(err, qt.IsNil)
+	c.Assert(history, qt.HasLen, 2)
+	c.Assert(history[0].Message, qt.Equals, "set three")
+	c.Assert(history[1].Message, qt.Equals, "set two")
+}
+
+func TestApplyUnchanged(t *testing.T) {
+	c := qt.New(t)
+	store := revision.NewStore(newFakePlatform().client())
+	applied(c, store, "one")
+	got, err := store.Apply(context.Background(), change(1, "one"), start)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Unchanged, qt.IsTrue)
+	c.Assert(got.Meta.Revision, qt.Equals, uint64(1))
+}
+
+func TestApplyRace(t *testing.T) {
+	c := qt.New(t)
+	fake := newFakePlatform()
+	store := revision.NewStore(fake.client())
+	other := sync.OnceFunc(func() { applied(c, store, "other") })
+	fake.before = func() {
+		fake.before = nil
+		other()
+	}
+	_, err := store.Apply(context.Background(), change(0, "mine"), start)
+	var race *revision.RaceError
+	c.Assert(err, qt.ErrorAs, &race)
+	c.Assert(race.Newest.Revision, qt.Equals, uint64(1))
+	c.Assert(race.Newest.Message, qt.Equals, "set other")
+
+	_, err = store.Apply(context.Background(), change(0, "mine"), start)
+	c.Assert(err, qt.ErrorAs, &race)
+}
+
+func TestApplySettlesLostReplies(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	for lost := range 8 {
+		fake := newFakePlatform()
+		left := lost
+		fake.dropReply = func() bool {
+			left--
+			return left >= 0
+		}
+		store := revision.NewStore(fake.client())
+		got, err := store.Apply(ctx, change(0, "one"), start)
+		c.Assert(err, qt.IsNil)
+		c.Assert(got.Meta.Revision, qt.Equals, uint64(1))
+		history, err := store.History(ctx, 10)
+		c.Assert(err, qt.IsNil)
+		c.Assert(history, qt.HasLen, 1)
+	}
+}
+
+func TestApplyOutage(t *testing.T) {
+	c := qt.New(t)
+	fake := newFakePlatform()
+	store := revision.NewStore(fake.client())
+	fake.setDown(true)
+	_, err := store.Apply(context.Background(), change(0, "one"), start)
+	c.Assert(err, qt.ErrorIs, revision.ErrUnavailable)
+
+	fake.setDown(false)
+	fake.dropReply = func() bool {
+		fake.down = true
+		return true
+	}
+	_, err = store.Apply(context.Background(), change(0, "one"), start)
+	c.Assert(err, qt.ErrorIs, revision.ErrUnsettled)
+
+	fake.setDown(false)
+	got, err := store.Apply(context.Background(), change(0, "one"), start)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.CmpEquals(), revision.Applied{Meta: got.Meta, Unchanged: true})
+}
+
+func TestContentIsVerified(t *testing.T) {
+	c := qt.New(t)
+	fake := newFakePlatform()
+	store := revision.NewStore(fake.client())
+	applied(c, store, "one")
+	other, err := revision.Pack(files("two"))
+	c.Assert(err, qt.IsNil)
+	for name := range fake.objects {
+		fake.objects[name] = other.Data
+	}
+	_, err = store.Content(context.Background(), 1)
+	c.Assert(err, qt.ErrorIs, revision.ErrCorrupt)
+}
+
+// applyInput is an operation of the history: an apply, or a read of the head.
+type applyInput struct {
+	Read bool
+	Base uint64
+	Text string
+}
+
+// applyOutput is what an operation returned. Won and Unsettled are false for a
+// read and a lost race.
+type applyOutput struct {
+	Head      uint64
+	Won       bool
+	Unsettled bool
+}
+
+// headState is the newest revision and its text.
+type headState struct {
+	Head uint64
+	Text string
+}
+
+// applyModel is a register that is only written against its newest revision.
+var applyModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{headState{}} },
+	Step: func(state, input, output any) []any {
+		s, in, out := state.(headState), input.(applyInput), output.(applyOutput)
+		written := headState{Head: in.Base + 1, Text: in.Text}
+		switch {
+		case in.Read:
+			return when(out.Head == s.Head, s)
+		case out.Unsettled && s.Head == in.Base:
+			return []any{s, written}
+		case out.Unsettled:
+			return []any{s}
+		case s.Text == in.Text:
+			return when(out.Won && out.Head == s.Head, s)
+		case s.Head == in.Base:
+			return when(out.Won && out.Head == written.Head, written)
+		}
+		return when(!out.Won && out.Head == s.Head, s)
+	},
+}
+
+func when(possible bool, state headState) []any {
+	if possible {
+		return []any{state}
+	}
+	return nil
+}
+
+// TestConcurrentAppliesAreLinearizable records operators that apply and read
+// while replies are lost.
+func TestConcurrentAppliesAreLinearizable(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := qt.New(t)
+			recorder := &recorder{start: time.Now()}
+			fake := newFakePlatform()
+			faults := rand.New(rand.NewPCG(seed, 0))
+			fake.dropReply = func() bool { return faults.IntN(3) == 0 }
+			store := revision.NewStore(fake.client())
+			var wait sync.WaitGroup
+			for operator := range 5 {
+				random := rand.New(rand.NewPCG(seed, uint64(operator)+1))
+				wait.Go(func() { recorder.operate(store, operator, random) })
+			}
+			wait.Wait()
+			result := porcupine.CheckOperationsTimeout(applyModel.ToModel(), recorder.operations, time.Minute)
+			c.Assert(result, qt.Equals, porcupine.Ok)
+		})
+	}
+}
+
+// recorder collects the operations of all operators.
+type recorder struct {
+	start      time.Time
+	mu         sync.Mutex
+	operations []porcupine.Operation
+}
+
+// operate applies texts against the head that it knows of.
+func (r *recorder) operate(store *revision.Store, operator int, random *rand.Rand) {
+	known := uint64(0)
+	for step := range 12 {
+		in := applyInput{
+			Read: random.IntN(4) == 0,
+			Base: known,
+			Text: fmt.Sprintf("%d-%d", operator, step),
+		}
+		call := time.Since(r.start).Nanoseconds()
+		out := execute(store, in)
+		end := time.Since(r.start).Nanoseconds()
+		known = out.Head
+		r.mu.Lock()
+		r.operations = append(r.operations, porcupine.Operation{
+			ClientId: operator, Input: in, Output: out, Call: call, Return: end,
+		})
+		r.mu.Unlock()
+	}
+}
+
+func execute(store *revision.Store, in applyInput) applyOutput {
+	if in.Read {
+		head, err := store.Head(context.Background())
+		if err != nil {
+			panic(err)
+		}
+		return applyOutput{Head: head}
+	}
+	got, err := store.Apply(context.Background(), change(in.Base, in.Text), start)
+	var race *revision.RaceError
+	if errors.As(err, &race) {
+		return applyOutput{Head: race.Newest.Revision}
+	}
+	if err != nil {
+		return applyOutput{Unsettled: true}
+	}
+	return applyOutput{Head: got.Meta.Revision, Won: true}
+}
