--- a/core/revision/apply.go
+++ b/core/revision/apply.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"time"
 
+	"acaciapath.example/core/config"
 	"acaciapath.example/core/gen/objects"
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/core/platform"
@@ -25,7 +26,7 @@
 	// Base is the revision that the change was made against, 0 if there is none.
 	Base uint64
 	// Files are all files of the new revision.
-	Files []File
+	Files []config.File
 	// Author is the operator.
 	Author string
 	// Message says what was changed.
--- a/core/revision/bundle.go
+++ b/core/revision/bundle.go
@@ -10,20 +10,14 @@
 	"io"
 	"slices"
 
+	"acaciapath.example/core/config"
+
 	"github.com/ansel1/merry/v2"
 )
 
 // MaxBytes bounds the files of a revision before compression.
 const MaxBytes = 16 << 20
 
-// File is one file of the configuration folder.
-type File struct {
-	// Name is the name of the file in the folder.
-	Name string
-	// Text is the content of the file.
-	Text string
-}
-
 // Bundle is the stored form of the files of a revision. The same files always
 // have the same SHA256.
 type Bundle struct {
@@ -41,7 +35,7 @@
 
 // Pack returns the stored form of files, whose order does not matter.
 // It returns ErrTooLarge for more than MaxBytes.
-func Pack(files []File) (Bundle, error) {
+func Pack(files []config.File) (Bundle, error) {
 	bundled := make([]bundledFile, len(files))
 	for i, f := range files {
 		bundled[i] = bundledFile(f)
@@ -67,7 +61,7 @@
 
 // Unpack returns the files of a stored form in the order of their names.
 // It returns ErrCorrupt for content that Pack did not make, and ErrTooLarge.
-func Unpack(data []byte) ([]File, error) {
+func Unpack(data []byte) ([]config.File, error) {
 	plain, err := decompress(data)
 	if err != nil {
 		return nil, err
@@ -76,9 +70,9 @@
 	if err := json.Unmarshal(plain, &bundled); err != nil {
 		return nil, corrupt(err)
 	}
-	files := make([]File, len(bundled))
+	files := make([]config.File, len(bundled))
 	for i, f := range bundled {
-		files[i] = File(f)
+		files[i] = config.File(f)
 	}
 	return files, nil
 }
--- a/core/revision/fake_test.go
+++ b/core/revision/fake_test.go
@@ -11,7 +11,6 @@
 	"acaciapath.example/core/gen/objects"
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/core/platform"
-	"acaciapath.example/core/revision"
 )
 
 // errLost is an error after which the caller cannot know the effect.
@@ -127,7 +126,7 @@
 }
 
 // parse takes all files but one with the text "bad".
-func parse(files []revision.File) (*config.Config, error) {
+func parse(files []config.File) (*config.Config, error) {
 	for _, f := range files {
 		if f.Text == "bad" {
 			return nil, errors.New("a.ini:1: bad")
@@ -137,6 +136,6 @@
 }
 
 // files returns a folder of one file.
-func files(text string) []revision.File {
-	return []revision.File{{Name: "a.ini", Text: text}}
+func files(text string) []config.File {
+	return []config.File{{Name: "a.ini", Text: text}}
 }
--- a/core/revision/store.go
+++ b/core/revision/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 
+	"acaciapath.example/core/config"
 	"acaciapath.example/core/gen/objects"
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/core/platform"
@@ -66,7 +67,7 @@
 
 // Files returns the files of a revision in the order of their names.
 // It returns ErrNotFound, ErrUnavailable or ErrCorrupt.
-func (s *Store) Files(ctx context.Context, revision uint64) ([]File, error) {
+func (s *Store) Files(ctx context.Context, revision uint64) ([]config.File, error) {
 	data, err := s.Content(ctx, revision)
 	if err != nil {
 		return nil, err
--- a/core/revision/store_test.go
+++ b/core/revision/store_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"acaciapath.example/core/config"
 	"acaciapath.example/core/revision"
 
 	"github.com/anishathalye/porcupine"
@@ -34,15 +35,15 @@
 
 func TestPackIsDeterministic(t *testing.T) {
 	c := qt.New(t)
-	a, b := revision.File{Name: "a", Text: "1"}, revision.File{Name: "b", Text: "2"}
-	one, err := revision.Pack([]revision.File{a, b})
+	a, b := config.File{Name: "a", Text: "1"}, config.File{Name: "b", Text: "2"}
+	one, err := revision.Pack([]config.File{a, b})
 	c.Assert(err, qt.IsNil)
-	other, err := revision.Pack([]revision.File{b, a})
+	other, err := revision.Pack([]config.File{b, a})
 	c.Assert(err, qt.IsNil)
 	c.Assert(one, qt.DeepEquals, other)
 	unpacked, err := revision.Unpack(one.Data)
 	c.Assert(err, qt.IsNil)
-	c.Assert(unpacked, qt.DeepEquals, []revision.File{a, b})
+	c.Assert(unpacked, qt.DeepEquals, []config.File{a, b})
 	_, err = revision.Unpack([]byte("no bundle"))
 	c.Assert(err, qt.ErrorIs, revision.ErrCorrupt)
 }
--- a/core/revision/watcher.go
+++ b/core/revision/watcher.go
@@ -20,7 +20,7 @@
 
 // Parse reads and checks the files of a revision. It returns the findings as
 // its error.
-type Parse func(files []File) (*config.Config, error)
+type Parse func(files []config.File) (*config.Config, error)
 
 // Source gives the revisions that the platform holds.
 type Source interface {
