usage: meter what ran and insert parts of usage windows

Entry daemons need figures that are neither lost nor counted twice when the table is down, loses a reply or applies a write late.

The window row names its parts so that they may be deleted without making a lost reply look like a part that was never counted.

--- /dev/null
+++ b/core/usage/price.go
@@ -0,0 +1,26 @@
+package usage
+
+// tokensPerPrice is the number of tokens that a token price is for. It is also
+// the number of shares that a millionth of the currency unit is divided into.
+const tokensPerPrice = 1_000_000
+
+// Price is what work costs.
+type Price struct {
+	// Prompt is the price of a million prompt tokens, in millionths of the
+	// currency unit. Prompt ≥ 0.
+	Prompt int64
+	// Completion is the price of a million generated tokens, in millionths of
+	// the currency unit. Completion ≥ 0.
+	Completion int64
+	// Call is the price of one request, in millionths of the currency unit.
+	// Call ≥ 0.
+	Call int64
+}
+
+// Shares returns the exact charge for work, in millionths of a millionth of
+// the currency unit.
+func (p Price) Shares(work Work) int64 {
+	return p.Prompt*int64(work.PromptTokens) +
+		p.Completion*int64(work.CompletionTokens) +
+		p.Call*tokensPerPrice*int64(work.Requests)
+}
--- /dev/null
+++ b/core/usage/window.go
@@ -0,0 +1,20 @@
+package usage
+
+import "time"
+
+// Window is the fixed figures of a usage window. Once inserted it is never
+// changed.
+type Window struct {
+	// Start is the start of the window.
+	Start time.Time `json:"start"`
+	// Lines are the sums of the parts, sorted by Sum.
+	Lines []Line `json:"lines"`
+	// Parts are the names of the parts that Lines are the sums of.
+	Parts []PartName `json:"parts"`
+}
+
+// Progress says how far windows have been reported.
+type Progress struct {
+	// Last is the start of the last window that was reported.
+	Last time.Time `json:"last"`
+}
