dispatch: measure against simpler routers, and tell own load from others'

Cause: the first run of the new harness (core/measure) showed urgent requests waiting while replicas in other failure domains were free, and overfull replicas: a load report replaced what this daemon had started since, and another failure domain was used only when none here had a place. Change: a replica remembers how its own count changed, and subtracts what it ran at the time of a load report from the report; another failure domain is worse by half a replica's places instead of being the last resort. Urgent requests still wait behind running patient ones.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -142,7 +142,7 @@
 		return false
 	}
 	failed.Fail(now)
-	d.stop(t)
+	d.stop(t, now)
 	d.charge(t, -t.charged, now)
 	t.tried = tried
 	t.pool.queue.Push(&t.entry)
@@ -162,7 +162,7 @@
 	if r == nil {
 		return
 	}
-	d.stop(t)
+	d.stop(t, now)
 	if result.Failed {
 		r.Fail(now)
 		return
@@ -249,14 +249,14 @@
 	t.Replica = r
 	t.Started = now
 	t.Attempts++
-	r.Start(t.Request.Prefixes)
+	r.Start(t.Request.Prefixes, now)
 	t.pool.count(t.Request.Class).running++
 	d.charge(t, t.pool.expectedCost(t.Request), now)
 }
 
 // stop takes a request off its replica.
-func (d *Dispatcher[T]) stop(t *Ticket[T]) {
-	t.Replica.Finish()
+func (d *Dispatcher[T]) stop(t *Ticket[T], now time.Time) {
+	t.Replica.Finish(now)
 	t.Replica = nil
 	t.pool.count(t.Request.Class).running--
 }
--- /dev/null
+++ b/core/measure/dispatch_test.go
@@ -0,0 +1,133 @@
+package measure_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/dispatch"
+	"acaciapath.example/core/replica"
+)
+
+// model is the one model of the scenarios.
+const model = "assistant"
+
+// dispatched routes by package dispatch. With one dispatcher for each entry
+// daemon each routes alone; with one for each failure domain all entry daemons
+// of a failure domain share it.
+type dispatched struct {
+	perDaemon   bool
+	dispatchers []*dispatch.Dispatcher[*request]
+	tickets     map[*request]*dispatch.Ticket[*request]
+	engines     map[string]*fakeEngine
+}
+
+var _ router = (*dispatched)(nil)
+
+func newDispatched(sc scenario, perDaemon bool) *dispatched {
+	rt := &dispatched{
+		perDaemon: perDaemon,
+		tickets:   make(map[*request]*dispatch.Ticket[*request]),
+	}
+	for domain := range sc.domains {
+		count := 1
+		if perDaemon {
+			count = daemonsPerDomain
+		}
+		for i := range count {
+			random := rand.New(rand.NewPCG(seed, uint64(domain*100+i)))
+			rt.dispatchers = append(rt.dispatchers, dispatch.New[*request](domainName(domain), 10, random))
+		}
+	}
+	return rt
+}
+
+func domainName(domain int) string { return fmt.Sprintf("domain-%d", domain) }
+
+func (rt *dispatched) of(r *request) *dispatch.Dispatcher[*request] {
+	if rt.perDaemon {
+		return rt.dispatchers[r.domain*daemonsPerDomain+r.daemon]
+	}
+	return rt.dispatchers[r.domain]
+}
+
+func (rt *dispatched) arrive(s *sim, r *request) {
+	if rt.engines == nil {
+		rt.changed(s)
+	}
+	d := rt.of(r)
+	ticket, refused := d.Enter(dispatch.Request{
+		Serves:       model,
+		Account:      r.account,
+		Class:        r.class,
+		Prefixes:     []uint64{r.prefix},
+		PromptTokens: r.prompt,
+	}, r, s.time())
+	if refused != nil {
+		r.refused = true
+		return
+	}
+	rt.tickets[r] = ticket
+	rt.pump(s)
+}
+
+func (rt *dispatched) pump(s *sim) {
+	for _, d := range rt.dispatchers {
+		for t := d.Next(s.time()); t != nil; t = d.Next(s.time()) {
+			rt.engines[t.Replica.Spec.Name].submit(s, t.Value, true)
+		}
+	}
+}
+
+func (rt *dispatched) ended(s *sim, _ *fakeEngine, r *request, failed bool) {
+	d, t := rt.of(r), rt.tickets[r]
+	if failed && d.Retry(t, s.time()) {
+		s.retries++
+		rt.pump(s)
+		return
+	}
+	if failed {
+		r.lost = true
+		r.wasted += r.generated
+	}
+	result := dispatch.Result{PromptTokens: r.prompt, CompletionTokens: r.generated, Failed: failed}
+	if r.length > 1 && !failed {
+		result.Pace = (r.last - r.first) / time.Duration(r.length-1)
+	}
+	d.Finish(t, result, s.time())
+	rt.pump(s)
+}
+
+func (rt *dispatched) report(s *sim) {
+	for _, d := range rt.dispatchers {
+		for _, e := range s.engines {
+			d.Report(e.name, e.published)
+		}
+	}
+	rt.pump(s)
+}
+
+func (rt *dispatched) changed(s *sim) {
+	rt.engines = make(map[string]*fakeEngine)
+	var specs []replica.Spec
+	for _, e := range s.engines {
+		rt.engines[e.name] = e
+		if e.gone {
+			continue
+		}
+		specs = append(specs, replica.Spec{
+			Name:          e.name,
+			Address:       e.name,
+			FailureDomain: domainName(e.domain),
+			Serves:        []string{model},
+			Kind:          config.ServerKind(e.kind),
+			Places:        enginePlaces,
+			Leaving:       e.leaving,
+		})
+	}
+	for _, d := range rt.dispatchers {
+		d.SetReplicas(specs)
+	}
+	rt.pump(s)
+}
--- a/core/replica/choose.go
+++ b/core/replica/choose.go
@@ -11,7 +11,7 @@
 // Wish is what a request asks of a replica.
 type Wish struct {
 	// FailureDomain is that of the entry daemon; replicas in others are used
-	// only when none in it can be.
+	// only when those in it are busier by farWeight.
 	FailureDomain string
 	// Cheap says whether a cheap backend server may be used.
 	Cheap bool
@@ -26,6 +26,8 @@
 const (
 	// cacheWeight is what a prompt that is wholly cached is worth.
 	cacheWeight = 0.5
+	// farWeight is what a replica in another failure domain is worse by.
+	farWeight = 0.5
 	// cheapWeight is what a cheap backend server is worth to a request that
 	// may use it.
 	cheapWeight = 0.25
@@ -41,23 +43,17 @@
 )
 
 // Choose returns the replica that is to run a request, or nil if none can at
-// present. Only ready replicas with a free place are considered, those of the
-// request's failure domain before all others.
+// present. Only ready replicas with a free place are considered.
 func Choose(replicas []*Replica, wish Wish, median time.Duration, now time.Time, random *rand.Rand) *Replica {
 	var best *Replica
 	var bestScore float64
-	bestNear := false
 	for _, r := range replicas {
 		if !usable(r, wish, now) {
 			continue
 		}
-		near := r.Spec.FailureDomain == wish.FailureDomain
-		if bestNear && !near {
-			continue
-		}
 		score := score(r, wish, median) + tieWeight*random.Float64()
-		if best == nil || (near && !bestNear) || score < bestScore {
-			best, bestScore, bestNear = r, score, near
+		if best == nil || score < bestScore {
+			best, bestScore = r, score
 		}
 	}
 	return best
@@ -100,6 +96,9 @@
 func score(r *Replica, wish Wish, median time.Duration) float64 {
 	s := float64(r.Occupied()) / float64(r.Spec.Places)
 	s -= cacheWeight * cachedShare(r, wish.Prefixes)
+	if r.Spec.FailureDomain != wish.FailureDomain {
+		s += farWeight
+	}
 	if r.Spec.Kind == config.KindCheap {
 		s -= cheapWeight
 	}
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -62,8 +62,10 @@
 	// Pace is the average time between tokens; 0 if nothing is known.
 	Pace time.Duration
 
-	// since is the change of Running since Load.At.
-	since int
+	// foreign is the number of places that others took at Load.At.
+	foreign int
+	// history is how Running changed, since before Load.At.
+	history history
 	// cached are the prefixes that were sent to it lately.
 	cached prefixSet
 }
@@ -85,31 +87,25 @@
 }
 
 // Occupied returns how many of the replica's places are taken, as far as is
-// known: what it last published, with what this daemon started and ended since,
-// and no less than what this daemon runs on it.
-func (r *Replica) Occupied() int {
-	if r.Load.At.IsZero() {
-		return r.Running
-	}
-	return max(r.Running, r.Load.Running+r.Load.Waiting+r.since)
-}
+// known: by this daemon now, and by others when the load was published.
+func (r *Replica) Occupied() int { return r.Running + r.foreign }
 
 // Free returns how many places are free, as far as is known.
 func (r *Replica) Free() int { return max(0, r.Spec.Places-r.Occupied()) }
 
 // Start accounts for a request that begins with the given prompt prefixes.
-func (r *Replica) Start(prefixes []uint64) {
+func (r *Replica) Start(prefixes []uint64, now time.Time) {
 	r.Running++
-	r.since++
+	r.history.add(now, r.Running)
 	for _, p := range prefixes {
 		r.cached.add(p)
 	}
 }
 
 // Finish accounts for a request that ended.
-func (r *Replica) Finish() {
+func (r *Replica) Finish(now time.Time) {
 	r.Running--
-	r.since--
+	r.history.add(now, r.Running)
 }
 
 // Succeed ends a row of failures.
@@ -143,13 +139,16 @@
 	r.Pace += time.Duration(paceWeight * float64(pace-r.Pace))
 }
 
-// Report takes in a published load, unless it is older than the one known.
+// Report takes in a published load, unless it is older than the one known. What
+// this daemon ran at the time of the load is subtracted from it; the clocks of
+// the daemon and the backend server have to agree to a fraction of the load's
+// age for this to be exact.
 func (r *Replica) Report(load engine.Load) {
 	if !load.At.After(r.Load.At) {
 		return
 	}
 	r.Load = load
-	r.since = 0
+	r.foreign = max(0, load.Running+load.Waiting-r.history.at(load.At))
 }
 
 // Cached reports whether a prefix was sent to the replica lately.
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -36,7 +36,7 @@
 	}{
 		{
 			name:    "least occupied",
-			prepare: func(a, _ *replica.Replica) { a.Start(nil) },
+			prepare: func(a, _ *replica.Replica) { a.Start(nil, start) },
 			wish:    near,
 			want:    "b",
 		},
@@ -48,7 +48,7 @@
 		},
 		{
 			name:    "own failure domain first",
-			prepare: func(a, b *replica.Replica) { a.Start(nil); b.Spec.FailureDomain = "cuenca-a" },
+			prepare: func(a, b *replica.Replica) { a.Start(nil, start); b.Spec.FailureDomain = "cuenca-a" },
 			wish:    near,
 			want:    "a",
 		},
@@ -60,7 +60,7 @@
 		},
 		{
 			name:    "cheap only for work that allows it",
-			prepare: func(a, b *replica.Replica) { a.Start(nil); b.Spec.Kind = config.KindCheap },
+			prepare: func(a, b *replica.Replica) { a.Start(nil, start); b.Spec.Kind = config.KindCheap },
 			wish:    near,
 			want:    "a",
 		},
@@ -72,19 +72,19 @@
 		},
 		{
 			name:    "leaving gets nothing",
-			prepare: func(a, b *replica.Replica) { a.Spec.Leaving = true; b.Start(nil) },
+			prepare: func(a, b *replica.Replica) { a.Spec.Leaving = true; b.Start(nil, start) },
 			wish:    near,
 			want:    "b",
 		},
 		{
 			name:    "failed rests",
-			prepare: func(a, b *replica.Replica) { a.Fail(start); b.Start(nil) },
+			prepare: func(a, b *replica.Replica) { a.Fail(start); b.Start(nil, start) },
 			wish:    near,
 			want:    "b",
 		},
 		{
 			name:    "cached prefix",
-			prepare: func(a, _ *replica.Replica) { a.Start([]uint64{1, 2}) },
+			prepare: func(a, _ *replica.Replica) { a.Start([]uint64{1, 2}, start) },
 			wish:    replica.Wish{FailureDomain: "quito-a", Prefixes: []uint64{1, 2}},
 			want:    "a",
 		},
@@ -93,7 +93,7 @@
 			prepare: func(a, b *replica.Replica) {
 				a.ObservePace(90 * time.Millisecond)
 				b.ObservePace(30 * time.Millisecond)
-				b.Start(nil)
+				b.Start(nil, start)
 			},
 			wish:   near,
 			median: 30 * time.Millisecond,
@@ -101,7 +101,7 @@
 		},
 		{
 			name:    "tried only as the last",
-			prepare: func(_, b *replica.Replica) { b.Start(nil) },
+			prepare: func(_, b *replica.Replica) { b.Start(nil, start) },
 			wish:    replica.Wish{FailureDomain: "quito-a", Tried: []string{"a"}},
 			want:    "b",
 		},
@@ -129,23 +129,24 @@
 
 func fill(r *replica.Replica) {
 	for r.Free() > 0 {
-		r.Start(nil)
+		r.Start(nil, start)
 	}
 }
 
 func TestOccupied(t *testing.T) {
 	c := qt.New(t)
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
 	r := standard("a")
-	r.Start(nil)
-	r.Report(engine.Load{At: start, Running: 2, Waiting: 1})
+	r.Start(nil, at(1))
+	r.Start(nil, at(3))
+	r.Report(engine.Load{At: at(2), Running: 2, Waiting: 1})
+	c.Assert(r.Occupied(), qt.Equals, 4, qt.Commentf("two of others, one then and one now of its own"))
+	r.Finish(at(4))
 	c.Assert(r.Occupied(), qt.Equals, 3)
-	r.Start(nil)
-	c.Assert(r.Occupied(), qt.Equals, 4)
-	r.Finish()
-	r.Finish()
-	c.Assert(r.Occupied(), qt.Equals, 2)
-	r.Report(engine.Load{At: start.Add(-time.Second), Running: 4})
-	c.Assert(r.Occupied(), qt.Equals, 2, qt.Commentf("an older load is left out"))
+	r.Report(engine.Load{At: at(1), Running: 4})
+	c.Assert(r.Occupied(), qt.Equals, 3, qt.Commentf("an older load is left out"))
+	r.Report(engine.Load{At: at(5), Running: 1})
+	c.Assert(r.Occupied(), qt.Equals, 1)
 }
 
 func TestFailRestsLonger(t *testing.T) {
