dispatch: keep places for urgent demand, and serve fresh requests first

Cause: with all places taken by long patient answers, an urgent request had to wait for one of them to end; under overload, requests served in the order of arrival were all late. Change: trunk reservation (Ross 1995): places on standard backend servers are kept for the average demand of more urgent classes and 1.5 standard deviations; within a class, requests that can still be served in time go first; other failure domains count as free places only when this one has no ready replica.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -19,6 +19,13 @@
 // minRetryAfter is the shortest time that a refused caller is told to wait.
 const minRetryAfter = time.Second
 
+// freshNum and freshDen are the part of the target of the first token that a
+// request may wait; the rest is for the prompt to be processed.
+const (
+	freshNum = 3
+	freshDen = 4
+)
+
 // Dispatcher holds the requests of one entry daemon. T is what the daemon
 // keeps with each.
 type Dispatcher[T any] struct {
@@ -105,9 +112,11 @@
 		Account: request.Account.Name,
 		Tier:    request.Class.Tier,
 		Arrived: now,
+		// A place that is got later than this gives the first token too late.
+		FreshUntil: now.Add(request.Class.FirstTokenTarget * freshNum / freshDen),
 	}
-	p.count(request.Class)
 	p.queue.Push(&t.entry)
+	p.observeDemand(request.Class, now)
 	d.Budget.Earn()
 	return t, nil
 }
@@ -159,10 +168,13 @@
 	d.charge(t, result.PromptTokens+result.CompletionTokens-t.charged, now)
 	d.Limiter.Leave(t.Request.Account.Name, now)
 	r := t.Replica
+	if r != nil {
+		d.stop(t, now)
+	}
+	t.pool.observeDemand(t.Request.Class, now)
 	if r == nil {
 		return
 	}
-	d.stop(t, now)
 	if result.Failed {
 		r.Fail(now)
 		return
@@ -177,7 +189,7 @@
 func (d *Dispatcher[T]) mostUrgent(now time.Time) *Ticket[T] {
 	var best *Ticket[T]
 	for _, p := range d.pools {
-		t := p.next(now)
+		t := p.next(d.FailureDomain, now)
 		if t != nil && (best == nil || before(t, best)) {
 			best = t
 		}
@@ -238,6 +250,7 @@
 	return replica.Wish{
 		FailureDomain: d.FailureDomain,
 		Cheap:         t.Request.Class.CheapServers,
+		CheapOnly:     t.cheapOnly,
 		Prefixes:      t.Request.Prefixes,
 		Tried:         t.tried,
 	}
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -41,6 +41,8 @@
 type classCount struct {
 	class   *config.ServiceClass
 	running int
+	// demand is the average number of requests that wait or run.
+	demand demand
 }
 
 func newPool[T any](name string) *pool[T] {
@@ -52,14 +54,13 @@
 }
 
 // next returns the request that is served next, or nil if none can be.
-func (p *pool[T]) next(now time.Time) *Ticket[T] {
+func (p *pool[T]) next(failureDomain string, now time.Time) *Ticket[T] {
 	if p.queue.Empty() {
 		return nil
 	}
-	standard := replica.Usable(p.replicas, false, now)
-	cheap := standard || replica.Usable(p.replicas, true, now)
-	entry := p.queue.Next(p.completion, func(e *queue.Entry[*Ticket[T]]) bool {
-		return standard || (cheap && e.Value.Request.Class.CheapServers)
+	free := p.free(failureDomain, now)
+	entry := p.queue.Next(now, p.completion, func(e *queue.Entry[*Ticket[T]], owed bool) bool {
+		return p.mayStart(e.Value, free, owed, now)
 	})
 	if entry == nil {
 		return nil
@@ -67,6 +68,64 @@
 	return entry.Value
 }
 
+// mayStart reports whether a request can start in the free places. Places on
+// standard backend servers are kept for the expected demand of more urgent
+// classes, unless the class is owed its guaranteed share.
+func (p *pool[T]) mayStart(t *Ticket[T], free freePlaces, owed bool, now time.Time) bool {
+	class := t.Request.Class
+	t.cheapOnly = false
+	if free.standard > 0 && (owed || free.standard > p.reserved(class.Tier, now)) {
+		return true
+	}
+	t.cheapOnly = true
+	return class.CheapServers && free.cheap > 0
+}
+
+// reserved returns the number of places that are kept for classes more urgent
+// than a tier.
+func (p *pool[T]) reserved(tier int, now time.Time) int {
+	n := 0
+	for _, c := range p.classes {
+		if c.class.Tier < tier {
+			n += max(0, c.demand.places(now)-c.running)
+		}
+	}
+	return n
+}
+
+// freePlaces counts the free places of a pool.
+type freePlaces struct {
+	standard, cheap int
+}
+
+// free counts the free places of ready replicas.
+func (p *pool[T]) free(failureDomain string, now time.Time) freePlaces {
+	var near, all freePlaces
+	haveNear := false
+	for _, r := range p.replicas {
+		if r.State(now) != replica.Ready {
+			continue
+		}
+		all.add(r)
+		if r.Spec.FailureDomain == failureDomain {
+			near.add(r)
+			haveNear = true
+		}
+	}
+	if haveNear {
+		return near
+	}
+	return all
+}
+
+func (f *freePlaces) add(r *replica.Replica) {
+	if r.Spec.Kind == config.KindCheap {
+		f.cheap += r.Free()
+		return
+	}
+	f.standard += r.Free()
+}
+
 // places returns the number of places on ready replicas, those in the failure
 // domain if there are any.
 func (p *pool[T]) places(failureDomain string, cheap bool, now time.Time) int {
@@ -119,6 +178,13 @@
 	}
 }
 
+// observeDemand takes the present number of requests of a class into its
+// average.
+func (p *pool[T]) observeDemand(class *config.ServiceClass, now time.Time) {
+	c := p.count(class)
+	c.demand.observe(c.running+p.queue.Waiting(class.Tier), now)
+}
+
 // count returns the count of a service class, which it keeps as it is now.
 func (p *pool[T]) count(class *config.ServiceClass) *classCount {
 	i, ok := slices.BinarySearchFunc(p.classes, class.Tier, func(c *classCount, tier int) int {
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -45,6 +45,8 @@
 	// charged is what its client account was charged so far, in tokens.
 	charged int
 	ended   bool
+	// cheapOnly says that the request may start on cheap backend servers only.
+	cheapOnly bool
 }
 
 // Waiting reports whether the request waits for a replica.
--- a/core/queue/entry.go
+++ b/core/queue/entry.go
@@ -13,11 +13,15 @@
 	// Arrived is when the request arrived; it keeps it when it is pushed again.
 	Arrived time.Time
 
-	// owner is the share that holds the entry, nil while it does not wait.
-	owner *share[T]
-	// inShare links the entries of a client account.
-	inShare links[T]
-	// inClass links the entries of a service class.
+	// FreshUntil is when the request cannot be served in time any more. Fresh
+	// requests of a class go before others.
+	FreshUntil time.Time
+
+	// owner is the lane that holds the entry, nil while it does not wait.
+	owner *lane[T]
+	// inLane links the entries of a client account.
+	inLane links[T]
+	// inClass links the fresh or the late entries of a service class.
 	inClass links[T]
 }
 
@@ -82,6 +86,6 @@
 	links.prev, links.next = nil, nil
 }
 
-func shareLinks[T any](e *Entry[T]) *links[T] { return &e.inShare }
+func laneLinks[T any](e *Entry[T]) *links[T] { return &e.inLane }
 
 func classLinks[T any](e *Entry[T]) *links[T] { return &e.inClass }
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -27,39 +27,44 @@
 func (q *Queue[T]) Push(e *Entry[T]) { q.class(e.Tier).push(e) }
 
 // Next returns the entry that is served next, or nil. The function eligible
-// says whether the first entry of a class can be served at present; classes
-// whose first entry cannot are passed over.
+// says whether the first entry of a class can be served at present, and is told
+// whether the class is owed guaranteed work; classes whose first entry cannot
+// be served are passed over. Within a class, requests that can still be served
+// in time go first: under overload some are served in time then, where in the
+// order of arrival all would be late.
 //
 // A class that is owed at least cost tokens of guaranteed work goes first;
 // among several the most urgent one. Otherwise the most urgent tier goes first.
 // So a class with waiting work gets at least GuaranteedShare of what more
 // urgent classes get, and waits while at most cost / GuaranteedShare tokens
 // are generated for each of them.
-func (q *Queue[T]) Next(cost float64, eligible func(*Entry[T]) bool) *Entry[T] {
-	var first *class[T]
+func (q *Queue[T]) Next(now time.Time, cost float64, eligible func(e *Entry[T], owed bool) bool) *Entry[T] {
+	var first *Entry[T]
 	for _, c := range q.classes {
-		if c.waiting == 0 || !eligible(c.next()) {
+		owed := c.credit > 0 && c.credit >= cost
+		if c.waiting == 0 || (first != nil && !owed) {
 			continue
 		}
-		if c.credit >= cost && c.credit > 0 {
-			return c.next()
+		c.age(now)
+		e := c.next()
+		if !eligible(e, owed) {
+			continue
 		}
-		if first == nil {
-			first = c
+		if owed {
+			return e
 		}
+		first = e
 	}
-	if first == nil {
-		return nil
-	}
-	return first.next()
+	return first
 }
 
 // Take removes an entry that Next returned, and settles its class's credit with
 // cost, the expected work of the entry in tokens.
 func (q *Queue[T]) Take(e *Entry[T], cost float64) {
-	c := e.owner.class
+	s := e.owner.share
+	c := s.class
 	c.credit = max(0, c.credit-cost)
-	c.floor = max(c.floor, e.owner.counter)
+	c.floor = max(c.floor, s.counter)
 	c.remove(e)
 }
 
@@ -68,7 +73,7 @@
 	if e.owner == nil {
 		return false
 	}
-	e.owner.class.remove(e)
+	e.owner.share.class.remove(e)
 	return true
 }
 
@@ -117,23 +122,14 @@
 // if none waits.
 func (q *Queue[T]) Oldest(tier int) (time.Time, bool) {
 	for _, c := range q.classes {
-		if c.tier == tier && c.entries.head != nil {
-			return c.entries.head.Arrived, true
+		if c.tier != tier {
+			continue
 		}
-	}
-	return time.Time{}, false
-}
-
-// All calls yield with each waiting entry by tier and arrival until it returns
-// false. The queue must not be changed meanwhile.
-func (q *Queue[T]) All(yield func(*Entry[T]) bool) {
-	for _, c := range q.classes {
-		for e := c.entries.head; e != nil; e = e.inClass.next {
-			if !yield(e) {
-				return
-			}
+		if e := c.oldest(); e != nil {
+			return e.Arrived, true
 		}
 	}
+	return time.Time{}, false
 }
 
 // earn gives classes below a tier their share of work done above them.
--- a/core/replica/choose.go
+++ b/core/replica/choose.go
@@ -15,6 +15,8 @@
 	FailureDomain string
 	// Cheap says whether a cheap backend server may be used.
 	Cheap bool
+	// CheapOnly says whether no other may be used.
+	CheapOnly bool
 	// Prefixes are the hashes of the prompt's prefixes, shortest first.
 	Prefixes []uint64
 	// Tried are the names of replicas that failed the request, which are used
@@ -75,21 +77,14 @@
 	return scratch[len(scratch)/2], scratch
 }
 
-// Usable reports whether any replica can run a request at present.
-func Usable(replicas []*Replica, cheap bool, now time.Time) bool {
-	for _, r := range replicas {
-		if usable(r, Wish{Cheap: cheap}, now) {
-			return true
-		}
-	}
-	return false
-}
-
 func usable(r *Replica, wish Wish, now time.Time) bool {
 	if r.State(now) != Ready || r.Free() == 0 {
 		return false
 	}
-	return wish.Cheap || r.Spec.Kind != config.KindCheap
+	if r.Spec.Kind == config.KindCheap {
+		return wish.Cheap
+	}
+	return !wish.CheapOnly
 }
 
 // score returns how bad a replica is for a request, in shares of its places.
