dispatch: park retries until the budget has them, and resume first

Ruled out: retries without a budget, since a failure domain's worth of requests would reach the rest at once. Change: a budget earns 10 retries a second beside its share of requests; a retry without budget is parked instead of refused; a request whose answer had begun is resumed before those that have no token; at most 5 attempts. Parked requests were missing from the queue status at first, which TestInvariants found.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -16,6 +16,10 @@
 	"acaciapath.example/core/retry"
 )
 
+// maxAttempts is the number of replicas that one request is sent to, so that a
+// request that breaks replicas does not break all of them.
+const maxAttempts = 5
+
 // minRetryAfter is the shortest time that a refused caller is told to wait.
 const minRetryAfter = time.Second
 
@@ -36,6 +40,9 @@
 	// Budget bounds retries.
 	Budget retry.Budget
 
+	// parked are the tickets that wait for the budget, in the order in which
+	// they are sent again.
+	parked []*Ticket[T]
 	// pools are in the order of their names.
 	pools    []*pool[T]
 	replicas map[string]*replica.Replica
@@ -43,11 +50,11 @@
 }
 
 // New returns a dispatcher without replicas.
-func New[T any](failureDomain string, retryPercent int, random *rand.Rand) *Dispatcher[T] {
+func New[T any](failureDomain string, retryPercent int, random *rand.Rand, now time.Time) *Dispatcher[T] {
 	return &Dispatcher[T]{
 		FailureDomain: failureDomain,
 		Limiter:       limit.New(1),
-		Budget:        retry.NewBudget(retryPercent),
+		Budget:        retry.NewBudget(retryPercent, now),
 		replicas:      make(map[string]*replica.Replica),
 		random:        random,
 	}
@@ -126,6 +133,7 @@
 // daemon calls it until it returns nil, after every change and whenever a
 // replica may have recovered.
 func (d *Dispatcher[T]) Next(now time.Time) *Ticket[T] {
+	d.unpark(now)
 	t := d.mostUrgent(now)
 	if t == nil {
 		return nil
@@ -142,22 +150,67 @@
 
 // Retry puts a request that certainly did not run back into the queue, at the
 // place of its arrival, and leaves the replica that failed it alone for a time.
-// It reports false, and changes nothing, if the budget has no retry at hand or
-// no other replica is left; the daemon then finishes the request.
+// Without a retry in the budget it is parked until there is one. Retry reports
+// false, and changes nothing, if retries are switched off, the request was sent
+// too often or no other replica is left; the daemon then finishes the request.
 func (d *Dispatcher[T]) Retry(t *Ticket[T], now time.Time) bool {
 	failed := t.Replica
 	tried := append(slices.Clone(t.tried), failed.Spec.Name)
-	if !hasOther(t, tried) || !d.Budget.Spend() {
+	if d.Budget.Percent == 0 || t.Attempts >= maxAttempts || !hasOther(t, tried) {
 		return false
 	}
 	failed.Fail(now)
 	d.stop(t, now)
 	d.charge(t, -t.charged, now)
 	t.tried = tried
-	t.pool.queue.Push(&t.entry)
+	d.setParked(t, true)
+	d.parked = append(d.parked, t)
 	return true
 }
 
+// Resume is Retry for a request that ran in part, whose answer another replica
+// can go on with. It goes before the requests that got no token yet.
+func (d *Dispatcher[T]) Resume(t *Ticket[T], now time.Time) bool {
+	if !d.Retry(t, now) {
+		return false
+	}
+	t.entry.FreshUntil = now.Add(t.Request.Class.MaxWait)
+	return true
+}
+
+// unpark puts parked tickets back into their queues as far as the budget goes.
+func (d *Dispatcher[T]) unpark(now time.Time) {
+	n := 0
+	for n < len(d.parked) && d.Budget.Spend(now) {
+		t := d.parked[n]
+		d.setParked(t, false)
+		t.pool.queue.Push(&t.entry)
+		n++
+	}
+	d.parked = slices.Delete(d.parked, 0, n)
+}
+
+// setParked marks a ticket, and counts it.
+func (*Dispatcher[T]) setParked(t *Ticket[T], parked bool) {
+	t.parked = parked
+	c := t.pool.count(t.Request.Class)
+	if parked {
+		c.parked++
+		return
+	}
+	c.parked--
+}
+
+// dropParked takes a ticket out of the parked ones.
+func (d *Dispatcher[T]) dropParked(t *Ticket[T]) {
+	if !t.parked {
+		return
+	}
+	d.setParked(t, false)
+	i := slices.Index(d.parked, t)
+	d.parked = slices.Delete(d.parked, i, i+1)
+}
+
 // Finish ends a request, whether it waited or ran. A second call does nothing.
 func (d *Dispatcher[T]) Finish(t *Ticket[T], result Result, now time.Time) {
 	if t.ended {
@@ -165,6 +218,7 @@
 	}
 	t.ended = true
 	t.pool.queue.Remove(&t.entry)
+	d.dropParked(t)
 	d.charge(t, result.PromptTokens+result.CompletionTokens-t.charged, now)
 	d.Limiter.Leave(t.Request.Account.Name, now)
 	r := t.Replica
@@ -220,7 +274,7 @@
 		message := fmt.Sprintf("no backend server serves %q at present", request.Serves)
 		return refusal.New(refusal.NoBackendServer, message).After(minRetryAfter)
 	}
-	if p.queue.Waiting(class.Tier) >= class.QueueLimit {
+	if p.waiting(p.count(class)) >= class.QueueLimit {
 		message := fmt.Sprintf("%d requests of service class %q wait already", class.QueueLimit, class.Name)
 		return refusal.New(refusal.QueueFull, message).After(d.retryAfter(p, class, now))
 	}
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -37,10 +37,12 @@
 	scratch []time.Duration
 }
 
-// classCount counts the running requests of a service class.
+// classCount counts the requests of a service class.
 type classCount struct {
 	class   *config.ServiceClass
 	running int
+	// parked is the number of requests that wait for the retry budget.
+	parked int
 	// demand is the average number of requests that wait or run.
 	demand demand
 }
@@ -182,7 +184,12 @@
 // average.
 func (p *pool[T]) observeDemand(class *config.ServiceClass, now time.Time) {
 	c := p.count(class)
-	c.demand.observe(c.running+p.queue.Waiting(class.Tier), now)
+	c.demand.observe(c.running+p.waiting(c), now)
+}
+
+// waiting returns the number of waiting requests of a service class.
+func (p *pool[T]) waiting(c *classCount) int {
+	return p.queue.Waiting(c.class.Tier) + c.parked
 }
 
 // count returns the count of a service class, which it keeps as it is now.
--- a/core/dispatch/status.go
+++ b/core/dispatch/status.go
@@ -35,7 +35,7 @@
 	q := peer.Queue{
 		Model:        p.name,
 		ServiceClass: c.class.Name,
-		Waiting:      p.queue.Waiting(c.class.Tier),
+		Waiting:      p.waiting(c),
 		Running:      c.running,
 	}
 	if arrived, ok := p.queue.Oldest(c.class.Tier); ok {
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -45,12 +45,14 @@
 	// charged is what its client account was charged so far, in tokens.
 	charged int
 	ended   bool
+	// parked says that the ticket waits for the retry budget.
+	parked bool
 	// cheapOnly says that the request may start on cheap backend servers only.
 	cheapOnly bool
 }
 
 // Waiting reports whether the request waits for a replica.
-func (t *Ticket[T]) Waiting() bool { return t.entry.Waiting() }
+func (t *Ticket[T]) Waiting() bool { return t.entry.Waiting() || t.parked }
 
 // Result is how a request ended.
 type Result struct {
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -10,43 +10,53 @@
 const (
 	// burst is the number of retries that an unused budget saves up.
 	burst = 10
+	// perSecond is the number of retries that a second earns, so that what
+	// waits to be sent again is sent although no new request arrives.
+	perSecond = 10
 	// percent is the unit of a budget's rate.
 	percent = 100
 )
 
-// Budget bounds retries to a share of the requests, so that a failing backend
-// server or failure domain cannot multiply the load. It is not safe for
-// concurrent use.
+// Budget bounds retries to a share of the requests and a small rate, so that a
+// failing backend server or failure domain cannot multiply the load. It is not
+// safe for concurrent use.
 type Budget struct {
 	// Percent is the number of retries that a hundred requests earn.
-	// 0 ≤ Percent ≤ 100.
+	// 0 ≤ Percent ≤ 100; with 0 there are no retries.
 	Percent int
-	// Saved is the number of retries at hand, in hundredths.
-	// 0 ≤ Saved ≤ 100 × burst.
-	Saved int
+	// Saved is the number of retries at hand. 0 ≤ Saved ≤ burst.
+	Saved float64
+	// Updated is the time up to which seconds have earned. It never moves back.
+	Updated time.Time
 }
 
 // NewBudget returns a budget that has saved up its burst, or an empty one if
-// percent is 0.
-func NewBudget(share int) Budget {
+// share, in percent, is 0.
+func NewBudget(share int, now time.Time) Budget {
 	if share <= 0 {
-		return Budget{}
+		return Budget{Updated: now}
 	}
-	return Budget{Percent: share, Saved: burst * percent}
+	return Budget{Percent: share, Saved: burst, Updated: now}
 }
 
 // Earn accounts for one first attempt.
-func (b *Budget) Earn() { b.Saved = min(b.Saved+b.Percent, burst*percent) }
+func (b *Budget) Earn() { b.save(float64(b.Percent) / percent) }
 
 // Spend takes one retry, and reports false if there is none at hand.
-func (b *Budget) Spend() bool {
-	if b.Saved < percent {
+func (b *Budget) Spend(now time.Time) bool {
+	if elapsed := now.Sub(b.Updated); elapsed > 0 && b.Percent > 0 {
+		b.save(elapsed.Seconds() * perSecond)
+		b.Updated = now
+	}
+	if b.Saved < 1 {
 		return false
 	}
-	b.Saved -= percent
+	b.Saved--
 	return true
 }
 
+func (b *Budget) save(retries float64) { b.Saved = min(b.Saved+retries, burst) }
+
 // Bounds of the wait before a retry.
 const (
 	// BaseWait is the longest wait before the first retry.
