--- a/core/ini/decoder.go
+++ b/core/ini/decoder.go
@@ -2,17 +2,20 @@
 
 import "acaciapath.example/core/finding"
 
-// maxSuggestions bounds the searches for the nearest known name, each of which
-// looks at all names.
-const maxSuggestions = 100
+// maxCompared bounds the known names that all searches for suggestions look at
+// together, so that many wrong names among many known ones take no longer than a
+// few.
+const maxCompared = 500_000
 
 // Decoder holds what the decoding of all sections has in common.
 type Decoder struct {
 	// Findings takes what is wrong.
 	Findings *finding.List
 
-	names       map[string]map[string]struct{}
-	suggestions int
+	// names are those of the sections of each kind.
+	names map[string]map[string]struct{}
+	// compared counts the names that searches for suggestions looked at.
+	compared int
 }
 
 // NewDecoder returns a decoder that knows the names of the sections.
@@ -52,10 +55,10 @@
 	}
 }
 
-// suggest returns a suggestion, or an empty string once there have been many.
+// suggest returns a suggestion, or an empty string once maxCompared is reached.
 func (d *Decoder) suggest(name string, known map[string]struct{}) string {
-	d.suggestions++
-	if d.suggestions > maxSuggestions {
+	d.compared += len(known)
+	if d.compared > maxCompared {
 		return ""
 	}
 	return Suggest(name, known)
--- a/core/ini/nearest.go
+++ b/core/ini/nearest.go
@@ -4,7 +4,7 @@
 // whether one is near enough to be what was meant. Among equals the first in
 // the alphabet wins.
 func Nearest[V any](name string, known map[string]V) (string, bool) {
-	best, least := "", max(1, len(name)/3)+1
+	best, least := "", max(1, (len(name)+2)/3)+1
 	for candidate := range known {
 		if abs(len(candidate)-len(name)) > least {
 			continue
