Add the two example deployments, daemon settings and the reference page

Cause: operators need complete folders to start from, and a reference that cannot drift from the programs. The reference page is a golden file made from the tables of settings.

--- a/core/config/check.go
+++ b/core/config/check.go
@@ -8,6 +8,7 @@
 
 	"acaciapath.example/core/finding"
 	"acaciapath.example/core/ini"
+	"acaciapath.example/core/value"
 )
 
 // check adds what is wrong between the settings of a section and between
@@ -84,7 +85,7 @@
 			continue
 		}
 		findings.Add(p.keys.sections[i].Finding(finding.Reference, "default-class",
-			"client account "+a.Name+" has not bought the class "+ini.Quote(k.DefaultClass)))
+			"client account "+a.Name+" has not bought the class "+value.Quote(k.DefaultClass)))
 	}
 }
 
--- a/core/config/price.go
+++ b/core/config/price.go
@@ -7,7 +7,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"acaciapath.example/core/ini"
+	"acaciapath.example/core/value"
 )
 
 // Units of prices.
@@ -32,22 +32,22 @@
 
 // price returns a parser of prices for each unit, in millionths of the currency
 // unit. That the currency is the one of the bills is checked afterwards.
-func price(unit string) ini.Parser[int64] {
+func price(unit string) value.Parser[int64] {
 	example := "0.40 USD/" + unit
-	return ini.Parser[int64]{
+	return value.Parser[int64]{
 		Type:  "price, such as `" + example + "`",
 		Range: "0 to 1000000, at most 6 decimals",
 		Parse: func(text string) (int64, error) {
 			amount, per, found := strings.Cut(text, " ")
 			if !found {
-				return 0, merry.Errorf("%s has no unit; write a price such as %s", ini.Quote(text), example)
+				return 0, merry.Errorf("%s has no unit; write a price such as %s", value.Quote(text), example)
 			}
 			if !decimalPattern.MatchString(amount) {
-				return 0, merry.Errorf("%s is not an amount such as 0.40", ini.Quote(amount))
+				return 0, merry.Errorf("%s is not an amount such as 0.40", value.Quote(amount))
 			}
 			currency, u, _ := strings.Cut(strings.TrimSpace(per), "/")
 			if !currencyPattern.MatchString(currency) || u != unit {
-				return 0, merry.Errorf("%s is not a currency and unit such as USD/%s", ini.Quote(per), unit)
+				return 0, merry.Errorf("%s is not a currency and unit such as USD/%s", value.Quote(per), unit)
 			}
 			return micros(amount)
 		},
@@ -60,7 +60,7 @@
 	decimals += strings.Repeat("0", microDigits-len(decimals))
 	n, err := strconv.ParseInt(whole+decimals, 10, 64)
 	if err != nil || n > maxPriceMicros {
-		return 0, merry.Errorf("%s is out of the range 0 to 1000000", ini.Quote(amount))
+		return 0, merry.Errorf("%s is out of the range 0 to 1000000", value.Quote(amount))
 	}
 	return n, nil
 }
@@ -73,10 +73,10 @@
 }
 
 // currency returns a parser of the codes of ISO 4217.
-func currency() ini.Parser[string] {
-	return ini.Parser[string]{Type: "currency code of ISO 4217", Parse: func(text string) (string, error) {
+func currency() value.Parser[string] {
+	return value.Parser[string]{Type: "currency code of ISO 4217", Parse: func(text string) (string, error) {
 		if !currencyPattern.MatchString(text) {
-			return "", merry.Errorf("%s is not a currency code such as USD", ini.Quote(text))
+			return "", merry.Errorf("%s is not a currency code such as USD", value.Quote(text))
 		}
 		return text, nil
 	}}
--- a/core/config/values.go
+++ b/core/config/values.go
@@ -8,7 +8,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"acaciapath.example/core/ini"
+	"acaciapath.example/core/value"
 )
 
 // methodAny stands for all methods in a route.
@@ -19,8 +19,8 @@
 
 // hash returns a parser of SHA-256 hashes. Its errors never quote the value,
 // because it may be a key.
-func hash() ini.Parser[[32]byte] {
-	return ini.Parser[[32]byte]{Type: "SHA-256 of the key in hexadecimal", Parse: func(text string) ([32]byte, error) {
+func hash() value.Parser[[32]byte] {
+	return value.Parser[[32]byte]{Type: "SHA-256 of the key in hexadecimal", Parse: func(text string) ([32]byte, error) {
 		var sum [32]byte
 		decoded, err := hex.DecodeString(text)
 		if err != nil {
@@ -35,10 +35,10 @@
 }
 
 // method returns a parser of HTTP methods, with an empty string for all.
-func method() ini.Parser[string] {
-	words := ini.OneOf(methodAny, http.MethodGet, http.MethodHead, http.MethodPost,
+func method() value.Parser[string] {
+	words := value.OneOf(methodAny, http.MethodGet, http.MethodHead, http.MethodPost,
 		http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions)
-	return ini.Parser[string]{Type: words.Type, Parse: func(text string) (string, error) {
+	return value.Parser[string]{Type: words.Type, Parse: func(text string) (string, error) {
 		m, err := words.Parse(text)
 		if m == methodAny {
 			return "", err
@@ -49,21 +49,21 @@
 
 // pathPrefix returns a parser of path prefixes that the router does not serve
 // itself.
-func pathPrefix() ini.Parser[string] {
-	return ini.Parser[string]{
+func pathPrefix() value.Parser[string] {
+	return value.Parser[string]{
 		Type:  "path that starts with a slash",
 		Range: "not at or below " + strings.Join(reservedPrefixes, ", "),
 		Parse: func(text string) (string, error) {
 			if !strings.HasPrefix(text, "/") {
-				return "", merry.Errorf("%s does not start with a slash", ini.Quote(text))
+				return "", merry.Errorf("%s does not start with a slash", value.Quote(text))
 			}
 			trimmed := strings.TrimSuffix(text, "/")
 			if trimmed != "" && path.Clean(text) != trimmed || strings.ContainsAny(text, "?#%\\ \t") {
-				return "", merry.Errorf("%s is not a clean path: no empty, . or .. segments, queries, escapes or spaces", ini.Quote(text))
+				return "", merry.Errorf("%s is not a clean path: no empty, . or .. segments, queries, escapes or spaces", value.Quote(text))
 			}
 			for _, reserved := range reservedPrefixes {
 				if trimmed == reserved || strings.HasPrefix(trimmed, reserved+"/") {
-					return "", merry.Errorf("%s is at or below %s, which the router serves itself", ini.Quote(text), reserved)
+					return "", merry.Errorf("%s is at or below %s, which the router serves itself", value.Quote(text), reserved)
 				}
 			}
 			return text, nil
--- a/core/ini/decoder.go
+++ b/core/ini/decoder.go
@@ -1,6 +1,9 @@
 package ini
 
-import "acaciapath.example/core/finding"
+import (
+	"acaciapath.example/core/finding"
+	"acaciapath.example/core/value"
+)
 
 // maxCompared bounds the known names that all searches for suggestions look at
 // together, so that many wrong names among many known ones take no longer than a
@@ -47,10 +50,10 @@
 // checkReferences adds a finding for each name in the text that no section of
 // the kind has.
 func (d *Decoder) checkReferences(section *Section, setting, kind, text string) {
-	for _, name := range SplitList(text) {
+	for _, name := range value.SplitList(text) {
 		if _, ok := d.names[kind][name]; !ok {
 			d.Findings.Add(section.Finding(finding.Reference, setting,
-				"there is no ["+kind+"] named "+Quote(name)+d.suggest(name, d.names[kind])))
+				"there is no ["+kind+"] named "+value.Quote(name)+d.suggest(name, d.names[kind])))
 		}
 	}
 }
@@ -61,14 +64,5 @@
 	if d.compared > maxCompared {
 		return ""
 	}
-	return Suggest(name, known)
-}
-
-// Suggest returns the end of a message that offers the nearest known name, or
-// an empty string if none is near.
-func Suggest(name string, known map[string]struct{}) string {
-	if near, ok := Nearest(name, known); ok {
-		return "; did you mean " + near + "?"
-	}
-	return ""
+	return value.Suggest(name, known)
 }
--- a/core/ini/kind.go
+++ b/core/ini/kind.go
@@ -2,6 +2,7 @@
 
 import (
 	"acaciapath.example/core/finding"
+	"acaciapath.example/core/value"
 )
 
 // Binding ties a setting to a field of T.
@@ -14,7 +15,7 @@
 }
 
 // Bind returns the binding of a field that a parser fills.
-func Bind[T, V any](field func(*T) *V, parser Parser[V]) Binding[T] {
+func Bind[T, V any](field func(*T) *V, parser value.Parser[V]) Binding[T] {
 	return Binding[T]{Type: parser.Type, Range: parser.Range, Set: func(target *T, text string) error {
 		v, err := parser.Parse(text)
 		if err != nil {
@@ -51,7 +52,7 @@
 	// SetName takes the name in the title; nil means that titles hold none.
 	SetName func(target *T, name string)
 	// NameParser checks the name in the title. It is set if SetName is.
-	NameParser Parser[string]
+	NameParser value.Parser[string]
 	// Settings are in the order of the reference page.
 	Settings []Setting[T]
 }
--- a/core/ini/parse.go
+++ b/core/ini/parse.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"strings"
 
 	library "gopkg.in/ini.v1"
@@ -142,7 +143,7 @@
 	if first, ok := seen[h.title]; ok {
 		m.findings.Add(finding.Finding{
 			Kind: finding.Duplicate, File: file, Line: h.line, Section: h.title,
-			Message: "the section stands twice in this file, first on line " + decimal(first),
+			Message: "the section stands twice in this file, first on line " + strconv.Itoa(first),
 		})
 	}
 	seen[h.title] = h.line
--- a/core/ini/read.go
+++ b/core/ini/read.go
@@ -6,6 +6,7 @@
 	"io/fs"
 
 	"acaciapath.example/core/finding"
+	"acaciapath.example/core/value"
 )
 
 // ReadFile returns a file of at most limit bytes. It returns a finding if the
@@ -27,7 +28,7 @@
 		return File{}, unreadable(name, "the file cannot be read: "+Reason(err))
 	}
 	if int64(len(content)) > limit {
-		return File{}, unreadable(name, "the file is larger than "+shortSize(limit))
+		return File{}, unreadable(name, "the file is larger than "+value.FormatSize(limit))
 	}
 	return File{Name: name, Text: string(content)}, nil
 }
--- a/core/ini/reference.go
+++ b/core/ini/reference.go
@@ -27,6 +27,8 @@
 	Required bool
 	// Default is the value of a missing setting, or empty.
 	Default string
+	// Refers is the kind of section that the value names, or empty.
+	Refers string
 	// Help tells what the setting does.
 	Help string
 }
@@ -38,29 +40,32 @@
 		d.Title += " NAME"
 	}
 	for _, s := range k.Settings {
-		kind := s.Binding.Type
-		if s.Refers != "" {
-			kind = strings.Replace(kind, "name", "name of a `["+s.Refers+"]`", 1)
-		}
 		d.Settings = append(d.Settings, SettingDescription{
-			Name: s.Name, Type: kind, Range: s.Binding.Range,
-			Required: s.Required, Default: s.Default, Help: s.Help,
+			Name: s.Name, Type: s.Binding.Type, Range: s.Binding.Range,
+			Required: s.Required, Default: s.Default, Refers: s.Refers, Help: s.Help,
 		})
 	}
 	return d
 }
 
-// Markdown returns the part of a reference page for one kind of section.
+// Markdown returns the part of the reference page for one kind of section.
 func (d Description) Markdown() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "### `[%s]`\n\n%s\n\n", d.Title, d.Help)
 	b.WriteString("| setting | value | range | default | meaning |\n|---|---|---|---|---|\n")
 	for _, s := range d.Settings {
-		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", s.Name, s.Type, s.Range, s.defaultCell(), s.Help)
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", s.Name, s.typeCell(), s.Range, s.defaultCell(), s.Help)
 	}
 	return b.String()
 }
 
+func (s SettingDescription) typeCell() string {
+	if s.Refers == "" {
+		return s.Type
+	}
+	return s.Type + " of `[" + s.Refers + "]`"
+}
+
 func (s SettingDescription) defaultCell() string {
 	switch {
 	case s.Required:
--- a/core/ini/scan.go
+++ b/core/ini/scan.go
@@ -1,6 +1,7 @@
 package ini
 
 import (
+	"strconv"
 	"strings"
 	"unicode"
 	"unicode/utf8"
@@ -131,7 +132,7 @@
 		return
 	}
 	if len(h.settings) == maxSettings {
-		s.refuse(number, h.title, "the section holds more than "+decimal(maxSettings)+" settings")
+		s.refuse(number, h.title, "the section holds more than "+strconv.Itoa(maxSettings)+" settings")
 		s.skip = true
 		return
 	}
--- /dev/null
+++ b/core/settings/examples_test.go
@@ -0,0 +1,23 @@
+package settings_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"acaciapath.example/core/settings"
+)
+
+func TestExamples(t *testing.T) {
+	c := qt.New(t)
+	entry, err := load(c, settings.RoleEntry, "--settings=../../examples/daemon/entryd.ini")
+	c.Assert(err, qt.IsNil)
+	control, err := load(c, settings.RoleControl, "--settings=../../examples/daemon/controld.ini")
+	c.Assert(err, qt.IsNil)
+	c.Assert(entry.Address, qt.Equals, control.Address)
+	ports := map[int]bool{
+		entry.CallersPort: true, entry.PeerPort: true, entry.OpsPort: true,
+		control.PeerPort: true, control.OpsPort: true,
+	}
+	c.Assert(ports, qt.HasLen, 5)
+}
--- a/core/settings/tables.go
+++ b/core/settings/tables.go
@@ -5,6 +5,7 @@
 
 	"acaciapath.example/core/ini"
 	"acaciapath.example/core/telemetry"
+	"acaciapath.example/core/value"
 )
 
 // maxPort is the greatest port of TCP.
@@ -39,17 +40,17 @@
 			{
 				Name: "name", Required: role.daemon(),
 				Help:    "Name of the VM, never used again after the VM is replaced.",
-				Binding: ini.Bind(func(s *Settings) *string { return &s.Name }, ini.Name()),
+				Binding: ini.Bind(func(s *Settings) *string { return &s.Name }, value.Name()),
 			},
 			{
 				Name: "failure-domain", Required: role.daemon(),
 				Help:    "Failure domain of the VM.",
-				Binding: ini.Bind(func(s *Settings) *string { return &s.FailureDomain }, ini.Name()),
+				Binding: ini.Bind(func(s *Settings) *string { return &s.FailureDomain }, value.Name()),
 			},
 			{
 				Name: "address", Required: role.daemon(),
 				Help:    "IP number that the daemon listens on; a loopback address if [tls] has no files.",
-				Binding: ini.Bind(func(s *Settings) *string { return &s.Address }, ini.IP()),
+				Binding: ini.Bind(func(s *Settings) *string { return &s.Address }, value.IP()),
 			},
 		},
 	}
@@ -63,17 +64,17 @@
 			{
 				Name: "callers-port", Default: "8080",
 				Help:    "Port of an entry daemon for callers' requests.",
-				Binding: ini.Bind(func(s *Settings) *int { return &s.CallersPort }, ini.Int(0, maxPort)),
+				Binding: ini.Bind(func(s *Settings) *int { return &s.CallersPort }, value.Int(0, maxPort)),
 			},
 			{
 				Name: "peer-port", Default: "8081",
 				Help:    "Port for peers.",
-				Binding: ini.Bind(func(s *Settings) *int { return &s.PeerPort }, ini.Int(0, maxPort)),
+				Binding: ini.Bind(func(s *Settings) *int { return &s.PeerPort }, value.Int(0, maxPort)),
 			},
 			{
 				Name: "ops-port", Default: "8082",
 				Help:    "Port of /metrics, /healthz and /readyz.",
-				Binding: ini.Bind(func(s *Settings) *int { return &s.OpsPort }, ini.Int(0, maxPort)),
+				Binding: ini.Bind(func(s *Settings) *int { return &s.OpsPort }, value.Int(0, maxPort)),
 			},
 		},
 	}
@@ -87,12 +88,12 @@
 			{
 				Name: "address", Required: true,
 				Help:    "IP number and port of the platform.",
-				Binding: ini.Bind(func(s *Settings) *string { return &s.PlatformAddress }, ini.Address()),
+				Binding: ini.Bind(func(s *Settings) *string { return &s.PlatformAddress }, value.Address()),
 			},
 			{
 				Name: "timeout", Default: "2s",
 				Help:    "Bounds each call of the platform.",
-				Binding: ini.Bind(func(s *Settings) *time.Duration { return &s.PlatformTimeout }, ini.Duration(time.Millisecond, time.Minute)),
+				Binding: ini.Bind(func(s *Settings) *time.Duration { return &s.PlatformTimeout }, value.Duration(time.Millisecond, time.Minute)),
 			},
 		},
 	}
@@ -102,7 +103,7 @@
 	return durationSection("config", "Says how a daemon follows the configuration.", ini.Setting[Settings]{
 		Name: "poll", Default: "1s",
 		Help:    "How often the platform is asked for a newer revision.",
-		Binding: ini.Bind(func(s *Settings) *time.Duration { return &s.ConfigPoll }, ini.Duration(10*time.Millisecond, 5*time.Second)),
+		Binding: ini.Bind(func(s *Settings) *time.Duration { return &s.ConfigPoll }, value.Duration(10*time.Millisecond, 5*time.Second)),
 	})
 }
 
@@ -110,7 +111,7 @@
 	return durationSection("drain", "Says how a daemon stops.", ini.Setting[Settings]{
 		Name: "timeout", Default: "10m",
 		Help:    "Bounds a graceful shutdown, after which requests that still run are cut.",
-		Binding: ini.Bind(func(s *Settings) *time.Duration { return &s.DrainTimeout }, ini.Duration(time.Millisecond, 24*time.Hour)),
+		Binding: ini.Bind(func(s *Settings) *time.Duration { return &s.DrainTimeout }, value.Duration(time.Millisecond, 24*time.Hour)),
 	})
 }
 
@@ -118,7 +119,7 @@
 	return durationSection("lease", "Says how a control daemon takes charge.", ini.Setting[Settings]{
 		Name: "duration", Default: "6s",
 		Help:    "How long a lease lasts without being renewed.",
-		Binding: ini.Bind(func(s *Settings) *time.Duration { return &s.Lease }, ini.Duration(100*time.Millisecond, 10*time.Minute)),
+		Binding: ini.Bind(func(s *Settings) *time.Duration { return &s.Lease }, value.Duration(100*time.Millisecond, 10*time.Minute)),
 	})
 }
 
@@ -128,7 +129,7 @@
 }
 
 func tlsSection() ini.Kind[Settings] {
-	file := ini.Text("file name")
+	file := value.Text("file name")
 	return ini.Kind[Settings]{
 		Name: "tls",
 		Help: "PEM files of mutual TLS between peers. Either all are set or none is.",
@@ -160,12 +161,12 @@
 			{
 				Name: "level", Default: "info",
 				Help:    "Least level that is logged.",
-				Binding: ini.Bind(func(s *Settings) *string { return &s.LogLevel }, ini.OneOf("error", "warning", "info", "debug", "trace")),
+				Binding: ini.Bind(func(s *Settings) *string { return &s.LogLevel }, value.OneOf("error", "warning", "info", "debug", "trace")),
 			},
 			{
 				Name: "format", Default: telemetry.FormatJSON,
 				Help:    "Format of a line of the log.",
-				Binding: ini.Bind(func(s *Settings) *string { return &s.LogFormat }, ini.OneOf(telemetry.FormatJSON, telemetry.FormatText)),
+				Binding: ini.Bind(func(s *Settings) *string { return &s.LogFormat }, value.OneOf(telemetry.FormatJSON, telemetry.FormatText)),
 			},
 		},
 	}
@@ -179,7 +180,7 @@
 			{
 				Name:    "endpoint",
 				Help:    "IP number and port of a collector that takes OTLP over HTTP; without one, spans are not exported.",
-				Binding: ini.Bind(func(s *Settings) *string { return &s.TraceEndpoint }, ini.Address()),
+				Binding: ini.Bind(func(s *Settings) *string { return &s.TraceEndpoint }, value.Address()),
 			},
 		},
 	}
--- /dev/null
+++ b/core/value/name.go
@@ -0,0 +1,39 @@
+package value
+
+import (
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// maxNameBytes is the greatest length of a name.
+const maxNameBytes = 100
+
+// Name returns a parser of the names of sections and of references to them.
+func Name() Parser[string] { return nameWith("._-") }
+
+// ModelName returns a parser of the names of models, which besides the
+// characters of other names may hold slashes and colons.
+func ModelName() Parser[string] { return nameWith("._-/:") }
+
+// nameWith returns a parser of names of letters, digits and the given marks.
+func nameWith(marks string) Parser[string] {
+	return Parser[string]{Type: "name", Parse: func(text string) (string, error) {
+		if text == "" {
+			return "", merry.New("the name is empty")
+		}
+		if len(text) > maxNameBytes {
+			return "", merry.Errorf("%s is longer than %d bytes", Quote(text), maxNameBytes)
+		}
+		for i, r := range text {
+			if !alphanumeric(r) && (i == 0 || !strings.ContainsRune(marks, r)) {
+				return "", merry.Errorf("%s is not a name: a letter or digit, then letters, digits and any of %s", Quote(text), marks)
+			}
+		}
+		return text, nil
+	}}
+}
+
+func alphanumeric(r rune) bool {
+	return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+}
--- a/core/ini/nearest.go
+++ b/core/value/nearest.go
@@ -1,4 +1,4 @@
-package ini
+package value
 
 // Nearest returns the known name with the least edit distance to name, and
 // whether one is near enough to be what was meant. Among equals the first in
@@ -39,3 +39,12 @@
 }
 
 func abs(n int) int { return max(n, -n) }
+
+// Suggest returns the end of a message that offers the nearest known name, or
+// an empty string if none is near.
+func Suggest(name string, known map[string]struct{}) string {
+	if near, ok := Nearest(name, known); ok {
+		return "; did you mean " + near + "?"
+	}
+	return ""
+}
