Add stand-ins of the platform, an engine and a plain service

The daemons need something to speak to in tests. Faults stand once in package fault and are applied to goa endpoints and HTTP handlers alike.

--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,436 @@
+package engine_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	coreengine "acaciapath.example/core/engine"
+	"acaciapath.example/standin/engine"
+	"acaciapath.example/standin/fault"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// model is the model of the tests.
+const model = "m"
+
+// fast is a pace for tests.
+const fast = 100 * time.Microsecond
+
+func start(c *qt.C, options engine.Options) *engine.Engine {
+	if options.StepTime == 0 {
+		options.StepTime = fast
+	}
+	options.Models = []string{model}
+	e := engine.New(options)
+	c.Assert(e.Start("127.0.0.1:0"), qt.IsNil)
+	c.Cleanup(func() { _ = e.Close() })
+	return e
+}
+
+// request is a chat request of one user message.
+func request(text string) *coreengine.ChatRequest {
+	content, _ := json.Marshal(text)
+	return &coreengine.ChatRequest{
+		Model:    model,
+		Messages: []coreengine.Message{{Role: "user", Content: content}},
+	}
+}
+
+// answer is an answer as a caller sees it.
+type answer struct {
+	Status  int
+	Text    string
+	Finish  string
+	Tokens  int // deltas with text
+	Usage   *coreengine.Usage
+	Done    bool // the stream has its end mark
+	Code    string
+	Choices []struct {
+		Message      struct{ Content string }
+		Delta        struct{ Content string }
+		FinishReason string `json:"finish_reason"`
+	}
+	Error struct{ Code string }
+}
+
+// post sends a message to the engine.
+func post(ctx context.Context, e *engine.Engine, path, id string, message any) (*http.Response, error) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Address()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(coreengine.HeaderRequestID, id)
+	return http.DefaultClient.Do(req)
+}
+
+// chat sends a chat request and returns the answer, or as much as came of it.
+func chat(ctx context.Context, e *engine.Engine, id string, req *coreengine.ChatRequest) (answer, error) {
+	res, err := post(ctx, e, coreengine.PathChat, id, req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer res.Body.Close()
+	if !req.Stream || res.StatusCode != http.StatusOK {
+		a := answer{}
+		err := json.NewDecoder(res.Body).Decode(&a)
+		a.Status, a.Code = res.StatusCode, a.Error.Code
+		if len(a.Choices) > 0 {
+			a.Text, a.Finish = a.Choices[0].Message.Content, a.Choices[0].FinishReason
+		}
+		return a, err
+	}
+	return readStream(res.Body)
+}
+
+func readStream(body io.Reader) (answer, error) {
+	a := answer{Status: http.StatusOK}
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			a.Done = true
+			continue
+		}
+		var part answer
+		if err := json.Unmarshal([]byte(data), &part); err != nil {
+			return a, err
+		}
+		if part.Usage != nil {
+			a.Usage = part.Usage
+		}
+		for _, choice := range part.Choices {
+			a.Text += choice.Delta.Content
+			a.Finish = choice.FinishReason
+			if choice.Delta.Content != "" {
+				a.Tokens++
+			}
+		}
+	}
+	return a, lines.Err()
+}
+
+func TestWholeAndStreamedAnswersAreEqual(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	e := start(c, engine.Options{})
+	whole, err := chat(ctx, e, "r1", request("one two [tokens=37]"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(whole.Finish, qt.Equals, "stop")
+	c.Assert(*whole.Usage, qt.Equals, coreengine.Usage{PromptTokens: 3, CompletionTokens: 37, TotalTokens: 40})
+	c.Assert(strings.Fields(whole.Text), qt.HasLen, 37)
+
+	req := request("one two [tokens=37]")
+	req.Stream = true
+	req.StreamOptions = &coreengine.StreamOptions{IncludeUsage: true}
+	streamed, err := chat(ctx, e, "r2", req)
+	c.Assert(err, qt.IsNil)
+	c.Assert(streamed.Text, qt.Equals, whole.Text)
+	c.Assert(streamed.Tokens, qt.Equals, 37)
+	c.Assert(streamed.Done, qt.IsTrue)
+	c.Assert(*streamed.Usage, qt.Equals, *whole.Usage)
+
+	other, err := chat(ctx, e, "r3", request("one three [tokens=37]"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(other.Text, qt.Not(qt.Equals), whole.Text)
+}
+
+func TestResume(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	a, b := start(c, engine.Options{Seed: 3}), start(c, engine.Options{Seed: 3})
+	req := request("a letter [tokens=20]")
+	whole, err := chat(ctx, a, "r1", req)
+	c.Assert(err, qt.IsNil)
+	req.MaxTokens = 8
+	part, err := chat(ctx, a, "r2", req)
+	c.Assert(err, qt.IsNil)
+	c.Assert(part.Finish, qt.Equals, "length")
+
+	content, err := json.Marshal(part.Text)
+	c.Assert(err, qt.IsNil)
+	req.Messages = append(req.Messages, coreengine.Message{Role: "assistant", Content: content})
+	req.MaxTokens, req.ContinueFinalMessage = 0, true
+	rest, err := chat(ctx, b, "r3", req)
+	c.Assert(err, qt.IsNil)
+	c.Assert(part.Text+rest.Text, qt.Equals, whole.Text)
+	c.Assert(rest.Finish, qt.Equals, "stop")
+	c.Assert(rest.Usage.CompletionTokens, qt.Equals, 12)
+	c.Assert(b.Runs().Entries()[0].First, qt.Equals, 8)
+}
+
+func TestRefusals(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		name   string
+		change func(*coreengine.ChatRequest)
+		faults engine.Faults
+		status int
+		code   string
+	}{
+		{name: "unknown model", change: func(r *coreengine.ChatRequest) { r.Model = "x" }, status: 404, code: "model_not_found"},
+		{name: "no messages", change: func(r *coreengine.ChatRequest) { r.Messages = nil }, status: 400, code: "invalid_messages"},
+		{name: "content", change: func(r *coreengine.ChatRequest) { r.Messages[0].Content = []byte("3") }, status: 400, code: "invalid_messages"},
+		{name: "nothing to go on with", change: func(r *coreengine.ChatRequest) { r.ContinueFinalMessage = true }, status: 400, code: "invalid_messages"},
+		{name: "too long", change: func(r *coreengine.ChatRequest) { r.MaxTokens = 1000 }, status: 400, code: "context_length_exceeded"},
+		{name: "down", faults: engine.Faults{Faults: fault.Faults{Down: true}}, status: 503, code: "not_started"},
+		{name: "draining", faults: engine.Faults{Drain: true}, status: 503, code: "draining"},
+	} {
+		c.Run(test.name, func(c *qt.C) {
+			e := start(c, engine.Options{ContextTokens: 100, Faults: test.faults})
+			req := request("hello")
+			if test.change != nil {
+				test.change(req)
+			}
+			a, err := chat(context.Background(), e, "r", req)
+			c.Assert(err, qt.IsNil)
+			c.Assert(a.Status, qt.Equals, test.status)
+			c.Assert(a.Code, qt.Equals, test.code)
+		})
+	}
+}
+
+func TestManyStreams(t *testing.T) {
+	c := qt.New(t)
+	e := start(c, engine.Options{Places: 64, Preempts: true})
+	var wait sync.WaitGroup
+	texts := make([]string, 250)
+	for i := range texts {
+		wait.Go(func() {
+			req := request(fmt.Sprintf("%d [tokens=20]", i%5))
+			req.Stream = true
+			req.Priority = i % 3
+			a, err := chat(context.Background(), e, "", req)
+			if err == nil && a.Done {
+				texts[i] = a.Text
+			}
+		})
+	}
+	wait.Wait()
+	for i, text := range texts {
+		c.Assert(strings.Fields(text), qt.HasLen, 20)
+		c.Assert(text, qt.Equals, texts[i%5])
+	}
+	c.Assert(e.Runs().Entries(), qt.HasLen, len(texts))
+}
+
+// begin starts a chat request with a long answer and returns a channel that
+// gets what came of it.
+func begin(ctx context.Context, e *engine.Engine, id string, priority int) <-chan answer {
+	req := request(id + " [tokens=100000]")
+	req.Stream = true
+	req.Priority = priority
+	ended := make(chan answer, 1)
+	go func() {
+		a, _ := chat(ctx, e, id, req)
+		ended <- a
+	}()
+	return ended
+}
+
+// awaitLoad waits for a number of running and waiting requests.
+func awaitLoad(c *qt.C, e *engine.Engine, running, waiting int) {
+	for range 1000 {
+		var load coreengine.Load
+		get(c, e, coreengine.PathLoad, &load)
+		if load.Running == running && load.Waiting == waiting {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.Fatalf("never %d running and %d waiting", running, waiting)
+}
+
+func get(c *qt.C, e *engine.Engine, path string, message any) {
+	res, err := http.Get("http://" + e.Address() + path)
+	c.Assert(err, qt.IsNil)
+	defer res.Body.Close()
+	c.Assert(json.NewDecoder(res.Body).Decode(message), qt.IsNil)
+}
+
+func cancel(c *qt.C, e *engine.Engine, id string) coreengine.Cancelled {
+	res, err := post(context.Background(), e, coreengine.PathCancel, "", coreengine.Cancel{RequestID: id})
+	c.Assert(err, qt.IsNil)
+	defer res.Body.Close()
+	var cancelled coreengine.Cancelled
+	c.Assert(json.NewDecoder(res.Body).Decode(&cancelled), qt.IsNil)
+	return cancelled
+}
+
+func TestPrioritiesAndCancel(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	e := start(c, engine.Options{Places: 1})
+	first := begin(ctx, e, "first", 5)
+	awaitLoad(c, e, 1, 0)
+	late := begin(ctx, e, "late", 3)
+	awaitLoad(c, e, 1, 1)
+	urgent := begin(ctx, e, "urgent", 1)
+	awaitLoad(c, e, 1, 2)
+	c.Assert(cancel(c, e, "late").CompletionTokens, qt.Equals, 0)
+	<-late
+	ran := cancel(c, e, "first")
+	c.Assert(ran.Known, qt.IsTrue)
+	a := <-first
+	c.Assert(a.Tokens, qt.Equals, ran.CompletionTokens)
+	c.Assert(a.Finish, qt.Equals, "abort")
+	c.Assert(cancel(c, e, "first"), qt.Equals, ran)
+	c.Assert(cancel(c, e, "nobody").Known, qt.IsFalse)
+	awaitLoad(c, e, 1, 0)
+	cancel(c, e, "urgent")
+	<-urgent
+}
+
+func TestPreemption(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	e := start(c, engine.Options{Places: 1, Preempts: true})
+	slow := begin(ctx, e, "slow", 5)
+	awaitLoad(c, e, 1, 0)
+	same := begin(ctx, e, "same", 5)
+	awaitLoad(c, e, 1, 1)
+	urgent, err := chat(ctx, e, "urgent", request("[tokens=3]"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(urgent.Finish, qt.Equals, "stop")
+	cancel(c, e, "same")
+	<-same
+	cancel(c, e, "slow")
+	<-slow
+	entries := e.Runs().Entries()
+	c.Assert(entries[0].RequestID, qt.Equals, "urgent")
+	c.Assert(entries[1].Preemptions, qt.Equals, 0)
+	c.Assert(entries[2].Preemptions, qt.Equals, 1)
+}
+
+func TestDisconnect(t *testing.T) {
+	c := qt.New(t)
+	ctx, hangUp := context.WithCancel(context.Background())
+	e := start(c, engine.Options{})
+	gone := begin(ctx, e, "gone", 0)
+	awaitLoad(c, e, 1, 0)
+	hangUp()
+	<-gone
+	awaitLoad(c, e, 0, 0)
+	c.Assert(e.Runs().Entries()[0].Outcome, qt.Equals, engine.Disconnected)
+}
+
+func TestPrefixCache(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	e := start(c, engine.Options{CacheTokens: 10, CacheEventLoss: 3})
+	for _, text := range []string{"a b c d e [tokens=1]", "a b c d e [tokens=1]", "f g h i j [tokens=1]"} {
+		_, err := chat(ctx, e, text[:1], request(text))
+		c.Assert(err, qt.IsNil)
+	}
+	runs := e.Runs().Entries()
+	c.Assert(runs[0].CachedTokens, qt.Equals, 0)
+	c.Assert(runs[1].CachedTokens, qt.Equals, 6)
+	c.Assert(runs[1].PromptTokens, qt.Equals, 6)
+	c.Assert(runs[1].PrefilledTokens, qt.Equals, 0)
+
+	// The third event, the eviction, is lost.
+	var events coreengine.CacheEvents
+	get(c, e, coreengine.PathCacheEvents, &events)
+	c.Assert(events.Events, qt.HasLen, 2)
+	c.Assert(events.Events[0].Prefix, qt.Equals, coreengine.PrefixHash(model, request("a b c d e [tokens=1]").Messages))
+	get(c, e, coreengine.PathCacheEvents+"?after=1", &events)
+	c.Assert(events.Events, qt.HasLen, 1)
+	c.Assert(events.Events[0].Seq, qt.Equals, uint64(2))
+}
+
+func TestOrders(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		t.Run(fmt.Sprintf("checks fencing %t", checks), func(t *testing.T) {
+			c := qt.New(t)
+			e := start(c, engine.Options{ChecksFencing: checks})
+			send := func(id string, fence uint64, kind coreengine.OrderKind, name string) int {
+				o := coreengine.Order{ID: id, Fence: fence, Kind: kind, Name: name}
+				res, err := post(context.Background(), e, coreengine.PathOrders, "", o)
+				c.Assert(err, qt.IsNil)
+				c.Assert(res.Body.Close(), qt.IsNil)
+				return res.StatusCode
+			}
+			c.Assert(send("1", 2, coreengine.LoadModel, "n"), qt.Equals, http.StatusOK)
+			c.Assert(send("1", 2, coreengine.LoadModel, "n"), qt.Equals, http.StatusOK)
+			c.Assert(send("2", 2, "dance", ""), qt.Equals, http.StatusBadRequest)
+			c.Assert(send("3", 1, coreengine.SetRole, "old") == http.StatusOK, qt.Equals, !checks)
+			orders := e.Orders().Entries()
+			c.Assert(orders, qt.HasLen, 3)
+			c.Assert(orders[1].Repeated, qt.IsTrue)
+			c.Assert(orders[2].Applied, qt.Equals, !checks)
+			var load coreengine.Load
+			get(c, e, coreengine.PathLoad, &load)
+			c.Assert(load.Models, qt.DeepEquals, []string{model, "n"})
+			c.Assert(load.Role == "old", qt.Equals, !checks)
+		})
+	}
+}
+
+func TestCrash(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	e := start(c, engine.Options{Faults: engine.Faults{CrashAfterTokens: 7}})
+	broken := <-begin(ctx, e, "broken", 0)
+	c.Assert(broken.Done, qt.IsFalse)
+	c.Assert(broken.Tokens <= 7, qt.IsTrue)
+	c.Assert(e.Runs().Entries()[0].CompletionTokens, qt.Equals, 7)
+	_, err := chat(ctx, e, "refused", request("hello"))
+	c.Assert(err, qt.IsNotNil)
+
+	e.SetFaults(engine.Faults{})
+	a, err := chat(ctx, e, "again", request("[tokens=2]"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.Finish, qt.Equals, "stop")
+}
+
+func TestFrozenAndSlow(t *testing.T) {
+	c := qt.New(t)
+	e := start(c, engine.Options{})
+	ended := begin(context.Background(), e, "held", 0)
+	awaitLoad(c, e, 1, 0)
+	e.SetFaults(engine.Faults{Faults: fault.Faults{Frozen: true}})
+	ctx, hangUp := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer hangUp()
+	_, err := chat(ctx, e, "hangs", request("[tokens=1]"))
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(e.Runs().Entries(), qt.HasLen, 0)
+	e.SetFaults(engine.Faults{SlowFactor: 2})
+	a, err := chat(context.Background(), e, "later", request("[tokens=1]"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.Finish, qt.Equals, "stop")
+	cancel(c, e, "held")
+	<-ended
+}
+
+func TestFaultsAndLogByHTTP(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	e := start(c, engine.Options{})
+	_, err := chat(ctx, e, "r1", request("[tokens=1]"))
+	c.Assert(err, qt.IsNil)
+	res, err := http.Post("http://"+e.Address()+engine.PathFaults, "application/json", strings.NewReader(`{"frozen":true,"slow-factor":3}`))
+	c.Assert(err, qt.IsNil)
+	c.Assert(res.Body.Close(), qt.IsNil)
+	c.Assert(e.Faults().Frozen, qt.IsTrue)
+	c.Assert(e.Faults().SlowFactor, qt.Equals, 3.0)
+	var logs engine.Logs
+	get(c, e, engine.PathLog, &logs)
+	c.Assert(logs.Runs.Entries[0].RequestID, qt.Equals, "r1")
+	c.Assert(logs.Runs.Entries[0].Header.Get(coreengine.HeaderRequestID), qt.Equals, "r1")
+}
--- /dev/null
+++ b/standin/engine/http.go
@@ -0,0 +1,119 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"acaciapath.example/core/engine"
+	"acaciapath.example/standin/fault"
+	"acaciapath.example/standin/record"
+)
+
+// Paths by which tests control the engine and read what it did.
+const (
+	// PathFaults takes Faults.
+	PathFaults = "/faults"
+	// PathLog returns a Logs.
+	PathLog = "/log"
+)
+
+// pathModels lists the models.
+const pathModels = "/v1/models"
+
+// maxBody bounds the size of a request's body in bytes.
+const maxBody = 16 << 20
+
+// Logs are the logs of an engine.
+type Logs struct {
+	// Runs are the chat requests that have ended.
+	Runs record.Page[Run] `json:"runs"`
+	// Orders are the orders.
+	Orders record.Page[OrderEntry] `json:"orders"`
+}
+
+// handler returns the handler of the engine's port.
+func (e *Engine) handler() http.Handler {
+	served := http.NewServeMux()
+	served.HandleFunc("POST "+engine.PathChat, e.serveChat)
+	served.HandleFunc("GET "+pathModels, e.serveModels)
+	served.HandleFunc("GET "+engine.PathLoad, e.serveLoad)
+	served.HandleFunc("GET "+engine.PathCacheEvents, e.serveCacheEvents)
+	served.HandleFunc("POST "+engine.PathCancel, e.serveCancel)
+	served.HandleFunc("POST "+engine.PathOrders, e.serveOrders)
+	refuse := func(w http.ResponseWriter, _ *http.Request) { errNotStarted.send(w) }
+
+	mux := http.NewServeMux()
+	mux.Handle("/", fault.Handler(e.faults, served, refuse))
+	mux.Handle("POST "+PathFaults, fault.Receive(func(f Faults) error {
+		e.SetFaults(f)
+		return nil
+	}))
+	mux.HandleFunc("GET "+PathLog, func(w http.ResponseWriter, _ *http.Request) {
+		fault.Send(w, http.StatusOK, Logs{Runs: e.runs.Page(0), Orders: e.orders.Page(0)})
+	})
+	return mux
+}
+
+func (e *Engine) serveModels(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	models := slices.Clone(e.models)
+	e.mu.Unlock()
+	listed := modelList{Object: objectList, Data: []modelItem{}}
+	for _, model := range models {
+		listed.Data = append(listed.Data, modelItem{ID: model, Object: objectModel, OwnedBy: "standin"})
+	}
+	fault.Send(w, http.StatusOK, listed)
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	load := e.loads.published(e.now())
+	e.mu.Unlock()
+	fault.Send(w, http.StatusOK, load)
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	e.mu.Lock()
+	found := e.events.after(after, e.now())
+	e.mu.Unlock()
+	fault.Send(w, http.StatusOK, engine.CacheEvents{Events: found})
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var c engine.Cancel
+	if !decode(w, r, &c) {
+		return
+	}
+	fault.Send(w, http.StatusOK, e.cancel(c.RequestID))
+}
+
+func (e *Engine) serveOrders(w http.ResponseWriter, r *http.Request) {
+	var o engine.Order
+	if !decode(w, r, &o) {
+		return
+	}
+	result, err := e.order(o)
+	if err != nil {
+		invalid(http.StatusBadRequest, "invalid_order", err.Error()).send(w)
+		return
+	}
+	status := http.StatusOK
+	if !result.Applied {
+		status = http.StatusConflict
+	}
+	fault.Send(w, status, result)
+}
+
+// decode decodes the JSON body of a request. If it is malformed, decode answers
+// and reports false.
+func decode(w http.ResponseWriter, r *http.Request, message any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(message)
+	if err != nil {
+		invalid(http.StatusBadRequest, "invalid_json", err.Error()).send(w)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/standin/engine/options.go
@@ -0,0 +1,98 @@
+package engine
+
+import (
+	"time"
+
+	"acaciapath.example/standin/fault"
+)
+
+// Values of options that are not given.
+const (
+	defaultPlaces      = 8
+	defaultStepTime    = 20 * time.Millisecond
+	defaultCacheTokens = 100_000
+	defaultMeanTokens  = 100
+	defaultMaxTokens   = 1000
+)
+
+// Options say how an Engine behaves. Fields that are 0 have the values that
+// their comments give.
+type Options struct {
+	// Name is the name of the engine in its logs.
+	Name string
+	// Models are the models that are loaded from the start.
+	Models []string
+	// Places is the number of requests in the batch; 8.
+	Places int
+	// QueueLimit is the number of requests that may wait; no limit.
+	QueueLimit int
+	// Preempts says whether a waiting request takes the place of a running one
+	// of lower priority.
+	Preempts bool
+	// StepTime is the time of a step with one request; 20 ms.
+	StepTime time.Duration
+	// StepTimePerRequest is added for each further request in the batch.
+	StepTimePerRequest time.Duration
+	// PrefillTime is added for each prompt token that is processed in a step.
+	PrefillTime time.Duration
+	// CacheTokens is the size of the prefix cache; 100,000. Below 0 there is
+	// none.
+	CacheTokens int
+	// ContextTokens is the size of the context window; no limit.
+	ContextTokens int
+	// MeanTokens is about the mean length of an answer; 100. A prompt that has
+	// [tokens=N] in its last message gets an answer of N tokens.
+	MeanTokens int
+	// MaxTokens bounds the length of an answer that the prompt does not say;
+	// 1000.
+	MaxTokens int
+	// Seed is the seed of the texts. Engines with the same seed give the same
+	// answers.
+	Seed uint64
+	// LoadLag is how old the load is that the engine publishes.
+	LoadLag time.Duration
+	// CacheEventLag is how late cache events are published.
+	CacheEventLag time.Duration
+	// CacheEventLoss is such that every CacheEventLoss-th cache event is lost;
+	// none.
+	CacheEventLoss int
+	// ChecksFencing says whether orders with old fencing numbers are refused.
+	ChecksFencing bool
+	// LogLimit is the number of entries that each log keeps; see record.New.
+	LogLimit int
+	// Faults are the faults from the start.
+	Faults Faults
+}
+
+// withDefaults returns the options with the values of those not given.
+func (o Options) withDefaults() Options {
+	o.Places = orDefault(o.Places, defaultPlaces)
+	o.StepTime = orDefault(o.StepTime, defaultStepTime)
+	o.CacheTokens = orDefault(o.CacheTokens, defaultCacheTokens)
+	o.MeanTokens = orDefault(o.MeanTokens, defaultMeanTokens)
+	o.MaxTokens = orDefault(o.MaxTokens, defaultMaxTokens)
+	return o
+}
+
+// orDefault returns value, or other if value is the zero value.
+func orDefault[T comparable](value, other T) T {
+	var zero T
+	if value == zero {
+		return other
+	}
+	return value
+}
+
+// Faults are the faults of an engine. The zero value has none. An engine that
+// is down answers 503 as one that has not started; one that is frozen stops
+// stepping as well.
+type Faults struct {
+	fault.Faults
+	// SlowFactor multiplies the time of each step; 0 means 1.
+	SlowFactor float64 `json:"slow-factor,omitempty"`
+	// CrashAfterTokens crashes the engine after it generated this many more
+	// tokens; 0 means never.
+	CrashAfterTokens int `json:"crash-after-tokens,omitempty"`
+	// Drain refuses new requests and lets the others end.
+	Drain bool `json:"drain,omitempty"`
+}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,109 @@
+// Package fleet runs stand-in engines in the same process: as the backend
+// servers that the stand-in of the platform is ordered to start, or by
+// themselves.
+package fleet
+
+import (
+	"errors"
+	"net"
+	"slices"
+	"sync"
+
+	"acaciapath.example/core/gen/servers"
+	"acaciapath.example/standin/engine"
+	"acaciapath.example/standin/platform"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// ErrClosed is returned by Start on a fleet that is closed.
+var ErrClosed = merry.Sentinel("fleet: closed")
+
+// loopback is the IP number that engines listen on if none is given.
+const loopback = "127.0.0.1"
+
+// Options say how a Fleet starts its engines.
+type Options struct {
+	// Host is the IP number that the engines listen on; 127.0.0.1 if empty.
+	Host string
+	// Engine is how the engines behave. Name and Models are replaced by those
+	// of the backend server.
+	Engine engine.Options
+}
+
+// Fleet is a set of engines. It is safe for concurrent use.
+type Fleet struct {
+	options Options
+	mu      sync.Mutex
+	closed  bool
+	all     []*engine.Engine // those that were stopped too, in order of start
+}
+
+var _ platform.Launcher = (*Fleet)(nil)
+
+// New returns a fleet without engines.
+func New(options Options) *Fleet {
+	if options.Host == "" {
+		options.Host = loopback
+	}
+	return &Fleet{options: options}
+}
+
+// Launch starts the engine of a backend server.
+func (f *Fleet) Launch(server servers.BackendServer) (address string, stop func(), err error) {
+	e, err := f.Start(server.Name, server.Model)
+	if err != nil {
+		return "", nil, err
+	}
+	return e.Address(), func() { _ = e.Close() }, nil
+}
+
+// Start starts an engine with the models. It returns ErrClosed if the fleet is
+// closed.
+func (f *Fleet) Start(name string, models ...string) (*engine.Engine, error) {
+	options := f.options.Engine
+	options.Name = name
+	options.Models = models
+	e := engine.New(options)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return nil, ErrClosed
+	}
+	if err := e.Start(net.JoinHostPort(f.options.Host, "0")); err != nil {
+		return nil, err
+	}
+	f.all = append(f.all, e)
+	return e, nil
+}
+
+// Engine returns the engine that was started last with the name; nil if there
+// is none.
+func (f *Fleet) Engine(name string) *engine.Engine {
+	for _, e := range slices.Backward(f.Engines()) {
+		if e.Name() == name {
+			return e
+		}
+	}
+	return nil
+}
+
+// Engines returns all engines, those that were stopped too, in the order in
+// which they were started.
+func (f *Fleet) Engines() []*engine.Engine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.all)
+}
+
+// Close stops all engines.
+func (f *Fleet) Close() error {
+	f.mu.Lock()
+	f.closed = true
+	f.mu.Unlock()
+	var err error
+	for _, e := range f.Engines() {
+		err = errors.Join(err, e.Close())
+	}
+	return err
+}
--- /dev/null
+++ b/standin/plain/plain_test.go
@@ -0,0 +1,78 @@
+package plain_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"acaciapath.example/standin/fault"
+	"acaciapath.example/standin/plain"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func start(c *qt.C, options plain.Options) *plain.Service {
+	s := plain.New(options)
+	c.Assert(s.Start("127.0.0.1:0"), qt.IsNil)
+	c.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+// renew sends a renewal and returns the status, or 0 if there was no answer.
+func renew(c *qt.C, s *plain.Service, key string) int {
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.Address()+"/shop/renewals", strings.NewReader(`{"subscriber":"s-1"}`))
+	c.Assert(err, qt.IsNil)
+	req.Header.Set(plain.HeaderIdempotencyKey, key)
+	// The client library repeats requests with an Idempotency-Key by itself on
+	// connections that it reuses.
+	req.Close = true
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	c.Assert(res.Body.Close(), qt.IsNil)
+	return res.StatusCode
+}
+
+func TestExecutions(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		name   string
+		checks bool
+		faults fault.Faults
+		first  int
+		after  int // executions after the first call
+		again  int // executions after a second call
+	}{
+		{name: "counts every execution", first: 200, after: 1, again: 2},
+		{name: "checks the key", checks: true, first: 200, after: 1, again: 1},
+		{name: "down", faults: fault.Faults{Down: true}, first: 503, after: 0, again: 1},
+		{name: "crash before executing", faults: fault.Faults{LoseRequests: 1}, first: 0, after: 0, again: 1},
+		{name: "crash after executing", faults: fault.Faults{LoseReplies: 1}, first: 0, after: 1, again: 2},
+		{name: "crashed", faults: fault.Faults{Crashed: true}, first: 0, after: 0, again: 1},
+	} {
+		c.Run(test.name, func(c *qt.C) {
+			s := start(c, plain.Options{ChecksIdempotency: test.checks, Faults: test.faults})
+			c.Assert(renew(c, s, "k"), qt.Equals, test.first)
+			c.Assert(s.Executions("k"), qt.Equals, test.after)
+			s.SetFaults(fault.Faults{})
+			c.Assert(renew(c, s, "k"), qt.Equals, http.StatusOK)
+			c.Assert(s.Executions("k"), qt.Equals, test.again)
+		})
+	}
+}
+
+func TestFaultsAndLogByHTTP(t *testing.T) {
+	c := qt.New(t)
+	s := start(c, plain.Options{})
+	res, err := http.Post("http://"+s.Address()+plain.PathFaults, "application/json", strings.NewReader(`{"slow":"1ms"}`))
+	c.Assert(err, qt.IsNil)
+	c.Assert(res.Body.Close(), qt.IsNil)
+	c.Assert(res.StatusCode, qt.Equals, http.StatusNoContent)
+	c.Assert(s.Faults().Faults().Slow > 0, qt.IsTrue)
+	c.Assert(renew(c, s, "k"), qt.Equals, http.StatusOK)
+	calls := s.Log().Entries()
+	c.Assert(calls, qt.HasLen, 1)
+	c.Assert(calls[0].Key, qt.Equals, "k")
+	c.Assert(calls[0].Path, qt.Equals, "/shop/renewals")
+}
--- /dev/null
+++ b/standin/platform/http.go
@@ -0,0 +1,154 @@
+package platform
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	objectsserver "acaciapath.example/core/gen/http/objects/server"
+	serversserver "acaciapath.example/core/gen/http/servers/server"
+	tableserver "acaciapath.example/core/gen/http/table/server"
+	usageserver "acaciapath.example/core/gen/http/usage/server"
+	vmsserver "acaciapath.example/core/gen/http/vms/server"
+	"acaciapath.example/core/gen/vms"
+	"acaciapath.example/standin/fault"
+
+	"github.com/ansel1/merry/v2"
+	goahttp "goa.design/goa/v3/http"
+)
+
+// Paths by which tests control the platform and read what it received.
+const (
+	// PathLog returns a record.Page of Entry.
+	PathLog = "/log"
+	// PathReports returns all usage reports.
+	PathReports = "/reports"
+	// PathFaults takes a SetFaults.
+	PathFaults = "/faults"
+	// PathEvictions takes an Eviction.
+	PathEvictions = "/evictions"
+	// PathCapacity takes a SetCapacity.
+	PathCapacity = "/capacity"
+	// PathVMChanges takes a VMChange.
+	PathVMChanges = "/vm-changes"
+)
+
+// ErrMessage is returned for a control message with an unknown name in it.
+var ErrMessage = merry.Sentinel("platform: unknown interface or change")
+
+// SetFaults replaces the faults of an interface.
+type SetFaults struct {
+	// Interface is the interface, or All.
+	Interface Interface `json:"interface"`
+	// Faults are its faults from now on.
+	Faults fault.Faults `json:"faults"`
+}
+
+// Eviction evicts the cheap backend servers of a failure domain.
+type Eviction struct {
+	// FailureDomain is the failure domain.
+	FailureDomain string `json:"failure-domain"`
+	// Notice is how long the backend servers still run.
+	Notice fault.Duration `json:"notice"`
+}
+
+// SetCapacity bounds the backend servers of a kind in a failure domain.
+type SetCapacity struct {
+	// FailureDomain is the failure domain.
+	FailureDomain string `json:"failure-domain"`
+	// Kind is standard or cheap.
+	Kind string `json:"kind"`
+	// Servers is the bound; below 0 there is none.
+	Servers int `json:"servers"`
+}
+
+// Change is what becomes of a VM.
+type Change string
+
+// The changes of a VM.
+const (
+	VMAdded   Change = "added"
+	VMLeaving Change = "leaving"
+	VMRemoved Change = "removed"
+)
+
+// VMChange changes the list of VMs.
+type VMChange struct {
+	// Change is what becomes of the VM.
+	Change Change `json:"change"`
+	// Name is the name of the VM.
+	Name string `json:"name"`
+	// FailureDomain is the failure domain of a VM that is added, as below.
+	FailureDomain string `json:"failure-domain,omitempty"`
+	// Address is its IP number.
+	Address string `json:"address,omitempty"`
+	// PeerPort is the port on which its entry daemon accepts peers.
+	PeerPort int `json:"peer-port,omitempty"`
+	// ControlPort is the port on which its control daemon accepts peers.
+	ControlPort int `json:"control-port,omitempty"`
+}
+
+// handler returns the handler of the port.
+func (s *Server) handler() http.Handler {
+	services := s.services()
+	mux := http.NewServeMux()
+	mux.Handle("/", named(services))
+	mux.Handle("GET "+PathLog, s.log)
+	mux.HandleFunc("GET "+PathReports, s.sendReports)
+	mux.Handle("POST "+PathFaults, fault.Receive(s.takeFaults))
+	mux.Handle("POST "+PathEvictions, fault.Receive(func(m Eviction) error {
+		s.EvictFailureDomain(m.FailureDomain, time.Duration(m.Notice))
+		return nil
+	}))
+	mux.Handle("POST "+PathCapacity, fault.Receive(func(m SetCapacity) error {
+		s.SetCapacity(Stock{FailureDomain: m.FailureDomain, Kind: m.Kind}, m.Servers)
+		return nil
+	}))
+	mux.Handle("POST "+PathVMChanges, fault.Receive(s.takeVMChange))
+	return mux
+}
+
+// services returns the handler of the platform's interfaces.
+func (s *Server) services() http.Handler {
+	mux := goahttp.NewMuxer()
+	e := s.endpoints(abort)
+	dec, enc := goahttp.RequestDecoder, goahttp.ResponseEncoder
+	tableserver.New(e.table, mux, dec, enc, nil, nil).Mount(mux)
+	objectsserver.New(e.objects, mux, dec, enc, nil, nil).Mount(mux)
+	vmsserver.New(e.vms, mux, dec, enc, nil, nil).Mount(mux)
+	serversserver.New(e.servers, mux, dec, enc, nil, nil).Mount(mux)
+	usageserver.New(e.usage, mux, dec, enc, nil, nil).Mount(mux)
+	return mux
+}
+
+func (s *Server) sendReports(w http.ResponseWriter, _ *http.Request) {
+	fault.Send(w, http.StatusOK, s.Reports())
+}
+
+func (s *Server) takeFaults(m SetFaults) error {
+	if m.Interface != All && !slices.Contains(interfaces, m.Interface) {
+		return merry.Wrap(ErrMessage, merry.AppendMessage(string(m.Interface)))
+	}
+	s.SetFaults(m.Interface, m.Faults)
+	return nil
+}
+
+func (s *Server) takeVMChange(m VMChange) error {
+	switch m.Change {
+	case VMAdded:
+		s.AddVM(vms.VM{
+			Name:          m.Name,
+			FailureDomain: m.FailureDomain,
+			Address:       m.Address,
+			PeerPort:      m.PeerPort,
+			ControlPort:   m.ControlPort,
+		})
+	case VMLeaving:
+		s.MarkLeaving(m.Name)
+	case VMRemoved:
+		s.RemoveVM(m.Name)
+	default:
+		return merry.Wrap(ErrMessage, merry.AppendMessage(string(m.Change)))
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/platform/table.go
@@ -0,0 +1,122 @@
+package platform
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"acaciapath.example/core/gen/table"
+)
+
+// tableService is the table service. Transactions run one after the other.
+type tableService struct {
+	server *Server
+	mu     sync.Mutex
+	rows   *rowSet
+	last   uint64 // version of the last write
+}
+
+var _ table.Service = (*tableService)(nil)
+
+func newTableService(s *Server) *tableService {
+	return &tableService{server: s, rows: newRowSet()}
+}
+
+// Get returns the rows with the given keys that exist.
+func (t *tableService) Get(ctx context.Context, p *table.GetPayload) ([]*table.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rows := []*table.Row{}
+	for _, key := range p.Keys {
+		if row := t.rows.get(key); row != nil {
+			rows = append(rows, cloneRow(row))
+		}
+	}
+	e := Entry{Outcome: Done}
+	if len(p.Keys) > 0 {
+		e.ID = p.Keys[0]
+	}
+	t.server.record(ctx, e)
+	return rows, nil
+}
+
+// List returns rows in the order of their keys.
+func (t *tableService) List(ctx context.Context, p *table.ListPayload) ([]*table.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	limit := p.Limit
+	if limit <= 0 {
+		limit = defaultListLimit
+	}
+	rows := []*table.Row{}
+	for _, row := range t.rows.list(p.Prefix, p.After, limit) {
+		rows = append(rows, cloneRow(row))
+	}
+	t.server.record(ctx, Entry{ID: p.Prefix, Outcome: Done})
+	return rows, nil
+}
+
+// defaultListLimit is the limit of a List in process that gives none.
+const defaultListLimit = 1000
+
+// Commit applies all writes if all conditions hold, else none. It returns a
+// *table.Conflict if one does not hold.
+func (t *tableService) Commit(ctx context.Context, p *table.CommitPayload) ([]*table.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if failed := t.failed(p.Conditions); len(failed) > 0 {
+		t.server.record(ctx, Entry{ID: failed[0].Key, Outcome: Conflict})
+		return nil, &table.Conflict{Message: "a condition did not hold", Rows: failed}
+	}
+	written := []*table.Row{}
+	for _, w := range p.Writes {
+		written = append(written, t.write(w))
+	}
+	e := Entry{Rows: written, Outcome: Done}
+	if len(written) > 0 {
+		e.ID = written[0].Key
+	}
+	t.server.record(ctx, e)
+	return cloneRows(written), nil
+}
+
+// failed returns the rows whose conditions do not hold, as they are. t.mu is
+// held.
+func (t *tableService) failed(conditions []*table.Condition) []*table.Row {
+	var rows []*table.Row
+	for _, c := range conditions {
+		if t.rows.version(c.Key) == c.Version {
+			continue
+		}
+		row := &table.Row{Key: c.Key, Value: []byte{}}
+		if found := t.rows.get(c.Key); found != nil {
+			row = cloneRow(found)
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// write applies one write and returns the row as it is then. t.mu is held.
+func (t *tableService) write(w *table.Write) *table.Row {
+	if w.Delete {
+		t.rows.remove(w.Key)
+		return &table.Row{Key: w.Key, Value: []byte{}}
+	}
+	t.last++
+	row := &table.Row{Key: w.Key, Version: t.last, Value: append([]byte{}, w.Value...)}
+	t.rows.put(row)
+	return row
+}
+
+func cloneRow(row *table.Row) *table.Row {
+	return &table.Row{Key: row.Key, Version: row.Version, Value: slices.Clone(row.Value)}
+}
+
+func cloneRows(rows []*table.Row) []*table.Row {
+	clones := make([]*table.Row, len(rows))
+	for i, row := range rows {
+		clones[i] = cloneRow(row)
+	}
+	return clones
+}
--- /dev/null
+++ b/standin/record/record.go
@@ -0,0 +1,84 @@
+// Package record keeps the logs of what the stand-ins received, by which tests
+// judge what the system did.
+package record
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+)
+
+// DefaultLimit is the number of entries that a Log keeps if none is given.
+const DefaultLimit = 500_000
+
+// Page is part of a log, as it is sent over HTTP.
+type Page[T any] struct {
+	// First is the number of the first entry, counted from 0.
+	First int `json:"first"`
+	// Dropped is the number of entries that the log no longer has.
+	Dropped int `json:"dropped"`
+	// Entries are the entries, oldest first.
+	Entries []T `json:"entries"`
+}
+
+// Log keeps entries in the order in which they were added. It is safe for
+// concurrent use.
+type Log[T any] struct {
+	mu      sync.Mutex
+	limit   int
+	dropped int
+	entries []T
+}
+
+// New returns an empty log that keeps at least half of limit entries, and at
+// most limit. A limit of 0 means DefaultLimit.
+func New[T any](limit int) *Log[T] {
+	if limit <= 0 {
+		limit = DefaultLimit
+	}
+	return &Log[T]{limit: limit}
+}
+
+// Add adds an entry.
+func (l *Log[T]) Add(entry T) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.entries) >= l.limit {
+		drop := (l.limit + 1) / 2
+		l.entries = slices.Delete(l.entries, 0, drop)
+		l.dropped += drop
+	}
+	l.entries = append(l.entries, entry)
+}
+
+// Entries returns the entries that are kept, oldest first.
+func (l *Log[T]) Entries() []T { return l.Page(0).Entries }
+
+// Dropped returns the number of entries that are no longer kept.
+func (l *Log[T]) Dropped() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dropped
+}
+
+// Page returns the entries from the given number on, counted from 0 with those
+// that were dropped.
+func (l *Log[T]) Page(first int) Page[T] {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first = min(max(first, l.dropped), l.dropped+len(l.entries))
+	return Page[T]{
+		First:   first,
+		Dropped: l.dropped,
+		Entries: append([]T{}, l.entries[first-l.dropped:]...),
+	}
+}
+
+// ServeHTTP answers with a Page from the number in the query parameter first.
+func (l *Log[T]) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	first, _ := strconv.Atoi(r.URL.Query().Get("first"))
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(l.Page(first))
+}
