--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-
 	"acaciapath.example/core/engine"
 	"acaciapath.example/standin/fault"
 	"acaciapath.example/standin/record"
