Log rows, figures and orders in kebab case; test faults, lags and control messages

The log used the generated types, whose names in JSON are those of Go. An idle engine published a load that seemed to be hours old; it now says the time at which the load was as published.

--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -5,7 +5,6 @@
 package command
 
 import (
-	"context"
 	"errors"
 	"fmt"
 
@@ -21,10 +20,9 @@
 // New returns the root command.
 func New() *cobra.Command {
 	root := &cobra.Command{
-		Use:           "standin",
-		Short:         "Stand-ins of the platform, a model engine and a plain service",
-		SilenceUsage:  true,
-		SilenceErrors: false,
+		Use:          "standin",
+		Short:        "Stand-ins of the platform, a model engine and a plain service",
+		SilenceUsage: true,
 	}
 	root.AddCommand(newPlatform(), newEngine(), newPlain())
 	return root
@@ -45,8 +43,6 @@
 	if _, err := fmt.Fprintf(cmd.OutOrStdout(), "listening on %s\n", s.Address()); err != nil {
 		return errors.Join(err, s.Close())
 	}
-	wait(cmd.Context())
+	<-cmd.Context().Done()
 	return s.Close()
 }
-
-func wait(ctx context.Context) { <-ctx.Done() }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -60,7 +60,7 @@
 		events:  events{lag: options.CacheEventLag, loss: options.CacheEventLoss},
 		loads:   loads{lag: options.LoadLag},
 	}
-	e.forget(e.now())
+	e.forget()
 	e.loads.taken = []engine.Load{e.load(e.now())}
 	e.http = serve.New(e.handler())
 	e.SetFaults(options.Faults)
@@ -130,7 +130,7 @@
 func (e *Engine) crash(now time.Time) {
 	e.faults.Update(func(f *fault.Faults) { f.Crashed = true })
 	e.endAll(now)
-	e.forget(now)
+	e.forget()
 	e.publishLoad(now)
 }
 
@@ -143,7 +143,7 @@
 
 // forget sets what the engine has in memory to what it is at the start. e.mu
 // is held.
-func (e *Engine) forget(time.Time) {
+func (e *Engine) forget() {
 	e.cache = newCache(e.options.CacheTokens, func(stored bool, hash uint64) {
 		e.events.add(engine.CacheEvent{At: e.now(), Stored: stored, Prefix: hash})
 	})
--- /dev/null
+++ b/standin/engine/engine_bench_test.go
@@ -0,0 +1,29 @@
+package engine_test
+
+import (
+	"context"
+	"testing"
+
+	"acaciapath.example/standin/engine"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// BenchmarkStream measures a streamed answer of 32 tokens at a step time that
+// leaves the engine's own cost to be seen.
+func BenchmarkStream(b *testing.B) {
+	c := qt.New(b)
+	e := start(c, engine.Options{Places: 256, StepTime: 1})
+	b.ReportAllocs()
+	b.SetParallelism(16)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			req := request("hello there [tokens=32]")
+			req.Stream = true
+			a, err := chat(context.Background(), e, "", req)
+			if err != nil || !a.Done {
+				b.Error("broken answer", err)
+			}
+		}
+	})
+}
--- a/standin/engine/publish.go
+++ b/standin/engine/publish.go
@@ -58,10 +58,15 @@
 	l.prune(load.At)
 }
 
-// published returns the load that is published at now.
+// published returns the load that is published at now. It is as old as the lag,
+// or less if the engine is not that old.
 func (l *loads) published(now time.Time) engine.Load {
 	l.prune(now)
-	return l.taken[0]
+	load := l.taken[0]
+	if shown := now.Add(-l.lag); shown.After(load.At) {
+		load.At = shown
+	}
+	return load
 }
 
 // prune drops the loads before the one that is published at now.
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -1,11 +1,16 @@
 package fleet_test
 
 import (
+	"context"
+	"errors"
 	"net"
 	"testing"
+	"time"
 
 	"acaciapath.example/core/gen/servers"
+	coreplatform "acaciapath.example/core/platform"
 	"acaciapath.example/standin/fleet"
+	"acaciapath.example/standin/platform"
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
@@ -31,3 +36,42 @@
 	_, err = f.Start("late", "m")
 	c.Assert(err, qt.ErrorIs, fleet.ErrClosed)
 }
+
+func TestEvictedEnginesStop(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New(fleet.Options{})
+	p := platform.New(platform.Options{Launcher: f})
+	c.Cleanup(func() { c.Assert(errors.Join(p.Close(), f.Close()), qt.IsNil) })
+	ctx := context.Background()
+	client := p.Client("")
+	_, err := client.Servers.Order(ctx, &servers.OrderPayload{
+		OrderID: "o1", FailureDomain: "quito-a", Kind: "cheap", Model: "m",
+	})
+	c.Assert(err, qt.IsNil)
+	address := await(c, client, "running").Address
+	c.Assert(p.EvictFailureDomain("quito-a", 0), qt.Equals, 1)
+	await(c, client, "gone")
+	for range 1000 {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		c.Assert(conn.Close(), qt.IsNil)
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.Fatal("the engine still runs")
+}
+
+// await waits until the only backend server has the state.
+func await(c *qt.C, client *coreplatform.Client, state string) *servers.BackendServer {
+	for range 1000 {
+		list, err := client.Servers.List(context.Background(), &servers.ListPayload{})
+		c.Assert(err, qt.IsNil)
+		if list[0].State == state {
+			return list[0]
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.Fatalf("the backend server is not %s", state)
+	return nil
+}
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -5,7 +5,6 @@
 	"encoding/hex"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -185,7 +184,6 @@
 		call.Key = hex.EncodeToString(sum[:])
 	}
 	answer := s.count(&call, given)
-	w.Header().Set("X-Execution", strconv.Itoa(answer.Execution))
 	fault.Send(w, http.StatusOK, answer)
 }
 
--- a/standin/plain/plain_test.go
+++ b/standin/plain/plain_test.go
@@ -1,9 +1,11 @@
 package plain_test
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"acaciapath.example/standin/fault"
 	"acaciapath.example/standin/plain"
@@ -76,3 +78,24 @@
 	c.Assert(calls[0].Key, qt.Equals, "k")
 	c.Assert(calls[0].Path, qt.Equals, "/shop/renewals")
 }
+
+func TestFrozenCallTakesEffectLate(t *testing.T) {
+	c := qt.New(t)
+	s := start(c, plain.Options{Faults: fault.Faults{Frozen: true}})
+	ctx, hangUp := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer hangUp()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Address()+"/orders", strings.NewReader("{}"))
+	c.Assert(err, qt.IsNil)
+	req.Header.Set(plain.HeaderIdempotencyKey, "k")
+	_, err = http.DefaultClient.Do(req)
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(s.Executions("k"), qt.Equals, 0)
+	s.SetFaults(fault.Faults{})
+	for range 1000 {
+		if s.Executions("k") == 1 {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.Fatal("the call was never executed")
+}
--- a/standin/platform/entry.go
+++ b/standin/platform/entry.go
@@ -65,14 +65,35 @@
 	// ID is the order-id, object, backend server, usage window or prefix that
 	// the call names.
 	ID string `json:"id,omitempty"`
+	// FailureDomain is the failure domain of an order; empty in other calls.
+	FailureDomain string `json:"failure-domain,omitempty"`
 	// Rows are the rows that a transaction wrote. A deleted row has version 0.
-	Rows []*table.Row `json:"rows,omitempty"`
+	Rows []Row `json:"rows,omitempty"`
 	// Outcome is what became of the call.
 	Outcome Outcome `json:"outcome"`
 	// ReplyLost says whether the call took effect but its reply was lost.
 	ReplyLost bool `json:"reply-lost,omitempty"`
 }
 
+// Row is a row that a transaction wrote. It is read-only.
+type Row struct {
+	// Key is the key of the row.
+	Key string `json:"key"`
+	// Version is the version that the row got.
+	Version uint64 `json:"version"`
+	// Value is the content of the row.
+	Value []byte `json:"value"`
+}
+
+// rowsOf returns rows as they are logged.
+func rowsOf(rows []*table.Row) []Row {
+	logged := make([]Row, len(rows))
+	for i, row := range rows {
+		logged[i] = Row(*row)
+	}
+	return logged
+}
+
 // call is a call on its way through the Server.
 type call struct {
 	arrived   time.Time
--- a/standin/platform/guard.go
+++ b/standin/platform/guard.go
@@ -82,6 +82,9 @@
 		}()
 		select {
 		case r := <-done:
+			if ctx.Err() != nil && isLost(r.err) {
+				return nil, ctx.Err()
+			}
 			return r.res, r.err
 		case <-ctx.Done():
 			return nil, ctx.Err()
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -17,6 +17,7 @@
 	"acaciapath.example/standin/platform"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
 )
 
 // callTimeout bounds calls that are to hang.
@@ -83,7 +84,7 @@
 		entries := s.Log().Entries()
 		c.Assert(entries[0].Outcome, qt.Equals, platform.Done)
 		c.Assert(entries[0].Caller, qt.Equals, "caller")
-		c.Assert(entries[0].Rows, qt.DeepEquals, rows)
+		c.Assert(entries[0].Rows, qt.DeepEquals, []platform.Row{platform.Row(*rows[0])})
 		c.Assert(entries[1].Outcome, qt.Equals, platform.Conflict)
 	})
 }
@@ -179,7 +180,7 @@
 		c.Assert(client.Usage.Report(ctx, p), qt.IsNil)
 		reports := s.Reports()
 		c.Assert(reports, qt.HasLen, 2)
-		c.Assert(reports[1].Lines, qt.DeepEquals, []usage.UsageLine{*p.Lines[0]})
+		c.Assert(reports[1].Lines, qt.DeepEquals, []platform.Line{platform.Line(*p.Lines[0])})
 		c.Assert(reports[1].Fence, qt.Equals, uint64(7))
 	})
 }
@@ -344,3 +345,18 @@
 		awaitState(c, client, "gone")
 	})
 }
+
+func TestCloseLetsGoOfHeldCalls(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	c := qt.New(t)
+	s := platform.New(platform.Options{StartDelay: time.Hour})
+	client := s.Client("")
+	_, err := client.Servers.Order(context.Background(), order("o1", 1))
+	c.Assert(err, qt.IsNil)
+	s.SetFaults(platform.All, fault.Faults{Frozen: true})
+	ctx, giveUp := context.WithTimeout(context.Background(), callTimeout)
+	defer giveUp()
+	_, err = client.VMs.List(ctx)
+	c.Assert(err, qt.ErrorIs, context.DeadlineExceeded)
+	c.Assert(s.Close(), qt.IsNil)
+}
--- a/standin/platform/servers.go
+++ b/standin/platform/servers.go
@@ -101,7 +101,13 @@
 func (b *serverService) Order(ctx context.Context, p *servers.OrderPayload) (*servers.BackendServer, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	e := Entry{ID: p.OrderID, Holder: p.Holder, Fence: p.Fence, Outcome: Done}
+	e := Entry{
+		ID:            p.OrderID,
+		Holder:        p.Holder,
+		Fence:         p.Fence,
+		FailureDomain: p.FailureDomain,
+		Outcome:       Done,
+	}
 	if !b.checkFence(p.FailureDomain, p.Fence) {
 		e.Outcome = StaleFence
 		b.server.record(ctx, e)
@@ -128,6 +134,9 @@
 	defer b.mu.Unlock()
 	e := Entry{ID: p.Name, Holder: p.Holder, Fence: p.Fence, Outcome: Done}
 	bs := b.byName[p.Name]
+	if bs != nil {
+		e.FailureDomain = bs.FailureDomain
+	}
 	switch {
 	case bs == nil:
 		e.Outcome = NotFound
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -45,8 +45,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	limit := p.Limit
-	if limit <= 0 {
-		limit = defaultListLimit
+	if limit <= 0 || limit > maxListLimit {
+		limit = maxListLimit
 	}
 	rows := []*table.Row{}
 	for _, row := range t.rows.list(p.Prefix, p.After, limit) {
@@ -56,8 +56,9 @@
 	return rows, nil
 }
 
-// defaultListLimit is the limit of a List in process that gives none.
-const defaultListLimit = 1000
+// maxListLimit bounds the rows of a List in process, as core/design does those
+// of one over HTTP.
+const maxListLimit = 1000
 
 // Commit applies all writes if all conditions hold, else none. It returns a
 // *table.Conflict if one does not hold.
@@ -72,7 +73,7 @@
 	for _, w := range p.Writes {
 		written = append(written, t.write(w))
 	}
-	e := Entry{Rows: written, Outcome: Done}
+	e := Entry{Rows: rowsOf(written), Outcome: Done}
 	if len(written) > 0 {
 		e.ID = written[0].Key
 	}
--- a/standin/platform/usage.go
+++ b/standin/platform/usage.go
@@ -20,7 +20,25 @@
 	// Holder is the process that sent the report.
 	Holder string `json:"holder"`
 	// Lines are the figures of the window.
-	Lines []usage.UsageLine `json:"lines"`
+	Lines []Line `json:"lines"`
+}
+
+// Line is one figure of a usage report.
+type Line struct {
+	// ClientAccount is the client account that is charged.
+	ClientAccount string `json:"client-account"`
+	// ServiceClass is the service class that the work ran in.
+	ServiceClass string `json:"service-class"`
+	// Model is the model, or plain service, that did the work.
+	Model string `json:"model"`
+	// Requests is the number of requests that ran.
+	Requests uint64 `json:"requests"`
+	// PromptTokens is the number of prompt tokens that were processed.
+	PromptTokens uint64 `json:"prompt-tokens"`
+	// CompletionTokens is the number of tokens that were generated.
+	CompletionTokens uint64 `json:"completion-tokens"`
+	// Amount is the charge in millionths of the currency unit.
+	Amount int64 `json:"amount"`
 }
 
 // usageService accepts usage reports. It keeps all, also those that say again
@@ -39,7 +57,7 @@
 	defer u.mu.Unlock()
 	report := Report{At: u.server.now(), Window: p.Window, Fence: p.Fence, Holder: p.Holder}
 	for _, line := range p.Lines {
-		report.Lines = append(report.Lines, *line)
+		report.Lines = append(report.Lines, Line(*line))
 	}
 	u.reports = append(u.reports, report)
 	u.server.record(ctx, Entry{ID: p.Window, Holder: p.Holder, Fence: p.Fence, Outcome: Done})
