--- a/standin/main.go
+++ b/standin/main.go
@@ -1,4 +1,21 @@
-// Command standin is being built.
+// Command standin runs stand-ins of what the project speaks to: the platform,
+// a model engine or a plain service.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"acaciapath.example/standin/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command.New().ExecuteContext(ctx); err != nil {
+		stop()
+		os.Exit(1)
+	}
+}
