--- a/standin/command/vms.go
+++ b/standin/command/vms.go
@@ -7,6 +7,7 @@
 	"acaciapath.example/core/finding"
 	"acaciapath.example/core/gen/vms"
 	"acaciapath.example/core/ini"
+	"acaciapath.example/core/value"
 )
 
 // Limits of the file of the VMs.
@@ -20,23 +21,23 @@
 	Name:       "vm",
 	Help:       "One entry VM.",
 	SetName:    func(vm *vms.VM, name string) { vm.Name = name },
-	NameParser: ini.Name(),
+	NameParser: value.Name(),
 	Settings: []ini.Setting[vms.VM]{
 		{
 			Name: "failure-domain", Required: true, Help: "Failure domain of the VM.",
-			Binding: ini.Bind(func(vm *vms.VM) *string { return &vm.FailureDomain }, ini.Name()),
+			Binding: ini.Bind(func(vm *vms.VM) *string { return &vm.FailureDomain }, value.Name()),
 		},
 		{
 			Name: "address", Required: true, Help: "IP number of the VM.",
-			Binding: ini.Bind(func(vm *vms.VM) *string { return &vm.Address }, ini.IP()),
+			Binding: ini.Bind(func(vm *vms.VM) *string { return &vm.Address }, value.IP()),
 		},
 		{
 			Name: "peer-port", Required: true, Help: "Port of the entry daemon for its peers.",
-			Binding: ini.Bind(func(vm *vms.VM) *int { return &vm.PeerPort }, ini.Int(1, maxPort)),
+			Binding: ini.Bind(func(vm *vms.VM) *int { return &vm.PeerPort }, value.Int(1, maxPort)),
 		},
 		{
 			Name: "control-port", Default: "0", Help: "Port of the control daemon for its peers; 0 if none runs.",
-			Binding: ini.Bind(func(vm *vms.VM) *int { return &vm.ControlPort }, ini.Int(0, maxPort)),
+			Binding: ini.Bind(func(vm *vms.VM) *int { return &vm.ControlPort }, value.Int(0, maxPort)),
 		},
 	},
 }
