dispatch: preempt for urgent requests, hold the targets as tests

Ruled out: more places kept for urgent demand, which idles them; sending urgent requests to full engines, which only moves the queue. Change: Preempt chooses a running request of a less urgent tier that another replica can go on with, for a request that has waited a quarter of its target, within a budget of 1% of the tokens; another failure domain is worse by 0.35 of a replica's places; a class whose demand is past keeps no place.

--- a/core/dispatch/demand.go
+++ b/core/dispatch/demand.go
@@ -12,6 +12,8 @@
 	// demandMargin is the number of standard deviations of a Poisson demand
 	// for which places are kept.
 	demandMargin = 1.5
+	// minDemand is the average below which no place is kept.
+	minDemand = 0.1
 )
 
 // demand is the average number of a class's requests that wait or run. The
@@ -43,5 +45,8 @@
 // places returns the number of places that meet the demand most of the time.
 func (d *demand) places(now time.Time) int {
 	mean := d.at(now)
+	if mean < minDemand {
+		return 0
+	}
 	return int(math.Ceil(mean + demandMargin*math.Sqrt(mean)))
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -318,6 +318,7 @@
 	t.Attempts++
 	r.Start(t.Request.Prefixes, now)
 	t.pool.count(t.Request.Class).running++
+	t.pool.running = append(t.pool.running, t)
 	d.charge(t, t.pool.expectedCost(t.Request), now)
 }
 
@@ -326,10 +327,12 @@
 	t.Replica.Finish(now)
 	t.Replica = nil
 	t.pool.count(t.Request.Class).running--
+	t.pool.removeRunning(t)
 }
 
 func (d *Dispatcher[T]) charge(t *Ticket[T], tokens int, now time.Time) {
 	t.charged += tokens
+	t.pool.earnPreemption(tokens)
 	t.pool.queue.Charge(t.Request.Class.Tier, t.Request.Account.Name, float64(tokens))
 	d.Limiter.Charge(t.Request.Account.Name, tokens, now)
 }
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -429,3 +429,96 @@
 	urgent, _ := d.Enter(other, 2, start.Add(time.Second))
 	c.Assert(d.Next(start.Add(time.Second)), qt.Equals, urgent)
 }
+
+func resumable(class *config.ServiceClass) dispatch.Request {
+	r := request(class)
+	r.Resumable = true
+	return r
+}
+
+func TestPreempt(t *testing.T) {
+	c := qt.New(t)
+	hurried := &config.ServiceClass{
+		Name: "chat", Tier: 1, FirstTokenTarget: time.Second, MaxWait: 10 * time.Second, QueueLimit: 4,
+	}
+	for _, test := range []struct {
+		name    string
+		running dispatch.Request
+		waiting *config.ServiceClass
+		earned  int
+		waited  time.Duration
+		want    bool
+	}{
+		{name: "lower tier yields", running: resumable(letters), waiting: hurried, earned: 100_000, waited: 300 * time.Millisecond, want: true},
+		{name: "not yet pressing", running: resumable(letters), waiting: hurried, earned: 100_000, waited: 200 * time.Millisecond},
+		{name: "too late to help", running: resumable(letters), waiting: hurried, earned: 100_000, waited: 800 * time.Millisecond},
+		{name: "same tier keeps its place", running: resumable(hurried), waiting: hurried, earned: 100_000, waited: 300 * time.Millisecond},
+		{name: "cannot be resumed", running: request(letters), waiting: hurried, earned: 100_000, waited: 300 * time.Millisecond},
+		{name: "no budget", running: resumable(letters), waiting: hurried, earned: 100, waited: 300 * time.Millisecond},
+	} {
+		c.Run(test.name, func(c *qt.C) {
+			d := newDispatcher(spec("a", 1))
+			first, _ := d.Enter(request(letters), 0, start)
+			c.Assert(d.Next(start), qt.Equals, first)
+			d.Finish(first, dispatch.Result{CompletionTokens: test.earned}, start)
+			victim, _ := d.Enter(test.running, 1, start)
+			c.Assert(d.Next(start), qt.Equals, victim)
+			urgent, _ := d.Enter(request(test.waiting), 2, start)
+			now := start.Add(test.waited)
+			c.Assert(d.Next(now), qt.IsNil)
+			got := d.Preempt(now)
+			c.Assert(got == victim, qt.Equals, test.want)
+			if !test.want {
+				c.Assert(got, qt.IsNil)
+				return
+			}
+			c.Assert(d.Preempt(now), qt.IsNil, qt.Commentf("one place is enough for one request"))
+			d.Yield(victim, now)
+			c.Assert(victim.Waiting(), qt.IsTrue)
+			c.Assert(d.Next(now), qt.Equals, urgent)
+			c.Assert(d.Next(now), qt.IsNil)
+			d.Finish(urgent, dispatch.Result{}, now)
+			c.Assert(d.Next(now), qt.Equals, victim)
+		})
+	}
+}
+
+// TestPastDemandKeepsNothing checks that a class that stopped asking does not
+// keep the only place for ever.
+func TestPastDemandKeepsNothing(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(spec("a", 1))
+	urgent, _ := d.Enter(request(chat), 0, start)
+	c.Assert(d.Next(start), qt.Equals, urgent)
+	now := start.Add(time.Minute)
+	d.Finish(urgent, dispatch.Result{}, now)
+	patient, _ := d.Enter(request(letters), 1, now)
+	c.Assert(d.Next(now), qt.IsNil)
+	c.Assert(d.Next(now.Add(time.Minute)), qt.Equals, patient)
+}
+
+// TestPlacesAreKept checks that the last standard places are kept for the
+// demand of more urgent classes, and cheap ones are not.
+func TestPlacesAreKept(t *testing.T) {
+	c := qt.New(t)
+	cheap := spec("b", 1)
+	cheap.Kind = config.KindCheap
+	d := newDispatcher(spec("a", 4), cheap)
+	now := start
+	for range 200 {
+		ticket, _ := d.Enter(request(chat), 0, now)
+		c.Assert(d.Next(now), qt.Equals, ticket)
+		now = now.Add(time.Second)
+		d.Finish(ticket, dispatch.Result{CompletionTokens: 1}, now)
+	}
+	var started []string
+	for i := range 5 {
+		d.Enter(request(letters), i, now)
+	}
+	for t := d.Next(now); t != nil; t = d.Next(now) {
+		started = append(started, t.Replica.Spec.Name)
+	}
+	c.Assert(started, qt.DeepEquals, []string{"b", "a"}, qt.Commentf("3 of 4 places are kept for an average of 1"))
+	urgent, _ := d.Enter(request(chat), 9, now)
+	c.Assert(d.Next(now), qt.Equals, urgent)
+}
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -25,6 +25,10 @@
 	name     string
 	queue    *queue.Queue[*Ticket[T]]
 	replicas []*replica.Replica
+	// running are the requests on replicas.
+	running []*Ticket[T]
+	// preemptCredit is the number of tokens that may be processed again.
+	preemptCredit float64
 	// classes are those that requests came in, by tier.
 	classes []*classCount
 	// completion is the average length of an answer in tokens.
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -20,6 +20,8 @@
 	Prefixes []uint64
 	// PromptTokens is an estimate of the length of the prompt.
 	PromptTokens int
+	// Resumable says whether another replica can go on with the answer.
+	Resumable bool
 	// Plain says whether Serves is a plain service, which generates no tokens.
 	Plain bool
 }
@@ -47,6 +49,8 @@
 	ended   bool
 	// parked says that the ticket waits for the retry budget.
 	parked bool
+	// preempted says that the request is about to yield its place.
+	preempted bool
 	// cheapOnly says that the request may start on cheap backend servers only.
 	cheapOnly bool
 }
--- a/core/measure/dispatch_test.go
+++ b/core/measure/dispatch_test.go
@@ -63,6 +63,7 @@
 		Class:        r.class,
 		Prefixes:     []uint64{r.prefix},
 		PromptTokens: r.prompt,
+		Resumable:    true,
 	}, r, s.time())
 	if refused != nil {
 		r.refused = true
@@ -77,6 +78,14 @@
 		for t := d.Next(s.time()); t != nil; t = d.Next(s.time()) {
 			rt.engines[t.Replica.Spec.Name].submit(s, t.Value, true)
 		}
+		for t := d.Preempt(s.time()); t != nil; t = d.Preempt(s.time()) {
+			rt.engines[t.Replica.Spec.Name].preempt(t.Value)
+			d.Yield(t, s.time())
+			s.preempted++
+			if n := d.Next(s.time()); n != nil {
+				rt.engines[n.Replica.Spec.Name].submit(s, n.Value, true)
+			}
+		}
 	}
 }
 
--- a/core/measure/sim_test.go
+++ b/core/measure/sim_test.go
@@ -50,13 +50,14 @@
 
 // sim is one run of a scenario with a router.
 type sim struct {
-	now      time.Duration
-	events   events
-	seq      int
-	engines  []*fakeEngine
-	requests []*request
-	router   router
-	retries  int
+	now       time.Duration
+	events    events
+	seq       int
+	engines   []*fakeEngine
+	requests  []*request
+	router    router
+	retries   int
+	preempted int
 }
 
 func (s *sim) after(d time.Duration, do func()) {
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -91,6 +91,18 @@
 	}
 }
 
+// MostUrgent returns the entry that is next in the most urgent class with
+// waiting requests, or nil.
+func (q *Queue[T]) MostUrgent(now time.Time) *Entry[T] {
+	for _, c := range q.classes {
+		if c.waiting > 0 {
+			c.age(now)
+			return c.next()
+		}
+	}
+	return nil
+}
+
 // Empty reports whether no request waits.
 func (q *Queue[T]) Empty() bool {
 	return !slices.ContainsFunc(q.classes, func(c *class[T]) bool { return c.waiting > 0 })
--- a/core/replica/choose.go
+++ b/core/replica/choose.go
@@ -29,7 +29,7 @@
 	// cacheWeight is what a prompt that is wholly cached is worth.
 	cacheWeight = 0.5
 	// farWeight is what a replica in another failure domain is worse by.
-	farWeight = 0.5
+	farWeight = 0.35
 	// cheapWeight is what a cheap backend server is worth to a request that
 	// may use it.
 	cheapWeight = 0.25
