entryd: serve the chat API and plain services

The entry daemon terminates callers, checks keys, lets requests wait for places that core/dispatch deals out, streams answers event by event, meters what ran, and claims calls that may run at most once in the platform's table. It compiles; nothing has been run yet.

--- /dev/null
+++ b/entryd/access/access.go
@@ -0,0 +1,141 @@
+package access
+
+import (
+	"context"
+	"sync/atomic"
+
+	"acaciapath.example/core/apikey"
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/refusal"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// ErrWithdrawn is the cause with which the context of a Grant ends.
+var ErrWithdrawn = merry.Sentinel("access: key was withdrawn")
+
+// Grant is the right to use one key while it is not withdrawn.
+type Grant struct {
+	// Key is the key as it was in the revision that the grant was made for.
+	Key *config.Key
+	// Account is the client account that the key belongs to.
+	Account *config.ClientAccount
+
+	life *life
+}
+
+// life is what the grants of one key share over the revisions.
+type life struct {
+	ctx context.Context
+	end context.CancelCauseFunc
+}
+
+// Join returns a context that ends with ctx, or with ErrWithdrawn as its cause
+// once the key is withdrawn. The caller calls the returned function when the
+// context is no longer used.
+func (g *Grant) Join(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	joined, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(g.life.ctx, func() { cancel(ErrWithdrawn) })
+	return joined, func(cause error) {
+		stop()
+		cancel(cause)
+	}
+}
+
+// Withdrawn reports whether the key has been withdrawn since.
+func (g *Grant) Withdrawn() bool { return g.life.ctx.Err() != nil }
+
+// Snapshot is the configuration in force and the grants that follow from it.
+// It is read-only once built.
+type Snapshot struct {
+	// Index is the configuration in force.
+	Index *config.Index
+
+	grants map[[32]byte]*Grant
+}
+
+// Grant returns the grant of an Authorization header, or why there is none.
+func (s *Snapshot) Grant(authorization string) (*Grant, *refusal.Refusal) {
+	if authorization == "" {
+		return nil, refusal.New(refusal.KeyMissing, "Send the key as a bearer token in the Authorization header.")
+	}
+	key := apikey.FromAuthorization(authorization)
+	if key == "" {
+		return nil, refusal.New(refusal.KeyInvalid, "The Authorization header holds no bearer token.")
+	}
+	hash := apikey.Hash(key)
+	if grant := s.grants[hash]; grant != nil {
+		return grant, nil
+	}
+	if s.Index.Key(hash) != nil {
+		return nil, Withdrawn(refusal.NotRun)
+	}
+	return nil, refusal.New(refusal.KeyInvalid, "The key is not known.")
+}
+
+// Class returns the service class of a request, or why it has none. An empty
+// name asks for the key's default.
+func (s *Snapshot) Class(g *Grant, name string) (*config.ServiceClass, *refusal.Refusal) {
+	if name == "" {
+		name = g.Key.DefaultClass
+	}
+	class := s.Index.Class(name)
+	if class == nil || !g.Account.Bought(name) {
+		return nil, refusal.New(refusal.ClassNotBought, "The client account has not bought this service class.")
+	}
+	return class, nil
+}
+
+// Withdrawn returns the refusal of a request whose key was withdrawn.
+func Withdrawn(run refusal.Run) *refusal.Refusal {
+	return &refusal.Refusal{Code: refusal.KeyWithdrawn, Message: "The key has been withdrawn.", Run: run}
+}
+
+// List holds the snapshot in force. One thread replaces it while others read.
+type List struct {
+	current atomic.Pointer[Snapshot]
+}
+
+// Load returns the snapshot in force, or nil before the first.
+func (l *List) Load() *Snapshot { return l.current.Load() }
+
+// Replace puts a configuration in force and ends the grants of the keys that it
+// withdraws or no longer has. It is called by one thread at a time.
+func (l *List) Replace(index *config.Index) {
+	old := l.current.Load()
+	next := &Snapshot{Index: index, grants: make(map[[32]byte]*Grant, len(index.Config.Keys))}
+	for i := range index.Config.Keys {
+		key := &index.Config.Keys[i]
+		account := index.Account(key.ClientAccount)
+		if key.Withdrawn || account == nil {
+			continue
+		}
+		next.grants[key.Hash] = &Grant{Key: key, Account: account, life: lifeOf(old, key)}
+	}
+	l.current.Store(next)
+	endMissing(old, next)
+}
+
+// lifeOf returns the life of a key that the old snapshot grants to the same
+// client account, or a new one.
+func lifeOf(old *Snapshot, key *config.Key) *life {
+	if old != nil {
+		if g := old.grants[key.Hash]; g != nil && g.Key.ClientAccount == key.ClientAccount {
+			return g.life
+		}
+	}
+	ctx, end := context.WithCancelCause(context.Background())
+	return &life{ctx: ctx, end: end}
+}
+
+// endMissing ends the lives that the next snapshot does not go on with.
+func endMissing(old, next *Snapshot) {
+	if old == nil {
+		return
+	}
+	for hash, g := range old.grants {
+		if n := next.grants[hash]; n == nil || n.life != g.life {
+			g.life.end(ErrWithdrawn)
+		}
+	}
+}
--- /dev/null
+++ b/entryd/backend/directory.go
@@ -0,0 +1,173 @@
+package backend
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/engine"
+	"acaciapath.example/core/gen/servers"
+	"acaciapath.example/core/replica"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Times of the polls, which are off the path of requests.
+const (
+	// ListInterval is how often the platform is asked for its backend servers.
+	ListInterval = time.Second
+	// LoadInterval is how often engines are asked for their load.
+	LoadInterval = 250 * time.Millisecond
+	// pollTimeout bounds one question to an engine.
+	pollTimeout = 2 * time.Second
+	// pollsAtOnce is the number of engines that are asked at the same time.
+	pollsAtOnce = 16
+)
+
+// Sink takes in what a Directory learns. It is called by several threads.
+type Sink interface {
+	// SetReplicas replaces all backend servers.
+	SetReplicas(specs []replica.Spec)
+	// Report takes in a load that a backend server published.
+	Report(name string, load engine.Load)
+	// Observe takes in the changes of a backend server's prefix cache.
+	Observe(name string, events []engine.CacheEvent)
+}
+
+// Directory keeps the list of backend servers: the static ones of the
+// configuration and those that the platform lists. The last known list is kept
+// while the platform does not answer.
+type Directory struct {
+	client   *Client
+	platform servers.Service
+	sink     Sink
+
+	mu     sync.Mutex
+	config *config.Config
+	listed []*servers.BackendServer
+	specs  []replica.Spec
+	loaded map[string][]string
+	events map[string]uint64
+}
+
+// NewDirectory returns a directory without backend servers.
+func NewDirectory(client *Client, platform servers.Service, sink Sink) *Directory {
+	return &Directory{
+		client:   client,
+		platform: platform,
+		sink:     sink,
+		config:   &config.Config{},
+		loaded:   make(map[string][]string),
+		events:   make(map[string]uint64),
+	}
+}
+
+// SetConfig puts the backend servers of a configuration in force.
+func (d *Directory) SetConfig(c *config.Config) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.config = c
+	d.rebuild()
+}
+
+// Run polls the platform and the engines until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	var polls sync.WaitGroup
+	polls.Go(func() { every(ctx, ListInterval, d.pollList) })
+	polls.Go(func() { every(ctx, LoadInterval, d.pollEngines) })
+	polls.Wait()
+}
+
+// every calls f at once and then once an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		f(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Directory) pollList(ctx context.Context) {
+	listed, err := d.platform.List(ctx, &servers.ListPayload{})
+	if err != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listed = listed
+	d.rebuild()
+}
+
+// rebuild puts a new list in force. The caller holds the lock.
+func (d *Directory) rebuild() {
+	d.specs = Merge(d.config, d.listed, d.loaded)
+	for name := range d.loaded {
+		if !slices.ContainsFunc(d.specs, func(s replica.Spec) bool { return s.Name == name }) {
+			delete(d.loaded, name)
+			delete(d.events, name)
+		}
+	}
+	d.sink.SetReplicas(d.specs)
+}
+
+func (d *Directory) pollEngines(ctx context.Context) {
+	d.mu.Lock()
+	specs := d.specs
+	d.mu.Unlock()
+	var group errgroup.Group
+	group.SetLimit(pollsAtOnce)
+	for _, s := range specs {
+		if IsPlain(s) {
+			continue
+		}
+		group.Go(func() error {
+			d.pollEngine(ctx, s)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+func (d *Directory) pollEngine(ctx context.Context, s replica.Spec) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	load, err := d.client.Load(ctx, s)
+	if err != nil {
+		return
+	}
+	d.sink.Report(s.Name, load)
+	d.setLoaded(s.Name, load.Models)
+	events, err := d.client.CacheEvents(ctx, s, d.lastEvent(s.Name))
+	if err != nil || len(events) == 0 {
+		return
+	}
+	d.sink.Observe(s.Name, events)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.events[s.Name] = events[len(events)-1].Seq
+}
+
+// setLoaded keeps which models an engine has loaded.
+func (d *Directory) setLoaded(name string, models []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known, ok := d.loaded[name]
+	if ok && slices.Equal(known, models) {
+		return
+	}
+	d.loaded[name] = slices.Clone(models)
+	d.rebuild()
+}
+
+func (d *Directory) lastEvent(name string) uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.events[name]
+}
--- /dev/null
+++ b/entryd/backend/merge.go
@@ -0,0 +1,92 @@
+package backend
+
+import (
+	"slices"
+	"strings"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/gen/servers"
+	"acaciapath.example/core/replica"
+)
+
+// States of backend servers as the platform lists them.
+const (
+	stateRunning = "running"
+	stateLeaving = "leaving"
+)
+
+// plainPrefix keeps the names of plain services apart from those of models.
+const plainPrefix = "plain/"
+
+// PlainName returns the name by which a plain service stands among what
+// backend servers serve.
+func PlainName(service string) string { return plainPrefix + service }
+
+// IsPlain reports whether a backend server is a replica of a plain service.
+func IsPlain(s replica.Spec) bool {
+	return len(s.Serves) == 1 && strings.HasPrefix(s.Serves[0], plainPrefix)
+}
+
+// Merge returns the static backend servers of a configuration and those that
+// the platform lists for its pools, in the order of their names. One that both
+// name is taken once, with the platform's word on whether it leaves. One of a
+// pool serves its model once it has loaded it; loaded holds what is known of
+// that by name.
+func Merge(c *config.Config, listed []*servers.BackendServer, loaded map[string][]string) []replica.Spec {
+	merged := make([]replica.Spec, 0, len(c.BackendServers)+len(listed))
+	for i := range c.BackendServers {
+		merged = append(merged, fromConfig(&c.BackendServers[i]))
+	}
+	for _, l := range listed {
+		if i := slices.IndexFunc(merged, func(s replica.Spec) bool { return s.Name == l.Name }); i >= 0 {
+			merged[i].Leaving = l.State != stateRunning
+			continue
+		}
+		if spec, ok := fromPlatform(c, l, loaded[l.Name]); ok {
+			merged = append(merged, spec)
+		}
+	}
+	slices.SortFunc(merged, func(a, b replica.Spec) int { return strings.Compare(a.Name, b.Name) })
+	return merged
+}
+
+func fromConfig(b *config.BackendServer) replica.Spec {
+	serves := b.Models
+	if b.PlainService != "" {
+		serves = []string{PlainName(b.PlainService)}
+	}
+	return replica.Spec{
+		Name:          b.Name,
+		Address:       b.Address,
+		FailureDomain: b.FailureDomain,
+		Serves:        serves,
+		Kind:          b.Kind,
+		Places:        b.Places,
+	}
+}
+
+// fromPlatform returns a listed backend server. It reports false for one that
+// has no address, is neither running nor leaving, or belongs to no pool.
+func fromPlatform(c *config.Config, l *servers.BackendServer, loaded []string) (replica.Spec, bool) {
+	if l.Address == "" || (l.State != stateRunning && l.State != stateLeaving) {
+		return replica.Spec{}, false
+	}
+	i := slices.IndexFunc(c.Pools, func(p config.Pool) bool {
+		return p.Model == l.Model && p.FailureDomain == l.FailureDomain && string(p.Kind) == l.Kind
+	})
+	if i < 0 {
+		return replica.Spec{}, false
+	}
+	spec := replica.Spec{
+		Name:          l.Name,
+		Address:       l.Address,
+		FailureDomain: l.FailureDomain,
+		Kind:          config.ServerKind(l.Kind),
+		Places:        c.Pools[i].Places,
+		Leaving:       l.State == stateLeaving,
+	}
+	if slices.Contains(loaded, l.Model) {
+		spec.Serves = []string{l.Model}
+	}
+	return spec, true
+}
--- /dev/null
+++ b/entryd/caller/exchange.go
@@ -0,0 +1,133 @@
+package caller
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/refusal"
+	"acaciapath.example/entryd/access"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// idBytes is the number of random bytes in a request id.
+const idBytes = 16
+
+// CodeGone stands in logs and metrics for a caller that is gone, who cannot be
+// told.
+const CodeGone refusal.Code = "caller-gone"
+
+// Causes with which the context of a request may end, besides that of a caller
+// who is gone, which is context.Canceled.
+var (
+	// ErrDrained is the cause when a graceful shutdown has run out of time.
+	ErrDrained = merry.Sentinel("caller: shutdown has run out of time")
+	// ErrTimeout is the cause when a request has run out of time.
+	ErrTimeout = merry.Sentinel("caller: request has run out of time")
+)
+
+// Exchange is one request and its answer, as the parts that serve it share it.
+// It is used by one thread at a time.
+type Exchange struct {
+	// ID is the request id: random, and never the caller's.
+	ID string
+	// Start is when the request arrived.
+	Start time.Time
+	// Snapshot is what is in force for the whole of the request.
+	Snapshot *access.Snapshot
+	// Controller sets deadlines of the connection and flushes the answer.
+	Controller *http.ResponseController
+	// Header is the header of the answer.
+	Header http.Header
+
+	// Grant, Class, Model and BackendServer are set once they are known, for
+	// logs and spans.
+	Grant         *access.Grant
+	Class         *config.ServiceClass
+	Model         string
+	BackendServer string
+	// Refusal is what the caller was told, or nil.
+	Refusal *refusal.Refusal
+}
+
+type exchangeKey struct{}
+
+// From returns the exchange of a request's context.
+func From(ctx context.Context) *Exchange {
+	x, _ := ctx.Value(exchangeKey{}).(*Exchange)
+	return x
+}
+
+// newID returns a request id made from random.
+func newID(random io.Reader) string {
+	var raw [idBytes]byte
+	if _, err := io.ReadFull(random, raw[:]); err != nil {
+		panic(merry.Prepend(err, "caller: random source"))
+	}
+	var text [2 * idBytes]byte
+	hex.Encode(text[:], raw[:])
+	return string(text[:])
+}
+
+// Authorize finds the grant and the service class of a request. Either is nil
+// if the request is refused.
+func (x *Exchange) Authorize(authorization, class string) *refusal.Refusal {
+	grant, refused := x.Snapshot.Grant(authorization)
+	if refused != nil {
+		return refused
+	}
+	x.Grant = grant
+	x.Class, refused = x.Snapshot.Class(grant, class)
+	return refused
+}
+
+// ReadBody appends a request's body to buffer. The deadline for it was set when
+// the request arrived, and is lifted once the body is there.
+func (x *Exchange) ReadBody(buffer []byte, body io.Reader) ([]byte, *refusal.Refusal) {
+	for {
+		if len(buffer) == cap(buffer) {
+			buffer = append(buffer, 0)[:len(buffer)]
+		}
+		n, err := body.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if errors.Is(err, io.EOF) {
+			_ = x.Controller.SetReadDeadline(time.Time{})
+			return buffer, nil
+		}
+		if err != nil {
+			return buffer, bodyRefusal(err)
+		}
+	}
+}
+
+// bodyRefusal returns the refusal of a request whose body could not be read.
+func bodyRefusal(err error) *refusal.Refusal {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refusal.New(refusal.BodyTooLarge, "The body is larger than this service accepts.")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refusal.New(refusal.BodyTimeout, "The body was not sent in time.")
+	}
+	return refusal.New(refusal.InvalidRequest, "The body could not be read.")
+}
+
+// EndRefusal returns the refusal of a request whose context ended with cause.
+func EndRefusal(cause error, run refusal.Run) *refusal.Refusal {
+	switch {
+	case errors.Is(cause, access.ErrWithdrawn):
+		return access.Withdrawn(run)
+	case errors.Is(cause, ErrDrained):
+		r := &refusal.Refusal{Code: refusal.ShuttingDown, Message: "The entry VM is shutting down.", Run: run}
+		return r.After(time.Second)
+	case errors.Is(cause, ErrTimeout):
+		return &refusal.Refusal{Code: refusal.BackendTimeout, Message: "The answer took too long.", Run: run}
+	}
+	return &refusal.Refusal{Code: CodeGone, Message: "The caller is gone.", Run: run}
+}
--- /dev/null
+++ b/entryd/chat/service.go
@@ -0,0 +1,144 @@
+package chat
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"acaciapath.example/core/refusal"
+	"acaciapath.example/core/usage"
+	"acaciapath.example/entryd/backend"
+	"acaciapath.example/entryd/caller"
+	"acaciapath.example/entryd/gen/chat"
+	chatserver "acaciapath.example/entryd/gen/http/chat/server"
+	"acaciapath.example/entryd/metrics"
+	"acaciapath.example/entryd/scheduler"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/trace"
+	goahttp "goa.design/goa/v3/http"
+)
+
+// Service serves the chat API. All fields are set once and then only read.
+type Service struct {
+	// Scheduler shares the places of engines.
+	Scheduler *scheduler.Scheduler
+	// Client speaks to engines.
+	Client *backend.Client
+	// Meter takes in what ran.
+	Meter *usage.Meter
+	// Metrics counts what became of requests.
+	Metrics *metrics.Metrics
+	// Logger logs what went wrong.
+	Logger *logrus.Logger
+	// Tracer makes spans.
+	Tracer trace.Tracer
+	// Clock returns the present time.
+	Clock func() time.Time
+}
+
+var _ chat.Service = (*Service)(nil)
+
+// Handler returns the HTTP handler of the service, and a function that reports
+// whether it serves a method and path.
+func (s *Service) Handler() (handler http.Handler, serves func(method, path string) bool) {
+	mux := goahttp.NewMuxer()
+	server := chatserver.New(chat.NewEndpoints(s), mux, goahttp.RequestDecoder, caller.Encoder, nil, caller.FormatError)
+	server.Mount(mux)
+	type mount struct{ method, path string }
+	mounts := make(map[mount]bool, len(server.Mounts))
+	for _, m := range server.Mounts {
+		mounts[mount{method: m.Verb, path: m.Pattern}] = true
+	}
+	return mux, func(method, path string) bool { return mounts[mount{method: method, path: path}] }
+}
+
+// Models lists the models.
+func (s *Service) Models(ctx context.Context, p *chat.ModelsPayload) (*chat.ModelList, error) {
+	x := caller.From(ctx)
+	if refused := x.Authorize(p.Authorization, ""); refused != nil {
+		return nil, refused
+	}
+	models := x.Snapshot.Index.Config.Models
+	list := &chat.ModelList{Object: "list", Data: make([]*chat.Model, 0, len(models))}
+	for i := range models {
+		list.Data = append(list.Data, &chat.Model{ID: models[i].Name, Object: "model", OwnedBy: "acaciapath"})
+	}
+	return list, nil
+}
+
+// buffers holds the bodies of requests and whole answers.
+var buffers = sync.Pool{New: func() any {
+	buffer := make([]byte, 0, initialBuffer)
+	return &buffer
+}}
+
+// Sizes of buffers.
+const (
+	initialBuffer = 16 << 10
+	// maxPooledBuffer keeps single large bodies from staying in memory.
+	maxPooledBuffer = 1 << 20
+	// rewriteBytes is what Rewrite adds to a body at most.
+	rewriteBytes = 128
+)
+
+func putBuffer(buffer *[]byte) {
+	if cap(*buffer) > maxPooledBuffer {
+		return
+	}
+	*buffer = (*buffer)[:0]
+	buffers.Put(buffer)
+}
+
+// Completions answers a conversation. The answer's body, which it returns, ends
+// the request.
+func (s *Service) Completions(ctx context.Context, p *chat.CompletionsPayload, body io.ReadCloser) (*chat.CompletionsResult, io.ReadCloser, error) {
+	x := caller.From(ctx)
+	if refused := x.Authorize(p.Authorization, p.ServiceClass); refused != nil {
+		return nil, nil, refused
+	}
+	text := buffers.Get().(*[]byte)
+	defer putBuffer(text)
+	var refused *refusal.Refusal
+	if *text, refused = x.ReadBody(*text, body); refused != nil {
+		return nil, nil, refused
+	}
+	if refused := caller.HoldsKey(p.Authorization, *text); refused != nil {
+		return nil, nil, refused
+	}
+	request, refused := Parse(*text)
+	if refused != nil {
+		return nil, nil, refused
+	}
+	answer, refused := s.answer(ctx, x, &request, *text)
+	if refused != nil {
+		return nil, nil, refused
+	}
+	return &chat.CompletionsResult{ContentType: answer.contentType}, answer, nil
+}
+
+// answer sends a request to an engine once it has a place, and returns its
+// answer once that has begun.
+func (s *Service) answer(ctx context.Context, x *caller.Exchange, request *Request, text []byte) (*answer, *refusal.Refusal) {
+	model := x.Snapshot.Index.Model(request.Model)
+	if refused := request.Fit(model); refused != nil {
+		return nil, refused
+	}
+	x.Model = model.Name
+	body := make([]byte, 0, len(text)+rewriteBytes)
+	r := &run{
+		service:  s,
+		exchange: x,
+		request:  request,
+		body:     request.Rewrite(body, text, x.Class.Tier, model.MaxCompletionTokens),
+	}
+	r.ctx, r.cancel = x.Grant.Join(ctx)
+	answer, refused := r.begin()
+	if refused != nil {
+		r.cancel(nil)
+		return nil, refused
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/entryd/daemon/daemon.go
@@ -0,0 +1,270 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/peer"
+	"acaciapath.example/core/platform"
+	"acaciapath.example/core/revision"
+	"acaciapath.example/core/settings"
+	"acaciapath.example/core/telemetry"
+	"acaciapath.example/core/usage"
+	"acaciapath.example/entryd/access"
+	"acaciapath.example/entryd/backend"
+	"acaciapath.example/entryd/caller"
+	"acaciapath.example/entryd/chat"
+	"acaciapath.example/entryd/claims"
+	"acaciapath.example/entryd/metrics"
+	"acaciapath.example/entryd/plain"
+	"acaciapath.example/entryd/scheduler"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+// Reasons why a daemon is not to be given work.
+var (
+	ErrLeaving       = merry.Sentinel("daemon: shutting down")
+	ErrNotConfigured = merry.Sentinel("daemon: no configuration is in force")
+)
+
+// tracerName names the tracer of the daemon's spans.
+const tracerName = "acaciapath.example/entryd"
+
+// Options are what a daemon can do without being told. The zero value of each
+// field stands for its default.
+type Options struct {
+	// Version is the version of the program.
+	Version string
+	// Tracers makes the tracer of the daemon's spans; by default none are made.
+	Tracers trace.TracerProvider
+	// LeaveDelay is how long the daemon goes on accepting connections after it
+	// has said that it is not ready, so that the balancer notices.
+	LeaveDelay time.Duration
+	// Clock returns the present time; time.Now by default.
+	Clock func() time.Time
+	// Random is the source of identifiers, safe for concurrent use; that of
+	// crypto/rand by default.
+	Random io.Reader
+}
+
+func (o *Options) setDefaults() {
+	if o.Tracers == nil {
+		o.Tracers = noop.NewTracerProvider()
+	}
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
+	if o.Random == nil {
+		o.Random = rand.Reader
+	}
+}
+
+// Daemon is one entry daemon. Its ports are bound from New on and served by Run.
+type Daemon struct {
+	settings settings.Settings
+	options  Options
+	platform *platform.Client
+	logger   *logrus.Entry
+
+	access    access.List
+	watcher   *revision.Watcher
+	scheduler *scheduler.Scheduler
+	client    *backend.Client
+	directory *backend.Directory
+	meter     *usage.Meter
+	writer    *usage.Writer
+	metrics   *metrics.Metrics
+	gate      *caller.Gate
+
+	callers *caller.Server
+	ops     net.Listener
+	opsHTTP *http.Server
+	peers   *peer.Server
+	mates   *mates
+
+	base    context.Context
+	endBase context.CancelCauseFunc
+	leaving atomic.Bool
+}
+
+// New returns a daemon whose ports are bound. It returns an error if a port
+// cannot be bound or a TLS file cannot be used.
+func New(s settings.Settings, p *platform.Client, logger *logrus.Logger, options Options) (*Daemon, error) {
+	options.setDefaults()
+	d := &Daemon{settings: s, options: options, platform: p}
+	d.logger = logger.WithField(telemetry.FieldVM, s.Name)
+	d.base, d.endBase = context.WithCancelCause(context.Background())
+	registry := prometheus.NewRegistry()
+	if err := d.assemble(registry, logger); err != nil {
+		return nil, err
+	}
+	if err := d.listen(registry); err != nil {
+		d.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// assemble makes the parts that need no port.
+func (d *Daemon) assemble(registry *prometheus.Registry, logger *logrus.Logger) error {
+	o := d.options
+	instance, err := newInstance(o.Random)
+	if err != nil {
+		return err
+	}
+	d.metrics = metrics.New(registry)
+	metrics.RegisterState(registry, d.state)
+	d.watcher = revision.NewWatcher(revision.NewStore(d.platform), parse)
+	seed := uint64(o.Clock().UnixNano())
+	d.scheduler = scheduler.New(d.settings.FailureDomain, o.Clock, mathrand.New(mathrand.NewPCG(seed, 0)))
+	d.client = backend.NewClient()
+	d.directory = backend.NewDirectory(d.client, d.platform.Servers, d.scheduler)
+	d.meter = usage.NewMeter()
+	d.writer = usage.NewWriter(d.platform.Table, d.settings.Name, instance)
+	d.gate = d.newGate(logger)
+	return nil
+}
+
+// newGate returns the handler of all requests of callers.
+func (d *Daemon) newGate(logger *logrus.Logger) *caller.Gate {
+	o := d.options
+	tracer := o.Tracers.Tracer(tracerName)
+	service := &chat.Service{
+		Scheduler: d.scheduler, Client: d.client, Meter: d.meter, Metrics: d.metrics,
+		Logger: logger, Tracer: tracer, Clock: o.Clock,
+	}
+	gate := &caller.Gate{
+		Access: &d.access, Metrics: d.metrics, Logger: logger, Tracer: tracer,
+		Clock: o.Clock, Random: o.Random,
+	}
+	gate.Chat, gate.IsChat = service.Handler()
+	gate.Plain = &plain.Handler{
+		Scheduler: d.scheduler, Client: d.client,
+		Claims: claims.NewStore(d.platform.Table, d.settings.Name, o.Clock, o.Random),
+		Meter:  d.meter, Metrics: d.metrics, Logger: logger, Tracer: tracer, Refuse: gate.Refuse,
+	}
+	return gate
+}
+
+// listen binds the ports.
+func (d *Daemon) listen(registry *prometheus.Registry) error {
+	tls, err := d.settings.TLS.Load()
+	if err != nil {
+		return err
+	}
+	d.mates = newMates(d.settings.Name, tls, d.platform.VMs, d.watcher, d.options.Clock)
+	if d.peers, err = peer.Listen(d.address(d.settings.PeerPort), tls, (*peerHandler)(d)); err != nil {
+		return err
+	}
+	if d.ops, err = net.Listen("tcp", d.address(d.settings.OpsPort)); err != nil {
+		return merry.Prepend(err, "daemon: operations port")
+	}
+	d.opsHTTP = &http.Server{Handler: telemetry.OpsHandler(registry, d.Ready), ReadHeaderTimeout: opsTimeout}
+	refused := func() { d.metrics.Controlled(metrics.ControlRefused) }
+	d.callers, err = caller.Listen(d.base, d.address(d.settings.CallersPort), d.gate, refused)
+	if err != nil {
+		return merry.Prepend(err, "daemon: callers' port")
+	}
+	return nil
+}
+
+// opsTimeout bounds the time to read a request's headers on the operations port.
+const opsTimeout = 5 * time.Second
+
+func (d *Daemon) address(port int) string {
+	return net.JoinHostPort(d.settings.Address, strconv.Itoa(port))
+}
+
+// close gives back the ports that are bound.
+func (d *Daemon) close() {
+	if d.callers != nil {
+		d.callers.Close()
+	}
+	if d.ops != nil {
+		_ = d.ops.Close()
+	}
+	if d.peers != nil {
+		_ = d.peers.Close()
+	}
+	d.mates.close()
+	d.client.Close()
+	d.endBase(caller.ErrDrained)
+}
+
+// CallersAddress returns the address of the callers' port.
+func (d *Daemon) CallersAddress() string { return d.callers.Address() }
+
+// PeerAddress returns the address of the peers' port.
+func (d *Daemon) PeerAddress() string { return d.peers.Address() }
+
+// OpsAddress returns the address of the operations port.
+func (d *Daemon) OpsAddress() string { return d.ops.Addr().String() }
+
+// Ready returns nil, or why the daemon is not to be given work.
+func (d *Daemon) Ready() error {
+	if d.leaving.Load() {
+		return ErrLeaving
+	}
+	if d.access.Load() == nil {
+		return ErrNotConfigured
+	}
+	return nil
+}
+
+// Status returns what the daemon tells of itself.
+func (d *Daemon) Status() peer.Status {
+	queues, servers := d.scheduler.Status()
+	return peer.Status{
+		Name:           d.settings.Name,
+		Role:           peer.RoleEntry,
+		FailureDomain:  d.settings.FailureDomain,
+		Version:        d.options.Version,
+		Revision:       d.inForce(),
+		ConfirmedAt:    d.watcher.ConfirmedAt(),
+		Rejected:       d.watcher.Rejected().Revision,
+		Leaving:        d.leaving.Load(),
+		Connections:    d.callers.Connections(),
+		Queues:         queues,
+		BackendServers: servers,
+	}
+}
+
+// inForce returns the revision that requests are served by.
+func (d *Daemon) inForce() uint64 {
+	if snapshot := d.access.Load(); snapshot != nil {
+		return snapshot.Index.Revision
+	}
+	return 0
+}
+
+func (d *Daemon) state() metrics.State {
+	status := d.Status()
+	return metrics.State{
+		Queues:         status.Queues,
+		BackendServers: status.BackendServers,
+		Connections:    status.Connections,
+		Revision:       status.Revision,
+	}
+}
+
+// parse reads and checks the files of a revision.
+func parse(files []revision.File) (*config.Config, error) {
+	parsed := make([]config.File, len(files))
+	for i, f := range files {
+		parsed[i] = config.File{Name: f.Name, Text: f.Text}
+	}
+	return config.Parse(parsed)
+}
--- /dev/null
+++ b/entryd/metrics/metrics.go
@@ -0,0 +1,184 @@
+package metrics
+
+import (
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/refusal"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// namespace begins the name of every metric.
+const namespace = "acaciapath_entry"
+
+// Labels.
+const (
+	labelClass   = "service_class"
+	labelAccount = "client_account"
+	labelCode    = "code"
+	labelResult  = "result"
+	labelServer  = "backend_server"
+	labelModel   = "model"
+	labelKind    = "kind"
+)
+
+// Values of labelResult.
+const (
+	met    = "met"
+	missed = "missed"
+)
+
+// Control is a kind of control traffic, which is counted apart from requests.
+type Control string
+
+// The kinds of control traffic.
+const (
+	ControlPeer    Control = "peer"
+	ControlCancel  Control = "cancel"
+	ControlClaim   Control = "claim"
+	ControlUsage   Control = "usage"
+	ControlGossip  Control = "gossip"
+	ControlConfig  Control = "config"
+	ControlRefused Control = "refused-connection"
+)
+
+// Answer is what is measured of one answered request.
+type Answer struct {
+	// Class is the service class.
+	Class *config.ServiceClass
+	// ClientAccount is the name of the client account.
+	ClientAccount string
+	// FirstToken is the time from the request's arrival to the first token. Of
+	// a whole answer it is not known and 0.
+	FirstToken time.Duration
+	// Total is the time from the request's arrival to the end of its answer.
+	Total time.Duration
+	// Pace is the average time between tokens; 0 if it is not known.
+	Pace time.Duration
+	// Tokens is the number of tokens that the caller was sent.
+	Tokens int
+}
+
+// Metrics are the metrics of one entry daemon. They are safe for concurrent use.
+type Metrics struct {
+	firstToken  *prometheus.HistogramVec
+	interToken  *prometheus.HistogramVec
+	firstTarget *prometheus.CounterVec
+	interTarget *prometheus.CounterVec
+	goodput     *prometheus.CounterVec
+	tokens      *prometheus.CounterVec
+	wasted      *prometheus.CounterVec
+	wait        *prometheus.HistogramVec
+	refusals    *prometheus.CounterVec
+	retries     prometheus.Counter
+	plain       *prometheus.CounterVec
+	control     *prometheus.CounterVec
+	accounts    *accounts
+}
+
+// latencyBuckets are in seconds.
+var latencyBuckets = []float64{0.005, 0.01, 0.02, 0.035, 0.046, 0.06, 0.1, 0.2, 0.5, 0.8, 1.1, 2, 5, 10, 30, 60, 300, 1800}
+
+// New returns metrics that are registered with registry.
+func New(registry *prometheus.Registry) *Metrics {
+	class := []string{labelClass}
+	m := &Metrics{
+		firstToken:  histogram("first_token_seconds", "Time from a request's arrival to its first token.", class),
+		interToken:  histogram("inter_token_seconds", "Average time between the tokens of an answer.", class),
+		firstTarget: counter("first_token_targets_total", "Answers by whether they met their class's target for the first token.", []string{labelClass, labelResult}),
+		interTarget: counter("inter_token_targets_total", "Answers by whether they met their class's target between tokens.", []string{labelClass, labelResult}),
+		goodput:     counter("goodput_tokens_total", "Tokens of whole answers that met their class's targets.", class),
+		tokens:      counter("tokens_total", "Tokens that callers were sent.", class),
+		wasted:      counter("wasted_tokens_total", "Tokens that were generated for answers that did not reach their caller whole.", class),
+		wait:        histogram("queue_wait_seconds", "Time that a request waited for a place.", class),
+		refusals:    counter("refusals_total", "Refused requests by the code of their refusal.", []string{labelCode}),
+		retries:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "retries_total", Help: "Requests that were sent again."}),
+		plain:       counter("plain_calls_total", "Calls of plain services by what became of them.", []string{"plain_service", labelResult}),
+		control:     counter("control_messages_total", "Messages that are no requests of callers, by kind.", []string{labelKind}),
+		accounts:    newAccounts(),
+	}
+	registry.MustRegister(m.firstToken, m.interToken, m.firstTarget, m.interTarget, m.goodput, m.tokens,
+		m.wasted, m.wait, m.refusals, m.retries, m.plain, m.control, m.accounts)
+	return m
+}
+
+// Waited counts how long a request of a class waited.
+func (m *Metrics) Waited(class string, wait time.Duration) {
+	m.wait.WithLabelValues(class).Observe(wait.Seconds())
+}
+
+// Refused counts a refusal.
+func (m *Metrics) Refused(code refusal.Code) { m.refusals.WithLabelValues(string(code)).Inc() }
+
+// Retried counts a retry.
+func (m *Metrics) Retried() { m.retries.Inc() }
+
+// PlainCalled counts a call of a plain service.
+func (m *Metrics) PlainCalled(service, result string) {
+	m.plain.WithLabelValues(service, result).Inc()
+}
+
+// Controlled counts a message that is no request of a caller.
+func (m *Metrics) Controlled(kind Control) { m.control.WithLabelValues(string(kind)).Inc() }
+
+// Answered counts a request whose answer reached its caller whole.
+func (m *Metrics) Answered(a Answer) {
+	class := a.Class.Name
+	onFirst, onPace := a.met()
+	if a.FirstToken > 0 {
+		m.firstToken.WithLabelValues(class).Observe(a.FirstToken.Seconds())
+	}
+	if a.Pace > 0 {
+		m.interToken.WithLabelValues(class).Observe(a.Pace.Seconds())
+	}
+	m.firstTarget.WithLabelValues(class, result(onFirst)).Inc()
+	m.interTarget.WithLabelValues(class, result(onPace)).Inc()
+	m.tokens.WithLabelValues(class).Add(float64(a.Tokens))
+	if onFirst && onPace {
+		m.goodput.WithLabelValues(class).Add(float64(a.Tokens))
+	}
+	m.accounts.count(class, a.ClientAccount, onFirst && onPace)
+}
+
+// Missed counts a request of a class that was refused or not answered whole
+// after it was admitted, and the tokens that were generated in vain.
+func (m *Metrics) Missed(class, clientAccount string, wasted int) {
+	m.firstTarget.WithLabelValues(class, missed).Inc()
+	m.interTarget.WithLabelValues(class, missed).Inc()
+	m.wasted.WithLabelValues(class).Add(float64(wasted))
+	m.accounts.count(class, clientAccount, false)
+}
+
+// Wasted counts tokens that were generated in vain for a reason that is the
+// caller's.
+func (m *Metrics) Wasted(class string, tokens int) {
+	m.wasted.WithLabelValues(class).Add(float64(tokens))
+}
+
+// met reports whether the answer met the targets of its class. A whole answer
+// meets both if it took no longer than both targets together allow.
+func (a *Answer) met() (onFirst, onPace bool) {
+	if a.FirstToken == 0 {
+		allowed := a.Class.FirstTokenTarget + time.Duration(a.Tokens)*a.Class.InterTokenTarget
+		return a.Total <= allowed, a.Total <= allowed
+	}
+	return a.FirstToken <= a.Class.FirstTokenTarget, a.Pace <= a.Class.InterTokenTarget
+}
+
+func result(isMet bool) string {
+	if isMet {
+		return met
+	}
+	return missed
+}
+
+func counter(name, help string, labels []string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func histogram(name, help string, labels []string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: latencyBuckets,
+	}, labels)
+}
