entryd, core/claim: test the decisions that need no server

An answer with finish_reason abort was passed on as whole although it ends in [DONE]; it is now told as answer-incomplete. A 404 of an engine (model not loaded) is retried elsewhere instead of being blamed on the caller.

--- /dev/null
+++ b/entryd/access/access_test.go
@@ -0,0 +1,94 @@
+package access_test
+
+import (
+	"context"
+	"testing"
+
+	"acaciapath.example/core/apikey"
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/refusal"
+	"acaciapath.example/entryd/access"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// index returns a configuration with the keys one and two of one client account.
+func index(revision uint64, change func(*config.Config)) *config.Index {
+	c := &config.Config{
+		Classes:  []config.ServiceClass{{Name: "chat", Tier: 1}, {Name: "letters", Tier: 2}},
+		Accounts: []config.ClientAccount{{Name: "shop", Classes: []string{"chat"}}},
+		Keys: []config.Key{
+			{Name: "one", ClientAccount: "shop", Hash: apikey.Hash("key-one"), DefaultClass: "chat"},
+			{Name: "two", ClientAccount: "shop", Hash: apikey.Hash("key-two"), DefaultClass: "chat"},
+		},
+	}
+	change(c)
+	return config.NewIndex(c, revision)
+}
+
+func TestGrant(t *testing.T) {
+	c := qt.New(t)
+	var list access.List
+	c.Assert(list.Load(), qt.IsNil)
+	list.Replace(index(1, func(c *config.Config) { c.Keys[1].Withdrawn = true }))
+	for _, test := range []struct {
+		authorization string
+		want          refusal.Code
+	}{
+		{authorization: "", want: refusal.KeyMissing},
+		{authorization: "Basic key-one", want: refusal.KeyInvalid},
+		{authorization: "Bearer nobody's", want: refusal.KeyInvalid},
+		{authorization: "Bearer key-two", want: refusal.KeyWithdrawn},
+		{authorization: "bearer key-one"},
+	} {
+		grant, refused := list.Load().Grant(test.authorization)
+		if test.want == "" {
+			c.Assert(grant.Key.Name, qt.Equals, "one")
+			continue
+		}
+		c.Assert(refused.Code, qt.Equals, test.want)
+	}
+}
+
+func TestClass(t *testing.T) {
+	c := qt.New(t)
+	var list access.List
+	list.Replace(index(1, func(*config.Config) {}))
+	grant, _ := list.Load().Grant("Bearer key-one")
+	class, refused := list.Load().Class(grant, "")
+	c.Assert(refused == nil, qt.IsTrue)
+	c.Assert(class.Name, qt.Equals, "chat")
+	_, refused = list.Load().Class(grant, "letters")
+	c.Assert(refused.Code, qt.Equals, refusal.ClassNotBought)
+}
+
+func TestWithdrawalEndsWhatRuns(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		name   string
+		change func(*config.Config)
+		ends   bool
+	}{
+		{name: "nothing changed", change: func(*config.Config) {}},
+		{name: "withdrawn", change: func(c *config.Config) { c.Keys[0].Withdrawn = true }, ends: true},
+		{name: "deleted", change: func(c *config.Config) { c.Keys = c.Keys[1:] }, ends: true},
+		{name: "another client account's", change: func(c *config.Config) {
+			c.Accounts = append(c.Accounts, config.ClientAccount{Name: "other"})
+			c.Keys[0].ClientAccount = "other"
+		}, ends: true},
+	} {
+		c.Run(test.name, func(c *qt.C) {
+			var list access.List
+			list.Replace(index(1, func(*config.Config) {}))
+			grant, _ := list.Load().Grant("Bearer key-one")
+			ctx, cancel := grant.Join(context.Background())
+			defer cancel(nil)
+			list.Replace(index(2, test.change))
+			c.Assert(grant.Withdrawn(), qt.Equals, test.ends)
+			if test.ends {
+				<-ctx.Done()
+				c.Assert(context.Cause(ctx), qt.ErrorIs, access.ErrWithdrawn)
+			}
+		})
+	}
+}
--- a/entryd/chat/answer.go
+++ b/entryd/chat/answer.go
@@ -88,8 +88,12 @@
 		putBuffer(whole)
 		return nil, r.lose(response)
 	}
+	aborted := false
+	if r.usage, aborted = inspectWhole(*whole); aborted {
+		putBuffer(whole)
+		return nil, r.lose(response)
+	}
 	r.stopAttempt(response)
-	r.usage = answerUsage(*whole)
 	return &answer{contentType: typeJSON, run: r, whole: whole}, nil
 }
 
--- a/entryd/chat/events.go
+++ b/entryd/chat/events.go
@@ -27,7 +27,8 @@
 	text []byte
 	// done says whether it ends a whole answer.
 	done bool
-	// failed says whether the engine reports an error in it.
+	// failed says whether the engine reports in it that the answer will not be
+	// whole.
 	failed bool
 	// tokens is the number of tokens in it.
 	tokens int
@@ -86,36 +87,54 @@
 // inspect looks into the data of an event.
 func inspect(text, data []byte) event {
 	e := event{text: text, done: bytes.Equal(data, doneData)}
-	choices := 0
+	chosen := choices{}
 	fields(data, func(f field) bool {
 		switch {
 		case f.is("choices"):
-			choices, e.tokens = countTokens(f.value)
+			chosen = readChoices(f.value)
 		case f.is("usage"):
 			e.usage = parseUsage(f.value)
 		case f.is("error"):
-			e.failed = !isNull(f.value)
+			e.failed = e.failed || !isNull(f.value)
 		}
 		return true
 	})
-	e.usageOnly = e.usage != nil && choices == 0
+	e.tokens = chosen.tokens
+	e.failed = e.failed || chosen.aborted
+	e.usageOnly = e.usage != nil && chosen.count == 0
 	return e
 }
 
-// countTokens returns the number of choices in a chunk, and how many of them
-// bring a token.
-func countTokens(choices []byte) (count, tokens int) {
-	elements(choices, func(choice []byte) bool {
-		count++
+// choices is what is looked at of the choices of a chunk or a whole answer.
+type choices struct {
+	// count is their number.
+	count int
+	// tokens is the number of those that bring a token.
+	tokens int
+	// aborted says whether the engine stopped any before its end.
+	aborted bool
+}
+
+// finishAbort is the reason of an end that the engine was made to put to an
+// answer, which is not whole then.
+const finishAbort = `"abort"`
+
+func readChoices(text []byte) choices {
+	var c choices
+	elements(text, func(choice []byte) bool {
+		c.count++
 		fields(choice, func(f field) bool {
-			if f.is("delta") && bringsToken(f.value) {
-				tokens++
+			switch {
+			case f.is("delta") && bringsToken(f.value):
+				c.tokens++
+			case f.is("finish_reason") && string(f.value) == finishAbort:
+				c.aborted = true
 			}
 			return true
 		})
 		return true
 	})
-	return count, tokens
+	return c
 }
 
 // bringsToken reports whether a delta holds anything but a role.
@@ -142,16 +161,19 @@
 	return usage
 }
 
-// answerUsage returns the usage in a whole answer, or nil.
-func answerUsage(body []byte) *engine.Usage {
-	var usage *engine.Usage
+// inspectWhole returns the usage in a whole answer, or nil, and whether the
+// engine stopped the answer before its end.
+func inspectWhole(body []byte) (used *engine.Usage, aborted bool) {
 	fields(body, func(f field) bool {
-		if f.is("usage") {
-			usage = parseUsage(f.value)
+		switch {
+		case f.is("usage"):
+			used = parseUsage(f.value)
+		case f.is("choices"):
+			aborted = readChoices(f.value).aborted
 		}
 		return true
 	})
-	return usage
+	return used, aborted
 }
 
 func isNull(value []byte) bool { return string(value) == "null" }
--- a/entryd/chat/run.go
+++ b/entryd/chat/run.go
@@ -159,7 +159,7 @@
 	switch status := response.StatusCode; {
 	case status == http.StatusOK:
 		return nil
-	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+	case tookNothing(status):
 		refused := refusal.New(refusal.BackendServerFailed, "The backend server took no work.").After(time.Second)
 		return &failure{refused: refused, again: true, isServer: true}
 	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
@@ -169,6 +169,12 @@
 	return &failure{refused: refused, isServer: true}
 }
 
+// tookNothing reports whether a status says that the engine did not begin, and
+// another may: it is busy or starting, or has not loaded the model.
+func tookNothing(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusNotFound
+}
+
 // fail ends a run without an answer. If the request may have run, the engine is
 // told to cancel it, and what ran is charged.
 func (r *run) fail(f *failure) *refusal.Refusal {
--- a/entryd/daemon/daemon.go
+++ b/entryd/daemon/daemon.go
@@ -127,7 +127,7 @@
 	}
 	d.metrics = metrics.New(registry)
 	metrics.RegisterState(registry, d.state)
-	d.watcher = revision.NewWatcher(revision.NewStore(d.platform), parse)
+	d.watcher = revision.NewWatcher(revision.NewStore(d.platform), config.Parse)
 	seed := uint64(o.Clock().UnixNano())
 	d.scheduler = scheduler.New(d.settings.FailureDomain, o.Clock, mathrand.New(mathrand.NewPCG(seed, 0)))
 	d.client = backend.NewClient()
@@ -259,12 +259,3 @@
 		Revision:       status.Revision,
 	}
 }
-
-// parse reads and checks the files of a revision.
-func parse(files []revision.File) (*config.Config, error) {
-	parsed := make([]config.File, len(files))
-	for i, f := range files {
-		parsed[i] = config.File{Name: f.Name, Text: f.Text}
-	}
-	return config.Parse(parsed)
-}
--- /dev/null
+++ b/entryd/metrics/metrics_test.go
@@ -0,0 +1,66 @@
+package metrics_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/entryd/metrics"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+)
+
+var class = &config.ServiceClass{Name: "chat", FirstTokenTarget: time.Second, InterTokenTarget: 50 * time.Millisecond}
+
+func TestTargets(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		name           string
+		answer         metrics.Answer
+		first, between string
+	}{
+		{name: "met", answer: metrics.Answer{FirstToken: time.Second, Pace: 50 * time.Millisecond, Tokens: 7}, first: "met", between: "met"},
+		{name: "late", answer: metrics.Answer{FirstToken: 2 * time.Second, Pace: time.Millisecond, Tokens: 7}, first: "missed", between: "met"},
+		{name: "slow", answer: metrics.Answer{FirstToken: time.Second, Pace: time.Second, Tokens: 7}, first: "met", between: "missed"},
+		{name: "whole", answer: metrics.Answer{Total: 1500 * time.Millisecond, Tokens: 10}, first: "met", between: "met"},
+		{name: "whole and late", answer: metrics.Answer{Total: 1501 * time.Millisecond, Tokens: 10}, first: "missed", between: "missed"},
+	} {
+		c.Run(test.name, func(c *qt.C) {
+			registry := prometheus.NewRegistry()
+			test.answer.Class = class
+			metrics.New(registry).Answered(test.answer)
+			want := fmt.Sprintf(`
+# HELP acaciapath_entry_first_token_targets_total Answers by whether they met their class's target for the first token.
+# TYPE acaciapath_entry_first_token_targets_total counter
+acaciapath_entry_first_token_targets_total{result="%s",service_class="chat"} 1
+# HELP acaciapath_entry_inter_token_targets_total Answers by whether they met their class's target between tokens.
+# TYPE acaciapath_entry_inter_token_targets_total counter
+acaciapath_entry_inter_token_targets_total{result="%s",service_class="chat"} 1
+`, test.first, test.between)
+			names := []string{"acaciapath_entry_first_token_targets_total", "acaciapath_entry_inter_token_targets_total"}
+			c.Assert(testutil.GatherAndCompare(registry, strings.NewReader(want), names...), qt.IsNil)
+		})
+	}
+}
+
+func TestClientAccountsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	registry := prometheus.NewRegistry()
+	m := metrics.New(registry)
+	for i := range 100 {
+		m.Answered(metrics.Answer{Class: class, ClientAccount: fmt.Sprint("good-", i), FirstToken: 1, Tokens: 1})
+	}
+	m.Missed("chat", "bad", 3)
+	shown, err := testutil.GatherAndCount(registry, "acaciapath_entry_client_account_attainment_ratio")
+	c.Assert(err, qt.IsNil)
+	c.Assert(shown, qt.Equals, 20)
+	c.Assert(testutil.GatherAndCompare(registry, strings.NewReader(`
+# HELP acaciapath_entry_worst_client_account_attainment_ratio Lowest attainment of any client account of a class.
+# TYPE acaciapath_entry_worst_client_account_attainment_ratio gauge
+acaciapath_entry_worst_client_account_attainment_ratio{service_class="chat"} 0
+`), "acaciapath_entry_worst_client_account_attainment_ratio"), qt.IsNil)
+}
