--- a/entryd/access/access.go
+++ b/entryd/access/access.go
@@ -57,11 +57,11 @@
 // Grant returns the grant of an Authorization header, or why there is none.
 func (s *Snapshot) Grant(authorization string) (*Grant, *refusal.Refusal) {
 	if authorization == "" {
-		return nil, refusal.New(refusal.KeyMissing, "Send the key as a bearer token in the Authorization header.")
+		return nil, refusal.New(refusal.KeyMissing, "send the key as a bearer token in the Authorization header")
 	}
 	key := apikey.FromAuthorization(authorization)
 	if key == "" {
-		return nil, refusal.New(refusal.KeyInvalid, "The Authorization header holds no bearer token.")
+		return nil, refusal.New(refusal.KeyInvalid, "the Authorization header holds no bearer token")
 	}
 	hash := apikey.Hash(key)
 	if grant := s.grants[hash]; grant != nil {
@@ -70,7 +70,7 @@
 	if s.Index.Key(hash) != nil {
 		return nil, Withdrawn(refusal.NotRun)
 	}
-	return nil, refusal.New(refusal.KeyInvalid, "The key is not known.")
+	return nil, refusal.New(refusal.KeyInvalid, "the key is not known")
 }
 
 // Class returns the service class of a request, or why it has none. An empty
@@ -81,14 +81,14 @@
 	}
 	class := s.Index.Class(name)
 	if class == nil || !g.Account.Bought(name) {
-		return nil, refusal.New(refusal.ClassNotBought, "The client account has not bought this service class.")
+		return nil, refusal.New(refusal.ClassNotBought, "the client account has not bought this service class")
 	}
 	return class, nil
 }
 
 // Withdrawn returns the refusal of a request whose key was withdrawn.
 func Withdrawn(run refusal.Run) *refusal.Refusal {
-	return &refusal.Refusal{Code: refusal.KeyWithdrawn, Message: "The key has been withdrawn.", Run: run}
+	return &refusal.Refusal{Code: refusal.KeyWithdrawn, Message: "the key has been withdrawn", Run: run}
 }
 
 // List holds the snapshot in force. One thread replaces it while others read.
--- a/entryd/caller/exchange.go
+++ b/entryd/caller/exchange.go
@@ -111,11 +111,11 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return refusal.New(refusal.BodyTooLarge, "The body is larger than this service accepts.")
+		return refusal.New(refusal.BodyTooLarge, "the body is larger than this service accepts")
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return refusal.New(refusal.BodyTimeout, "The body was not sent in time.")
+		return refusal.New(refusal.BodyTimeout, "the body was not sent in time")
 	}
-	return refusal.New(refusal.InvalidRequest, "The body could not be read.")
+	return refusal.New(refusal.InvalidRequest, "the body could not be read")
 }
 
 // EndRefusal returns the refusal of a request whose context ended with cause.
@@ -124,10 +124,10 @@
 	case errors.Is(cause, access.ErrWithdrawn):
 		return access.Withdrawn(run)
 	case errors.Is(cause, ErrDrained):
-		r := &refusal.Refusal{Code: refusal.ShuttingDown, Message: "The entry VM is shutting down.", Run: run}
+		r := &refusal.Refusal{Code: refusal.ShuttingDown, Message: "the entry VM is shutting down", Run: run}
 		return r.After(time.Second)
 	case errors.Is(cause, ErrTimeout):
-		return &refusal.Refusal{Code: refusal.BackendTimeout, Message: "The answer took too long.", Run: run}
+		return &refusal.Refusal{Code: refusal.BackendTimeout, Message: "the answer took too long", Run: run}
 	}
-	return &refusal.Refusal{Code: CodeGone, Message: "The caller is gone.", Run: run}
+	return &refusal.Refusal{Code: CodeGone, Message: "the caller is gone", Run: run}
 }
--- a/entryd/caller/gate.go
+++ b/entryd/caller/gate.go
@@ -102,17 +102,17 @@
 // admit bounds what a request may send, or returns why it is refused.
 func (g *Gate) admit(x *Exchange, w http.ResponseWriter, r *http.Request) *refusal.Refusal {
 	if x.Snapshot == nil {
-		return refusal.New(refusal.NotConfigured, "No configuration is in force yet.").After(time.Second)
+		return refusal.New(refusal.NotConfigured, "no configuration is in force yet").After(time.Second)
 	}
 	if key := apikey.FromAuthorization(r.Header.Get("Authorization")); key != "" && strings.Contains(r.RequestURI, key) {
-		return refusal.New(refusal.InvalidRequest, "The key must not stand in the URL.")
+		return refusal.New(refusal.InvalidRequest, "the key must not stand in the URL")
 	}
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
 	limits := &x.Snapshot.Index.Config.Limits
 	if r.ContentLength > limits.BodyBytes {
-		return refusal.New(refusal.BodyTooLarge, "The body is larger than this service accepts.")
+		return refusal.New(refusal.BodyTooLarge, "the body is larger than this service accepts")
 	}
 	r.Body = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
 	_ = x.Controller.SetReadDeadline(x.Start.Add(limits.BodyTimeout))
@@ -125,7 +125,7 @@
 	if key == "" || !bytes.Contains(body, []byte(key)) {
 		return nil
 	}
-	return refusal.New(refusal.InvalidRequest, "The key must not stand in the body.")
+	return refusal.New(refusal.InvalidRequest, "the key must not stand in the body")
 }
 
 // Refuse answers with a refusal. The answer must not have begun.
@@ -154,7 +154,7 @@
 	if w.begun {
 		return
 	}
-	g.Refuse(w, x, refusal.NewUnknown(refusal.Internal, "The entry daemon failed."))
+	g.Refuse(w, x, refusal.NewUnknown(refusal.Internal, "the entry daemon failed"))
 }
 
 // report adds to logs, metrics and the span what became of a request.
--- a/entryd/caller/listener.go
+++ b/entryd/caller/listener.go
@@ -77,7 +77,7 @@
 func writeRefusal(conn net.Conn) {
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(refuseTimeout))
-	r := refusal.New(refusal.TooManyRequests, "Too many connections are open.").After(time.Second)
+	r := refusal.New(refusal.TooManyRequests, "too many connections are open").After(time.Second)
 	if _, err := conn.Write(rawResponse(r)); err != nil {
 		return
 	}
--- a/entryd/chat/answer.go
+++ b/entryd/chat/answer.go
@@ -129,7 +129,7 @@
 	if r.hop.Err() != nil {
 		return &failure{refused: caller.EndRefusal(context.Cause(r.hop), refusal.Unknown)}
 	}
-	refused := refusal.NewUnknown(refusal.AnswerIncomplete, "The backend server broke off its answer.")
+	refused := refusal.NewUnknown(refusal.AnswerIncomplete, "the backend server broke off its answer")
 	return &failure{refused: refused, isServer: true}
 }
 
@@ -267,5 +267,5 @@
 	case err == nil && body.Message != "":
 		return body.Message
 	}
-	return "The backend server refused the request."
+	return "the backend server refused the request"
 }
--- a/entryd/chat/request.go
+++ b/entryd/chat/request.go
@@ -52,10 +52,10 @@
 // body in another way.
 func Parse(body []byte) (Request, *refusal.Refusal) {
 	if !json.Valid(body) {
-		return Request{}, invalid("The body is not JSON.")
+		return Request{}, invalid("the body is not JSON")
 	}
 	if i := skipSpace(body, 0); body[i] != '{' {
-		return Request{}, invalid("The body is not a JSON object.")
+		return Request{}, invalid("the body is not a JSON object")
 	}
 	var request Request
 	var problem *refusal.Refusal
@@ -66,7 +66,7 @@
 				continue
 			}
 			if seen[i] {
-				problem = invalid("The field " + name + " stands twice.")
+				problem = invalid("the field " + name + " stands twice")
 				return false
 			}
 			seen[i] = true
@@ -97,7 +97,7 @@
 		err = r.takeBound(value)
 	}
 	if err != nil {
-		return invalid("The field " + name + " has the wrong type.")
+		return invalid("the field " + name + " has the wrong type")
 	}
 	return nil
 }
@@ -128,10 +128,10 @@
 
 func (r *Request) check() *refusal.Refusal {
 	if r.Model == "" {
-		return invalid("The field model is missing.")
+		return invalid("the field model is missing")
 	}
 	if i := skipSpace(r.Messages, 0); i >= len(r.Messages) || r.Messages[i] != '[' {
-		return invalid("The field messages is missing or not a list.")
+		return invalid("the field messages is missing or not a list")
 	}
 	return nil
 }
@@ -139,10 +139,10 @@
 // Fit checks a request against its model and completes its bound.
 func (r *Request) Fit(model *config.Model) *refusal.Refusal {
 	if model == nil {
-		return refusal.New(refusal.ModelUnknown, "There is no such model.")
+		return refusal.New(refusal.ModelUnknown, "there is no such model")
 	}
 	if r.MaxTokens > model.MaxCompletionTokens {
-		return invalid("The model answers with at most " + strconv.Itoa(model.MaxCompletionTokens) + " tokens.")
+		return invalid("the model answers with at most " + strconv.Itoa(model.MaxCompletionTokens) + " tokens")
 	}
 	return nil
 }
--- a/entryd/chat/request_test.go
+++ b/entryd/chat/request_test.go
@@ -27,14 +27,14 @@
 		},
 		{name: "escaped name", body: `{"mod\u0065l":"m","messages":[]}`, want: chat.Request{Model: "m", PromptTokens: 1, Messages: []byte(`[]`)}},
 		{name: "no bound", body: `{"model":"m","messages":[],"max_tokens":null}`, want: chat.Request{Model: "m", PromptTokens: 1, Messages: []byte(`[]`)}},
-		{name: "not JSON", body: `{"model":`, problem: "invalid-request: The body is not JSON."},
-		{name: "not an object", body: `[]`, problem: "invalid-request: The body is not a JSON object."},
-		{name: "empty", body: ``, problem: "invalid-request: The body is not JSON."},
-		{name: "twice", body: `{"model":"a","Model":"b","messages":[]}`, problem: "invalid-request: The field model stands twice."},
-		{name: "wrong type", body: `{"model":1}`, problem: "invalid-request: The field model has the wrong type."},
-		{name: "bound", body: `{"model":"m","messages":[],"max_tokens":0}`, problem: "invalid-request: The field max_tokens has the wrong type."},
-		{name: "no model", body: `{"messages":[]}`, problem: "invalid-request: The field model is missing."},
-		{name: "no messages", body: `{"model":"m","messages":{}}`, problem: "invalid-request: The field messages is missing or not a list."},
+		{name: "not JSON", body: `{"model":`, problem: "invalid-request: the body is not JSON"},
+		{name: "not an object", body: `[]`, problem: "invalid-request: the body is not a JSON object"},
+		{name: "empty", body: ``, problem: "invalid-request: the body is not JSON"},
+		{name: "twice", body: `{"model":"a","Model":"b","messages":[]}`, problem: "invalid-request: the field model stands twice"},
+		{name: "wrong type", body: `{"model":1}`, problem: "invalid-request: the field model has the wrong type"},
+		{name: "bound", body: `{"model":"m","messages":[],"max_tokens":0}`, problem: "invalid-request: the field max_tokens has the wrong type"},
+		{name: "no model", body: `{"messages":[]}`, problem: "invalid-request: the field model is missing"},
+		{name: "no messages", body: `{"model":"m","messages":{}}`, problem: "invalid-request: the field messages is missing or not a list"},
 	} {
 		c.Run(test.name, func(c *qt.C) {
 			got, refused := chat.Parse([]byte(test.body))
--- a/entryd/chat/run.go
+++ b/entryd/chat/run.go
@@ -147,10 +147,10 @@
 	case r.hop.Err() != nil:
 		return &failure{refused: caller.EndRefusal(context.Cause(r.hop), ranIf(sent))}
 	case !sent:
-		refused := refusal.New(refusal.BackendServerFailed, "No backend server could be reached.").After(time.Second)
+		refused := refusal.New(refusal.BackendServerFailed, "no backend server could be reached").After(time.Second)
 		return &failure{refused: refused, again: true, isServer: true}
 	}
-	refused := refusal.NewUnknown(refusal.BackendServerFailed, "The backend server failed before it answered.")
+	refused := refusal.NewUnknown(refusal.BackendServerFailed, "the backend server failed before it answered")
 	return &failure{refused: refused, isServer: true}
 }
 
@@ -160,12 +160,12 @@
 	case status == http.StatusOK:
 		return nil
 	case tookNothing(status):
-		refused := refusal.New(refusal.BackendServerFailed, "The backend server took no work.").After(time.Second)
+		refused := refusal.New(refusal.BackendServerFailed, "the backend server took no work").After(time.Second)
 		return &failure{refused: refused, again: true, isServer: true}
 	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
 		return &failure{refused: refusal.New(refusal.InvalidRequest, engineMessage(response))}
 	}
-	refused := refusal.NewUnknown(refusal.BackendServerFailed, "The backend server failed.")
+	refused := refusal.NewUnknown(refusal.BackendServerFailed, "the backend server failed")
 	return &failure{refused: refused, isServer: true}
 }
 
--- a/entryd/daemon/harness_test.go
+++ b/entryd/daemon/harness_test.go
@@ -201,16 +201,16 @@
 	return d
 }
 
-// apply applies the base configuration with additions.
+// apply applies the base configuration, what the test adds to it and more.
 func (s *system) apply(more string) {
 	shop, roofers := apikey.Hash(shopKey), apikey.Hash(roofersKey)
-	text := fmt.Sprintf(baseConfig, shop[:], roofers[:]) + s.extra + more
+	text := fmt.Sprintf(baseConfig, shop[:], roofers[:])
 	for i, e := range s.engines {
 		text += fmt.Sprintf("\n[backend-server engine-%d]\naddress = %s\nfailure-domain = quito-a\nmodels = assistant\nplaces = 8\n", i+1, e.Address())
 	}
 	text += fmt.Sprintf("\n[backend-server orders-1]\naddress = %s\nfailure-domain = quito-a\nplain-service = orders\nplaces = 8\n", s.orders.Address())
 	text += fmt.Sprintf("\n[backend-server ledger-1]\naddress = %s\nfailure-domain = quito-a\nplain-service = ledger\nplaces = 8\n", s.ledger.Address())
-	files := []config.File{{Name: "all.ini", Text: text}}
+	files := []config.File{{Name: "a.ini", Text: text}, {Name: "b.ini", Text: s.extra}, {Name: "c.ini", Text: more}}
 	_, err := config.Parse(files)
 	s.c.Assert(err, qt.IsNil)
 	store := revision.NewStore(s.platform.Client("operator"))
--- a/entryd/plain/call.go
+++ b/entryd/plain/call.go
@@ -98,9 +98,9 @@
 // unreached returns the refusal of a call that brought no answer.
 func unreached(sent bool) *refusal.Refusal {
 	if sent {
-		return refusal.NewUnknown(refusal.BackendServerFailed, "The plain service failed before it answered.")
+		return refusal.NewUnknown(refusal.BackendServerFailed, "the plain service failed before it answered")
 	}
-	return refusal.New(refusal.BackendServerFailed, "No replica of the plain service could be reached.").After(after)
+	return refusal.New(refusal.BackendServerFailed, "no replica of the plain service could be reached").After(after)
 }
 
 // send sends the call to the replica of its place.
@@ -148,7 +148,7 @@
 	_, err := io.Copy(flusher{writer: c.writer, controller: controller}, response.Body)
 	c.place.Finish(dispatch.Result{Failed: err != nil && ctx.Err() == nil && c.request.Context().Err() == nil})
 	if err != nil {
-		c.exchange.Refusal = refusal.NewUnknown(refusal.AnswerIncomplete, "The answer broke off.")
+		c.exchange.Refusal = refusal.NewUnknown(refusal.AnswerIncomplete, "the answer broke off")
 		panic(http.ErrAbortHandler) // the caller must see that the answer is not whole
 	}
 	return nil
--- a/entryd/plain/handler.go
+++ b/entryd/plain/handler.go
@@ -79,11 +79,11 @@
 func (h *Handler) newCall(w http.ResponseWriter, r *http.Request, x *caller.Exchange) (*call, *refusal.Refusal) {
 	route := x.Snapshot.Index.Route(r.Method, r.URL.Path)
 	if route == nil {
-		return nil, refusal.New(refusal.RouteUnknown, "No route takes this method and path.")
+		return nil, refusal.New(refusal.RouteUnknown, "no route takes this method and path")
 	}
 	service := x.Snapshot.Index.PlainService(route.PlainService)
 	if service == nil {
-		return nil, refusal.New(refusal.RouteUnknown, "The route's plain service is not configured.")
+		return nil, refusal.New(refusal.RouteUnknown, "the route's plain service is not configured")
 	}
 	c := &call{handler: h, writer: w, request: r, exchange: x, route: route, service: service}
 	x.Model = service.Name
--- a/entryd/plain/once.go
+++ b/entryd/plain/once.go
@@ -38,9 +38,9 @@
 	key := c.request.Header.Get(headerIdempotencyKey)
 	switch {
 	case key == "":
-		return refusal.New(refusal.IdempotencyMissing, "This call needs an Idempotency-Key header.")
+		return refusal.New(refusal.IdempotencyMissing, "this call needs an Idempotency-Key header")
 	case len(key) > claim.MaxKeyBytes || len(c.request.Header[headerIdempotencyKey]) > 1:
-		return refusal.New(refusal.InvalidRequest, "The Idempotency-Key header is too long or stands twice.")
+		return refusal.New(refusal.InvalidRequest, "the Idempotency-Key header is too long or stands twice")
 	}
 	return nil
 }
@@ -81,7 +81,7 @@
 	if c.service.ChecksIdempotencyKey {
 		return nil, nil
 	}
-	refused := refusal.New(refusal.PlatformUnavailable, "The call could not be claimed, so it was not sent.")
+	refused := refusal.New(refusal.PlatformUnavailable, "the call could not be claimed, so it was not sent")
 	return nil, refused.After(after)
 }
 
@@ -95,12 +95,12 @@
 		c.replay(held.Outcome)
 		return nil
 	case claim.RefuseReused:
-		return refusal.New(refusal.IdempotencyReused, "The idempotency key was used for another call.")
+		return refusal.New(refusal.IdempotencyReused, "the idempotency key was used for another call")
 	case claim.RefuseInProgress:
-		refused := refusal.NewUnknown(refusal.CallInProgress, "A call with this idempotency key is in progress.")
+		refused := refusal.NewUnknown(refusal.CallInProgress, "a call with this idempotency key is in progress")
 		return refused.After(after)
 	}
-	return refusal.NewUnknown(refusal.OutcomeUnknown, "A call with this idempotency key was sent, and its outcome is not known.")
+	return refusal.NewUnknown(refusal.OutcomeUnknown, "a call with this idempotency key was sent, and its outcome is not known")
 }
 
 // replay answers with a stored outcome.
--- a/entryd/scheduler/scheduler.go
+++ b/entryd/scheduler/scheduler.go
@@ -221,5 +221,5 @@
 // tooLong returns the refusal of a request that waited for its class's bound.
 func tooLong(class *config.ServiceClass) *refusal.Refusal {
 	return refusal.New(refusal.WaitTooLong,
-		"No place was free within "+class.MaxWait.String()+".").After(class.FirstTokenTarget)
+		"no place was free within "+class.MaxWait.String()).After(class.FirstTokenTarget)
 }
