--- a/entryd/backend/client.go
+++ b/entryd/backend/client.go
@@ -36,10 +36,10 @@
 // Client sends requests to backend servers. It is safe for concurrent use.
 type Client struct {
 	// shared keeps connections open between requests.
-	shared *http.Transport
+	shared http.RoundTripper
 	// single opens a connection for each request, so that net/http never sends
 	// a request twice because a kept connection turned out to be closed.
-	single *http.Transport
+	single http.RoundTripper
 }
 
 // NewClient returns a client without connections.
@@ -47,6 +47,11 @@
 	return &Client{shared: newTransport(false), single: newTransport(true)}
 }
 
+// NewClientOver returns a client that sends all requests by transport.
+func NewClientOver(transport http.RoundTripper) *Client {
+	return &Client{shared: transport, single: transport}
+}
+
 func newTransport(single bool) *http.Transport {
 	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
@@ -59,8 +64,8 @@
 
 // Close closes the connections that no request uses.
 func (c *Client) Close() {
-	c.shared.CloseIdleConnections()
-	c.single.CloseIdleConnections()
+	(&http.Client{Transport: c.shared}).CloseIdleConnections()
+	(&http.Client{Transport: c.single}).CloseIdleConnections()
 }
 
 // chatBody notes whether any of a body was asked for, without which an engine
--- a/entryd/caller/encode.go
+++ b/entryd/caller/encode.go
@@ -36,7 +36,7 @@
 		refused = refusal.New(refusal.InvalidRequest, err.Error())
 	}
 	x := From(ctx)
-	x.Refusal = refused
+	x.refuse(refused)
 	recorder := rawWriter{header: x.Header}
 	refused.Write(&recorder, x.ID)
 	return &encodedRefusal{status: recorder.status, body: recorder.body.Bytes()}
--- a/entryd/caller/exchange.go
+++ b/entryd/caller/exchange.go
@@ -54,8 +54,23 @@
 	BackendServer string
 	// Refusal is what the caller was told, or nil.
 	Refusal *refusal.Refusal
+
+	// unread says whether the caller may still be sending a body.
+	unread bool
 }
 
+// refuse takes note of the refusal that the caller is told. The connection ends
+// with it if the caller may still be sending: net/http would wait for the body
+// before it answers.
+func (x *Exchange) refuse(refused *refusal.Refusal) {
+	x.Refusal = refused
+	if x.unread {
+		x.Header["Connection"] = closeConnection
+	}
+}
+
+var closeConnection = []string{"close"}
+
 type exchangeKey struct{}
 
 // From returns the exchange of a request's context.
@@ -98,6 +113,7 @@
 		buffer = buffer[:len(buffer)+n]
 		if errors.Is(err, io.EOF) {
 			_ = x.Controller.SetReadDeadline(time.Time{})
+			x.unread = false
 			return buffer, nil
 		}
 		if err != nil {
--- a/entryd/caller/gate.go
+++ b/entryd/caller/gate.go
@@ -82,13 +82,13 @@
 	}
 	x.Header[engine.HeaderRequestID] = []string{x.ID}
 	if g.Leaving.Load() {
-		x.Header["Connection"] = []string{"close"}
+		x.Header["Connection"] = closeConnection
 	}
 	ctx, span := g.Tracer.Start(traceContext(r), "request", trace.WithSpanKind(trace.SpanKindServer))
 	answer := &response{ResponseWriter: w}
 	defer g.end(answer, x, span)
 	r = r.WithContext(context.WithValue(ctx, exchangeKey{}, x))
-	if refused := g.admit(x, answer, r); refused != nil {
+	if refused := g.admit(x, w, r); refused != nil {
 		g.Refuse(answer, x, refused)
 		return
 	}
@@ -110,6 +110,7 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
+	x.unread = true
 	limits := &x.Snapshot.Index.Config.Limits
 	if r.ContentLength > limits.BodyBytes {
 		return refusal.New(refusal.BodyTooLarge, "the body is larger than this service accepts")
@@ -130,7 +131,7 @@
 
 // Refuse answers with a refusal. The answer must not have begun.
 func (g *Gate) Refuse(w http.ResponseWriter, x *Exchange, refused *refusal.Refusal) {
-	x.Refusal = refused
+	x.refuse(refused)
 	refused.Write(w, x.ID)
 }
 
--- a/entryd/chat/run.go
+++ b/entryd/chat/run.go
@@ -175,15 +175,18 @@
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusNotFound
 }
 
-// fail ends a run without an answer. If the request may have run, the engine is
-// told to cancel it, and what ran is charged.
+// fail ends a run without a whole answer. If the request may have run, the
+// engine is told to cancel it, and what ran is charged, while the caller is told.
 func (r *run) fail(f *failure) *refusal.Refusal {
-	if f.refused.Run == refusal.Unknown {
-		r.settle(f.isServer)
-	} else {
+	if f.refused.Run != refusal.Unknown {
 		r.place.Finish(dispatch.Result{Failed: f.isServer})
+		r.miss(f.refused, 0)
+		return f.refused
 	}
-	r.miss(f.refused, r.ran().CompletionTokens)
+	r.service.settling.Go(func() {
+		r.settle(f.isServer)
+		r.miss(f.refused, r.ran().CompletionTokens)
+	})
 	return f.refused
 }
 
--- a/entryd/chat/service.go
+++ b/entryd/chat/service.go
@@ -21,7 +21,8 @@
 	goahttp "goa.design/goa/v3/http"
 )
 
-// Service serves the chat API. All fields are set once and then only read.
+// Service serves the chat API. Its exported fields are set once and then only
+// read.
 type Service struct {
 	// Scheduler shares the places of engines.
 	Scheduler *scheduler.Scheduler
@@ -37,6 +38,9 @@
 	Tracer trace.Tracer
 	// Clock returns the present time.
 	Clock func() time.Time
+
+	// settling are the requests that are being cancelled at their engines.
+	settling sync.WaitGroup
 }
 
 var _ chat.Service = (*Service)(nil)
@@ -55,6 +59,10 @@
 	return mux, func(method, path string) bool { return mounts[mount{method: method, path: path}] }
 }
 
+// Wait returns once what ran of all requests has been charged. It is called
+// after the last request has ended.
+func (s *Service) Wait() { s.settling.Wait() }
+
 // Models lists the models.
 func (s *Service) Models(ctx context.Context, p *chat.ModelsPayload) (*chat.ModelList, error) {
 	x := caller.From(ctx)
--- /dev/null
+++ b/entryd/daemon/crash_test.go
@@ -0,0 +1,100 @@
+package daemon_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"acaciapath.example/core/engine"
+	"acaciapath.example/core/refusal"
+	"acaciapath.example/entryd/daemon"
+	standin "acaciapath.example/standin/engine"
+	"acaciapath.example/standin/fault"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestCrashMidStream checks that a broken stream ends with a refusal, and that
+// the tokens that came are charged.
+func TestCrashMidStream(t *testing.T) {
+	s := start(t, plan{engines: []standin.Options{{
+		StepTime: 3 * time.Millisecond, Faults: standin.Faults{CrashAfterTokens: 10},
+	}}})
+	got := s.do(s.request("POST", "/v1/chat/completions", shopKey, chatBody(100, true)))
+	s.c.Assert(got.err, qt.IsNil)
+	s.c.Assert(got.status, qt.Equals, 200)
+	s.c.Assert(got.body, qt.Not(qt.Contains), "[DONE]")
+	events := strings.Split(strings.TrimSpace(got.body), "\n\n")
+	last := decode[refusal.Body](s.c, []byte(strings.TrimPrefix(events[len(events)-1], "data: ")))
+	s.c.Assert(last.Error.Code, qt.Equals, refusal.AnswerIncomplete)
+	s.c.Assert(last.Error.Run, qt.Equals, refusal.Unknown)
+	s.stop()
+	<-s.ended
+	tokens := uint64(strings.Count(got.body, `"content":`) - 1) // but for the empty first chunk
+	s.c.Assert(s.charged()[0].CompletionTokens, qt.Equals, tokens)
+}
+
+// TestAbortedAnswer checks that an answer that the engine was made to stop is
+// not taken for a whole one, although it ends as one.
+func TestAbortedAnswer(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		s := start(t, plan{
+			engines: []standin.Options{{StepTime: 5 * time.Millisecond}},
+			options: daemon.Options{Random: zeros{}},
+		})
+		answers := make(chan answer, 1)
+		go func() { answers <- s.do(s.request("POST", "/v1/chat/completions", shopKey, chatBody(2000, stream))) }()
+		s.eventually(func() bool { return cancel(s).Known })
+		got := <-answers
+		s.c.Assert(got.body, qt.Contains, `"code":"answer-incomplete"`)
+		s.c.Assert(got.body, qt.Not(qt.Contains), "[DONE]")
+	}
+}
+
+// zeros is a source of zeros, by which request ids are known.
+type zeros struct{}
+
+// Read fills p with zeros.
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// cancel cancels the request with the id of zeros at the engine.
+func cancel(s *system) engine.Cancelled {
+	body := `{"request-id":"` + strings.Repeat("0", 32) + `"}`
+	response, err := http.Post("http://"+s.engines[0].Address()+engine.PathCancel, "application/json", strings.NewReader(body))
+	s.c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	s.c.Assert(err, qt.IsNil)
+	return decode[engine.Cancelled](s.c, text)
+}
+
+// TestRetryWhereNothingRan checks that requests are sent elsewhere after a
+// failure to connect and after an engine that took none, within the budget.
+func TestRetryWhereNothingRan(t *testing.T) {
+	s := start(t, plan{
+		engines: []standin.Options{{}, {Faults: standin.Faults{Faults: fault.Faults{Down: true}}}, {}},
+		extra:   "\n[limits]\nretry-budget = 100%\n",
+	})
+	s.c.Assert(s.engines[2].Close(), qt.IsNil)
+	for range 30 {
+		s.c.Assert(s.do(s.request("POST", "/v1/chat/completions", shopKey, chatBody(2, true))).status, qt.Equals, 200)
+	}
+	s.c.Assert(s.engines[0].Runs().Entries(), qt.HasLen, 30)
+	metrics := s.do(mustGet("http://" + s.daemon.OpsAddress() + "/metrics"))
+	s.c.Assert(metrics.body, qt.Not(qt.Contains), "acaciapath_entry_retries_total 0")
+}
+
+// TestFrozenEngine checks that a request whose engine does not answer ends with
+// its timeout, and its place with it.
+func TestFrozenEngine(t *testing.T) {
+	s := start(t, plan{extra: "\n[limits]\nrequest-timeout = 1s\n"})
+	s.engines[0].SetFaults(standin.Faults{Faults: fault.Faults{Frozen: true}})
+	got := s.do(s.request("POST", "/v1/chat/completions", shopKey, chatBody(2, true)))
+	assertRefusal(t, "backend-timeout", got)
+	s.eventually(func() bool { return s.daemon.Status().BackendServers[0].Running == 0 })
+}
--- a/entryd/daemon/daemon.go
+++ b/entryd/daemon/daemon.go
@@ -88,6 +88,7 @@
 	writer    *usage.Writer
 	metrics   *metrics.Metrics
 	gate      *caller.Gate
+	chat      *chat.Service
 
 	callers *caller.Server
 	ops     net.Listener
@@ -142,7 +143,7 @@
 func (d *Daemon) newGate(logger *logrus.Logger) *caller.Gate {
 	o := d.options
 	tracer := o.Tracers.Tracer(tracerName)
-	service := &chat.Service{
+	d.chat = &chat.Service{
 		Scheduler: d.scheduler, Client: d.client, Meter: d.meter, Metrics: d.metrics,
 		Logger: logger, Tracer: tracer, Clock: o.Clock,
 	}
@@ -150,7 +151,7 @@
 		Access: &d.access, Metrics: d.metrics, Logger: logger, Tracer: tracer,
 		Clock: o.Clock, Random: o.Random,
 	}
-	gate.Chat, gate.IsChat = service.Handler()
+	gate.Chat, gate.IsChat = d.chat.Handler()
 	gate.Plain = &plain.Handler{
 		Scheduler: d.scheduler, Client: d.client,
 		Claims: claims.NewStore(d.platform.Table, d.settings.Name, o.Clock, o.Random),
--- a/entryd/daemon/harness_test.go
+++ b/entryd/daemon/harness_test.go
@@ -169,6 +169,13 @@
 
 // startDaemon starts a daemon and returns it once it is ready.
 func (s *system) startDaemon(t testing.TB, name string, p plan) *daemon.Daemon {
+	d := s.launch(t, name, p)
+	s.eventually(func() bool { return d.Ready() == nil })
+	return d
+}
+
+// launch starts a daemon.
+func (s *system) launch(t testing.TB, name string, p plan) *daemon.Daemon {
 	own := settings.Settings{
 		Name: name, FailureDomain: "quito-a", Address: "127.0.0.1",
 		ConfigPoll: 20 * time.Millisecond, DrainTimeout: patience,
@@ -197,7 +204,6 @@
 		stop()
 		<-ended
 	})
-	s.eventually(func() bool { return d.Ready() == nil })
 	return d
 }
 
--- /dev/null
+++ b/entryd/daemon/once_test.go
@@ -0,0 +1,119 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"acaciapath.example/standin/fault"
+	"acaciapath.example/standin/plain"
+	"acaciapath.example/standin/platform"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestCallRunsOnce sends the same calls several times, at once and through two
+// daemons, while replies of the platform's table and of the service are lost.
+func TestCallRunsOnce(t *testing.T) {
+	s := start(t, plan{orders: plain.Options{ExecutionTime: 5 * time.Millisecond}})
+	other := *s
+	other.daemon = s.startDaemon(t, "vm-2", plan{})
+	s.platform.SetFaults(platform.Table, fault.Faults{LoseReplies: 10})
+	s.orders.SetFaults(fault.Faults{LoseReplies: 3})
+	var wait sync.WaitGroup
+	for i := range 80 {
+		via := []*system{s, &other}[i%2]
+		wait.Go(func() {
+			key := fmt.Sprint("renewal-", i%20)
+			got := via.do(order(shopKey, key, key)(via))
+			s.c.Check(got.status == 200 || got.status == 409 || got.status == 502 || got.status == 503, qt.IsTrue, qt.Commentf("%v", got))
+		})
+	}
+	wait.Wait()
+	s.orders.SetFaults(fault.Faults{})
+	s.platform.SetFaults(platform.Table, fault.Faults{})
+	for i := range 20 {
+		key := fmt.Sprint("renewal-", i)
+		got := other.do(order(shopKey, key, key)(&other))
+		s.c.Assert(got.status == 200 || got.status == 409, qt.IsTrue, qt.Commentf("%v", got))
+		s.c.Assert(s.orders.Executions(key) <= 1, qt.IsTrue)
+		s.c.Assert(got.status == 200 && s.orders.Executions(key) == 0, qt.IsFalse)
+	}
+}
+
+func TestStoredOutcome(t *testing.T) {
+	s := start(t, plan{})
+	first := s.do(order(shopKey, "k", "x")(s))
+	second := s.do(order(shopKey, "k", "x")(s))
+	s.c.Assert(second.status, qt.Equals, 200)
+	s.c.Assert(second.body, qt.Equals, first.body)
+	s.c.Assert(second.header.Get("Content-Type"), qt.Equals, first.header.Get("Content-Type"))
+	s.c.Assert(second.header.Get("Idempotency-Replayed"), qt.Equals, "true")
+	s.c.Assert(s.do(order(roofersKey, "k", "x")(s)).body, qt.Not(qt.Equals), first.body) // another client account's
+	s.c.Assert(s.orders.Executions("k"), qt.Equals, 2)
+	s.stop()
+	<-s.ended
+	s.c.Assert(s.charged(), qt.HasLen, 2)
+	for _, line := range s.charged() {
+		s.c.Assert(line.Requests, qt.Equals, uint64(1))
+		s.c.Assert(line.Amount, qt.Equals, int64(2000))
+	}
+}
+
+// TestLostReplyOfClaim checks that a claim whose reply was lost is recognised as
+// one's own, and the call sent once.
+func TestLostReplyOfClaim(t *testing.T) {
+	s := start(t, plan{})
+	s.platform.SetFaults(platform.Table, fault.Faults{LoseReplies: 1})
+	s.c.Assert(s.do(order(shopKey, "k", "x")(s)).status, qt.Equals, 200)
+	s.c.Assert(s.orders.Executions("k"), qt.Equals, 1)
+}
+
+func TestPlatformDown(t *testing.T) {
+	s := start(t, plan{})
+	s.platform.SetFaults(platform.All, down)
+	s.c.Assert(s.do(order(shopKey, "k", "x")(s)).status, qt.Equals, 503)
+	s.c.Assert(s.orders.Executed(), qt.Equals, 0)
+	// A service that checks the key itself is served, and so is all else.
+	ledger := s.request("POST", "/ledger/1", shopKey, "x", "Idempotency-Key", "k")
+	s.c.Assert(s.do(ledger).status, qt.Equals, 200)
+	s.c.Assert(s.ledger.Executions("k"), qt.Equals, 1)
+	s.c.Assert(s.do(s.request("GET", "/status/1", shopKey, "")).status, qt.Equals, 200)
+	s.c.Assert(s.do(s.request("POST", "/v1/chat/completions", shopKey, chatBody(1, true))).status, qt.Equals, 200)
+	s.platform.SetFaults(platform.All, fault.Faults{})
+	s.c.Assert(s.do(order(shopKey, "k", "x")(s)).status, qt.Equals, 200)
+}
+
+// TestClaimIsReleased checks that a call that reached no replica can be sent
+// again with its key.
+func TestClaimIsReleased(t *testing.T) {
+	s := start(t, plan{})
+	address := s.orders.Address()
+	s.c.Assert(s.orders.Close(), qt.IsNil)
+	got := s.do(order(shopKey, "k", "x")(s))
+	s.c.Assert(got.body, qt.Contains, `"run":"not-run"`)
+	s.c.Assert(s.rows("claim/"), qt.HasLen, 0)
+	again := plain.New(plain.Options{})
+	s.c.Assert(again.Start(address), qt.IsNil)
+	defer again.Close()
+	s.eventually(func() bool { return s.do(order(shopKey, "k", "x")(s)).status == 200 })
+	s.c.Assert(again.Executions("k"), qt.Equals, 1)
+}
+
+// TestVanishingCallerOfCall checks that a call goes on without its caller, who
+// gets the stored outcome when it asks again.
+func TestVanishingCallerOfCall(t *testing.T) {
+	s := start(t, plan{orders: plain.Options{ExecutionTime: 100 * time.Millisecond}})
+	ctx, vanish := context.WithCancel(context.Background())
+	go func() {
+		time.Sleep(30 * time.Millisecond)
+		vanish()
+	}()
+	_, err := http.DefaultClient.Do(order(shopKey, "k", "x")(s).WithContext(ctx))
+	s.c.Assert(err, qt.ErrorIs, context.Canceled)
+	s.eventually(func() bool { return s.do(order(shopKey, "k", "x")(s)).status == 200 })
+	s.c.Assert(s.orders.Executions("k"), qt.Equals, 1)
+}
--- a/entryd/daemon/run.go
+++ b/entryd/daemon/run.go
@@ -69,7 +69,9 @@
 	d.logger.WithField("address", d.CallersAddress()).Info("started")
 
 	<-ctx.Done()
-	err := errors.Join(d.drain(), d.lastFlush())
+	err := d.drain()
+	d.chat.Wait()
+	err = errors.Join(err, d.lastFlush())
 	stop()
 	_ = d.opsHTTP.Close()
 	d.close()
--- a/entryd/scheduler/scheduler.go
+++ b/entryd/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 	"acaciapath.example/core/peer"
 	"acaciapath.example/core/refusal"
 	"acaciapath.example/core/replica"
+	"acaciapath.example/core/retry"
 )
 
 // recoverInterval is how often it is tried whether a backend server that had
@@ -42,10 +43,15 @@
 	}
 }
 
-// SetLimits puts the limits of a configuration in force.
+// SetLimits puts the limits of a configuration in force. A budget of retries
+// that was 0 begins with its burst.
 func (s *Scheduler) SetLimits(limits config.Limits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.dispatcher.Budget.Percent == 0 {
+		s.dispatcher.Budget = retry.NewBudget(limits.RetryBudget)
+		return
+	}
 	s.dispatcher.Budget.Percent = limits.RetryBudget
 }
 
