--- a/entryd/scheduler/scheduler.go
+++ b/entryd/scheduler/scheduler.go
@@ -184,6 +184,12 @@
 // wait returns once the request has been started. If it returns an error the
 // request has been finished.
 func (p *Place) wait(ctx context.Context) error {
+	select {
+	case <-p.ticket.Value.started:
+		p.take()
+		return nil
+	default:
+	}
 	timer := time.NewTimer(p.arrived.Add(p.ticket.Request.Class.MaxWait).Sub(p.scheduler.clock()))
 	defer timer.Stop()
 	select {
