--- /dev/null
+++ b/acaciapath/folder/folder_test.go
@@ -0,0 +1,108 @@
+package folder_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"acaciapath.example/acaciapath/folder"
+	"acaciapath.example/core/config"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const keysText = `# Keys of the shop.
+[key web]
+client-account = shop
+hash = 00
+default-class = chat ; urgent
+
+[key van]
+client-account = shop
+hash = 01
+withdrawn = false
+default-class = chat`
+
+func TestBase(t *testing.T) {
+	c := qt.New(t)
+	dir := t.TempDir()
+	base, err := folder.Base(dir)
+	c.Assert(err, qt.IsNil)
+	c.Assert(base, qt.Equals, uint64(0))
+	c.Assert(folder.SetBase(dir, 7), qt.IsNil)
+	base, err = folder.Base(dir)
+	c.Assert(err, qt.IsNil)
+	c.Assert(base, qt.Equals, uint64(7))
+	c.Assert(os.WriteFile(filepath.Join(dir, folder.BaseFile), []byte("seven"), 0o600), qt.IsNil)
+	_, err = folder.Base(dir)
+	c.Assert(err, qt.ErrorIs, folder.ErrBase)
+}
+
+func TestReplace(t *testing.T) {
+	c := qt.New(t)
+	dir := filepath.Join(t.TempDir(), "new")
+	one, two := config.File{Name: "1.ini", Text: "1"}, config.File{Name: "2.ini", Text: "2"}
+	c.Assert(folder.Replace(dir, []config.File{one, two}), qt.IsNil)
+	c.Assert(folder.Replace(dir, []config.File{two}), qt.IsNil)
+	files, err := config.ReadFolder(dir)
+	c.Assert(err, qt.IsNil)
+	c.Assert(files, qt.DeepEquals, []config.File{two})
+	for _, name := range []string{"../up.ini", "sub/x.ini", ".ssh", folder.BaseFile} {
+		c.Assert(folder.Replace(dir, []config.File{{Name: name}}), qt.ErrorIs, folder.ErrName)
+	}
+}
+
+func TestAddKey(t *testing.T) {
+	c := qt.New(t)
+	files := []config.File{{Name: "30.ini", Text: keysText}}
+	key := config.Key{Name: "till", ClientAccount: "shop", DefaultClass: "chat"}
+	got, err := folder.AddKey(files, "", key)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.Equals, config.File{Name: "30.ini", Text: keysText + "\n\n" + config.KeySection(key)})
+	key.ClientAccount = "other"
+	got, err = folder.AddKey(files, "", key)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.Equals, config.File{Name: "keys.ini", Text: config.KeySection(key)})
+	key.Name = "web"
+	_, err = folder.AddKey(files, "", key)
+	c.Assert(err, qt.ErrorIs, folder.ErrKeyExists)
+}
+
+func TestWithdrawKey(t *testing.T) {
+	c := qt.New(t)
+	files := []config.File{{Name: "30.ini", Text: keysText}}
+	tests := []struct{ name, key, want string }{
+		{"without the setting", "web", `# Keys of the shop.
+[key web]
+client-account = shop
+hash = 00
+default-class = chat ; urgent
+withdrawn = true
+
+[key van]
+client-account = shop
+hash = 01
+withdrawn = false
+default-class = chat`},
+		{"with the setting", "van", `# Keys of the shop.
+[key web]
+client-account = shop
+hash = 00
+default-class = chat ; urgent
+
+[key van]
+client-account = shop
+hash = 01
+withdrawn = true
+default-class = chat`},
+	}
+	for _, test := range tests {
+		c.Run(test.name, func(c *qt.C) {
+			got, err := folder.WithdrawKey(files, test.key)
+			c.Assert(err, qt.IsNil)
+			c.Assert(got.Text, qt.Equals, test.want)
+		})
+	}
+	_, err := folder.WithdrawKey(files, "none")
+	c.Assert(err, qt.ErrorIs, folder.ErrKeyUnknown)
+}
