Add the commands of the operators' command line

The exit status tells the kind of failure. A key is printed once the folder has its hash, also if applying fails afterwards, since it could not be shown again.

--- /dev/null
+++ b/acaciapath/command/confirm.go
@@ -0,0 +1,115 @@
+package command
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"acaciapath.example/acaciapath/daemons"
+	"acaciapath.example/acaciapath/output"
+	"acaciapath.example/core/peer"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// confirmPause is how long waitForDaemons waits between two surveys.
+const confirmPause = 250 * time.Millisecond
+
+// States of a confirmation.
+const (
+	stateConfirmed   = "confirmed"
+	stateWaiting     = "not-confirmed"
+	stateRejected    = "rejected"
+	stateUnreachable = "unreachable"
+)
+
+// confirmation says whether a daemon has a revision in force.
+type confirmation struct {
+	daemons.Daemon
+	// Revision is the revision in force; 0 means none, or that the daemon did
+	// not answer.
+	Revision uint64 `json:"revision"`
+	// State is confirmed, not-confirmed, rejected or unreachable.
+	State string `json:"state"`
+}
+
+// newConfirmation judges the answer of a daemon.
+func newConfirmation(a daemons.Answer, revision uint64) confirmation {
+	c := confirmation{Daemon: a.Daemon, State: stateUnreachable}
+	if a.Status == nil {
+		return c
+	}
+	c.Revision = a.Status.Revision
+	switch {
+	case c.Revision >= revision:
+		c.State = stateConfirmed
+	case a.Status.Rejected == revision:
+		c.State = stateRejected
+	default:
+		c.State = stateWaiting
+	}
+	return c
+}
+
+// confirmations are a table of daemons.
+type confirmations []confirmation
+
+var _ output.Result = confirmations{}
+
+// Text writes a line for each daemon.
+func (list confirmations) Text(w io.Writer) error {
+	grid := output.Grid{Header: []string{"VM", "ROLE", "FAILURE DOMAIN", "REVISION", "STATE"}}
+	for _, c := range list {
+		grid.Add(c.VM, c.Role, c.FailureDomain, c.Revision, c.State)
+	}
+	return grid.Text(w)
+}
+
+// waitForDaemons asks the daemons until all have the revision in force or the
+// wait is over. It returns ErrUnconfirmed with what they said last, or
+// ErrPlatform.
+func waitForDaemons(ctx context.Context, ports *ports, revision uint64, wait time.Duration) ([]confirmation, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	list, err := listDaemons(ctx, ports)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		answers := daemons.Ask(ctx, list, ports.tls)
+		confirmed := make(confirmations, len(answers))
+		open := 0
+		for i, a := range answers {
+			confirmed[i] = newConfirmation(a, revision)
+			if confirmed[i].State != stateConfirmed {
+				open++
+			}
+		}
+		if open == 0 {
+			return confirmed, nil
+		}
+		select {
+		case <-ctx.Done():
+			return confirmed, merry.Wrap(ErrUnconfirmed, merry.AppendMessagef("%d of %d", open, len(answers)))
+		case <-time.After(confirmPause):
+		}
+	}
+}
+
+// listDaemons returns the daemons of the platform's list of VMs.
+// It returns ErrPlatform.
+func listDaemons(ctx context.Context, ports *ports) ([]daemons.Daemon, error) {
+	list, err := ports.platform.VMs.List(ctx)
+	if err != nil {
+		return nil, merry.Wrap(ErrPlatform, merry.AppendMessage(err.Error()), merry.WithCause(err))
+	}
+	return daemons.Of(list), nil
+}
+
+// roleOf returns the role that an answer has, or that of the list.
+func roleOf(a daemons.Answer) peer.Role {
+	if a.Status != nil && a.Status.Role != "" {
+		return a.Status.Role
+	}
+	return a.Role
+}
--- /dev/null
+++ b/acaciapath/command/diff.go
@@ -0,0 +1,163 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"acaciapath.example/acaciapath/linediff"
+	"acaciapath.example/acaciapath/output"
+	"acaciapath.example/core/config"
+
+	"github.com/spf13/cobra"
+)
+
+// fileDiff is the difference of one file.
+type fileDiff struct {
+	// Name is the name of the file.
+	Name string `json:"name"`
+	// Change is added, removed or changed.
+	Change string `json:"change"`
+	// Diff is the difference in the unified format.
+	Diff string `json:"diff"`
+}
+
+// Kinds of changes of a file.
+const (
+	changeAdded   = "added"
+	changeRemoved = "removed"
+	changeChanged = "changed"
+)
+
+// diffResult is what diff prints: the files that differ, by name.
+type diffResult []fileDiff
+
+var _ output.Result = diffResult{}
+
+// Text writes the differences one after the other.
+func (r diffResult) Text(w io.Writer) error {
+	for _, f := range r {
+		if _, err := io.WriteString(w, f.Diff); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// compare returns the files that differ. The sides are named in the result.
+func compare(oldSide, newSide string, before, after []config.File) diffResult {
+	oldTexts, newTexts := byName(before), byName(after)
+	names := slices.Collect(maps.Keys(newTexts))
+	for name := range oldTexts {
+		if _, ok := newTexts[name]; !ok {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	result := diffResult{}
+	for _, name := range names {
+		oldText, inOld := oldTexts[name]
+		newText, inNew := newTexts[name]
+		if inOld && inNew && oldText == newText {
+			continue
+		}
+		result = append(result, fileDiff{
+			Name:   name,
+			Change: changeOf(inOld, inNew),
+			Diff:   linediff.Unified(oldSide+"/"+name, newSide+"/"+name, oldText, newText),
+		})
+	}
+	return result
+}
+
+// changeOf returns the kind of a change.
+func changeOf(inOld, inNew bool) string {
+	switch {
+	case !inOld:
+		return changeAdded
+	case !inNew:
+		return changeRemoved
+	}
+	return changeChanged
+}
+
+// byName returns the texts of files by their names.
+func byName(files []config.File) map[string]string {
+	texts := make(map[string]string, len(files))
+	for _, f := range files {
+		texts[f.Name] = f.Text
+	}
+	return texts
+}
+
+// sideOf returns the name of a revision in differences.
+func sideOf(number uint64) string { return fmt.Sprintf("revision-%d", number) }
+
+func (p *program) diff() *cobra.Command {
+	return &cobra.Command{
+		Use:   "diff DIR | REVISION REVISION",
+		Short: "Compare the newest revision with a folder, or two revisions",
+		Args:  cobra.RangeArgs(1, 2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ports, err := p.connect()
+			if err != nil {
+				return err
+			}
+			var result diffResult
+			if len(args) == 1 {
+				result, err = diffFolder(cmd.Context(), ports, args[0])
+			} else {
+				result, err = diffRevisions(cmd.Context(), ports, args[0], args[1])
+			}
+			if err != nil {
+				return err
+			}
+			return p.print(result)
+		},
+	}
+}
+
+// diffFolder compares the newest revision with a folder.
+func diffFolder(ctx context.Context, ports *ports, dir string) (diffResult, error) {
+	after, err := config.ReadFolder(dir)
+	if err != nil {
+		return nil, err
+	}
+	head, err := ports.store.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	before, err := filesOf(ctx, ports.store, head)
+	if err != nil {
+		return nil, err
+	}
+	return compare(sideOf(head), dir, before, after), nil
+}
+
+// diffRevisions compares two revisions.
+func diffRevisions(ctx context.Context, ports *ports, oldText, newText string) (diffResult, error) {
+	oldNumber, err := parseRevision(oldText)
+	if err != nil {
+		return nil, err
+	}
+	newNumber, err := parseRevision(newText)
+	if err != nil {
+		return nil, err
+	}
+	return diffNumbers(ctx, ports, oldNumber, newNumber)
+}
+
+// diffNumbers compares two revisions by their numbers, of which 0 has no files.
+func diffNumbers(ctx context.Context, ports *ports, oldNumber, newNumber uint64) (diffResult, error) {
+	before, err := filesOf(ctx, ports.store, oldNumber)
+	if err != nil {
+		return nil, err
+	}
+	after, err := filesOf(ctx, ports.store, newNumber)
+	if err != nil {
+		return nil, err
+	}
+	return compare(sideOf(oldNumber), sideOf(newNumber), before, after), nil
+}
--- /dev/null
+++ b/acaciapath/command/exit.go
@@ -0,0 +1,96 @@
+package command
+
+import (
+	"errors"
+
+	"acaciapath.example/acaciapath/folder"
+	"acaciapath.example/core/finding"
+	"acaciapath.example/core/revision"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Exit is the exit status of the program.
+type Exit int
+
+// The exit statuses.
+const (
+	// ExitOK is success.
+	ExitOK Exit = 0
+	// ExitFailure is a failure of no other kind.
+	ExitFailure Exit = 1
+	// ExitUsage is a wrong command line or wrong settings.
+	ExitUsage Exit = 2
+	// ExitFindings is a folder with findings.
+	ExitFindings Exit = 3
+	// ExitRace is a change that was not made against the newest revision.
+	ExitRace Exit = 4
+	// ExitPlatform is a platform that does not answer.
+	ExitPlatform Exit = 5
+	// ExitDaemons is a command that succeeded, but for some daemons that did
+	// not answer or did not confirm.
+	ExitDaemons Exit = 6
+)
+
+// Errors of this package.
+var (
+	// ErrUsage is wrapped around a wrong command line.
+	ErrUsage = merry.Sentinel("wrong usage")
+	// ErrDaemons is returned when daemons did not answer or did not confirm,
+	// which has been printed.
+	ErrDaemons = merry.Sentinel("some daemons did not answer")
+	// ErrUnconfirmed is returned when daemons have not confirmed a revision.
+	ErrUnconfirmed = merry.Sentinel("some daemons have not confirmed the revision")
+	// ErrPlatform is returned when the platform's list of VMs does not answer.
+	ErrPlatform = merry.Sentinel("the platform does not answer")
+	// ErrLocalChanges is returned by pull for a folder that would lose changes.
+	ErrLocalChanges = merry.Sentinel("the folder has changes that pull would overwrite; use --force to lose them")
+	// ErrClassNotBought is returned for a key with a class that its client
+	// account has not bought.
+	ErrClassNotBought = merry.Sentinel("the client account has not bought the service class")
+	// ErrAccountUnknown is returned for a key of an unknown client account.
+	ErrAccountUnknown = merry.Sentinel("there is no such client account")
+	// ErrNoRevision is returned when the platform holds no revision.
+	ErrNoRevision = merry.Sentinel("the platform holds no revision yet")
+)
+
+// exitOf returns the exit status for an error. Started says whether the command
+// itself ran; before that, every error is one of usage.
+func exitOf(err error, started bool) Exit {
+	var race *revision.RaceError
+	var findings *finding.List
+	switch {
+	case err == nil:
+		return ExitOK
+	case !started, errors.Is(err, ErrUsage):
+		return ExitUsage
+	case errors.As(err, &findings):
+		return ExitFindings
+	case errors.As(err, &race):
+		return ExitRace
+	case errors.Is(err, revision.ErrUnavailable), errors.Is(err, revision.ErrUnsettled), errors.Is(err, ErrPlatform):
+		return ExitPlatform
+	case errors.Is(err, ErrDaemons), errors.Is(err, ErrUnconfirmed):
+		return ExitDaemons
+	}
+	return ExitFailure
+}
+
+// hints tell what to do about an error.
+var hints = []struct {
+	err  error
+	hint string
+}{
+	{revision.ErrUnsettled, "apply the same folder again: that stores it once at most"},
+	{folder.ErrBase, "write the number of the revision into the file, or give --base"},
+}
+
+// hintOf returns what to do about an error, or an empty string.
+func hintOf(err error) string {
+	for _, h := range hints {
+		if errors.Is(err, h.err) {
+			return h.hint
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/acaciapath/command/keys.go
@@ -0,0 +1,288 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"acaciapath.example/acaciapath/folder"
+	"acaciapath.example/acaciapath/output"
+	"acaciapath.example/core/apikey"
+	"acaciapath.example/core/config"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/spf13/cobra"
+)
+
+// withdrawWait is how long a withdrawal waits for the daemons.
+const withdrawWait = 30 * time.Second
+
+func (p *program) keys() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "keys",
+		Short: "Issue, withdraw and list the keys of client accounts",
+		Args:  cobra.NoArgs,
+		RunE:  group,
+	}
+	cmd.AddCommand(p.keysIssue(), p.keysWithdraw(), p.keysList())
+	return cmd
+}
+
+// issueResult is what keys issue prints.
+type issueResult struct {
+	// Key is the key itself. It is printed once and stored nowhere.
+	Key string `json:"key"`
+	// Name is the name of the key.
+	Name string `json:"name"`
+	// ClientAccount is the client account that it belongs to.
+	ClientAccount string `json:"client-account"`
+	// DefaultClass is the service class of requests that ask for none.
+	DefaultClass string `json:"default-class"`
+	// File is the file that declares it.
+	File string `json:"file"`
+	// Applied is the revision that holds it, if it was applied.
+	Applied *applyResult `json:"applied,omitempty"`
+}
+
+var _ output.Result = issueResult{}
+
+// Text writes the key on a line of its own.
+func (r issueResult) Text(w io.Writer) error {
+	if _, err := fmt.Fprintln(w, r.Key); err != nil || r.Applied == nil {
+		return err
+	}
+	return r.Applied.Text(w)
+}
+
+// issueFlags are the flags of keys issue.
+type issueFlags struct {
+	applyFlags
+	account string
+	name    string
+	class   string
+	file    string
+	apply   bool
+}
+
+func (p *program) keysIssue() *cobra.Command {
+	var flags issueFlags
+	cmd := &cobra.Command{
+		Use:   "issue DIR",
+		Short: "Make a key for a client account",
+		Long: `Make a key for a client account and print it once. The folder gets its hash
+only, so that it cannot be printed again. With --apply the folder is applied.`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			result, err := p.issue(cmd.Context(), args[0], flags)
+			if result.Key == "" {
+				return err
+			}
+			return errors.Join(p.print(result), err)
+		},
+	}
+	cmd.Flags().StringVar(&flags.account, "client-account", "", "client account that the key belongs to")
+	cmd.Flags().StringVar(&flags.name, "name", "", "name of the key, which stands for it in logs")
+	cmd.Flags().StringVar(&flags.class, "default-class", "", "service class of requests that ask for none")
+	cmd.Flags().StringVar(&flags.file, "file", "", "file of the folder (default: that of the client account's last key, or "+folder.DefaultKeysFile+")")
+	cmd.Flags().BoolVar(&flags.apply, "apply", false, "apply the folder")
+	for _, name := range []string{"client-account", "name", "default-class"} {
+		_ = cmd.MarkFlagRequired(name)
+	}
+	flags.add(cmd, p.Author)
+	return cmd
+}
+
+// issue makes a key, stores its hash in the folder and applies it if asked to.
+// The result has the key as soon as the folder has its hash.
+func (p *program) issue(ctx context.Context, dir string, flags issueFlags) (issueResult, error) {
+	files, parsed, err := read(dir)
+	if err != nil {
+		return issueResult{}, err
+	}
+	if err := checkAccount(parsed, flags.account, flags.class); err != nil {
+		return issueResult{}, err
+	}
+	ports, err := p.connectFor(flags.apply)
+	if err != nil {
+		return issueResult{}, err
+	}
+	secret, err := apikey.New(p.Random)
+	if err != nil {
+		return issueResult{}, err
+	}
+	key := config.Key{Name: flags.name, ClientAccount: flags.account, DefaultClass: flags.class, Hash: apikey.Hash(secret)}
+	file, err := folder.AddKey(files, flags.file, key)
+	if err != nil {
+		return issueResult{}, err
+	}
+	files, err = rewrite(dir, files, file)
+	if err != nil {
+		return issueResult{}, err
+	}
+	result := issueResult{Key: secret, Name: key.Name, ClientAccount: key.ClientAccount, DefaultClass: key.DefaultClass, File: file.Name}
+	flags.message = "issue key " + key.Name
+	result.Applied, err = p.applyIfAsked(ctx, ports, dir, files, flags.applyFlags)
+	return result, err
+}
+
+// checkAccount returns ErrAccountUnknown or ErrClassNotBought.
+func checkAccount(c *config.Config, account, class string) error {
+	found := config.NewIndex(c, 0).Account(account)
+	if found == nil {
+		return merry.Wrap(ErrAccountUnknown, merry.AppendMessage(account))
+	}
+	if !found.Bought(class) {
+		return merry.Wrap(ErrClassNotBought, merry.AppendMessagef("%s, %s", account, class))
+	}
+	return nil
+}
+
+// withdrawResult is what keys withdraw prints.
+type withdrawResult struct {
+	// Name is the name of the key.
+	Name string `json:"name"`
+	// File is the file that declares it.
+	File string `json:"file"`
+	// Applied is the revision that withdraws it, if it was applied.
+	Applied *applyResult `json:"applied,omitempty"`
+}
+
+var _ output.Result = withdrawResult{}
+
+// Text writes where the key is withdrawn.
+func (r withdrawResult) Text(w io.Writer) error {
+	if r.Applied == nil {
+		_, err := fmt.Fprintf(w, "key %s is withdrawn in %s; apply the folder to bring that into force\n", r.Name, r.File)
+		return err
+	}
+	if _, err := fmt.Fprintf(w, "key %s is withdrawn in %s\n", r.Name, r.File); err != nil {
+		return err
+	}
+	return r.Applied.Text(w)
+}
+
+func (p *program) keysWithdraw() *cobra.Command {
+	var apply bool
+	flags := applyFlags{wait: withdrawWait}
+	cmd := &cobra.Command{
+		Use:   "withdraw DIR NAME",
+		Short: "Withdraw a key",
+		Long: `Withdraw a key in the folder. With --apply the folder is applied, and the command
+waits and shows which daemons have confirmed. It ends with status 6 if some have
+not: until they do, they may still accept the key.`,
+		Args: cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			result, err := p.withdraw(cmd.Context(), args[0], args[1], apply, flags)
+			if result.Name == "" {
+				return err
+			}
+			return errors.Join(p.print(result), err)
+		},
+	}
+	cmd.Flags().BoolVar(&apply, "apply", false, "apply the folder and wait for the daemons")
+	flags.add(cmd, p.Author)
+	return cmd
+}
+
+// withdraw withdraws a key in the folder and applies it if asked to. The result
+// has the name as soon as the folder withdraws the key.
+func (p *program) withdraw(ctx context.Context, dir, name string, apply bool, flags applyFlags) (withdrawResult, error) {
+	files, _, err := read(dir)
+	if err != nil {
+		return withdrawResult{}, err
+	}
+	ports, err := p.connectFor(apply)
+	if err != nil {
+		return withdrawResult{}, err
+	}
+	file, err := folder.WithdrawKey(files, name)
+	if err != nil {
+		return withdrawResult{}, err
+	}
+	files, err = rewrite(dir, files, file)
+	if err != nil {
+		return withdrawResult{}, err
+	}
+	result := withdrawResult{Name: name, File: file.Name}
+	flags.message = "withdraw key " + name
+	result.Applied, err = p.applyIfAsked(ctx, ports, dir, files, flags)
+	return result, err
+}
+
+// keyRow is a key as keys list prints it.
+type keyRow struct {
+	// Name is the name of the key.
+	Name string `json:"name"`
+	// ClientAccount is the client account that it belongs to.
+	ClientAccount string `json:"client-account"`
+	// DefaultClass is the service class of requests that ask for none.
+	DefaultClass string `json:"default-class"`
+	// Withdrawn says whether it has been withdrawn.
+	Withdrawn bool `json:"withdrawn"`
+}
+
+// keysResult is what keys list prints, by name.
+type keysResult []keyRow
+
+var _ output.Result = keysResult{}
+
+// Text writes a line for each key.
+func (r keysResult) Text(w io.Writer) error {
+	grid := output.Grid{Header: []string{"NAME", "CLIENT ACCOUNT", "DEFAULT CLASS", "WITHDRAWN"}}
+	for _, k := range r {
+		grid.Add(k.Name, k.ClientAccount, k.DefaultClass, yesNo(k.Withdrawn))
+	}
+	return grid.Text(w)
+}
+
+func (p *program) keysList() *cobra.Command {
+	return &cobra.Command{
+		Use:   "list DIR",
+		Short: "List the keys that a folder declares",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			_, parsed, err := read(args[0])
+			if err != nil {
+				return err
+			}
+			result := make(keysResult, len(parsed.Keys))
+			for i, k := range parsed.Keys {
+				result[i] = keyRow{Name: k.Name, ClientAccount: k.ClientAccount, DefaultClass: k.DefaultClass, Withdrawn: k.Withdrawn}
+			}
+			return p.print(result)
+		},
+	}
+}
+
+// connectFor returns the ports if the folder is to be applied, so that wrong
+// settings are told before the folder is changed.
+func (p *program) connectFor(apply bool) (*ports, error) {
+	if !apply {
+		return nil, nil
+	}
+	return p.connect()
+}
+
+// applyIfAsked applies a folder unless there are no ports.
+func (p *program) applyIfAsked(ctx context.Context, ports *ports, dir string, files []config.File, flags applyFlags) (*applyResult, error) {
+	if ports == nil {
+		return nil, nil
+	}
+	result, err := p.applyFolder(ctx, ports, dir, files, flags)
+	if result.Revision == 0 {
+		return nil, err
+	}
+	return &result, err
+}
+
+// rewrite puts a changed file into the folder if the check finds nothing, and
+// returns all files.
+func rewrite(dir string, files []config.File, file config.File) ([]config.File, error) {
+	files = folder.With(files, file)
+	if _, err := config.Parse(files); err != nil {
+		return nil, err
+	}
+	return files, folder.Write(dir, file)
+}
--- /dev/null
+++ b/acaciapath/command/revisions.go
@@ -0,0 +1,149 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"acaciapath.example/acaciapath/output"
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/revision"
+
+	"github.com/spf13/cobra"
+)
+
+// defaultHistory is how many revisions history shows.
+const defaultHistory = 20
+
+// showResult is what show prints.
+type showResult struct {
+	// Meta describes the revision.
+	revision.Meta
+	// Files are its files.
+	Files []showFile `json:"files"`
+}
+
+// showFile is a file of a revision.
+type showFile struct {
+	// Name is the name of the file.
+	Name string `json:"name"`
+	// Text is the content of the file.
+	Text string `json:"text"`
+}
+
+var _ output.Result = showResult{}
+
+// Text writes the description and then each file below its name.
+func (r showResult) Text(w io.Writer) error {
+	if err := historyResult([]revision.Meta{r.Meta}).Text(w); err != nil {
+		return err
+	}
+	for _, f := range r.Files {
+		if _, err := fmt.Fprintf(w, "\n# %s\n%s", f.Name, f.Text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *program) show() *cobra.Command {
+	return &cobra.Command{
+		Use:   "show [REVISION]",
+		Short: "Show a revision and its files, by default the newest",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ports, err := p.connect()
+			if err != nil {
+				return err
+			}
+			number, err := revisionArgument(cmd.Context(), ports.store, args)
+			if err != nil {
+				return err
+			}
+			meta, err := ports.store.Get(cmd.Context(), number)
+			if err != nil {
+				return err
+			}
+			files, err := ports.store.Files(cmd.Context(), number)
+			if err != nil {
+				return err
+			}
+			result := showResult{Meta: meta, Files: make([]showFile, len(files))}
+			for i, f := range files {
+				result.Files[i] = showFile(f)
+			}
+			return p.print(result)
+		},
+	}
+}
+
+// historyResult is what history prints, newest first.
+type historyResult []revision.Meta
+
+var _ output.Result = historyResult{}
+
+// Text writes a line for each revision.
+func (r historyResult) Text(w io.Writer) error {
+	grid := output.Grid{Header: []string{"REVISION", "AT", "AUTHOR", "SIZE", "MESSAGE"}}
+	for _, m := range r {
+		grid.Add(m.Revision, m.At.Format(time.RFC3339), m.Author, m.Size, m.Message)
+	}
+	return grid.Text(w)
+}
+
+func (p *program) history() *cobra.Command {
+	var limit int
+	cmd := &cobra.Command{
+		Use:   "history",
+		Short: "List the newest revisions, newest first",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ports, err := p.connect()
+			if err != nil {
+				return err
+			}
+			metas, err := ports.store.History(cmd.Context(), limit)
+			if err != nil {
+				return err
+			}
+			return p.print(historyResult(metas))
+		},
+	}
+	cmd.Flags().IntVar(&limit, "limit", defaultHistory, "most revisions to list")
+	return cmd
+}
+
+// revisionArgument returns the revision that the first argument names, or the
+// newest. It returns ErrUsage, ErrNoRevision or why the platform failed.
+func revisionArgument(ctx context.Context, store *revision.Store, args []string) (uint64, error) {
+	if len(args) > 0 {
+		return parseRevision(args[0])
+	}
+	head, err := store.Head(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if head == 0 {
+		return 0, ErrNoRevision
+	}
+	return head, nil
+}
+
+// parseRevision returns the number of a revision. It returns ErrUsage.
+func parseRevision(text string) (uint64, error) {
+	number, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || number == 0 {
+		return 0, usage(fmt.Sprintf("%q is not the number of a revision", text))
+	}
+	return number, nil
+}
+
+// filesOf returns the files of a revision; revision 0 has none.
+func filesOf(ctx context.Context, store *revision.Store, number uint64) ([]config.File, error) {
+	if number == 0 {
+		return nil, nil
+	}
+	return store.Files(ctx, number)
+}
--- /dev/null
+++ b/acaciapath/command/version.go
@@ -0,0 +1,56 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"runtime/debug"
+
+	"acaciapath.example/acaciapath/output"
+
+	"github.com/spf13/cobra"
+)
+
+// versionResult is what version prints.
+type versionResult struct {
+	// Version is the version of the module, or of the source it was built from.
+	Version string `json:"version"`
+	// Go is the version of Go that built the program.
+	Go string `json:"go"`
+}
+
+var _ output.Result = versionResult{}
+
+// Text writes one line.
+func (r versionResult) Text(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "acaciapath %s (%s)\n", r.Version, r.Go)
+	return err
+}
+
+// buildVersion returns what the program was built from.
+func buildVersion() versionResult {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return versionResult{Version: "unknown", Go: "unknown"}
+	}
+	result := versionResult{Version: info.Main.Version, Go: info.GoVersion}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" && result.Version == "(devel)" {
+			result.Version = s.Value
+		}
+	}
+	if result.Version == "" {
+		result.Version = "(devel)"
+	}
+	return result
+}
+
+func (p *program) version() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return p.print(buildVersion())
+		},
+	}
+}
--- a/acaciapath/main.go
+++ b/acaciapath/main.go
@@ -1,4 +1,39 @@
-// Command acaciapath is being built.
+// Command acaciapath is the operators' command line.
 package main
 
-func main() {}
+import (
+	"context"
+	"crypto/rand"
+	"os"
+	"os/signal"
+	"os/user"
+	"syscall"
+	"time"
+
+	"acaciapath.example/acaciapath/command"
+)
+
+func main() {
+	os.Exit(int(run()))
+}
+
+// run runs the command line until it ends or is told to stop.
+func run() command.Exit {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return command.Run(ctx, command.Environment{
+		Stdout: os.Stdout,
+		Stderr: os.Stderr,
+		Now:    time.Now,
+		Random: rand.Reader,
+		Author: author(),
+	}, os.Args[1:])
+}
+
+// author returns the name of the operating system's user.
+func author() string {
+	if current, err := user.Current(); err == nil {
+		return current.Username
+	}
+	return "unknown"
+}
