--- a/acaciapath/command/confirm.go
+++ b/acaciapath/command/confirm.go
@@ -7,7 +7,6 @@
 
 	"acaciapath.example/acaciapath/daemons"
 	"acaciapath.example/acaciapath/output"
-	"acaciapath.example/core/peer"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -105,11 +104,3 @@
 	}
 	return daemons.Of(list), nil
 }
-
-// roleOf returns the role that an answer has, or that of the list.
-func roleOf(a daemons.Answer) peer.Role {
-	if a.Status != nil && a.Status.Role != "" {
-		return a.Status.Role
-	}
-	return a.Role
-}
--- a/acaciapath/command/status.go
+++ b/acaciapath/command/status.go
@@ -71,7 +71,7 @@
 		if s.Leaving {
 			state = "leaving"
 		}
-		grid.Add(a.VM, roleOf(a), a.FailureDomain, s.Version, s.Revision,
+		grid.Add(s.Name, s.Role, s.FailureDomain, s.Version, s.Revision,
 			ageOf(s.ConfirmedAt, r.At), orDash(s.Rejected), s.Connections, state)
 	}
 	return grid
--- a/core/revision/apply.go
+++ b/core/revision/apply.go
@@ -84,7 +84,7 @@
 		Message:  change.Message,
 		At:       now.UTC().Round(0),
 		Object:   objectPrefix + bundle.SHA256,
-		Size:     len(bundle.Data),
+		Size:     bundle.Size,
 		SHA256:   bundle.SHA256,
 	}
 }
--- a/core/revision/bundle.go
+++ b/core/revision/bundle.go
@@ -16,13 +16,15 @@
 )
 
 // MaxBytes bounds the files of a revision before compression.
-const MaxBytes = 16 << 20
+const MaxBytes = 64 << 20
 
 // Bundle is the stored form of the files of a revision. The same files always
 // have the same SHA256.
 type Bundle struct {
 	// SHA256 is the hash of the files before compression, in hexadecimal.
 	SHA256 string
+	// Size is the size of the files before compression in bytes.
+	Size int
 	// Data is the compressed content.
 	Data []byte
 }
@@ -56,7 +58,7 @@
 	if err := compressor.Close(); err != nil {
 		return Bundle{}, merry.Prepend(err, "revision: pack")
 	}
-	return Bundle{SHA256: hash(plain), Data: data.Bytes()}, nil
+	return Bundle{SHA256: hash(plain), Size: len(plain), Data: data.Bytes()}, nil
 }
 
 // Unpack returns the files of a stored form in the order of their names.
--- a/core/revision/meta.go
+++ b/core/revision/meta.go
@@ -27,7 +27,7 @@
 	At time.Time `json:"at"`
 	// Object is the name of the content in the object store.
 	Object string `json:"object"`
-	// Size is the size of the content in bytes.
+	// Size is the size of the files before compression in bytes.
 	Size int `json:"size"`
 	// SHA256 is the hash of the files before compression, in hexadecimal.
 	SHA256 string `json:"sha256"`
