keys issue: print the key alone and wait until all daemons accept it

A trial of the README's command lines took the text about the revision for a part of the key, and the first call came before the entry daemon knew the key.

--- a/acaciapath/command/command_test.go
+++ b/acaciapath/command/command_test.go
@@ -146,6 +146,7 @@
 	s.run("pull DIR/other")
 	s.run("pull DIR/other --force")
 	s.run("apply DIR/other --base 1")
+	s.run("keys issue DIR/other --client-account shop --name till --default-class chat --apply")
 	s.run("history")
 	s.run("history --limit 1 --output json")
 	s.run("show 1")
--- a/acaciapath/command/keys.go
+++ b/acaciapath/command/keys.go
@@ -16,8 +16,8 @@
 	"github.com/spf13/cobra"
 )
 
-// withdrawWait is how long a withdrawal waits for the daemons.
-const withdrawWait = 30 * time.Second
+// confirmWait is how long a key that was applied waits for the daemons.
+const confirmWait = 30 * time.Second
 
 func (p *program) keys() *cobra.Command {
 	cmd := &cobra.Command{
@@ -48,12 +48,10 @@
 
 var _ output.Result = issueResult{}
 
-// Text writes the key on a line of its own.
+// Text writes the key alone, so that a shell can take it.
 func (r issueResult) Text(w io.Writer) error {
-	if _, err := fmt.Fprintln(w, r.Key); err != nil || r.Applied == nil {
-		return err
-	}
-	return r.Applied.Text(w)
+	_, err := fmt.Fprintln(w, r.Key)
+	return err
 }
 
 // issueFlags are the flags of keys issue.
@@ -67,19 +65,24 @@
 }
 
 func (p *program) keysIssue() *cobra.Command {
-	var flags issueFlags
+	flags := issueFlags{applyFlags: applyFlags{wait: confirmWait}}
 	cmd := &cobra.Command{
 		Use:   "issue DIR",
 		Short: "Make a key for a client account",
 		Long: `Make a key for a client account and print it once. The folder gets its hash
-only, so that it cannot be printed again. With --apply the folder is applied.`,
+only, so that it cannot be printed again. With --apply the folder is applied, and
+the command waits until all daemons accept the key.`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			result, err := p.issue(cmd.Context(), args[0], flags)
 			if result.Key == "" {
 				return err
 			}
-			return errors.Join(p.print(result), err)
+			err = errors.Join(p.print(result), err)
+			if result.Applied != nil && p.format == output.Table {
+				err = errors.Join(err, result.Applied.Text(p.Stderr))
+			}
+			return err
 		},
 	}
 	cmd.Flags().StringVar(&flags.account, "client-account", "", "client account that the key belongs to")
@@ -165,7 +168,7 @@
 
 func (p *program) keysWithdraw() *cobra.Command {
 	var apply bool
-	flags := applyFlags{wait: withdrawWait}
+	flags := applyFlags{wait: confirmWait}
 	cmd := &cobra.Command{
 		Use:   "withdraw DIR NAME",
 		Short: "Withdraw a key",
