--- a/entryd/daemon/once_test.go
+++ b/entryd/daemon/once_test.go
@@ -117,3 +117,15 @@
 	s.eventually(func() bool { return s.do(order(shopKey, "k", "x")(s)).status == 200 })
 	s.c.Assert(s.orders.Executions("k"), qt.Equals, 1)
 }
+
+// TestEmptyCallIsNotReplayed checks that net/http does not send a call again
+// whose kept connection was closed, as it does with calls that have an
+// idempotency key and no body.
+func TestEmptyCallIsNotReplayed(t *testing.T) {
+	s := start(t, plan{})
+	s.c.Assert(s.do(s.request("GET", "/status/1", shopKey, "")).status, qt.Equals, 200)
+	s.c.Assert(s.do(order(shopKey, "first", "")(s)).status, qt.Equals, 200)
+	s.orders.SetFaults(fault.Faults{LoseReplies: 1})
+	s.c.Assert(s.do(order(shopKey, "second", "")(s)).status, qt.Equals, 502)
+	s.c.Assert(s.orders.Executions("second"), qt.Equals, 1)
+}
--- a/entryd/scheduler/scheduler.go
+++ b/entryd/scheduler/scheduler.go
@@ -39,7 +39,7 @@
 func New(failureDomain string, clock func() time.Time, random *rand.Rand) *Scheduler {
 	return &Scheduler{
 		clock:      clock,
-		dispatcher: dispatch.New[waiter](failureDomain, 0, random),
+		dispatcher: dispatch.New[waiter](failureDomain, 0, random, clock()),
 	}
 }
 
@@ -49,7 +49,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.dispatcher.Budget.Percent == 0 {
-		s.dispatcher.Budget = retry.NewBudget(limits.RetryBudget)
+		s.dispatcher.Budget = retry.NewBudget(limits.RetryBudget, s.clock())
 		return
 	}
 	s.dispatcher.Budget.Percent = limits.RetryBudget
