home: ask the home daemon of a model for places

Change: entryd/home gives places to other daemons over the peers' port and asks for them; scheduler.Source and scheduler.Holder stand between; limits of client accounts are held where the caller is connected; a request keeps its age when its home daemon goes. Not wired into the daemon yet: it needs the members.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -110,17 +110,19 @@
 	if r := d.refuse(p, request, now); r != nil {
 		return nil, r
 	}
-	if verdict := d.Limiter.Enter(request.Account, now); verdict.Reason != limit.None {
-		return nil, limited(verdict)
+	if !request.Admitted {
+		if r := d.Admit(request.Account, now); r != nil {
+			return nil, r
+		}
 	}
 	t := &Ticket[T]{Request: request, Value: value, pool: p}
 	t.entry = queue.Entry[*Ticket[T]]{
 		Value:   t,
 		Account: request.Account.Name,
 		Tier:    request.Class.Tier,
-		Arrived: now,
+		Arrived: now.Add(-request.Age),
 		// A place that is got later than this gives the first token too late.
-		FreshUntil: now.Add(request.Class.FirstTokenTarget * freshNum / freshDen),
+		FreshUntil: now.Add(request.Class.FirstTokenTarget*freshNum/freshDen - request.Age),
 	}
 	p.queue.Push(&t.entry)
 	p.observeDemand(request.Class, now)
@@ -128,6 +130,23 @@
 	return t, nil
 }
 
+// Admit holds a request that another daemon gives a place to the limits of its
+// client account, and returns why it is refused, or nil. A request that was
+// admitted must Leave.
+func (d *Dispatcher[T]) Admit(account *config.ClientAccount, now time.Time) *refusal.Refusal {
+	if verdict := d.Limiter.Enter(account, now); verdict.Reason != limit.None {
+		return limited(verdict)
+	}
+	return nil
+}
+
+// Leave ends a request that was admitted, and charges its client account's
+// limit what ran.
+func (d *Dispatcher[T]) Leave(account *config.ClientAccount, tokens int, now time.Time) {
+	d.Limiter.Charge(account.Name, tokens, now)
+	d.Limiter.Leave(account.Name, now)
+}
+
 // Next starts the waiting request that is served next on a replica of its
 // choice, and returns its ticket, or nil if none can start at present. The
 // daemon calls it until it returns nil, after every change and whenever a
@@ -220,7 +239,9 @@
 	t.pool.queue.Remove(&t.entry)
 	d.dropParked(t)
 	d.charge(t, result.PromptTokens+result.CompletionTokens-t.charged, now)
-	d.Limiter.Leave(t.Request.Account.Name, now)
+	if !t.Request.Admitted {
+		d.Limiter.Leave(t.Request.Account.Name, now)
+	}
 	r := t.Replica
 	if r != nil {
 		d.stop(t, now)
@@ -334,7 +355,9 @@
 	t.charged += tokens
 	t.pool.earnPreemption(tokens)
 	t.pool.queue.Charge(t.Request.Class.Tier, t.Request.Account.Name, float64(tokens))
-	d.Limiter.Charge(t.Request.Account.Name, tokens, now)
+	if !t.Request.Admitted {
+		d.Limiter.Charge(t.Request.Account.Name, tokens, now)
+	}
 }
 
 func (d *Dispatcher[T]) pool(serves string) *pool[T] {
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -22,6 +22,11 @@
 	PromptTokens int
 	// Resumable says whether another replica can go on with the answer.
 	Resumable bool
+	// Admitted says whether another daemon has held the request to its client
+	// account's limits.
+	Admitted bool
+	// Age is how long the request has waited before it entered. Age ≥ 0.
+	Age time.Duration
 	// Plain says whether Serves is a plain service, which generates no tokens.
 	Plain bool
 }
--- a/core/peer/client.go
+++ b/core/peer/client.go
@@ -58,6 +58,11 @@
 	return c.rpc.Close()
 }
 
+// Call calls a method of the peer. The result is decoded into result, a pointer.
+func (c *Client) Call(ctx context.Context, method string, params, result any) error {
+	return c.call(ctx, method, params, result)
+}
+
 func (c *Client) call(ctx context.Context, method string, params, result any) error {
 	rpc, err := c.connect(ctx)
 	if err != nil {
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -38,9 +38,56 @@
 	GetConfig(ctx context.Context, get GetConfig) (ConfigContent, error)
 }
 
+// Method is a method of a peers' port beside those of Handler.
+type Method struct {
+	name string
+	call func(ctx context.Context, session *Session, req *jsonrpc2.Request) (any, error)
+}
+
+// NewMethod returns a method that is answered by f, which several threads call.
+func NewMethod[P, R any](name string, f func(ctx context.Context, session *Session, params P) (R, error)) Method {
+	return Method{name: name, call: func(ctx context.Context, session *Session, req *jsonrpc2.Request) (any, error) {
+		return handleParams(ctx, req, func(ctx context.Context, params P) (R, error) {
+			return f(ctx, session, params)
+		})
+	}}
+}
+
+// Session is one connection of a peer, for methods that keep state with it.
+type Session struct {
+	mu      sync.Mutex
+	closed  bool
+	onClose []func()
+}
+
+// OnClose has f called when the connection has ended, at once if it has
+// already.
+func (s *Session) OnClose(f func()) {
+	s.mu.Lock()
+	if !s.closed {
+		s.onClose = append(s.onClose, f)
+		s.mu.Unlock()
+		return
+	}
+	s.mu.Unlock()
+	f()
+}
+
+func (s *Session) close() {
+	s.mu.Lock()
+	s.closed = true
+	all := s.onClose
+	s.onClose = nil
+	s.mu.Unlock()
+	for _, f := range all {
+		f()
+	}
+}
+
 // Server accepts peers on one port.
 type Server struct {
 	handler  Handler
+	methods  map[string]Method
 	listener net.Listener
 	wait     sync.WaitGroup
 	mu       sync.Mutex
@@ -50,7 +97,7 @@
 
 // Listen starts a server on address, an IP number and a port. A nil config
 // means no TLS, and then ErrPlain is returned unless address is on loopback.
-func Listen(address string, config *tls.Config, handler Handler) (*Server, error) {
+func Listen(address string, config *tls.Config, handler Handler, methods ...Method) (*Server, error) {
 	if config == nil && !isLoopback(address) {
 		return nil, merry.Wrap(ErrPlain, merry.WithValue("address", address))
 	}
@@ -63,9 +110,13 @@
 	}
 	s := &Server{
 		handler:  handler,
+		methods:  make(map[string]Method, len(methods)),
 		listener: listener,
 		conns:    make(map[*jsonrpc2.Conn]struct{}),
 	}
+	for _, m := range methods {
+		s.methods[m.name] = m
+	}
 	s.wait.Go(s.accept)
 	return s, nil
 }
@@ -109,13 +160,18 @@
 
 func (s *Server) serve(conn net.Conn) {
 	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
-	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
+	session := &Session{}
+	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(
+		func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+			return s.handle(ctx, session, req)
+		}))
 	rpc := jsonrpc2.NewConn(context.Background(), stream, handler)
 	if !s.add(rpc) {
 		_ = rpc.Close()
 		return
 	}
 	<-rpc.DisconnectNotify()
+	session.close()
 	s.mu.Lock()
 	delete(s.conns, rpc)
 	s.mu.Unlock()
@@ -133,7 +189,7 @@
 	return true
 }
 
-func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+func (s *Server) handle(ctx context.Context, session *Session, req *jsonrpc2.Request) (any, error) {
 	switch req.Method {
 	case MethodStatus:
 		return s.handler.Status(ctx)
@@ -142,6 +198,9 @@
 	case MethodGetConfig:
 		return handleParams(ctx, req, s.handler.GetConfig)
 	}
+	if m, ok := s.methods[req.Method]; ok {
+		return m.call(ctx, session, req)
+	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method: " + req.Method}
 }
 
--- a/entryd/chat/run.go
+++ b/entryd/chat/run.go
@@ -76,7 +76,7 @@
 		return asRefusal(err, refusal.NotRun)
 	}
 	r.place = place
-	r.service.Metrics.Waited(r.exchange.Class.Name, place.Waited())
+	r.service.Metrics.Waited(r.exchange.Class.Name, place.Waited)
 	return nil
 }
 
--- a/entryd/chat/service.go
+++ b/entryd/chat/service.go
@@ -25,7 +25,7 @@
 // read.
 type Service struct {
 	// Scheduler shares the places of engines.
-	Scheduler *scheduler.Scheduler
+	Scheduler scheduler.Source
 	// Client speaks to engines.
 	Client *backend.Client
 	// Meter takes in what ran.
--- /dev/null
+++ b/entryd/home/source.go
@@ -0,0 +1,309 @@
+package home
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"acaciapath.example/core/dispatch"
+	"acaciapath.example/core/peer"
+	"acaciapath.example/entryd/scheduler"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Times of asking a home daemon.
+const (
+	// probeInterval is how often a home daemon that is waited for is asked
+	// whether it lives.
+	probeInterval = 500 * time.Millisecond
+	// probeTimeout is how long it may take to answer.
+	probeTimeout = time.Second
+	// restTime is how long a home daemon that did not answer is not asked.
+	restTime = 5 * time.Second
+	// finishTimeout bounds the message that gives a place back.
+	finishTimeout = 5 * time.Second
+)
+
+// Reasons for giving out a place without the home daemon.
+var (
+	// errHome means that the home daemon does not answer.
+	errHome = merry.Sentinel("home: the home daemon does not answer")
+	// errUnknown means that it does not know the client account or the service
+	// class, because it has another revision of the configuration in force.
+	errUnknown = merry.Sentinel("home: the home daemon does not know the request")
+)
+
+// Chooser tells which daemon is the home of a model.
+type Chooser interface {
+	// Home returns the address of the peers' port of a model's home daemon, or
+	// an empty string if this daemon is it.
+	Home(model string) string
+}
+
+// Source asks the home daemons for places, and the daemon's own scheduler for
+// models whose home it is or whose home daemon does not answer. It is safe for
+// concurrent use.
+type Source struct {
+	local   *scheduler.Scheduler
+	chooser Chooser
+	config  *tls.Config
+	clock   func() time.Time
+	next    atomic.Uint64
+
+	mu    sync.Mutex
+	homes map[string]*remote // by address
+	alone map[string]time.Time
+}
+
+var _ scheduler.Source = (*Source)(nil)
+
+// NewSource returns a source. A nil config means no TLS.
+func NewSource(local *scheduler.Scheduler, chooser Chooser, config *tls.Config, clock func() time.Time) *Source {
+	return &Source{
+		local:   local,
+		chooser: chooser,
+		config:  config,
+		clock:   clock,
+		homes:   make(map[string]*remote),
+		alone:   make(map[string]time.Time),
+	}
+}
+
+// Enter waits for a place, see scheduler.Source. A request whose home daemon
+// goes while it waits is put into the queue of its successor, at the place of
+// its arrival.
+func (s *Source) Enter(ctx context.Context, request dispatch.Request) (*scheduler.Place, error) {
+	arrived := s.clock()
+	last := ""
+	for {
+		address := s.chooser.Home(request.Serves)
+		request.Age = s.clock().Sub(arrived)
+		if request.Plain || address == "" {
+			return s.local.Enter(ctx, request)
+		}
+		home := s.remote(address)
+		if address == last || home.rests(s.clock()) {
+			return s.enterAlone(ctx, request)
+		}
+		place, err := s.enterAt(ctx, home, request)
+		if errors.Is(err, errUnknown) {
+			return s.enterAlone(ctx, request)
+		}
+		if !errors.Is(err, errHome) {
+			return place, err
+		}
+		home.rest(s.clock())
+		last = address
+	}
+}
+
+// enterAt holds a request to its client account's limits and asks a home daemon
+// for a place.
+func (s *Source) enterAt(ctx context.Context, home *remote, request dispatch.Request) (*scheduler.Place, error) {
+	leave, err := s.local.Admit(request.Account)
+	if err != nil {
+		return nil, err
+	}
+	place, err := home.enter(ctx, s.next.Add(1), request, leave)
+	if err != nil {
+		leave(0)
+	}
+	return place, err
+}
+
+// enterAlone gives out a place without the home daemon.
+func (s *Source) enterAlone(ctx context.Context, request dispatch.Request) (*scheduler.Place, error) {
+	s.mu.Lock()
+	s.alone[request.Serves] = s.clock()
+	s.mu.Unlock()
+	return s.local.Enter(ctx, request)
+}
+
+// Dispatches reports whether this daemon gives out places for a model at
+// present, and so needs to know the load of its replicas.
+func (s *Source) Dispatches(model string) bool {
+	if s.chooser.Home(model) == "" {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last, ok := s.alone[model]
+	return ok && s.clock().Sub(last) < 2*restTime
+}
+
+// Close ends the connections to home daemons.
+func (s *Source) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.homes {
+		_ = h.client.Close()
+	}
+}
+
+func (s *Source) remote(address string) *remote {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h, ok := s.homes[address]
+	if !ok {
+		h = &remote{client: peer.NewClient(address, s.config)}
+		s.homes[address] = h
+	}
+	return h
+}
+
+// remote is one home daemon.
+type remote struct {
+	client *peer.Client
+	// restsUntil is when it is asked again, in nanoseconds since 1970.
+	restsUntil atomic.Int64
+}
+
+func (h *remote) rests(now time.Time) bool { return now.UnixNano() < h.restsUntil.Load() }
+
+func (h *remote) rest(now time.Time) { h.restsUntil.Store(now.Add(restTime).UnixNano()) }
+
+// enter asks for a place. It returns errHome, errUnknown, a *refusal.Refusal, or
+// the cause of ctx's end.
+func (h *remote) enter(ctx context.Context, id uint64, request dispatch.Request, leave func(int)) (*scheduler.Place, error) {
+	got, err := h.ask(ctx, methodEnter, id, enter{
+		Ticket:        id,
+		Model:         request.Serves,
+		ClientAccount: request.Account.Name,
+		ServiceClass:  request.Class.Name,
+		Prefixes:      request.Prefixes,
+		PromptTokens:  request.PromptTokens,
+		Resumable:     request.Resumable,
+		Age:           request.Age,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if got.Refusal != nil {
+		return nil, got.Refusal.refusal()
+	}
+	if got.Grant == nil {
+		return nil, errUnknown
+	}
+	holder := &held{home: h, id: id, model: request.Serves, leave: leave}
+	return scheduler.NewPlace(holder, got.Grant.place(request.Serves)), nil
+}
+
+// outcome is what a call brought.
+type outcome struct {
+	answer answer
+	err    error
+}
+
+// ask calls a method that waits for a place, for as long as the home daemon
+// answers probes. A place that is granted after ask has returned is given back.
+func (h *remote) ask(ctx context.Context, method string, id uint64, params any) (answer, error) {
+	done := make(chan outcome, 1)
+	go func() {
+		var got answer
+		err := h.client.Call(context.WithoutCancel(ctx), method, params, &got)
+		done <- outcome{got, err}
+	}()
+	probe := time.NewTicker(probeInterval)
+	defer probe.Stop()
+	for {
+		select {
+		case o := <-done:
+			return o.result()
+		case <-ctx.Done():
+			h.abandon(id, done)
+			return answer{}, context.Cause(ctx)
+		case <-probe.C:
+			if !h.lives(ctx) {
+				h.abandon(id, done)
+				return answer{}, errHome
+			}
+		}
+	}
+}
+
+// result returns the answer, or errHome or errUnknown.
+func (o outcome) result() (answer, error) {
+	if o.err != nil {
+		return answer{}, errHome
+	}
+	if o.answer.Unknown {
+		return answer{}, errUnknown
+	}
+	return o.answer, nil
+}
+
+// lives reports whether the home daemon answers in time.
+func (h *remote) lives(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
+	_, err := h.client.Head(ctx, peer.Head{})
+	return err == nil
+}
+
+// abandon tells the home daemon that a request is no longer waited for, and
+// gives the place back if one is granted all the same.
+func (h *remote) abandon(id uint64, done <-chan outcome) {
+	h.send(methodCancel, ticket{Ticket: id})
+	go func() {
+		if got, err := (<-done).result(); err == nil && got.Grant != nil {
+			h.send(methodFinish, finish{Ticket: id})
+		}
+	}()
+}
+
+// send sends a message whose answer nobody waits for. If it is lost, the
+// connection has ended and the home daemon gives the place back by itself.
+func (h *remote) send(method string, params any) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+		defer cancel()
+		_ = h.client.Call(ctx, method, params, nil)
+	}()
+}
+
+// held is a place that a home daemon granted.
+type held struct {
+	home  *remote
+	id    uint64
+	model string
+	leave func(tokens int)
+	once  sync.Once
+}
+
+var _ scheduler.Holder = (*held)(nil)
+
+// Retry asks for another place, see scheduler.Holder. Without an answer there
+// is no retry.
+func (p *held) Retry(ctx context.Context) (*scheduler.Grant, error) {
+	got, err := p.home.ask(ctx, methodRetry, p.id, ticket{Ticket: p.id})
+	if errors.Is(err, errHome) || errors.Is(err, errUnknown) {
+		return nil, nil
+	}
+	if err != nil {
+		p.end(0)
+		return nil, err
+	}
+	if got.Refusal != nil {
+		p.end(0)
+		return nil, got.Refusal.refusal()
+	}
+	if got.Grant == nil {
+		return nil, nil
+	}
+	return got.Grant.place(p.model), nil
+}
+
+// Finish gives the place back. A second call does nothing.
+func (p *held) Finish(result dispatch.Result) {
+	p.once.Do(func() {
+		p.home.send(methodFinish, newFinish(p.id, result))
+		p.leave(result.PromptTokens + result.CompletionTokens)
+	})
+}
+
+// end settles the client account's limit without telling the home daemon.
+func (p *held) end(tokens int) { p.once.Do(func() { p.leave(tokens) }) }
--- a/entryd/plain/call.go
+++ b/entryd/plain/call.go
@@ -51,7 +51,7 @@
 		return asRefusal(err, refusal.NotRun)
 	}
 	c.place = place
-	c.handler.Metrics.Waited(c.class.Name, place.Waited())
+	c.handler.Metrics.Waited(c.class.Name, place.Waited)
 	return nil
 }
 
--- a/entryd/plain/handler.go
+++ b/entryd/plain/handler.go
@@ -31,7 +31,7 @@
 // then only read.
 type Handler struct {
 	// Scheduler shares the places of the services' replicas.
-	Scheduler *scheduler.Scheduler
+	Scheduler scheduler.Source
 	// Client speaks to the replicas.
 	Client *backend.Client
 	// Claims holds the claims of calls that may run at most once.
--- /dev/null
+++ b/entryd/scheduler/place.go
@@ -0,0 +1,68 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"acaciapath.example/core/dispatch"
+	"acaciapath.example/core/replica"
+)
+
+// Source gives out places on backend servers: this daemon's Scheduler, or that
+// of another daemon.
+type Source interface {
+	// Enter waits until a request is started on a backend server. It returns a
+	// *refusal.Refusal if the request is refused, or the cause of ctx's end.
+	// The place must be given back by Finish.
+	Enter(ctx context.Context, request dispatch.Request) (*Place, error)
+}
+
+// Grant says where a request was started.
+type Grant struct {
+	// Server is the backend server.
+	Server replica.Spec
+	// Waited is how long the request waited before it was last started.
+	Waited time.Duration
+	// Attempts is the number of backend servers that it was started on.
+	Attempts int
+}
+
+// Holder keeps a place for a request.
+type Holder interface {
+	// Retry gives the place back after the backend server failed the request,
+	// and waits for another. It returns nil and no error if there is to be no
+	// retry; the place is still to be given back then. After an error the place
+	// is given back.
+	Retry(ctx context.Context) (*Grant, error)
+	// Finish gives the place back. A second call does nothing.
+	Finish(result dispatch.Result)
+}
+
+// Place is a request's place on a backend server.
+type Place struct {
+	// Grant says where the place is.
+	Grant
+
+	holder Holder
+}
+
+// NewPlace returns a place that a holder keeps.
+func NewPlace(holder Holder, grant *Grant) *Place {
+	return &Place{Grant: *grant, holder: holder}
+}
+
+// Retry gives the place back after the backend server failed the request, and
+// waits for another. It reports false if there is to be no retry; the place is
+// still to be given back then. It returns the same errors as Source.Enter,
+// after which the place is given back.
+func (p *Place) Retry(ctx context.Context) (bool, error) {
+	grant, err := p.holder.Retry(ctx)
+	if err != nil || grant == nil {
+		return false, err
+	}
+	p.Grant = *grant
+	return true, nil
+}
+
+// Finish gives the place back. A second call does nothing.
+func (p *Place) Finish(result dispatch.Result) { p.holder.Finish(result) }
--- a/entryd/scheduler/scheduler.go
+++ b/entryd/scheduler/scheduler.go
@@ -115,11 +115,12 @@
 	}
 	s.startNext()
 	s.mu.Unlock()
-	p := &Place{scheduler: s, ticket: ticket, arrived: now}
-	if err := p.wait(ctx); err != nil {
+	p := &local{scheduler: s, ticket: ticket, arrived: now.Add(-request.Age)}
+	grant, err := p.wait(ctx)
+	if err != nil {
 		return nil, err
 	}
-	return p, nil
+	return NewPlace(p, grant), nil
 }
 
 // startNext starts all requests that can start and wakes them. The caller
@@ -135,30 +136,38 @@
 	}
 }
 
-// Place is a request's place on a backend server.
-type Place struct {
-	// Server is the backend server.
-	Server replica.Spec
-	// Started is when the request was started on it.
-	Started time.Time
+// Enter as a Source.
+var _ Source = (*Scheduler)(nil)
 
+// Admit holds a request to the limits of its client account, for places that
+// another daemon gives out. It returns a *refusal.Refusal if a limit refuses
+// the request, and else what is to be called with the tokens that ran when the
+// request has ended.
+func (s *Scheduler) Admit(account *config.ClientAccount) (leave func(tokens int), err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if refused := s.dispatcher.Admit(account, s.clock()); refused != nil {
+		return nil, refused
+	}
+	return func(tokens int) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.dispatcher.Leave(account, tokens, s.clock())
+	}, nil
+}
+
+// local is a place that this scheduler gave out.
+type local struct {
 	scheduler *Scheduler
 	ticket    *dispatch.Ticket[waiter]
 	arrived   time.Time
 }
 
-// Waited returns how long the request waited before it was last started.
-func (p *Place) Waited() time.Duration { return p.Started.Sub(p.arrived) }
-
-// Attempts returns the number of backend servers that the request was started
-// on.
-func (p *Place) Attempts() int { return p.ticket.Attempts }
+var _ Holder = (*local)(nil)
 
 // Retry gives the place back after the backend server failed the request, and
-// waits for another. It reports false if there is to be no retry; the place is
-// still to be given back then. It returns the same errors as Enter, after
-// which the place is given back.
-func (p *Place) Retry(ctx context.Context) (bool, error) {
+// waits for another.
+func (p *local) Retry(ctx context.Context) (*Grant, error) {
 	s := p.scheduler
 	s.mu.Lock()
 	retried := s.dispatcher.Retry(p.ticket, s.clock())
@@ -167,13 +176,13 @@
 	}
 	s.mu.Unlock()
 	if !retried {
-		return false, nil
+		return nil, nil
 	}
-	return true, p.wait(ctx)
+	return p.wait(ctx)
 }
 
 // Finish gives the place back. A second call does nothing.
-func (p *Place) Finish(result dispatch.Result) {
+func (p *local) Finish(result dispatch.Result) {
 	s := p.scheduler
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -183,43 +192,43 @@
 
 // wait returns once the request has been started. If it returns an error the
 // request has been finished.
-func (p *Place) wait(ctx context.Context) error {
+func (p *local) wait(ctx context.Context) (*Grant, error) {
 	select {
 	case <-p.ticket.Value.started:
-		p.take()
-		return nil
+		return p.grant(), nil
 	default:
 	}
 	timer := time.NewTimer(p.arrived.Add(p.ticket.Request.Class.MaxWait).Sub(p.scheduler.clock()))
 	defer timer.Stop()
 	select {
 	case <-p.ticket.Value.started:
-		p.take()
-		return nil
+		return p.grant(), nil
 	case <-ctx.Done():
 		p.Finish(dispatch.Result{})
-		return context.Cause(ctx)
+		return nil, context.Cause(ctx)
 	case <-timer.C:
 	}
 	if p.expire() {
-		return tooLong(p.ticket.Request.Class)
+		return nil, tooLong(p.ticket.Request.Class)
 	}
 	<-p.ticket.Value.started
-	p.take()
-	return nil
+	return p.grant(), nil
 }
 
-// take notes where the request was started.
-func (p *Place) take() {
+// grant returns where the request was started.
+func (p *local) grant() *Grant {
 	p.scheduler.mu.Lock()
 	defer p.scheduler.mu.Unlock()
-	p.Server = p.ticket.Replica.Spec
-	p.Started = p.ticket.Started
+	return &Grant{
+		Server:   p.ticket.Replica.Spec,
+		Waited:   p.ticket.Started.Sub(p.arrived),
+		Attempts: p.ticket.Attempts,
+	}
 }
 
 // expire ends a request that still waits. It reports false if the request has
 // been started in the meantime.
-func (p *Place) expire() bool {
+func (p *local) expire() bool {
 	s := p.scheduler
 	s.mu.Lock()
 	defer s.mu.Unlock()
