--- a/standin/engine/client_test.go
+++ b/standin/engine/client_test.go
@@ -19,6 +19,9 @@
 // model is the model of the tests.
 const model = "m"
 
+// safetyTimeout ends requests of a test that would else hang.
+const safetyTimeout = 30 * time.Second
+
 // fast is a pace for tests.
 const fast = 100 * time.Microsecond
 
@@ -75,6 +78,8 @@
 
 // chat sends a chat request and returns the answer, or as much as came of it.
 func chat(ctx context.Context, e *engine.Engine, id string, req *coreengine.ChatRequest) (answer, error) {
+	ctx, stop := context.WithTimeout(ctx, safetyTimeout)
+	defer stop()
 	res, err := post(ctx, e, coreengine.PathChat, id, req)
 	if err != nil {
 		return answer{}, err
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -182,7 +182,8 @@
 	c := qt.New(t)
 	ctx := context.Background()
 	e := start(c, engine.Options{CacheTokens: 10, CacheEventLoss: 3})
-	for _, text := range []string{"a b c d e [tokens=1]", "a b c d e [tokens=1]", "f g h i j [tokens=1]"} {
+	first, second := "a b c d e [tokens=1]", "f g h i j [tokens=1]"
+	for _, text := range []string{first, first, second, first} {
 		_, err := chat(ctx, e, text[:1], request(text))
 		c.Assert(err, qt.IsNil)
 	}
@@ -191,15 +192,22 @@
 	c.Assert(runs[1].CachedTokens, qt.Equals, 6)
 	c.Assert(runs[1].PromptTokens, qt.Equals, 6)
 	c.Assert(runs[1].PrefilledTokens, qt.Equals, 0)
+	c.Assert(runs[3].CachedTokens, qt.Equals, 0) // evicted by the second
 
-	// The third event, the eviction, is lost.
+	// The third event, the first eviction, is lost.
+	hash := coreengine.PrefixHash(model, request(first).Messages)
 	var events coreengine.CacheEvents
 	get(c, e, coreengine.PathCacheEvents, &events)
-	c.Assert(events.Events, qt.HasLen, 2)
-	c.Assert(events.Events[0].Prefix, qt.Equals, coreengine.PrefixHash(model, request("a b c d e [tokens=1]").Messages))
-	get(c, e, coreengine.PathCacheEvents+"?after=1", &events)
+	var seqs []uint64
+	for _, event := range events.Events {
+		seqs = append(seqs, event.Seq)
+	}
+	c.Assert(seqs, qt.DeepEquals, []uint64{1, 2, 4, 5})
+	c.Assert(events.Events[0].Stored, qt.IsTrue)
+	c.Assert(events.Events[0].Prefix, qt.Equals, hash)
+	c.Assert(events.Events[3].Stored, qt.IsFalse)
+	get(c, e, coreengine.PathCacheEvents+"?after=4", &events)
 	c.Assert(events.Events, qt.HasLen, 1)
-	c.Assert(events.Events[0].Seq, qt.Equals, uint64(2))
 }
 
 func TestOrders(t *testing.T) {
--- a/standin/fault/injector_test.go
+++ b/standin/fault/injector_test.go
@@ -51,23 +51,26 @@
 func TestHeldCalls(t *testing.T) {
 	c := qt.New(t)
 	cut := fault.Faults{Cuts: []fault.Cut{{Caller: "a"}}}
+	enter, leave := (*fault.Injector).Enter, (*fault.Injector).Leave
 	for _, test := range []struct {
 		name    string
 		faults  fault.Faults
+		held    func(*fault.Injector, context.Context, fault.Call) error
 		release func(*fault.Injector)
 		want    error
 	}{
-		{name: "unfrozen", faults: fault.Faults{Frozen: true}, release: lift},
-		{name: "closed while frozen", faults: fault.Faults{Frozen: true}, release: (*fault.Injector).Close, want: fault.ErrClosed},
-		{name: "cut lifted", faults: cut, release: lift, want: fault.ErrCut},
-		{name: "closed while cut", faults: cut, release: (*fault.Injector).Close, want: fault.ErrCut},
-		{name: "closed while slow", faults: fault.Faults{Slow: fault.Duration(time.Hour)}, release: (*fault.Injector).Close, want: fault.ErrClosed},
+		{name: "unfrozen", faults: fault.Faults{Frozen: true}, held: enter, release: lift},
+		{name: "closed while frozen", faults: fault.Faults{Frozen: true}, held: enter, release: (*fault.Injector).Close, want: fault.ErrClosed},
+		{name: "cut lifted", faults: cut, held: enter, release: lift, want: fault.ErrCut},
+		{name: "closed while cut", faults: cut, held: enter, release: (*fault.Injector).Close, want: fault.ErrCut},
+		{name: "cut of replies lifted", faults: cut, held: leave, release: lift, want: fault.ErrCut},
+		{name: "closed while slow", faults: fault.Faults{Slow: fault.Duration(time.Hour)}, held: enter, release: (*fault.Injector).Close, want: fault.ErrClosed},
 	} {
 		c.Run(test.name, func(c *qt.C) {
 			i := fault.NewInjector()
 			i.Set(test.faults)
 			entered := make(chan error, 1)
-			go func() { entered <- i.Enter(context.Background(), fault.Call{Caller: "a"}) }()
+			go func() { entered <- test.held(i, context.Background(), fault.Call{Caller: "a"}) }()
 			select {
 			case err := <-entered:
 				c.Fatalf("the call was not held: %v", err)
