--- a/core/ini/decoder.go
+++ b/core/ini/decoder.go
@@ -1,18 +1,24 @@
 package ini
 
-import "acaciapath.example/core/finding"
+import (
+	"acaciapath.example/core/finding"
+	"acaciapath.example/core/value"
+)
 
-// maxSuggestions bounds the searches for the nearest known name, each of which
-// looks at all names.
-const maxSuggestions = 100
+// maxCompared bounds the known names that all searches for suggestions look at
+// together, so that many wrong names among many known ones take no longer than a
+// few.
+const maxCompared = 500_000
 
 // Decoder holds what the decoding of all sections has in common.
 type Decoder struct {
 	// Findings takes what is wrong.
 	Findings *finding.List
 
-	names       map[string]map[string]struct{}
-	suggestions int
+	// names are those of the sections of each kind.
+	names map[string]map[string]struct{}
+	// compared counts the names that searches for suggestions looked at.
+	compared int
 }
 
 // NewDecoder returns a decoder that knows the names of the sections.
@@ -44,28 +50,19 @@
 // checkReferences adds a finding for each name in the text that no section of
 // the kind has.
 func (d *Decoder) checkReferences(section *Section, setting, kind, text string) {
-	for _, name := range SplitList(text) {
+	for _, name := range value.SplitList(text) {
 		if _, ok := d.names[kind][name]; !ok {
 			d.Findings.Add(section.Finding(finding.Reference, setting,
-				"there is no ["+kind+"] named "+Quote(name)+d.suggest(name, d.names[kind])))
+				"there is no ["+kind+"] named "+value.Quote(name)+d.suggest(name, d.names[kind])))
 		}
 	}
 }
 
-// suggest returns a suggestion, or an empty string once there have been many.
+// suggest returns a suggestion, or an empty string once maxCompared is reached.
 func (d *Decoder) suggest(name string, known map[string]struct{}) string {
-	d.suggestions++
-	if d.suggestions > maxSuggestions {
+	d.compared += len(known)
+	if d.compared > maxCompared {
 		return ""
 	}
-	return Suggest(name, known)
-}
-
-// Suggest returns the end of a message that offers the nearest known name, or
-// an empty string if none is near.
-func Suggest(name string, known map[string]struct{}) string {
-	if near, ok := Nearest(name, known); ok {
-		return "; did you mean " + near + "?"
-	}
-	return ""
+	return value.Suggest(name, known)
 }
--- a/core/ini/nearest.go
+++ b/core/value/nearest.go
@@ -1,10 +1,10 @@
-package ini
+package value
 
 // Nearest returns the known name with the least edit distance to name, and
 // whether one is near enough to be what was meant. Among equals the first in
 // the alphabet wins.
 func Nearest[V any](name string, known map[string]V) (string, bool) {
-	best, least := "", max(1, len(name)/3)+1
+	best, least := "", max(1, (len(name)+2)/3)+1
 	for candidate := range known {
 		if abs(len(candidate)-len(name)) > least {
 			continue
@@ -39,3 +39,12 @@
 }
 
 func abs(n int) int { return max(n, -n) }
+
+// Suggest returns the end of a message that offers the nearest known name, or
+// an empty string if none is near.
+func Suggest(name string, known map[string]struct{}) string {
+	if near, ok := Nearest(name, known); ok {
+		return "; did you mean " + near + "?"
+	}
+	return ""
+}
