--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -250,6 +250,7 @@
 	c.Assert(err, qt.IsNotNil)
 
 	e.SetFaults(engine.Faults{})
+	c.Assert(cancel(c, e, "broken").Known, qt.IsFalse) // memory is lost
 	a, err := chat(ctx, e, "again", request("[tokens=2]"))
 	c.Assert(err, qt.IsNil)
 	c.Assert(a.Finish, qt.Equals, "stop")
