entryd: leave no write deadline behind on a kept connection

Cause: the end of a stream cancels the context of its hop, and the function that bounds writes after the end of that context set a deadline of 1 s, which net/http never lifts; the next answer on the connection was lost if it took longer (client: EOF). The bound is now released with the answer and lifted by the next request.

--- a/entryd/caller/exchange.go
+++ b/entryd/caller/exchange.go
@@ -122,6 +122,26 @@
 	}
 }
 
+// lastWriteTimeout bounds the sending of what remains of an answer after its
+// context has ended.
+const lastWriteTimeout = time.Second
+
+// BoundWrites lets writes of the answer end soon after ctx has ended, also if
+// the caller reads nothing. The function that it returns undoes that; it is
+// called when the answer has ended.
+func (x *Exchange) BoundWrites(ctx context.Context) (release func()) {
+	done := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(done)
+		_ = x.Controller.SetWriteDeadline(time.Now().Add(lastWriteTimeout))
+	})
+	return func() {
+		if !stop() {
+			<-done // the connection's next request lifts the deadline
+		}
+	}
+}
+
 // bodyRefusal returns the refusal of a request whose body could not be read.
 func bodyRefusal(err error) *refusal.Refusal {
 	var tooLarge *http.MaxBytesError
--- a/entryd/caller/gate.go
+++ b/entryd/caller/gate.go
@@ -80,6 +80,7 @@
 		Controller: http.NewResponseController(w),
 		Header:     w.Header(),
 	}
+	_ = x.Controller.SetWriteDeadline(time.Time{}) // one of the connection's last request may be left
 	x.Header[engine.HeaderRequestID] = []string{x.ID}
 	if g.Leaving.Load() {
 		x.Header["Connection"] = closeConnection
--- a/entryd/chat/answer.go
+++ b/entryd/chat/answer.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"time"
 
 	"acaciapath.example/core/refusal"
 	"acaciapath.example/entryd/caller"
@@ -21,8 +20,6 @@
 	maxWholeBytes = 16 << 20
 	// maxMessageBytes bounds the message of an engine's refusal.
 	maxMessageBytes = 4 << 10
-	// lastWriteTimeout bounds the sending of the event that ends a broken stream.
-	lastWriteTimeout = time.Second
 )
 
 // Media types of answers.
@@ -47,6 +44,8 @@
 	events   *eventReader
 	first    event
 	ended    bool
+	// release lifts the bound of writes, or is nil.
+	release func()
 }
 
 var (
@@ -162,11 +161,7 @@
 	if a.whole != nil {
 		return a.writeWhole(w), nil
 	}
-	controller := a.run.exchange.Controller
-	stop := context.AfterFunc(a.run.hop, func() {
-		_ = controller.SetWriteDeadline(time.Now().Add(lastWriteTimeout))
-	})
-	defer stop()
+	a.release = a.run.exchange.BoundWrites(a.run.hop)
 	return a.writeStream(w), nil
 }
 
@@ -217,6 +212,7 @@
 // finish ends a stream that came whole.
 func (a *answer) finish() {
 	a.ended = true
+	a.release()
 	_, _ = io.Copy(io.Discard, io.LimitReader(a.response.Body, maxMessageBytes)) // so that the connection is kept
 	a.run.stopAttempt(a.response)
 	a.run.complete()
@@ -229,6 +225,9 @@
 		a.run.complete()
 		return
 	}
+	if a.release != nil {
+		a.release()
+	}
 	a.run.stopAttempt(a.response)
 	a.run.settle(false)
 	a.run.service.Metrics.Wasted(a.run.exchange.Class.Name, a.run.ran().CompletionTokens)
@@ -241,6 +240,7 @@
 	n, _ := w.Write(errorEvent(f.refused, a.run.exchange.ID))
 	_ = a.run.exchange.Controller.Flush()
 	a.run.exchange.Refusal = f.refused
+	a.release()
 	a.run.stopAttempt(a.response)
 	a.run.fail(f)
 	return int64(n)
--- a/entryd/claims/store.go
+++ b/entryd/claims/store.go
@@ -19,10 +19,15 @@
 
 // Bounds of the attempts at one write.
 const (
-	attempts  = 3
-	pause     = 50 * time.Millisecond
-	idBytes   = 16
-	releasing = 5 * time.Second
+	attempts = 3
+	pause    = 50 * time.Millisecond
+	idBytes  = 16
+	// takeTimeout bounds the making of a claim, for which a caller waits.
+	takeTimeout = 4 * time.Second
+	// takeBackTimeout bounds the search for a claim that was not known to be
+	// made, and takeBackPause is the time between two looks.
+	takeBackTimeout = time.Minute
+	takeBackPause   = 500 * time.Millisecond
 )
 
 // Store makes and settles claims. It is safe for concurrent use.
@@ -60,6 +65,8 @@
 		return nil, err
 	}
 	held := &Held{own: own, key: key}
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
 	uncertain := false
 	for range attempts {
 		err := s.insert(ctx, held, timeout)
@@ -170,28 +177,41 @@
 	return err
 }
 
-// takeBack deletes a claim of one's own that may have been made after all.
+// takeBack deletes a claim of one's own that may have been made after all, or
+// may yet be made by a write that is still on its way. It gives up after a
+// while: a claim that stays only makes later calls refused.
 func (s *Store) takeBack(ctx context.Context, held *Held) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releasing)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), takeBackTimeout)
 	go func() {
 		defer cancel()
-		rows, err := s.table.Get(ctx, &table.GetPayload{Keys: []string{held.key}})
-		if err != nil {
-			return
+		for !s.tryTakeBack(ctx, held) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(takeBackPause):
+			}
 		}
-		row := find(rows, held.key)
-		if row == nil {
-			return
-		}
-		found, err := claim.Parse(row.Value)
-		if err != nil || !claim.Releasable(held.own, &found) {
-			return
-		}
-		held.version = row.Version
-		_ = s.Release(ctx, held) // a claim that stays is only refused
 	}()
 }
 
+// tryTakeBack reports whether the row has no claim of one's own any more.
+func (s *Store) tryTakeBack(ctx context.Context, held *Held) bool {
+	rows, err := s.table.Get(ctx, &table.GetPayload{Keys: []string{held.key}})
+	if err != nil {
+		return false
+	}
+	row := find(rows, held.key)
+	if row == nil {
+		return false // the write may still be on its way
+	}
+	found, err := claim.Parse(row.Value)
+	if err != nil || !claim.Releasable(held.own, &found) {
+		return true
+	}
+	held.version = row.Version
+	return s.Release(ctx, held) == nil
+}
+
 // write writes the claim's row if it has the given version.
 func (s *Store) write(ctx context.Context, held *Held, version uint64) ([]*table.Row, error) {
 	value, err := held.own.Marshal()
--- a/entryd/daemon/input_test.go
+++ b/entryd/daemon/input_test.go
@@ -13,6 +13,7 @@
 	"acaciapath.example/core/usage"
 	"acaciapath.example/entryd/daemon"
 	"acaciapath.example/standin/engine"
+	"acaciapath.example/standin/plain"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -107,3 +108,23 @@
 		})
 	}
 }
+
+// TestKeptConnectionAfterStream checks that the end of a stream leaves no
+// deadline behind for the next answer on its connection.
+func TestKeptConnectionAfterStream(t *testing.T) {
+	s := start(t, plan{orders: plain.Options{ExecutionTime: 1500 * time.Millisecond}})
+	client := http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	for _, request := range []*http.Request{
+		s.request("POST", "/v1/chat/completions", shopKey, chatBody(3, true)),
+		s.request("POST", "/status/1", shopKey, "x"),
+	} {
+		response, err := client.Do(request)
+		s.c.Assert(err, qt.IsNil)
+		_, err = io.Copy(io.Discard, response.Body)
+		s.c.Assert(err, qt.IsNil)
+		s.c.Assert(response.Body.Close(), qt.IsNil)
+		s.c.Assert(response.StatusCode, qt.Equals, 200)
+	}
+	s.c.Assert(s.daemon.Status().Connections, qt.Equals, 1)
+}
--- a/entryd/plain/call.go
+++ b/entryd/plain/call.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"time"
 
 	"acaciapath.example/core/config"
 	"acaciapath.example/core/dispatch"
@@ -140,12 +139,10 @@
 	defer response.Body.Close()
 	c.handler.Metrics.PlainCalled(c.service.Name, "answered")
 	c.charge()
-	controller := c.exchange.Controller
-	stop := context.AfterFunc(ctx, func() { _ = controller.SetWriteDeadline(time.Now().Add(after)) })
-	defer stop()
+	defer c.exchange.BoundWrites(ctx)()
 	answerHeaders(c.writer.Header(), response.Header)
 	c.writer.WriteHeader(response.StatusCode)
-	_, err := io.Copy(flusher{writer: c.writer, controller: controller}, response.Body)
+	_, err := io.Copy(flusher{writer: c.writer, controller: c.exchange.Controller}, response.Body)
 	c.place.Finish(dispatch.Result{Failed: err != nil && ctx.Err() == nil && c.request.Context().Err() == nil})
 	if err != nil {
 		c.exchange.Refusal = refusal.NewUnknown(refusal.AnswerIncomplete, "the answer broke off")
