lease: decide who is in charge by lease rows with fencing numbers

The holder counts its lease from before a renewal is sent and stops sending a quarter of it early; a successor waits out the whole of it from when it read the row's last change. Both use their own monotonic clock. The holder's count also takes the wall clock if that is ahead, because a monotonic clock can stand still in a frozen VM. The fence row changes only when the lease changes hands, so that a write conditional on it is refused after a succession without clashing with the holder's own renewals.

--- /dev/null
+++ b/core/lease/keeper_test.go
@@ -0,0 +1,132 @@
+package lease_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"acaciapath.example/core/gen/table"
+	"acaciapath.example/core/lease"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	shortLease = 400 * time.Millisecond
+	deadline   = 20 * time.Second
+)
+
+// runKeeper runs a keeper until stop is called, or the test ends.
+func runKeeper(c *qt.C, service table.Service, holder string) (k *lease.Keeper, stop func()) {
+	origin := time.Now()
+	clock := func() lease.Instant {
+		return lease.Instant{Monotonic: time.Since(origin), Wall: time.Now().Round(0)}
+	}
+	terms := lease.Terms{Name: name, Holder: holder, Duration: shortLease}
+	k = lease.NewKeeper(service, terms, shortLease/8, clock)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		k.Run(ctx, func(error) {})
+	}()
+	stop = func() { cancel(); <-done }
+	c.Cleanup(stop)
+	return k, stop
+}
+
+// eventually polls until the condition holds.
+func eventually(c *qt.C, what string, condition func() bool) {
+	c.Helper()
+	for end := time.Now().Add(deadline); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	c.Fatalf("not in time: %s", what)
+}
+
+// granted waits until the keeper may send.
+func granted(c *qt.C, k *lease.Keeper) *lease.Grant {
+	c.Helper()
+	var grant *lease.Grant
+	eventually(c, "held", func() bool {
+		grant = k.Held()
+		return grant != nil
+	})
+	return grant
+}
+
+func TestKeeperSucceedsAfterOutage(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fault fault
+	}{
+		{name: "down", fault: faultDown},
+		{name: "lost replies", fault: faultLostReply},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			service := newFakeTable()
+			service.setFault(test.fault)
+			k, _ := runKeeper(c, service, "vm-1/a")
+			if test.fault == faultDown {
+				time.Sleep(shortLease / 4)
+				c.Assert(k.Held(), qt.IsNil)
+				service.setFault(faultNone)
+			}
+			c.Assert(granted(c, k).Fence, qt.Equals, uint64(1))
+		})
+	}
+}
+
+func TestKeeperDoEndsWithTheLease(t *testing.T) {
+	c := qt.New(t)
+	service := newFakeTable()
+	k, _ := runKeeper(c, service, "vm-1/a")
+	granted(c, k)
+	service.setFault(faultDown)
+	err := k.Do(context.Background(), func(ctx context.Context, _ *lease.Grant) error {
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	c.Assert(errors.Is(err, context.DeadlineExceeded), qt.IsTrue)
+	eventually(c, "not held", func() bool { return k.Held() == nil })
+	err = k.Do(context.Background(), func(context.Context, *lease.Grant) error { panic("must not send") })
+	c.Assert(errors.Is(err, lease.ErrNotHeld), qt.IsTrue)
+	service.setFault(faultNone)
+	c.Assert(granted(c, k).Fence, qt.Equals, uint64(1))
+}
+
+func TestKeeperReleaseLetsTheNextIn(t *testing.T) {
+	c := qt.New(t)
+	service := newFakeTable()
+	first, stop := runKeeper(c, service, "vm-1/a")
+	condition := granted(c, first).Condition()
+	second, _ := runKeeper(c, service, "vm-2/b")
+	stop()
+	c.Assert(second.Held(), qt.IsNil)
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	c.Assert(first.Release(ctx), qt.IsNil)
+	c.Assert(first.Held(), qt.IsNil)
+	c.Assert(granted(c, second).Fence, qt.Equals, uint64(2))
+	_, err := service.Commit(ctx, &table.CommitPayload{Conditions: []*table.Condition{condition}})
+	c.Assert(err, qt.ErrorAs, new(*table.Conflict))
+}
+
+func TestPollIntervalBoundsReads(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, candidates := range []int{1, 3, 37, 370} {
+		var reads float64
+		for range candidates {
+			reads += float64(time.Second) / float64(lease.PollInterval(duration, candidates, random))
+		}
+		c.Assert(reads <= 11, qt.IsTrue, qt.Commentf("%d candidates read %.1f times a second", candidates, reads))
+	}
+	interval := lease.PollInterval(duration, 3, random)
+	c.Assert(interval >= 3*time.Second && interval <= 5*time.Second, qt.IsTrue)
+}
