--- a/core/usage/fake_test.go
+++ b/core/usage/fake_test.go
@@ -29,13 +29,26 @@
 	delayed []*table.CommitPayload
 	commits int
 	// faults returns what happens to the next call; nil means no fault.
-	faults func(method string) fault
+	faults  func(method string) fault
+	history history
+	// before runs ahead of each call, to let another process go first.
+	before func()
 }
 
 var _ table.Service = (*fakeTable)(nil)
 
 func newFakeTable() *fakeTable { return &fakeTable{rows: make(map[string]*table.Row)} }
 
+// enter starts a call and returns the event of its start.
+func (t *fakeTable) enter() int64 {
+	call := t.history.start()
+	if t.before != nil {
+		t.before()
+	}
+	t.mu.Lock()
+	return call
+}
+
 func (t *fakeTable) fault(method string) fault {
 	if t.faults == nil {
 		return faultNone
@@ -43,13 +56,13 @@
 	return t.faults(method)
 }
 
-func (t *fakeTable) Get(_ context.Context, p *table.GetPayload) ([]*table.Row, error) {
-	t.mu.Lock()
+func (t *fakeTable) Get(_ context.Context, p *table.GetPayload) (rows []*table.Row, err error) {
+	call := t.enter()
 	defer t.mu.Unlock()
+	defer func() { t.history.get(call, p, rows, err) }()
 	if t.fault("get") != faultNone {
 		return nil, errLost
 	}
-	var rows []*table.Row
 	for _, key := range p.Keys {
 		if row := t.rows[key]; row != nil {
 			rows = append(rows, row)
@@ -59,7 +72,7 @@
 }
 
 func (t *fakeTable) List(_ context.Context, p *table.ListPayload) ([]*table.Row, error) {
-	t.mu.Lock()
+	t.enter()
 	defer t.mu.Unlock()
 	if t.fault("list") != faultNone {
 		return nil, errLost
@@ -78,9 +91,10 @@
 	return rows[:min(limit, len(rows))]
 }
 
-func (t *fakeTable) Commit(_ context.Context, p *table.CommitPayload) ([]*table.Row, error) {
-	t.mu.Lock()
+func (t *fakeTable) Commit(_ context.Context, p *table.CommitPayload) (rows []*table.Row, err error) {
+	call := t.enter()
 	defer t.mu.Unlock()
+	defer func() { t.history.commit(call, p, err) }()
 	f := t.fault("commit")
 	if f == faultDelayed {
 		t.delayed = append(t.delayed, p)
@@ -89,7 +103,7 @@
 	if f == faultDown {
 		return nil, table.MakeUnavailable(errLost)
 	}
-	rows, err := t.apply(p)
+	rows, err = t.apply(p)
 	if f == faultLostReply {
 		return nil, errLost
 	}
--- /dev/null
+++ b/core/usage/model_test.go
@@ -0,0 +1,123 @@
+package usage_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"acaciapath.example/core/gen/table"
+	"acaciapath.example/core/usage"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// windowInput is an operation on the row of a window, or a report at its
+// receiver.
+type windowInput struct {
+	window string
+	kind   string // insert, read or report
+	lines  string // inserted or reported
+}
+
+// windowOutput is the answer to an operation.
+type windowOutput struct {
+	unknown bool
+	refused bool
+	lines   string // read; empty if there is no row
+}
+
+// history records the operations on window rows and the reports.
+type history struct {
+	events     int64
+	operations []porcupine.Operation
+}
+
+// start returns the number of the next event.
+func (h *history) start() int64 { h.events++; return h.events }
+
+func (h *history) add(call int64, in windowInput, out windowOutput) {
+	h.operations = append(h.operations, porcupine.Operation{
+		ClientId: len(h.operations), Input: in, Call: call, Output: out, Return: h.start(),
+	})
+}
+
+// commit records a transaction that inserts a window row.
+func (h *history) commit(call int64, p *table.CommitPayload, err error) {
+	for _, w := range p.Writes {
+		if window, ok := strings.CutPrefix(w.Key, "usage/window/"); ok {
+			out := windowOutput{unknown: err == errLost, refused: err != nil && err != errLost}
+			h.add(call, windowInput{window: window, kind: "insert", lines: linesIn(w.Value)}, out)
+		}
+	}
+}
+
+// get records a read of a window row.
+func (h *history) get(call int64, p *table.GetPayload, rows []*table.Row, err error) {
+	window, ok := strings.CutPrefix(p.Keys[0], "usage/window/")
+	if !ok || err != nil {
+		return
+	}
+	var out windowOutput
+	if len(rows) > 0 {
+		out.lines = linesIn(rows[0].Value)
+	}
+	h.add(call, windowInput{window: window, kind: "read"}, out)
+}
+
+func linesIn(value []byte) string {
+	var window usage.Window
+	if err := json.Unmarshal(value, &window); err != nil {
+		panic(err)
+	}
+	return fmt.Sprintf("%+v", window.Lines)
+}
+
+// check reports whether the history of each window is that of a row that is
+// inserted once and reported only as it stands. What got no reply may take
+// effect at any later time.
+func (h *history) check() bool {
+	for i := range h.operations {
+		if h.operations[i].Output.(windowOutput).unknown {
+			h.operations[i].Return = h.events + 1
+		}
+	}
+	return porcupine.CheckOperations(windowModel, h.operations)
+}
+
+var windowModel = (&porcupine.NondeterministicModel{
+	Partition: func(operations []porcupine.Operation) [][]porcupine.Operation {
+		byWindow := make(map[string][]porcupine.Operation)
+		for _, o := range operations {
+			window := o.Input.(windowInput).window
+			byWindow[window] = append(byWindow[window], o)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byWindow {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() []interface{} { return []interface{}{""} },
+	Step: func(state, input, output interface{}) []interface{} {
+		return stepWindow(state.(string), input.(windowInput), output.(windowOutput))
+	},
+}).ToModel()
+
+func stepWindow(lines string, in windowInput, out windowOutput) []interface{} {
+	same := []interface{}{lines}
+	switch {
+	case in.kind == "read" && out.lines == lines,
+		in.kind == "report" && in.lines == lines,
+		in.kind == "insert" && out.refused:
+		return same
+	case in.kind != "insert":
+		return nil
+	case out.unknown && lines == "":
+		return []interface{}{"", in.lines}
+	case out.unknown:
+		return same
+	case lines == "":
+		return []interface{}{in.lines}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/usage/reporter_test.go
@@ -0,0 +1,282 @@
+package usage_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/gen/table"
+	usageport "acaciapath.example/core/gen/usage"
+	"acaciapath.example/core/lease"
+	"acaciapath.example/core/usage"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var (
+	billing  = config.Billing{Window: length, Grace: 10 * time.Second}
+	fenceKey = lease.FenceKey(lease.UsageName)
+)
+
+// holder is a Sender that always believes itself to be in charge.
+type holder struct{ grant *lease.Grant }
+
+func (h *holder) Do(ctx context.Context, send func(context.Context, *lease.Grant) error) error {
+	return send(ctx, h.grant)
+}
+
+// receiver is the platform's usage interface. It keeps what it accepted.
+type receiver struct {
+	faults  func(method string) fault
+	reports []*usageport.ReportPayload
+	history *history
+}
+
+func (r *receiver) Report(_ context.Context, p *usageport.ReportPayload) error {
+	f := faultNone
+	if r.faults != nil {
+		f = r.faults("report")
+	}
+	if f == faultDown {
+		return usageport.MakeUnavailable(errLost)
+	}
+	r.reports = append(r.reports, p)
+	if r.history != nil {
+		in := windowInput{window: p.Window, kind: "report", lines: fmt.Sprintf("%+v", linesOf(p))}
+		r.history.add(r.history.start(), in, windowOutput{})
+	}
+	if f != faultNone {
+		return errLost
+	}
+	return nil
+}
+
+// linesOf returns the lines of a report.
+func linesOf(p *usageport.ReportPayload) []usage.Line {
+	lines := make([]usage.Line, len(p.Lines))
+	for i, line := range p.Lines {
+		lines[i] = usage.Line{
+			Key:    usage.Key{ClientAccount: line.ClientAccount, ServiceClass: line.ServiceClass, Model: line.Model},
+			Work:   usage.Work{Requests: line.Requests, PromptTokens: line.PromptTokens, CompletionTokens: line.CompletionTokens},
+			Amount: line.Amount,
+		}
+	}
+	return lines
+}
+
+// figures returns the lines of each window. It fails if two reports of a
+// window differ.
+func (r *receiver) figures() (map[string]string, uint64, error) {
+	figures := make(map[string]string)
+	var requests uint64
+	for _, report := range r.reports {
+		lines := fmt.Sprintf("%+v", linesOf(report))
+		var sum uint64
+		for _, line := range report.Lines {
+			sum += line.Requests
+		}
+		earlier, repeated := figures[report.Window]
+		if repeated && earlier != lines {
+			return nil, 0, fmt.Errorf("window %s was reported as %q and %q", report.Window, earlier, lines)
+		}
+		if !repeated {
+			requests += sum
+		}
+		figures[report.Window] = lines
+	}
+	return figures, requests, nil
+}
+
+// succeed makes a process the holder of the lease, as an acquisition does.
+func succeed(t *fakeTable, name string) *lease.Grant {
+	row := t.rows[fenceKey]
+	if row == nil {
+		row = &table.Row{}
+	}
+	t.rows[fenceKey] = &table.Row{Key: fenceKey, Version: row.Version + 1}
+	return &lease.Grant{Name: lease.UsageName, Holder: name, Fence: row.Version + 1, FenceVersion: row.Version + 1}
+}
+
+func TestNextDue(t *testing.T) {
+	c := qt.New(t)
+	at := func(minutes, seconds int) time.Time {
+		return start.Add(time.Duration(minutes)*time.Minute + time.Duration(seconds)*time.Second)
+	}
+	for _, test := range []struct {
+		name             string
+		last, first, now time.Time
+		want             time.Time
+		due              bool
+	}{
+		{name: "nothing ever ran", now: at(5, 0)},
+		{name: "within grace", first: at(3, 0), now: at(4, 9), want: at(3, 0)},
+		{name: "after grace", first: at(3, 0), now: at(4, 10), want: at(3, 0), due: true},
+		{name: "empty window", last: at(1, 0), first: at(3, 0), now: at(9, 0), want: at(2, 0), due: true},
+		{name: "off the grid", last: at(1, 0), first: at(1, 30), now: at(9, 0), want: at(1, 30), due: true},
+		{name: "parts left over", last: at(1, 0), first: at(1, 0), now: at(9, 0), want: at(1, 0), due: true},
+		{name: "long gap", last: at(1, 0), now: at(48*60, 0), want: at(24*60, 0), due: true},
+	} {
+		c.Run(test.name, func(c *qt.C) {
+			got, due := usage.NextDue(test.last, test.first, test.now, billing)
+			c.Assert(got, qt.Equals, test.want)
+			c.Assert(due, qt.Equals, test.due)
+		})
+	}
+}
+
+func TestReporterStopsWhenSuperseded(t *testing.T) {
+	c := qt.New(t)
+	service, port := newFakeTable(), &receiver{}
+	old := usage.NewReporter(service, port, &holder{grant: succeed(service, "old")})
+	w := usage.NewWriter(service, "vm-1", "a")
+	w.Add(partOf(1))
+	c.Assert(w.Flush(context.Background(), start, length), qt.IsNil)
+	succeed(service, "new")
+	_, err := old.Settle(context.Background(), start.Add(time.Hour), billing)
+	c.Assert(errors.Is(err, usage.ErrSuperseded), qt.IsTrue)
+	c.Assert(port.reports, qt.HasLen, 0)
+}
+
+// TestReporterOvertakenRepeatsFixedFigures lets a successor settle a window and
+// delete its parts while its predecessor is about to sum them up.
+func TestReporterOvertakenRepeatsFixedFigures(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	for calls := 1; calls < 12; calls++ {
+		service, port := newFakeTable(), &receiver{}
+		port.history = &service.history
+		w := usage.NewWriter(service, "vm-1", "a")
+		w.Add(partOf(7))
+		c.Assert(w.Flush(ctx, start, length), qt.IsNil)
+		old := usage.NewReporter(service, port, &holder{grant: succeed(service, "old")})
+		next := usage.NewReporter(service, port, &holder{grant: succeed(service, "next")})
+		left := calls
+		service.before = func() {
+			if left--; left == 0 {
+				_, err := next.Settle(ctx, start.Add(2*length), billing)
+				c.Check(err, qt.IsNil)
+			}
+		}
+		_, _ = old.Settle(ctx, start.Add(2*length), billing)
+		service.before = nil
+		_, requests, err := port.figures()
+		c.Assert(err, qt.IsNil)
+		c.Assert(requests <= 7, qt.IsTrue)
+		c.Assert(service.history.check(), qt.IsTrue)
+	}
+}
+
+// simulation interleaves writers and reporters at random, call by call, with
+// lost, late and refused calls, successions, predecessors that go on, and
+// writers whose clocks are off.
+type simulation struct {
+	service   *fakeTable
+	port      *receiver
+	now       time.Time
+	writers   []*usage.Writer
+	reporters []*usage.Reporter
+	added     uint64
+	busy      map[any]bool
+}
+
+func newSimulation(t *rapid.T) *simulation {
+	s := &simulation{service: newFakeTable(), port: &receiver{}, now: start, busy: make(map[any]bool)}
+	faults := func(method string) fault {
+		choices := []fault{faultNone, faultNone, faultNone, faultDown, faultLostReply}
+		if method == "commit" {
+			choices = append(choices, faultDelayed)
+		}
+		return rapid.SampledFrom(choices).Draw(t, "fault")
+	}
+	s.service.faults, s.port.faults = faults, faults
+	s.port.history = &s.service.history
+	s.service.before = func() {
+		if len(s.busy) < 3 && rapid.IntRange(0, 3).Draw(t, "interrupt") == 0 {
+			rapid.SampledFrom([]func(*rapid.T){s.add, s.settle}).Draw(t, "action")(t)
+		}
+	}
+	for i := range 3 {
+		s.writers = append(s.writers, usage.NewWriter(s.service, fmt.Sprintf("vm-%d", i), "a"))
+	}
+	s.succeed(t)
+	return s
+}
+
+// as runs an action of a process unless one is under way.
+func (s *simulation) as(process any, action func()) {
+	if s.busy[process] {
+		return
+	}
+	s.busy[process] = true
+	defer delete(s.busy, process)
+	action()
+}
+
+func (s *simulation) add(t *rapid.T) {
+	w := rapid.SampledFrom(s.writers).Draw(t, "writer")
+	skew := time.Duration(rapid.IntRange(-90, 90).Draw(t, "skew")) * time.Second
+	s.as(w, func() {
+		w.Add(partOf(1))
+		s.added++
+		_ = w.Flush(context.Background(), s.now.Add(skew), length)
+	})
+}
+
+func (s *simulation) settle(t *rapid.T) {
+	r := rapid.SampledFrom(s.reporters).Draw(t, "reporter")
+	s.as(r, func() { _, _ = r.Settle(context.Background(), s.now, billing) })
+}
+
+func (s *simulation) succeed(*rapid.T) {
+	grant := succeed(s.service, fmt.Sprintf("p%d", len(s.reporters)))
+	s.reporters = append(s.reporters, usage.NewReporter(s.service, s.port, &holder{grant: grant}))
+}
+
+// finish ends all faults and settles what is left. It returns the number of
+// requests that were reported.
+func (s *simulation) finish(t *rapid.T) uint64 {
+	s.service.faults, s.port.faults, s.service.before = nil, nil, nil
+	for _, w := range s.writers {
+		assert(t, w.Flush(context.Background(), s.now, length), qt.IsNil)
+	}
+	s.service.release()
+	s.now = s.now.Add(10 * length)
+	settled := 0
+	for ; settled < 1000; settled++ {
+		window, err := s.reporters[len(s.reporters)-1].Settle(context.Background(), s.now, billing)
+		assert(t, err, qt.IsNil)
+		if window == nil {
+			break
+		}
+	}
+	assert(t, settled < 1000, qt.IsTrue)
+	_, requests, err := s.port.figures()
+	assert(t, err, qt.IsNil)
+	return requests
+}
+
+func TestUsageConserved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"add":     s.add,
+			"settle":  s.settle,
+			"settle2": s.settle,
+			"late":    func(*rapid.T) { s.service.release() },
+			"time":    func(*rapid.T) { s.now = s.now.Add(25 * time.Second) },
+			"succeed": s.succeed,
+			"": func(t *rapid.T) {
+				if _, _, err := s.port.figures(); err != nil {
+					t.Fatal(err)
+				}
+			},
+		})
+		assert(t, s.finish(t), qt.Equals, s.added)
+		assert(t, s.service.list("usage/part/", "", 10), qt.HasLen, 0)
+		assert(t, s.service.history.check(), qt.IsTrue)
+	})
+}
