order: reconcile backend servers by recorded intents

An order is recorded before it is sent, by a write conditional on the fence row, and has the order-id of its intent; whoever is in charge sends open ones again, so that neither a lost reply nor a succession orders twice. Intents count as present until the platform's list shows what they brought, because the list may lag. A backend server that is too many is drained, by a row that entry daemons are to heed, and released only when it is known to have no work.

--- /dev/null
+++ b/core/order/demand.go
@@ -0,0 +1,93 @@
+package order
+
+import (
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/peer"
+)
+
+// Demand is the work for one model in a failure domain, in requests that wait
+// or run.
+type Demand struct {
+	// Standard is the work that may not run on cheap backend servers.
+	Standard int
+	// Any is the work that may run on any backend server.
+	Any int
+}
+
+// Observation is what the entry daemons of a failure domain reported.
+type Observation struct {
+	// Known says whether every live entry daemon has answered. If not, nothing
+	// is scaled down and nothing is released.
+	Known bool
+	// Models is the work by model.
+	Models map[string]Demand
+	// Running is the number of requests by backend server.
+	Running map[string]int
+}
+
+// Observe adds up what entry daemons reported. Known says whether all of them
+// are among the statuses.
+func Observe(statuses []peer.Status, index *config.Index, known bool) Observation {
+	o := Observation{
+		Known:   known && len(statuses) > 0,
+		Models:  make(map[string]Demand),
+		Running: make(map[string]int),
+	}
+	for _, status := range statuses {
+		for _, queue := range status.Queues {
+			o.addQueue(queue, index)
+		}
+		for _, server := range status.BackendServers {
+			o.Running[server.Name] += server.Running
+		}
+	}
+	return o
+}
+
+func (o Observation) addQueue(queue peer.Queue, index *config.Index) {
+	demand := o.Models[queue.Model]
+	work := queue.Waiting + queue.Running
+	if class := index.Class(queue.ServiceClass); class != nil && class.CheapServers {
+		demand.Any += work
+	} else {
+		demand.Standard += work
+	}
+	o.Models[queue.Model] = demand
+}
+
+// Supply is a pool and what can be had for it.
+type Supply struct {
+	// Pool is the pool.
+	Pool config.Pool
+	// Limit is the most backend servers that the pool can have now:
+	// Pool.Max, or fewer while the platform has no capacity.
+	Limit int
+}
+
+// Allocate returns how many backend servers each of the pools of one model and
+// failure domain needs for demand, each within its Min and its Limit. Cheap
+// pools take what may run on them, as far as they can; standard pools take the
+// rest. StandardPlaces and CheapPlaces are the places of backend servers that
+// were not ordered through a pool.
+func Allocate(supplies []Supply, demand Demand, standardPlaces, cheapPlaces int) []int {
+	needs := make([]int, len(supplies))
+	flexible := max(0, demand.Any-cheapPlaces)
+	flexible = allocateKind(needs, supplies, config.KindCheap, flexible)
+	allocateKind(needs, supplies, config.KindStandard, max(0, demand.Standard+flexible-standardPlaces))
+	return needs
+}
+
+// allocateKind sets the needs of the pools of one kind for a number of
+// requests. It returns how many find no place.
+func allocateKind(needs []int, supplies []Supply, kind config.ServerKind, requests int) int {
+	for i, supply := range supplies {
+		if supply.Pool.Kind != kind {
+			continue
+		}
+		pool := supply.Pool
+		limit := min(pool.Max, max(pool.Min, supply.Limit))
+		needs[i] = min(max(pool.Min, (requests+pool.Places-1)/pool.Places), limit)
+		requests = max(0, requests-needs[i]*pool.Places)
+	}
+	return requests
+}
--- /dev/null
+++ b/core/order/order_test.go
@@ -0,0 +1,237 @@
+package order_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/order"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+const domain = "quito-a"
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	pool  = config.Pool{Name: "chat", Model: "m", FailureDomain: domain, Kind: config.KindStandard, Min: 2, Max: 5, Places: 4}
+	cheap = config.Pool{Name: "cheap", Model: "m", FailureDomain: domain, Kind: config.KindCheap, Min: 0, Max: 3, Places: 4}
+	empty = order.Observation{Known: true}
+)
+
+func indexOf(pools ...config.Pool) *config.Index {
+	return config.NewIndex(&config.Config{Pools: pools}, 1)
+}
+
+func work(requests int) order.Observation {
+	return order.Observation{Known: true, Models: map[string]order.Demand{"m": {Standard: requests}}}
+}
+
+func TestAllocate(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		name            string
+		demand          order.Demand
+		limit           int // of the cheap pool
+		standard, cheap int
+		want            []int
+	}{
+		{name: "no work", limit: 3, want: []int{2, 0}},
+		{name: "cheap takes what it may", demand: order.Demand{Standard: 4, Any: 9}, limit: 3, want: []int{2, 3}},
+		{name: "overflow to standard", demand: order.Demand{Standard: 4, Any: 24}, limit: 3, want: []int{4, 3}},
+		{name: "no cheap capacity", demand: order.Demand{Standard: 4, Any: 12}, limit: 0, want: []int{4, 0}},
+		{name: "beyond all", demand: order.Demand{Standard: 100, Any: 100}, limit: 3, want: []int{5, 3}},
+		{name: "own places first", demand: order.Demand{Standard: 12, Any: 4}, standard: 8, cheap: 4, limit: 3, want: []int{2, 0}},
+	} {
+		c.Run(test.name, func(c *qt.C) {
+			supplies := []order.Supply{{Pool: pool, Limit: 5}, {Pool: cheap, Limit: test.limit}}
+			c.Assert(order.Allocate(supplies, test.demand, test.standard, test.cheap), qt.DeepEquals, test.want)
+		})
+	}
+}
+
+func TestScale(t *testing.T) {
+	c := qt.New(t)
+	var s order.Scale
+	for _, step := range []struct {
+		minute, need, present int
+		known                 bool
+		want                  int
+	}{
+		{minute: 0, known: false, present: 0, want: 2}, // nothing is known: min
+		{minute: 1, known: true, need: 4, want: 4},     // up at once
+		{minute: 2, known: true, need: 1, want: 4},
+		{minute: 4, known: true, need: 3, want: 4},
+		{minute: 6, known: true, need: 1, want: 4},
+		{minute: 7, known: true, need: 1, want: 3}, // down to the peak of five minutes
+		{minute: 8, known: true, need: 1, want: 3},
+		{minute: 9, known: false, want: 3}, // unknown: hold, and wait anew
+		{minute: 14, known: true, need: 1, want: 3},
+		{minute: 19, known: true, need: 1, want: 2},
+		{minute: 20, known: true, need: 99, want: 5},
+	} {
+		s = s.Next(pool, step.need, step.present, step.known, start.Add(time.Duration(step.minute)*time.Minute))
+		c.Assert(s.Target, qt.Equals, step.want, qt.Commentf("minute %d", step.minute))
+	}
+	c.Assert(order.Scale{}.Next(pool, 1, 4, true, start).Target, qt.Equals, 4) // a successor starts from what is there
+}
+
+func TestReconcileLifeOfAPool(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	p := newFakePlatform()
+	r := order.NewReconciler(fakeTable{p}, fakeServers{p}, p.succeed(domain), domain)
+	now := start
+	reconcile := func(after time.Duration, o order.Observation) order.PoolState {
+		now = now.Add(after)
+		states, err := r.Reconcile(ctx, now, indexOf(pool), o)
+		c.Assert(err, qt.IsNil)
+		return states[0]
+	}
+	reconcile(0, order.Observation{})
+	c.Assert(p.servers, qt.HasLen, 2) // min, as nothing is known
+	reconcile(time.Second, work(13))
+	c.Assert(p.servers, qt.HasLen, 4)
+	for _, s := range p.servers {
+		s.State = "running"
+	}
+	busy := order.Observation{Known: true, Running: map[string]int{"s-1": 3, "s-2": 1, "s-3": 2}}
+	reconcile(time.Second, busy)
+	reconcile(order.ScaleDownDelay, busy)
+	drains, err := order.Drains(ctx, fakeTable{p}, domain)
+	c.Assert(err, qt.IsNil)
+	c.Assert(drains, qt.DeepEquals, []string{"s-2", "s-4"}) // the least work
+	reconcile(time.Second, busy)
+	reconcile(order.DrainDelay, busy)
+	c.Assert(p.releases, qt.DeepEquals, []string{"s-4"}) // s-2 still has work
+	reconcile(time.Second, order.Observation{})
+	c.Assert(p.releases, qt.DeepEquals, []string{"s-4"}) // and nobody knows of it
+	state := reconcile(time.Second, work(12))
+	c.Assert(state.Drained, qt.Equals, 1)
+	c.Assert(p.servers, qt.HasLen, 4) // s-2 is taken back
+	state = reconcile(time.Second, work(12))
+	c.Assert(state.Present, qt.Equals, 3)
+	p.servers[0].State = "gone" // evicted
+	reconcile(time.Second, work(12))
+	c.Assert(p.servers, qt.HasLen, 5)
+}
+
+func TestReconcileDrainsOrphans(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	p := newFakePlatform()
+	r := order.NewReconciler(fakeTable{p}, fakeServers{p}, p.succeed(domain), domain)
+	_, err := r.Reconcile(ctx, start, indexOf(pool), empty)
+	c.Assert(err, qt.IsNil)
+	for i := range 3 {
+		_, err = r.Reconcile(ctx, start.Add(time.Duration(i)*order.DrainDelay), indexOf(), empty)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(p.releases, qt.DeepEquals, []string{"s-1", "s-2"})
+}
+
+func TestReconcileWithoutCapacity(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	p := newFakePlatform()
+	p.capacity = 1
+	r := order.NewReconciler(fakeTable{p}, fakeServers{p}, p.succeed(domain), domain)
+	for range 3 {
+		_, err := r.Reconcile(ctx, start, indexOf(pool), empty)
+		c.Assert(err, qt.IsNil)
+	}
+	p.capacity = 9
+	for range 3 {
+		_, err := r.Reconcile(ctx, start.Add(time.Hour), indexOf(pool), empty)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(p.servers, qt.HasLen, pool.Min)
+}
+
+func TestReconcileOrdersMoreAfterLostReply(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	p := newFakePlatform()
+	r := order.NewReconciler(fakeTable{p}, fakeServers{p}, p.succeed(domain), domain)
+	p.faults = func(write bool) fault {
+		if write {
+			return faultLostReply
+		}
+		return faultNone
+	}
+	_, err := r.Reconcile(ctx, start, indexOf(pool), empty)
+	c.Assert(err, qt.ErrorIs, errLost)
+	p.faults = nil
+	for range 3 {
+		_, err = r.Reconcile(ctx, start, indexOf(pool), work(16))
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(p.servers, qt.HasLen, 4)
+}
+
+// TestNothingIsOrderedTwice interleaves a holder and its predecessors, call by
+// call, with lost, late and refused calls and a list that lags. The pool needs
+// Min backend servers all the time, so that any further one was ordered twice.
+func TestNothingIsOrderedTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newFakePlatform()
+		p.lag = true
+		p.faults = func(write bool) fault {
+			choices := []fault{faultNone, faultNone, faultNone, faultDown, faultLostReply}
+			if write {
+				choices = append(choices, faultDelayed)
+			}
+			return rapid.SampledFrom(choices).Draw(t, "fault")
+		}
+		now := start
+		var all []*order.Reconciler
+		busy := make(map[*order.Reconciler]bool)
+		succeed := func(*rapid.T) {
+			all = append(all, order.NewReconciler(fakeTable{p}, fakeServers{p}, p.succeed(domain), domain))
+		}
+		succeed(t)
+		reconcile := func(t *rapid.T) {
+			r := rapid.SampledFrom(all).Draw(t, "process")
+			if busy[r] {
+				return
+			}
+			busy[r] = true
+			defer delete(busy, r)
+			_, _ = r.Reconcile(context.Background(), now, indexOf(pool, cheap), order.Observation{})
+		}
+		p.before = func() {
+			if len(busy) < 3 && rapid.IntRange(0, 3).Draw(t, "interrupt") == 0 {
+				reconcile(t)
+			}
+		}
+		show := func(*rapid.T) { clear(p.hidden) }
+		t.Repeat(map[string]func(*rapid.T){
+			"reconcile":  reconcile,
+			"reconcile2": reconcile,
+			"late":       func(*rapid.T) { p.late() },
+			"show":       show,
+			"time":       func(*rapid.T) { now = now.Add(20 * time.Second) },
+			"succeed":    succeed,
+			"": func(t *rapid.T) {
+				if len(p.servers) > pool.Min {
+					t.Fatalf("%d backend servers were ordered", len(p.servers))
+				}
+			},
+		})
+		p.faults, p.before = nil, nil
+		p.late()
+		show(t)
+		for range 3 {
+			_, err := all[len(all)-1].Reconcile(context.Background(), now, indexOf(pool, cheap), empty)
+			if err != nil && !errors.Is(err, order.ErrSuperseded) {
+				continue // a late write collided; the next round sees it
+			}
+		}
+		if len(p.servers) != pool.Min {
+			t.Fatalf("%d backend servers were ordered, want %d", len(p.servers), pool.Min)
+		}
+	})
+}
