--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -16,9 +16,20 @@
 	"acaciapath.example/core/retry"
 )
 
+// maxAttempts is the number of replicas that one request is sent to, so that a
+// request that breaks replicas does not break all of them.
+const maxAttempts = 5
+
 // minRetryAfter is the shortest time that a refused caller is told to wait.
 const minRetryAfter = time.Second
 
+// freshNum and freshDen are the part of the target of the first token that a
+// request may wait; the rest is for the prompt to be processed.
+const (
+	freshNum = 3
+	freshDen = 4
+)
+
 // Dispatcher holds the requests of one entry daemon. T is what the daemon
 // keeps with each.
 type Dispatcher[T any] struct {
@@ -29,6 +40,9 @@
 	// Budget bounds retries.
 	Budget retry.Budget
 
+	// parked are the tickets that wait for the budget, in the order in which
+	// they are sent again.
+	parked []*Ticket[T]
 	// pools are in the order of their names.
 	pools    []*pool[T]
 	replicas map[string]*replica.Replica
@@ -36,11 +50,11 @@
 }
 
 // New returns a dispatcher without replicas.
-func New[T any](failureDomain string, retryPercent int, random *rand.Rand) *Dispatcher[T] {
+func New[T any](failureDomain string, retryPercent int, random *rand.Rand, now time.Time) *Dispatcher[T] {
 	return &Dispatcher[T]{
 		FailureDomain: failureDomain,
 		Limiter:       limit.New(1),
-		Budget:        retry.NewBudget(retryPercent),
+		Budget:        retry.NewBudget(retryPercent, now),
 		replicas:      make(map[string]*replica.Replica),
 		random:        random,
 	}
@@ -105,9 +119,11 @@
 		Account: request.Account.Name,
 		Tier:    request.Class.Tier,
 		Arrived: now,
+		// A place that is got later than this gives the first token too late.
+		FreshUntil: now.Add(request.Class.FirstTokenTarget * freshNum / freshDen),
 	}
-	p.count(request.Class)
 	p.queue.Push(&t.entry)
+	p.observeDemand(request.Class, now)
 	d.Budget.Earn()
 	return t, nil
 }
@@ -117,6 +133,7 @@
 // daemon calls it until it returns nil, after every change and whenever a
 // replica may have recovered.
 func (d *Dispatcher[T]) Next(now time.Time) *Ticket[T] {
+	d.unpark(now)
 	t := d.mostUrgent(now)
 	if t == nil {
 		return nil
@@ -133,22 +150,67 @@
 
 // Retry puts a request that certainly did not run back into the queue, at the
 // place of its arrival, and leaves the replica that failed it alone for a time.
-// It reports false, and changes nothing, if the budget has no retry at hand or
-// no other replica is left; the daemon then finishes the request.
+// Without a retry in the budget it is parked until there is one. Retry reports
+// false, and changes nothing, if retries are switched off, the request was sent
+// too often or no other replica is left; the daemon then finishes the request.
 func (d *Dispatcher[T]) Retry(t *Ticket[T], now time.Time) bool {
 	failed := t.Replica
 	tried := append(slices.Clone(t.tried), failed.Spec.Name)
-	if !hasOther(t, tried) || !d.Budget.Spend() {
+	if d.Budget.Percent == 0 || t.Attempts >= maxAttempts || !hasOther(t, tried) {
 		return false
 	}
 	failed.Fail(now)
-	d.stop(t)
+	d.stop(t, now)
 	d.charge(t, -t.charged, now)
 	t.tried = tried
-	t.pool.queue.Push(&t.entry)
+	d.setParked(t, true)
+	d.parked = append(d.parked, t)
+	return true
+}
+
+// Resume is Retry for a request that ran in part, whose answer another replica
+// can go on with. It goes before the requests that got no token yet.
+func (d *Dispatcher[T]) Resume(t *Ticket[T], now time.Time) bool {
+	if !d.Retry(t, now) {
+		return false
+	}
+	t.entry.FreshUntil = now.Add(t.Request.Class.MaxWait)
 	return true
 }
 
+// unpark puts parked tickets back into their queues as far as the budget goes.
+func (d *Dispatcher[T]) unpark(now time.Time) {
+	n := 0
+	for n < len(d.parked) && d.Budget.Spend(now) {
+		t := d.parked[n]
+		d.setParked(t, false)
+		t.pool.queue.Push(&t.entry)
+		n++
+	}
+	d.parked = slices.Delete(d.parked, 0, n)
+}
+
+// setParked marks a ticket, and counts it.
+func (*Dispatcher[T]) setParked(t *Ticket[T], parked bool) {
+	t.parked = parked
+	c := t.pool.count(t.Request.Class)
+	if parked {
+		c.parked++
+		return
+	}
+	c.parked--
+}
+
+// dropParked takes a ticket out of the parked ones.
+func (d *Dispatcher[T]) dropParked(t *Ticket[T]) {
+	if !t.parked {
+		return
+	}
+	d.setParked(t, false)
+	i := slices.Index(d.parked, t)
+	d.parked = slices.Delete(d.parked, i, i+1)
+}
+
 // Finish ends a request, whether it waited or ran. A second call does nothing.
 func (d *Dispatcher[T]) Finish(t *Ticket[T], result Result, now time.Time) {
 	if t.ended {
@@ -156,13 +218,17 @@
 	}
 	t.ended = true
 	t.pool.queue.Remove(&t.entry)
+	d.dropParked(t)
 	d.charge(t, result.PromptTokens+result.CompletionTokens-t.charged, now)
 	d.Limiter.Leave(t.Request.Account.Name, now)
 	r := t.Replica
+	if r != nil {
+		d.stop(t, now)
+	}
+	t.pool.observeDemand(t.Request.Class, now)
 	if r == nil {
 		return
 	}
-	d.stop(t)
 	if result.Failed {
 		r.Fail(now)
 		return
@@ -177,7 +243,7 @@
 func (d *Dispatcher[T]) mostUrgent(now time.Time) *Ticket[T] {
 	var best *Ticket[T]
 	for _, p := range d.pools {
-		t := p.next(now)
+		t := p.next(d.FailureDomain, now)
 		if t != nil && (best == nil || before(t, best)) {
 			best = t
 		}
@@ -208,7 +274,7 @@
 		message := fmt.Sprintf("no backend server serves %q at present", request.Serves)
 		return refusal.New(refusal.NoBackendServer, message).After(minRetryAfter)
 	}
-	if p.queue.Waiting(class.Tier) >= class.QueueLimit {
+	if p.waiting(p.count(class)) >= class.QueueLimit {
 		message := fmt.Sprintf("%d requests of service class %q wait already", class.QueueLimit, class.Name)
 		return refusal.New(refusal.QueueFull, message).After(d.retryAfter(p, class, now))
 	}
@@ -238,6 +304,7 @@
 	return replica.Wish{
 		FailureDomain: d.FailureDomain,
 		Cheap:         t.Request.Class.CheapServers,
+		CheapOnly:     t.cheapOnly,
 		Prefixes:      t.Request.Prefixes,
 		Tried:         t.tried,
 	}
@@ -249,20 +316,23 @@
 	t.Replica = r
 	t.Started = now
 	t.Attempts++
-	r.Start(t.Request.Prefixes)
+	r.Start(t.Request.Prefixes, now)
 	t.pool.count(t.Request.Class).running++
+	t.pool.running = append(t.pool.running, t)
 	d.charge(t, t.pool.expectedCost(t.Request), now)
 }
 
 // stop takes a request off its replica.
-func (d *Dispatcher[T]) stop(t *Ticket[T]) {
-	t.Replica.Finish()
+func (d *Dispatcher[T]) stop(t *Ticket[T], now time.Time) {
+	t.Replica.Finish(now)
 	t.Replica = nil
 	t.pool.count(t.Request.Class).running--
+	t.pool.removeRunning(t)
 }
 
 func (d *Dispatcher[T]) charge(t *Ticket[T], tokens int, now time.Time) {
 	t.charged += tokens
+	t.pool.earnPreemption(tokens)
 	t.pool.queue.Charge(t.Request.Class.Tier, t.Request.Account.Name, float64(tokens))
 	d.Limiter.Charge(t.Request.Account.Name, tokens, now)
 }
