controld: the control daemon

Each entry VM runs one; leases decide which orders backend servers in its failure domain and which reports usage.

--- /dev/null
+++ b/controld/daemon/daemon.go
@@ -0,0 +1,237 @@
+package daemon
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"io"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/lease"
+	"acaciapath.example/core/order"
+	"acaciapath.example/core/peer"
+	"acaciapath.example/core/platform"
+	"acaciapath.example/core/revision"
+	"acaciapath.example/core/settings"
+	"acaciapath.example/core/telemetry"
+	"acaciapath.example/core/usage"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+)
+
+// Errors of this package. The first two are reasons why a daemon is not ready.
+var (
+	ErrLeaving       = merry.Sentinel("daemon: shutting down")
+	ErrNotConfigured = merry.Sentinel("daemon: no configuration is in force")
+	// ErrRelease is returned by Run when a lease could not be given back; it
+	// then expires by itself.
+	ErrRelease = merry.Sentinel("daemon: a lease was not given back")
+)
+
+// Defaults of Options.
+const (
+	defaultOrderInterval = 2 * time.Second
+	defaultUsageInterval = 2 * time.Second
+	defaultListInterval  = 5 * time.Second
+)
+
+// opsTimeout bounds the time to read a request's headers on the operations port.
+const opsTimeout = 5 * time.Second
+
+// instanceBytes is the number of random bytes in the name of an instance.
+const instanceBytes = 8
+
+// Options are what a daemon can do without being told. The zero value of each
+// field stands for its default.
+type Options struct {
+	// Version is the version of the program.
+	Version string
+	// Clock reads the clocks; by default those of the operating system.
+	Clock lease.Clock
+	// Random is the source of identifiers and jitter; crypto/rand by default.
+	Random io.Reader
+	// OrderInterval is how often backend servers are reconciled.
+	OrderInterval time.Duration
+	// UsageInterval is how often it is checked whether a usage window is due.
+	UsageInterval time.Duration
+	// ListInterval is how often the platform's list of VMs is read.
+	ListInterval time.Duration
+}
+
+func (o *Options) setDefaults() {
+	if o.Clock == nil {
+		o.Clock = newClock()
+	}
+	if o.Random == nil {
+		o.Random = rand.Reader
+	}
+	o.OrderInterval = orDefault(o.OrderInterval, defaultOrderInterval)
+	o.UsageInterval = orDefault(o.UsageInterval, defaultUsageInterval)
+	o.ListInterval = orDefault(o.ListInterval, defaultListInterval)
+}
+
+func orDefault(interval, standard time.Duration) time.Duration {
+	if interval > 0 {
+		return interval
+	}
+	return standard
+}
+
+// newClock returns a clock of the operating system.
+func newClock() lease.Clock {
+	origin := time.Now()
+	return func() lease.Instant {
+		now := time.Now()
+		return lease.Instant{Monotonic: now.Sub(origin), Wall: now.Round(0)}
+	}
+}
+
+// Daemon is one control daemon. Its ports are bound from New on and served by
+// Run.
+type Daemon struct {
+	settings settings.Settings
+	options  Options
+	platform *platform.Client
+	logger   *logrus.Entry
+	// origin turns a monotonic reading into a time.
+	origin time.Time
+
+	watcher    *revision.Watcher
+	members    *members
+	orders     *lease.Keeper
+	usage      *lease.Keeper
+	reconciler *order.Reconciler
+	reporter   *usage.Reporter
+	metrics    *metrics
+	jitter     *mathrand.Rand
+
+	ops     net.Listener
+	opsHTTP *http.Server
+	peers   *peer.Server
+
+	leaving atomic.Bool
+}
+
+// New returns a daemon whose ports are bound. It returns an error if a port
+// cannot be bound, a TLS file cannot be used or the random source fails.
+func New(s settings.Settings, p *platform.Client, logger *logrus.Logger, options Options) (*Daemon, error) {
+	options.setDefaults()
+	d := &Daemon{settings: s, options: options, platform: p}
+	d.logger = logger.WithField(telemetry.FieldVM, s.Name)
+	d.origin = options.Clock().Wall
+	if err := d.assemble(); err != nil {
+		return nil, err
+	}
+	registry := prometheus.NewRegistry()
+	d.metrics = newMetrics(registry, d.Status)
+	if err := d.listen(registry); err != nil {
+		d.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// assemble makes the parts that need no port.
+func (d *Daemon) assemble() error {
+	var random [instanceBytes]byte
+	if _, err := io.ReadFull(d.options.Random, random[:]); err != nil {
+		return merry.Prepend(err, "daemon: random source")
+	}
+	d.jitter = mathrand.New(mathrand.NewPCG(binary.LittleEndian.Uint64(random[:]), 0))
+	tls, err := d.settings.TLS.Load()
+	if err != nil {
+		return err
+	}
+	d.watcher = revision.NewWatcher(revision.NewStore(d.platform), config.Parse)
+	d.members = newMembers(d.settings.Name, d.settings.FailureDomain, tls, d.platform.VMs)
+	holder := d.settings.Name + "/" + hex.EncodeToString(random[:])
+	d.orders = d.newKeeper(lease.OrdersName(d.settings.FailureDomain), holder)
+	d.usage = d.newKeeper(lease.UsageName, holder)
+	d.reconciler = order.NewReconciler(d.platform.Table, d.platform.Servers, d.orders, d.settings.FailureDomain)
+	d.reporter = usage.NewReporter(d.platform.Table, d.platform.Usage, d.usage)
+	return nil
+}
+
+func (d *Daemon) newKeeper(name, holder string) *lease.Keeper {
+	terms := lease.Terms{Name: name, Holder: holder, Duration: d.settings.Lease}
+	poll := lease.PollInterval(d.settings.Lease, 1, d.jitter)
+	return lease.NewKeeper(d.platform.Table, terms, poll, d.options.Clock)
+}
+
+// listen binds the ports.
+func (d *Daemon) listen(registry *prometheus.Registry) error {
+	var err error
+	if d.peers, err = peer.Listen(d.address(d.settings.PeerPort), d.members.tls, (*peerHandler)(d)); err != nil {
+		return err
+	}
+	if d.ops, err = net.Listen("tcp", d.address(d.settings.OpsPort)); err != nil {
+		return merry.Prepend(err, "daemon: operations port")
+	}
+	d.opsHTTP = &http.Server{Handler: telemetry.OpsHandler(registry, d.Ready), ReadHeaderTimeout: opsTimeout}
+	return nil
+}
+
+func (d *Daemon) address(port int) string {
+	return net.JoinHostPort(d.settings.Address, strconv.Itoa(port))
+}
+
+// close gives back the ports that are bound.
+func (d *Daemon) close() {
+	if d.ops != nil {
+		_ = d.ops.Close()
+	}
+	if d.peers != nil {
+		_ = d.peers.Close()
+	}
+	d.members.close()
+}
+
+// PeerAddress returns the address of the peers' port.
+func (d *Daemon) PeerAddress() string { return d.peers.Address() }
+
+// OpsAddress returns the address of the operations port.
+func (d *Daemon) OpsAddress() string { return d.ops.Addr().String() }
+
+// Ready returns nil, or why the daemon is not ready.
+func (d *Daemon) Ready() error {
+	if d.leaving.Load() {
+		return ErrLeaving
+	}
+	if d.watcher.Index() == nil {
+		return ErrNotConfigured
+	}
+	return nil
+}
+
+// Status returns what the daemon tells of itself.
+func (d *Daemon) Status() peer.Status {
+	return peer.Status{
+		Name:           d.settings.Name,
+		Role:           peer.RoleControl,
+		FailureDomain:  d.settings.FailureDomain,
+		Version:        d.options.Version,
+		Revision:       d.watcher.Revision(),
+		ConfirmedAt:    d.watcher.ConfirmedAt(),
+		Rejected:       d.watcher.Rejected().Revision,
+		Leaving:        d.leaving.Load(),
+		Queues:         []peer.Queue{},
+		BackendServers: []peer.BackendServer{},
+		Leases:         []peer.Lease{leaseStatus(d.orders), leaseStatus(d.usage)},
+	}
+}
+
+func leaseStatus(k *lease.Keeper) peer.Lease {
+	row := k.Row()
+	return peer.Lease{Name: k.Name(), Holder: row.Holder, Fence: row.Fence, Held: k.Held() != nil}
+}
+
+// monotonic returns the present time on a scale that does not jump.
+func (d *Daemon) monotonic() time.Time { return d.origin.Add(d.options.Clock().Monotonic) }
