--- /dev/null
+++ b/controld/daemon/harness_test.go
@@ -0,0 +1,181 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/gen/vms"
+	"acaciapath.example/core/peer"
+	"acaciapath.example/core/platform"
+	"acaciapath.example/core/revision"
+	"acaciapath.example/core/settings"
+	"acaciapath.example/core/usage"
+	standin "acaciapath.example/standin/platform"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
+)
+
+const (
+	domain    = "quito-a"
+	testLease = 800 * time.Millisecond
+	deadline  = 30 * time.Second
+)
+
+const folder = `
+[failure-domain quito-a]
+region = quito
+
+[model letters]
+context-tokens = 8192
+max-completion-tokens = 1024
+
+[pool letters]
+model = letters
+failure-domain = quito-a
+kind = cheap
+min = 2
+max = 4
+places = 4
+hour-price = 0.40 USD/h
+
+[billing]
+window = 1s
+grace = 0s
+`
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// world is a platform with control daemons.
+type world struct {
+	c        *qt.C
+	platform *standin.Server
+}
+
+func newWorld(t *testing.T) *world {
+	c := qt.New(t)
+	w := &world{c: c, platform: standin.New(standin.Options{})}
+	c.Cleanup(func() { c.Check(w.platform.Close(), qt.IsNil) })
+	store := revision.NewStore(w.client("operator"))
+	change := revision.Change{Files: []config.File{{Name: "10.ini", Text: folder}}, Author: "operator"}
+	_, err := store.Apply(context.Background(), change, time.Now())
+	c.Assert(err, qt.IsNil)
+	return w
+}
+
+func (w *world) client(caller string) *platform.Client { return w.platform.Client(caller) }
+
+// start runs a control daemon. Stop shuts it down; it may be called twice.
+func (w *world) start(name string) (d *Daemon, stop func()) {
+	w.platform.AddVM(vms.VM{Name: name, FailureDomain: domain, Address: "127.0.0.1", ControlPort: 1})
+	s := settings.Default()
+	s.Name, s.FailureDomain, s.Address = name, domain, "127.0.0.1"
+	s.PeerPort, s.OpsPort = 0, 0
+	s.Lease, s.ConfigPoll, s.DrainTimeout = testLease, 20*time.Millisecond, 5*time.Second
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	d, err := New(s, w.client(name), logger, Options{
+		OrderInterval: 20 * time.Millisecond, UsageInterval: 20 * time.Millisecond, ListInterval: 50 * time.Millisecond,
+	})
+	w.c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	stopped := false
+	stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		select {
+		case err := <-done:
+			w.c.Check(err == nil || errors.Is(err, ErrRelease), qt.IsTrue, qt.Commentf("%v", err))
+		case <-time.After(deadline):
+			w.c.Error("the daemon did not stop")
+		}
+	}
+	w.c.Cleanup(stop)
+	return d, stop
+}
+
+// eventually polls until the condition holds.
+func (w *world) eventually(what string, condition func() bool) {
+	w.c.Helper()
+	for end := time.Now().Add(deadline); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	w.c.Fatalf("not in time: %s", what)
+}
+
+// alive returns the number of backend servers that start or run.
+func (w *world) alive() int {
+	list, err := w.client("judge").Servers.List(context.Background(), listAll)
+	w.c.Assert(err, qt.IsNil)
+	alive := 0
+	for _, s := range list {
+		if s.State == "starting" || s.State == "running" {
+			alive++
+		}
+	}
+	return alive
+}
+
+// use writes a part with one request.
+func (w *world) use(writer *usage.Writer) {
+	key := usage.Key{ClientAccount: "quito", ServiceClass: "chat", Model: "letters"}
+	writer.Add(usage.Part{Lines: []usage.Line{{Key: key, Work: usage.Work{Requests: 1}}}})
+	w.c.Assert(writer.Flush(context.Background(), time.Now(), time.Second), qt.IsNil)
+}
+
+// reported returns the requests in the reports, and fails if two reports of a
+// window differ.
+func (w *world) reported() uint64 {
+	windows := make(map[string]standin.Report)
+	var requests uint64
+	for _, report := range w.platform.Reports() {
+		if earlier, ok := windows[report.Window]; ok {
+			w.c.Assert(report.Lines, qt.DeepEquals, earlier.Lines)
+			continue
+		}
+		windows[report.Window] = report
+		for _, line := range report.Lines {
+			requests += line.Requests
+		}
+	}
+	return requests
+}
+
+// checkOneInCharge fails unless the receivers' log shows one sender after the
+// other, with rising fencing numbers, and no order that ordered twice.
+func (w *world) checkOneInCharge(iface standin.Interface) {
+	var fence uint64
+	holders := make(map[uint64]string)
+	for _, e := range w.platform.Log().Entries() {
+		if e.Interface != iface || e.Holder == "" {
+			continue
+		}
+		w.c.Assert(e.Fence >= fence, qt.IsTrue, qt.Commentf("%s %s with fence %d after %d", e.Holder, e.Method, e.Fence, fence))
+		fence = e.Fence
+		if holder, ok := holders[fence]; ok {
+			w.c.Assert(e.Holder, qt.Equals, holder)
+		}
+		holders[fence] = e.Holder
+	}
+}
+
+// ask returns what a daemon tells of itself at its peers' port.
+func (w *world) ask(d *Daemon) peer.Status {
+	client := peer.NewClient(d.PeerAddress(), nil)
+	defer func() { _ = client.Close() }()
+	status, err := client.Status(context.Background())
+	w.c.Assert(err, qt.IsNil)
+	return status
+}
--- /dev/null
+++ b/controld/main_test.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/gen/servers"
+	"acaciapath.example/core/gen/vms"
+	"acaciapath.example/core/lease"
+	"acaciapath.example/core/revision"
+	standin "acaciapath.example/standin/platform"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// asProgram makes the test binary run the program.
+const asProgram = "CONTROLD_TEST_MAIN"
+
+const (
+	domain    = "quito-a"
+	testLease = "1s"
+	deadline  = 60 * time.Second
+)
+
+const folder = `
+[failure-domain quito-a]
+region = quito
+
+[model letters]
+context-tokens = 8192
+max-completion-tokens = 1024
+
+[pool letters]
+model = letters
+failure-domain = quito-a
+kind = cheap
+min = 2
+max = 4
+places = 4
+hour-price = 0.40 USD/h
+
+[billing]
+window = 1s
+grace = 0s
+`
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// program returns the program with the given arguments.
+func program(arguments ...string) *exec.Cmd {
+	command := exec.Command(os.Args[0], arguments...)
+	command.Env = append(os.Environ(), asProgram+"=1")
+	return command
+}
+
+// startDaemon starts a control daemon as a process of its own.
+func startDaemon(c *qt.C, p *standin.Server, name string) *exec.Cmd {
+	p.AddVM(vms.VM{Name: name, FailureDomain: domain, Address: "127.0.0.1", ControlPort: 1})
+	command := program(
+		"--daemon-name", name, "--daemon-failure-domain", domain, "--daemon-address", "127.0.0.1",
+		"--listen-peer-port", "0", "--listen-ops-port", "0", "--platform-address", p.Address(),
+		"--lease-duration", testLease, "--config-poll", "100ms",
+	)
+	command.Stderr = os.Stderr
+	c.Assert(command.Start(), qt.IsNil)
+	return command
+}
+
+// stopDaemon stops a control daemon gracefully.
+func stopDaemon(c *qt.C, command *exec.Cmd) {
+	c.Check(command.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	c.Check(command.Wait(), qt.IsNil)
+}
+
+// holder returns the VM that holds the lease of orders.
+func holder(c *qt.C, p *standin.Server) string {
+	rows, err := p.Client("judge").Read(context.Background(), lease.RowKey(lease.OrdersName(domain)))
+	c.Assert(err, qt.IsNil)
+	if rows[0].Version == 0 {
+		return ""
+	}
+	row, err := lease.ParseRow(rows[0].Value)
+	c.Assert(err, qt.IsNil)
+	vm, _, _ := strings.Cut(row.Holder, "/")
+	return vm
+}
+
+// alive returns the number of backend servers that start or run.
+func alive(c *qt.C, p *standin.Server) int {
+	list, err := p.Client("judge").Servers.List(context.Background(), &servers.ListPayload{})
+	c.Assert(err, qt.IsNil)
+	n := 0
+	for _, s := range list {
+		if s.State == "starting" || s.State == "running" {
+			n++
+		}
+	}
+	return n
+}
+
+func eventually(c *qt.C, what string, condition func() bool) {
+	c.Helper()
+	for end := time.Now().Add(deadline); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	c.Fatalf("not in time: %s", what)
+}
+
+// TestFrozenHolderDoesNotSend freezes the process of the holder until another
+// one is in charge, several times over, while there is always something to
+// order and to report. The platform ignores fencing numbers; its log is the
+// judge.
+func TestFrozenHolderDoesNotSend(t *testing.T) {
+	c := qt.New(t)
+	p := standin.New(standin.Options{})
+	c.Assert(p.Start("127.0.0.1:0"), qt.IsNil)
+	defer func() { c.Check(p.Close(), qt.IsNil) }()
+	change := revision.Change{Files: []config.File{{Name: "10.ini", Text: folder}}, Author: "operator"}
+	_, err := revision.NewStore(p.Client("operator")).Apply(context.Background(), change, time.Now())
+	c.Assert(err, qt.IsNil)
+	daemons := make(map[string]*exec.Cmd)
+	for _, name := range []string{"vm-1", "vm-2"} {
+		daemons[name] = startDaemon(c, p, name)
+		defer stopDaemon(c, daemons[name])
+	}
+	for range 3 {
+		eventually(c, "the pool has its least size", func() bool { return alive(c, p) == 2 })
+		frozen := holder(c, p)
+		c.Assert(daemons[frozen].Process.Signal(syscall.SIGSTOP), qt.IsNil)
+		p.EvictFailureDomain(domain, 0)
+		eventually(c, "succession", func() bool { return holder(c, p) != frozen })
+		c.Assert(daemons[frozen].Process.Signal(syscall.SIGCONT), qt.IsNil)
+		eventually(c, "the pool is filled again", func() bool { return alive(c, p) == 2 })
+		p.EvictFailureDomain(domain, 0)
+	}
+	eventually(c, "the pool has its least size at the end", func() bool { return alive(c, p) == 2 })
+	for _, iface := range []standin.Interface{standin.Servers, standin.Usage} {
+		var fence uint64
+		for _, e := range p.Log().Entries() {
+			if e.Interface == iface && e.Holder != "" {
+				c.Assert(e.Fence >= fence, qt.IsTrue, qt.Commentf("%s %s with fence %d after %d", e.Holder, e.Method, e.Fence, fence))
+				fence = e.Fence
+			}
+		}
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	c := qt.New(t)
+	out, err := program("--version").Output()
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(out), qt.Contains, "controld version")
+	var exit *exec.ExitError
+	_, err = program("--daemon-name", "vm-1").Output()
+	c.Assert(err, qt.ErrorAs, &exit)
+	c.Assert(exit.ExitCode(), qt.Equals, exitFindings)
+	c.Assert(string(exit.Stderr), qt.Contains, "platform-address")
+}
