--- a/entryd/daemon/crash_test.go
+++ b/entryd/daemon/crash_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -81,8 +82,10 @@
 		extra:   "\n[limits]\nretry-budget = 100%\n",
 	})
 	s.c.Assert(s.engines[2].Close(), qt.IsNil)
-	for range 30 {
-		s.c.Assert(s.do(s.request("POST", "/v1/chat/completions", shopKey, chatBody(2, true))).status, qt.Equals, 200)
+	for i := range 30 {
+		// Prompts that differ are not drawn to the engine that has served one.
+		body := strings.Replace(chatBody(2, true), "socks", fmt.Sprint("socks ", i), 1)
+		s.c.Assert(s.do(s.request("POST", "/v1/chat/completions", shopKey, body)).status, qt.Equals, 200)
 	}
 	s.c.Assert(s.engines[0].Runs().Entries(), qt.HasLen, 30)
 	metrics := s.do(mustGet("http://" + s.daemon.OpsAddress() + "/metrics"))
