capacity: measure the slopes of state and messages

Cause: docs/CAPACITY.md has to rest on slopes that one command prints again. Change: core/capacity measures stored revisions, usage parts, status, cache events, the configuration in force, limits, replicas and queues over three sizes each, holds them to bounds that follow from the budgets, and compares the exact ones with a golden file.

--- /dev/null
+++ b/core/capacity/measurements_test.go
@@ -0,0 +1,210 @@
+package capacity_test
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"acaciapath.example/core/apikey"
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/dispatch"
+	"acaciapath.example/core/engine"
+	"acaciapath.example/core/limit"
+	"acaciapath.example/core/peer"
+	"acaciapath.example/core/replica"
+	"acaciapath.example/core/revision"
+	"acaciapath.example/core/usage"
+)
+
+// Budgets of the control part of one daemon, from the target.
+const (
+	budgetBytes     = 32 << 20
+	budgetPerSecond = 7 << 10
+	targetAccounts  = 47_000
+	targetReplicas  = 720
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var (
+	accountSizes = []int{10, 1_000, 47_000}
+	replicaSizes = []int{10, 100, 720}
+	requestSizes = []int{10, 1_000, 10_000}
+)
+
+func measurements() []measurement {
+	return []measurement{
+		{
+			name: "stored revision", unit: "bytes", per: "client account", exact: true,
+			sizes: accountSizes, measure: bundleBytes, maxSlope: 128,
+		},
+		{
+			name: "usage part", unit: "bytes", per: "line", exact: true,
+			sizes: requestSizes, measure: partBytes, maxSlope: 256,
+		},
+		{
+			name: "status", unit: "bytes", per: "backend server", exact: true,
+			sizes: replicaSizes, measure: statusBytes, maxSlope: 256,
+		},
+		{
+			name: "cache events", unit: "bytes", per: "event", exact: true,
+			sizes: requestSizes, measure: eventBytes, maxSlope: 128,
+		},
+		{
+			name: "configuration in force", unit: "bytes of memory", per: "client account",
+			sizes: accountSizes, measure: indexBytes, maxSlope: budgetBytes / targetAccounts,
+		},
+		{
+			name: "limits", unit: "bytes of memory", per: "active client account",
+			sizes: accountSizes, measure: limiterBytes, maxSlope: 256,
+		},
+		{
+			name: "replicas of one model", unit: "bytes of memory", per: "replica",
+			sizes: replicaSizes, measure: replicaBytes, maxSlope: budgetBytes / targetReplicas / 2,
+		},
+		{
+			name: "queue", unit: "bytes of memory", per: "waiting request",
+			sizes: requestSizes, measure: queueBytes, maxSlope: 1024,
+		},
+	}
+}
+
+const classes = `
+[service-class chat]
+tier = 1
+first-token-target = 1.1s
+inter-token-target = 46ms
+max-wait = 10s
+queue-limit = 100000
+prompt-price = 0.40 USD/Mtok
+completion-price = 1.20 USD/Mtok
+
+[billing]
+currency = USD
+`
+
+// folder returns a configuration of n client accounts with a key each.
+func folder(n int) []config.File {
+	var accounts, keys strings.Builder
+	for i := range n {
+		name := fmt.Sprintf("account-%05d", i)
+		fmt.Fprintf(&accounts, "[client-account %s]\nclasses = chat\nrequests-per-minute = 600\n\n", name)
+		keys.WriteString(config.KeySection(config.Key{
+			Name: name + "-1", ClientAccount: name, DefaultClass: "chat",
+			Hash: apikey.Hash(string(binary.BigEndian.AppendUint64(nil, uint64(i)))),
+		}) + "\n")
+	}
+	return []config.File{
+		{Name: "10-classes.ini", Text: classes},
+		{Name: "20-accounts.ini", Text: accounts.String()},
+		{Name: "30-keys.ini", Text: keys.String()},
+	}
+}
+
+func must[T any](value T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+func jsonBytes(value any) int { return len(must(json.Marshal(value))) }
+
+func bundleBytes(accounts int) int { return len(must(revision.Pack(folder(accounts))).Data) }
+
+func indexBytes(accounts int) int {
+	return heap(func() any { return config.NewIndex(must(config.Parse(folder(accounts))), 1) })
+}
+
+func partBytes(lines int) int {
+	part := usage.Part{}
+	for i := range lines {
+		part.Lines = append(part.Lines, usage.Line{
+			Key:    usage.Key{ClientAccount: fmt.Sprintf("account-%05d", i), ServiceClass: "chat", Model: "assistant"},
+			Work:   usage.Work{Requests: 10, PromptTokens: 10_000, CompletionTokens: 5_000},
+			Amount: 10_000,
+		})
+	}
+	return jsonBytes(part)
+}
+
+func statusBytes(servers int) int {
+	s := peer.Status{}
+	for i := range servers {
+		s.BackendServers = append(s.BackendServers, peer.BackendServer{
+			Name: fmt.Sprintf("engine-%04d", i), FailureDomain: "quito-a", Kind: "standard",
+			Serves: []string{"assistant"}, Running: 12, Places: 16, State: "ready",
+		})
+	}
+	return jsonBytes(s)
+}
+
+func eventBytes(events int) int {
+	e := engine.CacheEvents{}
+	for i := range events {
+		e.Events = append(e.Events, engine.CacheEvent{
+			Seq: uint64(1_000_000 + i), At: now, Stored: true, Prefix: 0x9E3779B97F4A7C15 * uint64(i+1),
+		})
+	}
+	return jsonBytes(e)
+}
+
+func limiterBytes(accounts int) int {
+	index := make([]config.ClientAccount, accounts)
+	for i := range index {
+		index[i] = config.ClientAccount{Name: fmt.Sprintf("account-%05d", i), RequestsPerMinute: 600}
+	}
+	return heap(func() any {
+		l := limit.New(1)
+		for i := range index {
+			l.Enter(&index[i], now)
+		}
+		return l
+	})
+}
+
+func newDispatcher(replicas int) *dispatch.Dispatcher[int] {
+	d := dispatch.New[int]("quito-a", 10, rand.New(rand.NewPCG(1, 2)), now)
+	specs := make([]replica.Spec, replicas)
+	for i := range specs {
+		specs[i] = replica.Spec{
+			Name: fmt.Sprintf("engine-%04d", i), Address: "10.0.0.1:8000", FailureDomain: "quito-a",
+			Serves: []string{"assistant"}, Kind: config.KindStandard, Places: 16,
+		}
+	}
+	d.SetReplicas(specs)
+	return d
+}
+
+// replicaBytes fills the memory of each replica's prefixes.
+func replicaBytes(replicas int) int {
+	return heap(func() any {
+		d := newDispatcher(replicas)
+		events := make([]engine.CacheEvent, 1000)
+		for i := range events {
+			events[i] = engine.CacheEvent{Stored: true, Prefix: uint64(i)}
+		}
+		for i := range replicas {
+			d.Observe(fmt.Sprintf("engine-%04d", i), events)
+		}
+		return d
+	})
+}
+
+func queueBytes(requests int) int {
+	class := &config.ServiceClass{Name: "letters", Tier: 3, MaxWait: time.Hour, QueueLimit: requests + 1}
+	account := &config.ClientAccount{Name: "shop"}
+	return heap(func() any {
+		d := newDispatcher(1)
+		for i := range requests {
+			r := dispatch.Request{Serves: "assistant", Account: account, Class: class, Prefixes: []uint64{uint64(i)}}
+			if _, refused := d.Enter(r, i, now); refused != nil {
+				panic(refused)
+			}
+		}
+		return d
+	})
+}
