--- a/acaciapath/command/command.go
+++ b/acaciapath/command/command.go
@@ -83,7 +83,7 @@
 		[]string{string(output.Table), string(output.JSON)}, cobra.ShellCompDirectiveNoFileComp))
 	root.AddCommand(
 		p.check(), p.apply(), p.pull(), p.diff(), p.show(), p.history(),
-		p.status(), p.keys(), p.version(),
+		p.status(), p.keys(), p.try(), p.version(),
 	)
 	return root
 }
@@ -109,7 +109,7 @@
 		fmt.Fprintln(p.Stderr, findings.Error())
 		return
 	}
-	fmt.Fprintln(p.Stderr, "acaciapath:", err)
+	fmt.Fprintln(p.Stderr, "acaciapath:", err.Error())
 	if hint := hintOf(err); hint != "" {
 		fmt.Fprintln(p.Stderr, hint)
 	}
--- a/acaciapath/command/command_test.go
+++ b/acaciapath/command/command_test.go
@@ -110,6 +110,7 @@
 		"check testdata/shop --output yaml",
 		"status",
 		"status --platform-address=platform:7000",
+		"try --deployment none",
 		"history --platform-address=127.0.0.1:1",
 		"keys list DIR/shop",
 		"keys issue DIR/shop --name till",
@@ -244,3 +245,33 @@
 	s.run(fmt.Sprintf("status --peer 127.0.0.1:%d", ports[1]))
 	s.assert("daemons")
 }
+
+// cancelOn cancels a context once a text has been written.
+type cancelOn struct {
+	bytes.Buffer
+	text   string
+	cancel context.CancelFunc
+}
+
+// Write keeps what is written.
+func (w *cancelOn) Write(p []byte) (int, error) {
+	n, err := w.Buffer.Write(p)
+	if strings.Contains(w.String(), w.text) {
+		w.cancel()
+	}
+	return n, err
+}
+
+func TestTry(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stdout := &cancelOn{text: "acaciapath status", cancel: cancel}
+	var stderr bytes.Buffer
+	exit := command.Run(ctx, command.Environment{
+		Stdout: stdout, Stderr: &stderr, Now: time.Now, Random: rand.NewChaCha8([32]byte{2}),
+	}, []string{"try", "--deployment", "skylights"})
+	c.Assert(stderr.String(), qt.Equals, "")
+	c.Assert(exit, qt.Equals, command.ExitOK)
+	c.Assert(strings.HasPrefix(stdout.String(), "ready\n"), qt.IsTrue)
+}
