--- a/core/capacity/measurements_test.go
+++ b/core/capacity/measurements_test.go
@@ -12,6 +12,8 @@
 	"acaciapath.example/core/config"
 	"acaciapath.example/core/dispatch"
 	"acaciapath.example/core/engine"
+	serversserver "acaciapath.example/core/gen/http/servers/server"
+	"acaciapath.example/core/gen/servers"
 	"acaciapath.example/core/limit"
 	"acaciapath.example/core/peer"
 	"acaciapath.example/core/replica"
@@ -49,6 +51,14 @@
 			name: "status", unit: "bytes", per: "backend server", exact: true,
 			sizes: replicaSizes, measure: statusBytes, maxSlope: 256,
 		},
+		{
+			name: "list of backend servers", unit: "bytes", per: "backend server", exact: true,
+			sizes: replicaSizes, measure: listBytes, maxSlope: 512,
+		},
+		{
+			name: "load report", unit: "bytes", per: "loaded model", exact: true,
+			sizes: []int{1, 4, 26}, measure: loadBytes, maxSlope: 64,
+		},
 		{
 			name: "cache events", unit: "bytes", per: "event", exact: true,
 			sizes: requestSizes, measure: eventBytes, maxSlope: 128,
@@ -142,6 +152,25 @@
 	return jsonBytes(s)
 }
 
+func listBytes(count int) int {
+	list := make([]*servers.BackendServer, count)
+	for i := range list {
+		list[i] = &servers.BackendServer{
+			Name: fmt.Sprintf("server-%08d", i), OrderID: fmt.Sprintf("assistant-quito-a-%08d", i),
+			FailureDomain: "quito-a", Kind: "standard", Model: "assistant", Address: "10.0.0.1:8000", State: "running",
+		}
+	}
+	return jsonBytes(serversserver.NewListResponseBody(list))
+}
+
+func loadBytes(models int) int {
+	load := engine.Load{At: now, Running: 12, Waiting: 3, Places: 16, CacheUsed: 0.875, Role: "decode"}
+	for i := range models {
+		load.Models = append(load.Models, fmt.Sprintf("model-%02d", i))
+	}
+	return jsonBytes(load)
+}
+
 func eventBytes(events int) int {
 	e := engine.CacheEvents{}
 	for i := range events {
