--- a/controld/main_test.go
+++ b/controld/main_test.go
@@ -133,6 +133,17 @@
 	return recorded
 }
 
+// lastFence returns the fencing number of the last order.
+func lastFence(p *standin.Server) uint64 {
+	var fence uint64
+	for _, e := range p.Log().Entries() {
+		if e.Interface == standin.Servers && e.Holder != "" {
+			fence = e.Fence
+		}
+	}
+	return fence
+}
+
 func eventually(c *qt.C, what string, condition func() bool) {
 	c.Helper()
 	for end := time.Now().Add(deadline); time.Now().Before(end); time.Sleep(time.Millisecond) {
@@ -166,7 +177,8 @@
 		p.EvictFailureDomain(domain, 0)
 		eventually(c, "an order is recorded", func() bool { return intents(p) > 0 })
 		c.Assert(daemons[frozen].Process.Signal(syscall.SIGSTOP), qt.IsNil)
-		eventually(c, "succession", func() bool { return holder(c, p) != frozen })
+		fence := lastFence(p)
+		eventually(c, "the successor has sent", func() bool { return lastFence(p) > fence })
 		c.Assert(daemons[frozen].Process.Signal(syscall.SIGCONT), qt.IsNil)
 		p.SetFaults(standin.Servers, fault.Faults{})
 		eventually(c, "the pool is filled again", func() bool { return alive(c, p) == 2 })
