--- a/core/lease/keeper.go
+++ b/core/lease/keeper.go
@@ -141,7 +141,8 @@
 	}
 }
 
-// step makes the next request, if there is one, and takes in its answer.
+// step makes the next request, if there is one, and takes in its answer. That
+// somebody else was first is no error.
 func (k *Keeper) step(ctx context.Context) error {
 	k.mu.Lock()
 	request := k.lease.Next(k.clock())
@@ -163,6 +164,9 @@
 		k.lease.Committed(request, rows, k.clock())
 	}
 	k.grant.Store(k.lease.Grant())
+	if platform.AsConflict(err) != nil {
+		return nil
+	}
 	return err
 }
 
