--- a/controld/daemon/harness_test.go
+++ b/controld/daemon/harness_test.go
@@ -128,7 +128,8 @@
 	return alive
 }
 
-// use writes a part with one request, as often as it takes.
+// use writes a part with one request, again as long as the platform has faults,
+// as an entry daemon does.
 func (w *world) use(writer *usage.Writer) {
 	key := usage.Key{ClientAccount: "quito", ServiceClass: "chat", Model: "letters"}
 	writer.Add(usage.Part{Lines: []usage.Line{{Key: key, Work: usage.Work{Requests: 1}}}})
