entryd: resume streams and repeat requests whose engine failed

A stream whose engine fails goes on at another one by continue_final_message; a request without a token so far starts again there, within the retry budget. Once an attempt may have run, no later refusal says not-run.

--- a/entryd/caller/exchange.go
+++ b/entryd/caller/exchange.go
@@ -133,7 +133,7 @@
 	done := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(done)
-		_ = x.Controller.SetWriteDeadline(time.Now().Add(lastWriteTimeout))
+		x.LimitWrites()
 	})
 	return func() {
 		if !stop() {
@@ -142,6 +142,12 @@
 	}
 }
 
+// LimitWrites lets writes of the answer end soon. The connection's next request
+// lifts the limit.
+func (x *Exchange) LimitWrites() {
+	_ = x.Controller.SetWriteDeadline(time.Now().Add(lastWriteTimeout))
+}
+
 // bodyRefusal returns the refusal of a request whose body could not be read.
 func bodyRefusal(err error) *refusal.Refusal {
 	var tooLarge *http.MaxBytesError
--- a/entryd/chat/answer.go
+++ b/entryd/chat/answer.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"acaciapath.example/core/refusal"
 	"acaciapath.example/entryd/caller"
@@ -20,6 +21,8 @@
 	maxWholeBytes = 16 << 20
 	// maxMessageBytes bounds the message of an engine's refusal.
 	maxMessageBytes = 4 << 10
+	// endTimeout bounds the wait for the end of a body that is whole.
+	endTimeout = time.Second
 )
 
 // Media types of answers.
@@ -60,37 +63,47 @@
 
 // open returns the answer of a response with status 200 once its first event,
 // or all of a whole answer, has come.
-func (r *run) open(response *http.Response) (*answer, *refusal.Refusal) {
+func (r *run) open(response *http.Response) (*answer, *failure) {
 	if r.request.Stream {
 		return r.openStream(response)
 	}
 	return r.openWhole(response)
 }
 
-func (r *run) openStream(response *http.Response) (*answer, *refusal.Refusal) {
-	events := readers.Get().(*eventReader)
-	events.reader.Reset(response.Body)
-	first, err := events.next()
-	if err != nil || first.failed {
-		readers.Put(events)
-		return nil, r.lose(response)
+func (r *run) openStream(response *http.Response) (*answer, *failure) {
+	a := &answer{contentType: typeStream, run: r, events: readers.Get().(*eventReader)}
+	var f *failure
+	if a.first, f = a.attach(response); f != nil {
+		a.putReader()
+		return nil, f
 	}
+	r.partial = buffers.Get().(*[]byte)
 	r.exchange.Header["Cache-Control"] = noCache
-	return &answer{contentType: typeStream, run: r, response: response, events: events, first: first}, nil
+	return a, nil
 }
 
-func (r *run) openWhole(response *http.Response) (*answer, *refusal.Refusal) {
+// attach makes a response the source of a stream and returns its first event.
+func (a *answer) attach(response *http.Response) (event, *failure) {
+	a.response = response
+	a.events.reader.Reset(response.Body)
+	e, err := a.events.next()
+	if err != nil || e.failed {
+		return event{}, a.run.broken()
+	}
+	return e, nil
+}
+
+func (r *run) openWhole(response *http.Response) (*answer, *failure) {
 	whole := buffers.Get().(*[]byte)
 	var err error
 	*whole, err = readAll(*whole, response.Body)
-	if err != nil {
-		putBuffer(whole)
-		return nil, r.lose(response)
-	}
 	aborted := false
-	if r.usage, aborted = inspectWhole(*whole); aborted {
+	if err == nil {
+		r.usage, aborted = inspectWhole(*whole)
+	}
+	if err != nil || aborted {
 		putBuffer(whole)
-		return nil, r.lose(response)
+		return nil, r.broken()
 	}
 	r.stopAttempt(response)
 	return &answer{contentType: typeJSON, run: r, whole: whole}, nil
@@ -116,20 +129,13 @@
 	}
 }
 
-// lose ends a run whose answer broke off, and returns what the caller is told.
-func (r *run) lose(response *http.Response) *refusal.Refusal {
-	f := r.broken()
-	r.stopAttempt(response)
-	return r.fail(f)
-}
-
 // broken returns why an answer broke off.
 func (r *run) broken() *failure {
 	if r.hop.Err() != nil {
 		return &failure{refused: caller.EndRefusal(context.Cause(r.hop), refusal.Unknown)}
 	}
 	refused := refusal.NewUnknown(refusal.AnswerIncomplete, "the backend server broke off its answer")
-	return &failure{refused: refused, isServer: true}
+	return &failure{refused: refused, again: true, isServer: true}
 }
 
 // Read returns ErrWriteOnly.
@@ -145,15 +151,25 @@
 		putBuffer(a.whole)
 		a.whole = nil
 	}
-	if a.events != nil {
-		a.events.reader.Reset(nil)
-		readers.Put(a.events)
-		a.events = nil
-	}
+	a.putReader()
 	a.run.cancel(nil)
 	return nil
 }
 
+// putReader gives back the reader of the stream and the text that was kept.
+func (a *answer) putReader() {
+	if a.events == nil {
+		return
+	}
+	a.events.reader.Reset(nil)
+	readers.Put(a.events)
+	a.events = nil
+	if a.run.partial != nil {
+		putBuffer(a.run.partial)
+		a.run.partial = nil
+	}
+}
+
 // WriteTo sends the answer to the caller. A stream that breaks off ends with an
 // event that holds a refusal, and without the event that ends a whole one. It
 // returns no error, since a broken answer has been dealt with.
@@ -161,7 +177,7 @@
 	if a.whole != nil {
 		return a.writeWhole(w), nil
 	}
-	a.release = a.run.exchange.BoundWrites(a.run.hop)
+	a.bind()
 	return a.writeStream(w), nil
 }
 
@@ -184,36 +200,57 @@
 	var written int64
 	for e := a.first; ; {
 		a.run.saw(e)
-		if e.failed {
-			return written + a.breakOff(w)
-		}
-		if !e.usageOnly || a.run.request.IncludeUsage {
-			n, err := w.Write(e.text)
-			written += int64(n)
-			if err == nil {
-				err = a.run.exchange.Controller.Flush()
-			}
-			if err != nil {
-				a.vanish()
-				return written
-			}
+		n, err := a.writeEvent(w, e)
+		written += n
+		if err != nil {
+			a.vanish()
+			return written
 		}
 		if e.done {
 			a.finish()
 			return written
 		}
-		var err error
-		if e, err = a.events.next(); err != nil {
-			return written + a.breakOff(w)
+		var f *failure
+		if e, f = a.next(); f != nil {
+			return written + a.breakOff(w, f)
 		}
 	}
 }
 
+// next returns the next event of the stream, which another engine goes on with
+// if the present one fails.
+func (a *answer) next() (event, *failure) {
+	e, err := a.events.next()
+	if err == nil && !e.failed {
+		return e, nil
+	}
+	return a.resume(a.run.broken())
+}
+
+// writeEvent sends an event to the caller, unless it is not meant for it.
+func (a *answer) writeEvent(w io.Writer, e event) (int64, error) {
+	resumed := a.run.before > 0
+	if (e.usageOnly && !a.run.request.IncludeUsage) || (e.opening && resumed) {
+		return 0, nil
+	}
+	if e.usage != nil && resumed {
+		e.text = withUsage(e.text, a.run.ran())
+	}
+	n, err := w.Write(e.text)
+	if err != nil {
+		return int64(n), err
+	}
+	return int64(n), a.run.exchange.Controller.Flush()
+}
+
 // finish ends a stream that came whole.
 func (a *answer) finish() {
 	a.ended = true
-	a.release()
-	_, _ = io.Copy(io.Discard, io.LimitReader(a.response.Body, maxMessageBytes)) // so that the connection is kept
+	a.unbind()
+	// The end of the body is read so that the connection is kept.
+	timer := time.AfterFunc(endTimeout, a.run.stopHop)
+	_, _ = io.Copy(io.Discard, io.LimitReader(a.response.Body, maxMessageBytes))
+	timer.Stop()
 	a.run.stopAttempt(a.response)
 	a.run.complete()
 }
@@ -225,24 +262,38 @@
 		a.run.complete()
 		return
 	}
+	a.detach()
+	a.run.settle(false)
+	a.run.service.Metrics.Wasted(a.run.exchange.Class.Name, a.run.ran().CompletionTokens)
+}
+
+// bind lets writes end soon after the present attempt has.
+func (a *answer) bind() { a.release = a.run.exchange.BoundWrites(a.run.hop) }
+
+// unbind undoes bind.
+func (a *answer) unbind() {
 	if a.release != nil {
 		a.release()
+		a.release = nil
 	}
+}
+
+// detach ends the present attempt.
+func (a *answer) detach() {
+	a.unbind()
 	a.run.stopAttempt(a.response)
-	a.run.settle(false)
-	a.run.service.Metrics.Wasted(a.run.exchange.Class.Name, a.run.ran().CompletionTokens)
 }
 
-// breakOff ends a stream that did not come whole and tells the caller why.
-func (a *answer) breakOff(w io.Writer) int64 {
+// breakOff ends a stream that did not come whole and tells the caller why. The
+// last attempt has ended.
+func (a *answer) breakOff(w io.Writer, f *failure) int64 {
 	a.ended = true
-	f := a.run.broken()
-	n, _ := w.Write(errorEvent(f.refused, a.run.exchange.ID))
-	_ = a.run.exchange.Controller.Flush()
-	a.run.exchange.Refusal = f.refused
-	a.release()
-	a.run.stopAttempt(a.response)
-	a.run.fail(f)
+	x := a.run.exchange
+	refused := a.run.fail(f)
+	x.Refusal = refused
+	x.LimitWrites()
+	n, _ := w.Write(errorEvent(refused, x.ID))
+	_ = x.Controller.Flush()
 	return int64(n)
 }
 
--- a/entryd/chat/events.go
+++ b/entryd/chat/events.go
@@ -36,6 +36,12 @@
 	usage *engine.Usage
 	// usageOnly says whether there is nothing but usage in it.
 	usageOnly bool
+	// opening says whether it says who answers and nothing more.
+	opening bool
+	// content is the text in it, still escaped, unless mixed says that it holds
+	// more than the text of one choice.
+	content []byte
+	mixed   bool
 }
 
 // eventReader reads the events of a stream.
@@ -102,6 +108,9 @@
 	e.tokens = chosen.tokens
 	e.failed = e.failed || chosen.aborted
 	e.usageOnly = e.usage != nil && chosen.count == 0
+	e.opening = chosen.hasRole && chosen.tokens == 0 && !chosen.finished
+	e.content = chosen.content
+	e.mixed = chosen.mixed || chosen.count > 1
 	return e
 }
 
@@ -111,8 +120,16 @@
 	count int
 	// tokens is the number of those that bring a token.
 	tokens int
+	// hasRole says whether any says who answers.
+	hasRole bool
+	// finished says whether any has ended.
+	finished bool
 	// aborted says whether the engine stopped any before its end.
 	aborted bool
+	// content is the text of the last one, still escaped.
+	content []byte
+	// mixed says whether any brings something else than text.
+	mixed bool
 }
 
 // finishAbort is the reason of an end that the engine was made to put to an
@@ -125,10 +142,11 @@
 		c.count++
 		fields(choice, func(f field) bool {
 			switch {
-			case f.is("delta") && bringsToken(f.value):
-				c.tokens++
-			case f.is("finish_reason") && string(f.value) == finishAbort:
-				c.aborted = true
+			case f.is("delta"):
+				c.readDelta(f.value)
+			case f.is("finish_reason") && !isNull(f.value):
+				c.finished = true
+				c.aborted = c.aborted || string(f.value) == finishAbort
 			}
 			return true
 		})
@@ -137,16 +155,32 @@
 	return c
 }
 
-// bringsToken reports whether a delta holds anything but a role.
-func bringsToken(delta []byte) bool {
-	found := false
+// readDelta looks at what a chunk adds to a choice. One that holds anything but
+// a role counts as a token.
+func (c *choices) readDelta(delta []byte) {
+	token := false
 	fields(delta, func(f field) bool {
-		if !f.is("role") && !isNull(f.value) && string(f.value) != `""` && string(f.value) != "[]" {
-			found = true
+		switch {
+		case isEmpty(f.value):
+		case f.is("role"):
+			c.hasRole = true
+		case f.is("content") && len(f.value) > 1 && f.value[0] == '"':
+			token = true
+			c.content = f.value[1 : len(f.value)-1]
+		default:
+			token = true
+			c.mixed = true
 		}
-		return !found
+		return true
 	})
-	return found
+	if token {
+		c.tokens++
+	}
+}
+
+// isEmpty reports whether a value of a delta adds nothing.
+func isEmpty(value []byte) bool {
+	return isNull(value) || string(value) == `""` || string(value) == "[]"
 }
 
 // parseUsage returns the usage in the text, or nil.
--- a/entryd/chat/events_test.go
+++ b/entryd/chat/events_test.go
@@ -21,10 +21,10 @@
 		want       event
 		err        error
 	}{
-		{name: "role", text: "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\",\"content\":\"\"}}],\"usage\":null}\n\n"},
-		{name: "token", text: "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n", want: event{tokens: 1}},
-		{name: "two choices, CRLF", text: "data:{\"choices\":[{\"delta\":{\"content\":\"a\"}},{\"delta\":{\"reasoning\":\"b\"}}]}\r\n\r\n", want: event{tokens: 2}},
-		{name: "larger than the buffer", text: "data: {\"choices\":[{\"delta\":{\"content\":\"" + long + "\"}}]}\n\n", want: event{tokens: 1}},
+		{name: "role", text: "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\",\"content\":\"\"}}],\"usage\":null}\n\n", want: event{opening: true}},
+		{name: "token", text: "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n", want: event{tokens: 1, content: []byte("a")}},
+		{name: "two choices, CRLF", text: "data:{\"choices\":[{\"delta\":{\"content\":\"a\"}},{\"delta\":{\"reasoning\":\"b\"}}]}\r\n\r\n", want: event{tokens: 2, content: []byte("a"), mixed: true}},
+		{name: "larger than the buffer", text: "data: {\"choices\":[{\"delta\":{\"content\":\"" + long + "\"}}]}\n\n", want: event{tokens: 1, content: []byte(long)}},
 		{
 			name: "usage", text: "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":4}}\n\n",
 			want: event{usage: &engine.Usage{PromptTokens: 3, CompletionTokens: 4}, usageOnly: true},
--- a/entryd/chat/request.go
+++ b/entryd/chat/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"strconv"
 
 	"acaciapath.example/core/config"
@@ -27,6 +28,9 @@
 	PromptTokens int
 	// Messages is the text of the conversation.
 	Messages []byte
+	// Unresumable says whether a part of an answer is not enough for another
+	// engine to go on with it.
+	Unresumable bool
 }
 
 // names of the fields that are looked at.
@@ -47,6 +51,15 @@
 	fieldMaxTokens, fieldMaxCompletion, fieldPriority,
 }
 
+// unresumable lists the fields by which an answer is more than one text, or
+// depends on more than the text so far.
+var unresumable = [...]string{
+	"n", "tools", "functions", "response_format", "stop", "logprobs", "continue_final_message",
+}
+
+// neutral lists the values by which such a field asks for nothing.
+var neutral = [...]string{"null", "false", "1", "[]", `{"type":"text"}`}
+
 // Parse returns what routing needs of a body, or why it is refused. A field
 // that is looked at may stand once only, so that the engine cannot read the
 // body in another way.
@@ -61,17 +74,17 @@
 	var problem *refusal.Refusal
 	var seen [len(looked)]bool
 	fields(body, func(f field) bool {
-		for i, name := range looked {
-			if !f.is(name) {
-				continue
-			}
-			if seen[i] {
-				problem = invalid("the field " + name + " stands twice")
-				return false
-			}
-			seen[i] = true
-			problem = request.take(name, f.value)
+		i := slices.IndexFunc(looked[:], f.is)
+		if i < 0 {
+			request.Unresumable = request.Unresumable || f.isUnresumable()
+			return true
 		}
+		if seen[i] {
+			problem = invalid("the field " + looked[i] + " stands twice")
+			return false
+		}
+		seen[i] = true
+		problem = request.take(looked[i], f.value)
 		return problem == nil
 	})
 	if problem != nil {
@@ -80,6 +93,11 @@
 	return request, request.check()
 }
 
+// isUnresumable reports whether the field keeps an answer from being resumed.
+func (f field) isUnresumable() bool {
+	return slices.ContainsFunc(unresumable[:], f.is) && !slices.Contains(neutral[:], string(f.value))
+}
+
 // take keeps the value of a field that is looked at.
 func (r *Request) take(name string, value []byte) *refusal.Refusal {
 	var err error
--- a/entryd/chat/request_test.go
+++ b/entryd/chat/request_test.go
@@ -27,6 +27,11 @@
 		},
 		{name: "escaped name", body: `{"mod\u0065l":"m","messages":[]}`, want: chat.Request{Model: "m", PromptTokens: 1, Messages: []byte(`[]`)}},
 		{name: "no bound", body: `{"model":"m","messages":[],"max_tokens":null}`, want: chat.Request{Model: "m", PromptTokens: 1, Messages: []byte(`[]`)}},
+		{
+			name: "unresumable", body: `{"model":"m","messages":[],"n":2}`,
+			want: chat.Request{Model: "m", PromptTokens: 1, Messages: []byte(`[]`), Unresumable: true},
+		},
+		{name: "one choice", body: `{"model":"m","messages":[],"n":1,"tools":[]}`, want: chat.Request{Model: "m", PromptTokens: 1, Messages: []byte(`[]`)}},
 		{name: "not JSON", body: `{"model":`, problem: "invalid-request: the body is not JSON"},
 		{name: "not an object", body: `[]`, problem: "invalid-request: the body is not a JSON object"},
 		{name: "empty", body: ``, problem: "invalid-request: the body is not JSON"},
--- a/entryd/chat/service.go
+++ b/entryd/chat/service.go
@@ -142,6 +142,9 @@
 		request:  request,
 		body:     request.Rewrite(body, text, x.Class.Tier, model.MaxCompletionTokens),
 	}
+	if r.maxTokens = request.MaxTokens; r.maxTokens == 0 {
+		r.maxTokens = model.MaxCompletionTokens
+	}
 	r.ctx, r.cancel = x.Grant.Join(ctx)
 	answer, refused := r.begin()
 	if refused != nil {
--- a/entryd/daemon/crash_test.go
+++ b/entryd/daemon/crash_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -9,11 +10,14 @@
 
 	"acaciapath.example/core/engine"
 	"acaciapath.example/core/refusal"
+	"acaciapath.example/core/usage"
 	"acaciapath.example/entryd/daemon"
 	standin "acaciapath.example/standin/engine"
 	"acaciapath.example/standin/fault"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/openai/openai-go"
+	"github.com/openai/openai-go/option"
 )
 
 // TestCrashMidStream checks that a broken stream ends with a refusal, and that
@@ -36,6 +40,51 @@
 	s.c.Assert(s.charged()[0].CompletionTokens, qt.Equals, tokens)
 }
 
+// TestResumeAfterCrash checks that another engine goes on with a stream, without
+// a token lost or doubled, and that each token is charged once.
+func TestResumeAfterCrash(t *testing.T) {
+	crashing := standin.Options{Seed: 5, Faults: standin.Faults{CrashAfterTokens: 30}}
+	s := start(t, plan{engines: []standin.Options{crashing, crashing, {Seed: 5}, {Seed: 5}}, extra: "\n[limits]\nretry-budget = 100%\n"})
+	client := s.client(shopKey)
+	straight := s.client(shopKey, option.WithBaseURL("http://"+s.engines[3].Address()+"/v1/"))
+	var prompt, completion int64
+	for i := range 12 {
+		request := params(fmt.Sprintf("socks %d \\ \"é\" [tokens=40]", i))
+		request.StreamOptions.IncludeUsage = openai.Bool(true)
+		stream := client.Chat.Completions.NewStreaming(t.Context(), request)
+		var streamed openai.ChatCompletionAccumulator
+		openings := 0
+		for stream.Next() {
+			chunk := stream.Current()
+			s.c.Assert(streamed.AddChunk(chunk), qt.IsTrue)
+			if len(chunk.Choices) > 0 && chunk.Choices[0].Delta.Role != "" {
+				openings++
+			}
+		}
+		s.c.Assert(openings, qt.Equals, 1)
+		s.c.Assert(stream.Err(), qt.IsNil)
+		s.c.Assert(streamed.Usage.CompletionTokens, qt.Equals, int64(40))
+		prompt, completion = prompt+streamed.Usage.PromptTokens, completion+streamed.Usage.CompletionTokens
+		request.StreamOptions = openai.ChatCompletionStreamOptionsParam{}
+		whole, err := straight.Chat.Completions.New(t.Context(), request)
+		s.c.Assert(err, qt.IsNil)
+		s.c.Assert(streamed.Choices[0].Message.Content, qt.Equals, whole.Choices[0].Message.Content)
+		s.c.Assert(streamed.Usage.PromptTokens, qt.Equals, whole.Usage.PromptTokens)
+	}
+	s.c.Assert(s.engines[0].Faults().Crashed && s.engines[1].Faults().Crashed, qt.IsTrue)
+	resumed := 0
+	for _, e := range s.engines[2:] {
+		for _, run := range e.Runs().Entries() {
+			resumed += min(run.First, 1)
+		}
+	}
+	s.c.Assert(resumed > 0, qt.IsTrue)
+	s.stop()
+	<-s.ended
+	s.c.Assert(s.charged(), qt.HasLen, 1)
+	s.c.Assert(s.charged()[0].Work, qt.Equals, usage.Work{Requests: 12, PromptTokens: uint64(prompt), CompletionTokens: uint64(completion)})
+}
+
 // TestAbortedAnswer checks that an answer that the engine was made to stop is
 // not taken for a whole one, although it ends as one.
 func TestAbortedAnswer(t *testing.T) {
@@ -81,12 +130,15 @@
 		extra:   "\n[limits]\nretry-budget = 100%\n",
 	})
 	s.c.Assert(s.engines[2].Close(), qt.IsNil)
-	for range 30 {
-		s.c.Assert(s.do(s.request("POST", "/v1/chat/completions", shopKey, chatBody(2, true))).status, qt.Equals, 200)
-	}
-	s.c.Assert(s.engines[0].Runs().Entries(), qt.HasLen, 30)
-	metrics := s.do(mustGet("http://" + s.daemon.OpsAddress() + "/metrics"))
-	s.c.Assert(metrics.body, qt.Not(qt.Contains), "acaciapath_entry_retries_total 0")
+	sent := 0
+	s.eventually(func() bool {
+		sent++
+		body := strings.Replace(chatBody(2, true), "socks", fmt.Sprint("socks ", sent), 1) // cached nowhere
+		s.c.Assert(s.do(s.request("POST", "/v1/chat/completions", shopKey, body)).status, qt.Equals, 200)
+		metrics := s.do(mustGet("http://" + s.daemon.OpsAddress() + "/metrics"))
+		return !strings.Contains(metrics.body, "acaciapath_entry_retries_total 0")
+	})
+	s.c.Assert(s.engines[0].Runs().Entries(), qt.HasLen, sent)
 }
 
 // TestFrozenEngine checks that a request whose engine does not answer ends with
--- a/entryd/plain/call.go
+++ b/entryd/plain/call.go
@@ -61,26 +61,26 @@
 	}
 	ctx, stop := context.WithTimeoutCause(ctx, c.route.Timeout, caller.ErrTimeout)
 	defer stop()
+	mayHaveRun := false
 	for {
 		response, sent, err := c.send(ctx)
+		mayHaveRun = mayHaveRun || sent
 		if err == nil && !isTemporary(response.StatusCode) {
 			return c.pass(ctx, response)
 		}
 		if ctx.Err() != nil {
 			c.place.Finish(dispatch.Result{})
 			closeBody(response)
-			return caller.EndRefusal(context.Cause(ctx), ranIf(sent))
+			return caller.EndRefusal(context.Cause(ctx), ranIf(mayHaveRun))
 		}
-		retried, waitErr := c.place.Retry(ctx)
-		if waitErr != nil {
-			closeBody(response)
-			return asRefusal(waitErr, ranIf(sent))
-		}
-		if !retried {
-			return c.giveUp(ctx, response, sent)
+		if !c.place.Retry() {
+			return c.giveUp(ctx, response, mayHaveRun)
 		}
 		closeBody(response)
 		c.handler.Metrics.Retried()
+		if err := c.place.Wait(ctx); err != nil {
+			return asRefusal(err, ranIf(mayHaveRun))
+		}
 	}
 }
 
--- a/entryd/plain/once.go
+++ b/entryd/plain/once.go
@@ -130,17 +130,16 @@
 		if sent {
 			return nil, c.lose(detached, held, cause)
 		}
-		retried, waitErr := c.place.Retry(ctx)
-		if waitErr != nil {
-			c.release(detached, held)
-			return nil, asRefusal(waitErr, refusal.NotRun)
-		}
-		if !retried {
+		if !c.place.Retry() {
 			c.place.Finish(dispatch.Result{Failed: true})
 			c.release(detached, held)
 			return nil, unreached(false)
 		}
 		c.handler.Metrics.Retried()
+		if err := c.place.Wait(ctx); err != nil {
+			c.release(detached, held)
+			return nil, asRefusal(err, refusal.NotRun)
+		}
 	}
 }
 
--- a/entryd/scheduler/scheduler.go
+++ b/entryd/scheduler/scheduler.go
@@ -116,7 +116,7 @@
 	s.startNext()
 	s.mu.Unlock()
 	p := &Place{scheduler: s, ticket: ticket, arrived: now}
-	if err := p.wait(ctx); err != nil {
+	if err := p.Wait(ctx); err != nil {
 		return nil, err
 	}
 	return p, nil
@@ -144,7 +144,8 @@
 
 	scheduler *Scheduler
 	ticket    *dispatch.Ticket[waiter]
-	arrived   time.Time
+	// arrived is when the request began to wait, after Resume again.
+	arrived time.Time
 }
 
 // Waited returns how long the request waited before it was last started.
@@ -154,22 +155,32 @@
 // on.
 func (p *Place) Attempts() int { return p.ticket.Attempts }
 
-// Retry gives the place back after the backend server failed the request, and
-// waits for another. It reports false if there is to be no retry; the place is
-// still to be given back then. It returns the same errors as Enter, after
-// which the place is given back.
-func (p *Place) Retry(ctx context.Context) (bool, error) {
+// Retry gives the place back after the backend server failed the request, which
+// then waits for another. It reports false, and changes nothing, if there is to
+// be no retry. After it, Wait is called.
+func (p *Place) Retry() bool {
+	return p.move(func(now time.Time) bool { return p.scheduler.dispatcher.Retry(p.ticket, now) })
+}
+
+// Resume is Retry for a request of whose answer a part has reached the caller.
+// It may wait as long as if it had just arrived.
+func (p *Place) Resume() bool {
+	return p.move(func(now time.Time) bool {
+		resumed := p.scheduler.dispatcher.Resume(p.ticket, now)
+		if resumed {
+			p.arrived = now
+		}
+		return resumed
+	})
+}
+
+func (p *Place) move(retry func(now time.Time) bool) bool {
 	s := p.scheduler
 	s.mu.Lock()
-	retried := s.dispatcher.Retry(p.ticket, s.clock())
-	if retried {
-		s.startNext()
-	}
-	s.mu.Unlock()
-	if !retried {
-		return false, nil
-	}
-	return true, p.wait(ctx)
+	defer s.mu.Unlock()
+	retried := retry(s.clock())
+	s.startNext()
+	return retried
 }
 
 // Finish gives the place back. A second call does nothing.
@@ -181,9 +192,9 @@
 	s.startNext()
 }
 
-// wait returns once the request has been started. If it returns an error the
-// request has been finished.
-func (p *Place) wait(ctx context.Context) error {
+// Wait returns once the request has been started. It returns the same errors as
+// Enter, after which the place has been given back.
+func (p *Place) Wait(ctx context.Context) error {
 	select {
 	case <-p.ticket.Value.started:
 		p.take()
