--- a/entryd/chat/run.go
+++ b/entryd/chat/run.go
@@ -92,7 +92,7 @@
 		return asRefusal(err, refusal.NotRun)
 	}
 	r.place = place
-	r.service.Metrics.Waited(r.exchange.Class.Name, place.Waited())
+	r.service.Metrics.Waited(r.exchange.Class.Name, place.Waited)
 	return nil
 }
 
@@ -114,7 +114,8 @@
 func (r *run) proceed(f *failure) (*http.Response, *failure) {
 	for f.again && r.canProceed() {
 		failed := r.place.Server
-		if !r.moveOn() {
+		moved, err := r.moveOn()
+		if !moved && err == nil {
 			return nil, f
 		}
 		r.service.Metrics.Retried()
@@ -122,7 +123,7 @@
 			r.mayHaveRun = true
 			r.abandon(failed)
 		}
-		if err := r.place.Wait(r.ctx); err != nil {
+		if err != nil {
 			return nil, &failure{refused: asRefusal(err, refusal.NotRun)}
 		}
 		var response *http.Response
@@ -133,12 +134,13 @@
 	return nil, f
 }
 
-// moveOn gives up the place of a failed attempt for another.
-func (r *run) moveOn() bool {
+// moveOn gives up the place of a failed attempt and waits for another. It
+// reports false if there is to be none.
+func (r *run) moveOn() (bool, error) {
 	if r.tokens > 0 {
-		return r.place.Resume()
+		return r.place.Resume(r.ctx)
 	}
-	return r.place.Retry()
+	return r.place.Retry(r.ctx)
 }
 
 // attempt sends the request to the backend server of its place.
--- a/entryd/plain/call.go
+++ b/entryd/plain/call.go
@@ -50,7 +50,7 @@
 		return asRefusal(err, refusal.NotRun)
 	}
 	c.place = place
-	c.handler.Metrics.Waited(c.class.Name, place.Waited())
+	c.handler.Metrics.Waited(c.class.Name, place.Waited)
 	return nil
 }
 
@@ -73,14 +73,16 @@
 			closeBody(response)
 			return caller.EndRefusal(context.Cause(ctx), ranIf(mayHaveRun))
 		}
-		if !c.place.Retry() {
+		retried, waitErr := c.place.Retry(ctx)
+		if waitErr != nil {
+			closeBody(response)
+			return asRefusal(waitErr, ranIf(mayHaveRun))
+		}
+		if !retried {
 			return c.giveUp(ctx, response, mayHaveRun)
 		}
 		closeBody(response)
 		c.handler.Metrics.Retried()
-		if err := c.place.Wait(ctx); err != nil {
-			return asRefusal(err, ranIf(mayHaveRun))
-		}
 	}
 }
 
