--- a/entryd/home/messages.go
+++ b/entryd/home/messages.go
@@ -15,7 +15,7 @@
 	// methodEnter takes an enter and returns an answer once the request has been
 	// started or refused.
 	methodEnter = "place-enter"
-	// methodRetry takes a ticket and returns an answer.
+	// methodRetry takes a retry and returns an answer.
 	methodRetry = "place-retry"
 	// methodFinish takes a finish.
 	methodFinish = "place-finish"
@@ -43,6 +43,14 @@
 	Age time.Duration `json:"age"`
 }
 
+// retry asks for another place after a failure.
+type retry struct {
+	// Ticket is the number of the request on its connection.
+	Ticket uint64 `json:"ticket"`
+	// Resume says whether a part of the answer has reached the caller.
+	Resume bool `json:"resume,omitempty"`
+}
+
 // ticket names a request within the connection.
 type ticket struct {
 	// Ticket is the name.
--- a/entryd/home/server.go
+++ b/entryd/home/server.go
@@ -203,15 +203,19 @@
 	}, true
 }
 
-func (s *Server) retry(_ context.Context, p *peer.Session, t ticket) (answer, error) {
+func (s *Server) retry(_ context.Context, p *peer.Session, r retry) (answer, error) {
 	state := s.session(p)
-	h := state.find(t.Ticket)
+	h := state.find(r.Ticket)
 	if h == nil || h.place == nil {
 		return answer{Unknown: true}, nil
 	}
-	retried, err := h.place.Retry(h.ctx)
+	again := h.place.Retry
+	if r.Resume {
+		again = h.place.Resume
+	}
+	retried, err := again(h.ctx)
 	if err != nil {
-		state.take(t.Ticket)
+		state.take(r.Ticket)
 		return refuse(err), nil
 	}
 	if !retried {
