--- a/entryd/scheduler/place.go
+++ b/entryd/scheduler/place.go
@@ -34,6 +34,9 @@
 	// retry; the place is still to be given back then. After an error the place
 	// is given back.
 	Retry(ctx context.Context) (*Grant, error)
+	// Resume is Retry for a request of whose answer a part has reached the
+	// caller. It may wait as long as if it had just arrived.
+	Resume(ctx context.Context) (*Grant, error)
 	// Finish gives the place back. A second call does nothing.
 	Finish(result dispatch.Result)
 }
@@ -56,7 +59,16 @@
 // still to be given back then. It returns the same errors as Source.Enter,
 // after which the place is given back.
 func (p *Place) Retry(ctx context.Context) (bool, error) {
-	grant, err := p.holder.Retry(ctx)
+	return p.move(p.holder.Retry(ctx))
+}
+
+// Resume is Retry for a request of whose answer a part has reached the caller.
+// It may wait as long as if it had just arrived.
+func (p *Place) Resume(ctx context.Context) (bool, error) {
+	return p.move(p.holder.Resume(ctx))
+}
+
+func (p *Place) move(grant *Grant, err error) (bool, error) {
 	if err != nil || grant == nil {
 		return false, err
 	}
--- a/entryd/scheduler/scheduler.go
+++ b/entryd/scheduler/scheduler.go
@@ -160,7 +160,8 @@
 type local struct {
 	scheduler *Scheduler
 	ticket    *dispatch.Ticket[waiter]
-	arrived   time.Time
+	// arrived is when the request began to wait, after Resume again.
+	arrived time.Time
 }
 
 var _ Holder = (*local)(nil)
@@ -171,13 +172,26 @@
 	s := p.scheduler
 	s.mu.Lock()
 	retried := s.dispatcher.Retry(p.ticket, s.clock())
-	if retried {
-		s.startNext()
+	s.startNext()
+	s.mu.Unlock()
+	if !retried {
+		return nil, nil
 	}
+	return p.wait(ctx)
+}
+
+// Resume is Retry for a request of whose answer a part has reached the caller.
+func (p *local) Resume(ctx context.Context) (*Grant, error) {
+	s := p.scheduler
+	s.mu.Lock()
+	now := s.clock()
+	retried := s.dispatcher.Resume(p.ticket, now)
+	s.startNext()
 	s.mu.Unlock()
 	if !retried {
 		return nil, nil
 	}
+	p.arrived = now
 	return p.wait(ctx)
 }
 
