--- a/core/revision/bundle.go
+++ b/core/revision/bundle.go
@@ -18,9 +18,6 @@
 // MaxBytes bounds the files of a revision before compression.
 const MaxBytes = 64 << 20
 
-// File is one file of the configuration folder.
-type File = config.File
-
 // Bundle is the stored form of the files of a revision. The same files always
 // have the same SHA256.
 type Bundle struct {
