peer, entryd: exchange heartbeats on the peers' port

Cause: membership has to be carried between daemons. Change: the method heartbeat, a pool with a bounded number of connections, counters of bytes and messages, and core/peer/heartbeats, which drives the membership and follows revisions. It takes the place of the entry daemon's own gossip. The entry daemon's share of limits follows the live entry daemons of its failure domain; its status shows members and other failure domains.

--- a/acaciapath/command/command_test.go
+++ b/acaciapath/command/command_test.go
@@ -179,6 +179,10 @@
 
 func (d fakeDaemon) Head(context.Context, peer.Head) (peer.Head, error) { return peer.Head{}, nil }
 
+func (d fakeDaemon) Heartbeat(context.Context, peer.Heartbeat) (peer.HeartbeatAnswer, error) {
+	return peer.HeartbeatAnswer{}, nil
+}
+
 func (d fakeDaemon) GetConfig(context.Context, peer.GetConfig) (peer.ConfigContent, error) {
 	return peer.ConfigContent{}, nil
 }
--- a/core/peer/client.go
+++ b/core/peer/client.go
@@ -15,6 +15,7 @@
 type Client struct {
 	address string
 	config  *tls.Config
+	traffic *Traffic
 	mu      sync.Mutex
 	rpc     *jsonrpc2.Conn
 	closed  bool
@@ -23,7 +24,7 @@
 // NewClient returns a client of the peer at address, an IP number and a port.
 // A nil config means no TLS.
 func NewClient(address string, config *tls.Config) *Client {
-	return &Client{address: address, config: config}
+	return &Client{address: address, config: config, traffic: new(Traffic)}
 }
 
 // Status returns the state of the peer.
@@ -47,6 +48,13 @@
 	return content, err
 }
 
+// Heartbeat asks the peer whether it lives.
+func (c *Client) Heartbeat(ctx context.Context, heartbeat Heartbeat) (HeartbeatAnswer, error) {
+	var answer HeartbeatAnswer
+	err := c.call(ctx, MethodHeartbeat, heartbeat, &answer)
+	return answer, err
+}
+
 // Close ends the connection. Later calls return ErrClosed.
 func (c *Client) Close() error {
 	c.mu.Lock()
@@ -87,18 +95,28 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "peer: connect")
 	}
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
-	c.rpc = jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuse))
+	c.rpc = jsonrpc2.NewConn(context.Background(), newStream(conn, c.traffic), jsonrpc2.HandlerWithError(refuse))
 	return c.rpc, nil
 }
 
 func (c *Client) dial(ctx context.Context) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return nil, err
+	}
+	conn = countedConn{Conn: conn, traffic: c.traffic}
 	if c.config == nil {
-		return dialer.DialContext(ctx, "tcp", c.address)
+		return conn, nil
+	}
+	secure := tls.Client(conn, c.config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
 	}
-	secure := tls.Dialer{NetDialer: &dialer, Config: c.config}
-	return secure.DialContext(ctx, "tcp", c.address)
+	return secure, nil
 }
 
 // refuse answers calls from the server side, which makes none.
--- a/core/peer/messages.go
+++ b/core/peer/messages.go
@@ -48,6 +48,11 @@
 	BackendServers []BackendServer `json:"backend-servers"`
 	// Leases are those that a control daemon knows of, by name.
 	Leases []Lease `json:"leases"`
+	// Members are the daemons of the same failure domain, this one included, by
+	// VM and role.
+	Members []Member `json:"members"`
+	// Domains are the other failure domains, by name.
+	Domains []Domain `json:"domains"`
 }
 
 // Queue is the state of the requests of one model and service class.
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -36,12 +36,15 @@
 	Head(ctx context.Context, head Head) (Head, error)
 	// GetConfig returns the content of a revision.
 	GetConfig(ctx context.Context, get GetConfig) (ConfigContent, error)
+	// Heartbeat takes in what a peer tells and answers.
+	Heartbeat(ctx context.Context, heartbeat Heartbeat) (HeartbeatAnswer, error)
 }
 
 // Server accepts peers on one port.
 type Server struct {
 	handler  Handler
 	listener net.Listener
+	traffic  Traffic
 	wait     sync.WaitGroup
 	mu       sync.Mutex
 	conns    map[*jsonrpc2.Conn]struct{}
@@ -58,13 +61,10 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "peer: listen")
 	}
+	s := &Server{handler: handler, conns: make(map[*jsonrpc2.Conn]struct{})}
+	s.listener = countedListener{Listener: listener, traffic: &s.traffic}
 	if config != nil {
-		listener = tls.NewListener(listener, config)
-	}
-	s := &Server{
-		handler:  handler,
-		listener: listener,
-		conns:    make(map[*jsonrpc2.Conn]struct{}),
+		s.listener = tls.NewListener(s.listener, config)
 	}
 	s.wait.Go(s.accept)
 	return s, nil
@@ -73,6 +73,9 @@
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// Traffic returns what the port carries.
+func (s *Server) Traffic() *Traffic { return &s.traffic }
+
 // Close stops the server and ends its connections.
 func (s *Server) Close() error {
 	err := s.listener.Close()
@@ -108,9 +111,8 @@
 const acceptPause = 10 * time.Millisecond
 
 func (s *Server) serve(conn net.Conn) {
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
-	rpc := jsonrpc2.NewConn(context.Background(), stream, handler)
+	rpc := jsonrpc2.NewConn(context.Background(), newStream(conn, &s.traffic), handler)
 	if !s.add(rpc) {
 		_ = rpc.Close()
 		return
@@ -141,6 +143,8 @@
 		return handleParams(ctx, req, s.handler.Head)
 	case MethodGetConfig:
 		return handleParams(ctx, req, s.handler.GetConfig)
+	case MethodHeartbeat:
+		return handleParams(ctx, req, s.handler.Heartbeat)
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method: " + req.Method}
 }
--- a/entryd/daemon/daemon.go
+++ b/entryd/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"acaciapath.example/core/config"
 	"acaciapath.example/core/peer"
+	"acaciapath.example/core/peer/heartbeats"
 	"acaciapath.example/core/platform"
 	"acaciapath.example/core/revision"
 	"acaciapath.example/core/settings"
@@ -94,7 +95,7 @@
 	ops     net.Listener
 	opsHTTP *http.Server
 	peers   *peer.Server
-	mates   *mates
+	members *heartbeats.Runner
 
 	base    context.Context
 	endBase context.CancelCauseFunc
@@ -166,10 +167,12 @@
 	if err != nil {
 		return err
 	}
-	d.mates = newMates(d.settings.Name, tls, d.platform.VMs, d.watcher, d.options.Clock)
+	d.members = d.newMembers(tls)
 	if d.peers, err = peer.Listen(d.address(d.settings.PeerPort), tls, (*peerHandler)(d)); err != nil {
 		return err
 	}
+	d.members.SetAddress(d.PeerAddress())
+	peer.RegisterTraffic(registry, metrics.Namespace, d.peers.Traffic(), d.members.Traffic())
 	if d.ops, err = net.Listen("tcp", d.address(d.settings.OpsPort)); err != nil {
 		return merry.Prepend(err, "daemon: operations port")
 	}
@@ -200,7 +203,6 @@
 	if d.peers != nil {
 		_ = d.peers.Close()
 	}
-	d.mates.close()
 	d.client.Close()
 	d.endBase(caller.ErrDrained)
 }
@@ -228,6 +230,7 @@
 // Status returns what the daemon tells of itself.
 func (d *Daemon) Status() peer.Status {
 	queues, servers := d.scheduler.Status()
+	view := d.members.View()
 	return peer.Status{
 		Name:           d.settings.Name,
 		Role:           peer.RoleEntry,
@@ -240,6 +243,8 @@
 		Connections:    d.callers.Connections(),
 		Queues:         queues,
 		BackendServers: servers,
+		Members:        view.Members,
+		Domains:        view.Domains,
 	}
 }
 
--- a/entryd/metrics/accounts.go
+++ b/entryd/metrics/accounts.go
@@ -35,11 +35,11 @@
 func newAccounts() *accounts {
 	labels := []string{labelClass, labelAccount}
 	return &accounts{
-		attainment: prometheus.NewDesc(namespace+"_client_account_attainment_ratio",
+		attainment: prometheus.NewDesc(Namespace+"_client_account_attainment_ratio",
 			"Share of a client account's requests that met their targets, of those with the lowest.", labels, nil),
-		requests: prometheus.NewDesc(namespace+"_client_account_requests",
+		requests: prometheus.NewDesc(Namespace+"_client_account_requests",
 			"Requests since the start of the client accounts that are shown.", labels, nil),
-		worst: prometheus.NewDesc(namespace+"_worst_client_account_attainment_ratio",
+		worst: prometheus.NewDesc(Namespace+"_worst_client_account_attainment_ratio",
 			"Lowest attainment of any client account of a class.", []string{labelClass}, nil),
 	}
 }
--- a/entryd/metrics/metrics.go
+++ b/entryd/metrics/metrics.go
@@ -9,8 +9,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// namespace begins the name of every metric.
-const namespace = "acaciapath_entry"
+// Namespace begins the name of every metric.
+const Namespace = "acaciapath_entry"
 
 // Labels.
 const (
@@ -38,7 +38,6 @@
 	ControlCancel  Control = "cancel"
 	ControlClaim   Control = "claim"
 	ControlUsage   Control = "usage"
-	ControlGossip  Control = "gossip"
 	ControlConfig  Control = "config"
 	ControlRefused Control = "refused-connection"
 )
@@ -93,7 +92,7 @@
 		wasted:      counter("wasted_tokens_total", "Tokens that were generated for answers that did not reach their caller whole.", class),
 		wait:        histogram("queue_wait_seconds", "Time that a request waited for a place.", class),
 		refusals:    counter("refusals_total", "Refused requests by the code of their refusal.", []string{labelCode}),
-		retries:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "retries_total", Help: "Requests that were sent again."}),
+		retries:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: Namespace, Name: "retries_total", Help: "Requests that were sent again."}),
 		plain:       counter("plain_calls_total", "Calls of plain services by what became of them.", []string{"plain_service", labelResult}),
 		control:     counter("control_messages_total", "Messages that are no requests of callers, by kind.", []string{labelKind}),
 		accounts:    newAccounts(),
@@ -174,11 +173,11 @@
 }
 
 func counter(name, help string, labels []string) *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: Namespace, Name: name, Help: help}, labels)
 }
 
 func histogram(name, help string, labels []string) *prometheus.HistogramVec {
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Namespace: namespace, Name: name, Help: help, Buckets: latencyBuckets,
+		Namespace: Namespace, Name: name, Help: help, Buckets: latencyBuckets,
 	}, labels)
 }
--- a/entryd/metrics/state.go
+++ b/entryd/metrics/state.go
@@ -49,7 +49,7 @@
 }
 
 func describe(name, help string, labels []string) *prometheus.Desc {
-	return prometheus.NewDesc(namespace+"_"+name, help, labels, nil)
+	return prometheus.NewDesc(Namespace+"_"+name, help, labels, nil)
 }
 
 // Describe sends the descriptions of the metrics.
--- a/entryd/scheduler/scheduler.go
+++ b/entryd/scheduler/scheduler.go
@@ -55,6 +55,14 @@
 	s.dispatcher.Budget.Percent = limits.RetryBudget
 }
 
+// SetShare sets the part of client accounts' limits that this daemon may give
+// out. 0 < share ≤ 1.
+func (s *Scheduler) SetShare(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatcher.Limiter.Share = share
+}
+
 // SetReplicas replaces all backend servers.
 func (s *Scheduler) SetReplicas(specs []replica.Spec) {
 	s.mu.Lock()
