entryd: one queue for each model in a failure domain

Change: chat requests ask the home daemon of their model for a place; the home is chosen by rendezvous hashing over the live entry daemons of the failure domain; only the home polls its engines often, others every 30 s. Shown by: TestOneQueueForAFailureDomain, and entryd/home's tests.

--- a/entryd/backend/directory.go
+++ b/entryd/backend/directory.go
@@ -11,6 +11,7 @@
 	"acaciapath.example/core/gen/servers"
 	"acaciapath.example/core/replica"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -20,6 +21,9 @@
 	ListInterval = time.Second
 	// LoadInterval is how often engines are asked for their load.
 	LoadInterval = 250 * time.Millisecond
+	// seldom is the number of LoadIntervals between two questions to an engine
+	// that this daemon gives out no places of: 30 s.
+	seldom = 120
 	// pollTimeout bounds one question to an engine.
 	pollTimeout = 2 * time.Second
 	// pollsAtOnce is the number of engines that are asked at the same time.
@@ -40,9 +44,10 @@
 // configuration and those that the platform lists. The last known list is kept
 // while the platform does not answer.
 type Directory struct {
-	client   *Client
-	platform servers.Service
-	sink     Sink
+	client     *Client
+	platform   servers.Service
+	sink       Sink
+	dispatches func(model string) bool
 
 	mu     sync.Mutex
 	config *config.Config
@@ -52,15 +57,18 @@
 	events map[string]uint64
 }
 
-// NewDirectory returns a directory without backend servers.
-func NewDirectory(client *Client, platform servers.Service, sink Sink) *Directory {
+// NewDirectory returns a directory without backend servers. Engines are asked
+// for their load often while dispatches says that this daemon gives out places
+// for one of their models, and else seldom.
+func NewDirectory(client *Client, platform servers.Service, sink Sink, dispatches func(model string) bool) *Directory {
 	return &Directory{
-		client:   client,
-		platform: platform,
-		sink:     sink,
-		config:   &config.Config{},
-		loaded:   make(map[string][]string),
-		events:   make(map[string]uint64),
+		client:     client,
+		platform:   platform,
+		sink:       sink,
+		dispatches: dispatches,
+		config:     &config.Config{},
+		loaded:     make(map[string][]string),
+		events:     make(map[string]uint64),
 	}
 }
 
@@ -76,7 +84,13 @@
 func (d *Directory) Run(ctx context.Context) {
 	var polls sync.WaitGroup
 	polls.Go(func() { every(ctx, ListInterval, d.pollList) })
-	polls.Go(func() { every(ctx, LoadInterval, d.pollEngines) })
+	round := uint64(0)
+	polls.Go(func() {
+		every(ctx, LoadInterval, func(ctx context.Context) {
+			d.pollEngines(ctx, round)
+			round++
+		})
+	})
 	polls.Wait()
 }
 
@@ -117,14 +131,15 @@
 	d.sink.SetReplicas(d.specs)
 }
 
-func (d *Directory) pollEngines(ctx context.Context) {
+// pollEngines asks the engines whose turn it is in a round.
+func (d *Directory) pollEngines(ctx context.Context, round uint64) {
 	d.mu.Lock()
 	specs := d.specs
 	d.mu.Unlock()
 	var group errgroup.Group
 	group.SetLimit(pollsAtOnce)
 	for _, s := range specs {
-		if IsPlain(s) {
+		if IsPlain(s) || !d.isDue(s, round) {
 			continue
 		}
 		group.Go(func() error {
@@ -135,6 +150,15 @@
 	_ = group.Wait()
 }
 
+// isDue reports whether an engine is asked in a round. Those that are asked
+// seldom are spread over the rounds by their names.
+func (d *Directory) isDue(s replica.Spec, round uint64) bool {
+	if len(s.Serves) == 0 || slices.ContainsFunc(s.Serves, d.dispatches) {
+		return true
+	}
+	return (round+xxhash.Sum64String(s.Name))%seldom == 0
+}
+
 func (d *Directory) pollEngine(ctx context.Context, s replica.Spec) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
--- a/entryd/daemon/daemon.go
+++ b/entryd/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"io"
 	mathrand "math/rand/v2"
 	"net"
@@ -13,6 +14,7 @@
 
 	"acaciapath.example/core/config"
 	"acaciapath.example/core/peer"
+	"acaciapath.example/core/peer/heartbeats"
 	"acaciapath.example/core/platform"
 	"acaciapath.example/core/revision"
 	"acaciapath.example/core/settings"
@@ -23,6 +25,7 @@
 	"acaciapath.example/entryd/caller"
 	"acaciapath.example/entryd/chat"
 	"acaciapath.example/entryd/claims"
+	"acaciapath.example/entryd/home"
 	"acaciapath.example/entryd/metrics"
 	"acaciapath.example/entryd/plain"
 	"acaciapath.example/entryd/scheduler"
@@ -84,6 +87,7 @@
 	scheduler *scheduler.Scheduler
 	client    *backend.Client
 	directory *backend.Directory
+	homes     *home.Source
 	meter     *usage.Meter
 	writer    *usage.Writer
 	metrics   *metrics.Metrics
@@ -94,7 +98,8 @@
 	ops     net.Listener
 	opsHTTP *http.Server
 	peers   *peer.Server
-	mates   *mates
+	tls     *tls.Config
+	members *heartbeats.Runner
 
 	base    context.Context
 	endBase context.CancelCauseFunc
@@ -132,7 +137,12 @@
 	seed := uint64(o.Clock().UnixNano())
 	d.scheduler = scheduler.New(d.settings.FailureDomain, o.Clock, mathrand.New(mathrand.NewPCG(seed, 0)))
 	d.client = backend.NewClient()
-	d.directory = backend.NewDirectory(d.client, d.platform.Servers, d.scheduler)
+	if d.tls, err = d.settings.TLS.Load(); err != nil {
+		return err
+	}
+	d.members = d.newMembers(d.tls)
+	d.homes = home.NewSource(d.scheduler, homeChooser{d.members}, d.tls, o.Clock)
+	d.directory = backend.NewDirectory(d.client, d.platform.Servers, d.scheduler, d.homes.Dispatches)
 	d.meter = usage.NewMeter()
 	d.writer = usage.NewWriter(d.platform.Table, d.settings.Name, instance)
 	d.gate = d.newGate(logger)
@@ -144,7 +154,7 @@
 	o := d.options
 	tracer := o.Tracers.Tracer(tracerName)
 	d.chat = &chat.Service{
-		Scheduler: d.scheduler, Client: d.client, Meter: d.meter, Metrics: d.metrics,
+		Scheduler: d.homes, Client: d.client, Meter: d.meter, Metrics: d.metrics,
 		Logger: logger, Tracer: tracer, Clock: o.Clock,
 	}
 	gate := &caller.Gate{
@@ -162,14 +172,13 @@
 
 // listen binds the ports.
 func (d *Daemon) listen(registry *prometheus.Registry) error {
-	tls, err := d.settings.TLS.Load()
-	if err != nil {
-		return err
-	}
-	d.mates = newMates(d.settings.Name, tls, d.platform.VMs, d.watcher, d.options.Clock)
-	if d.peers, err = peer.Listen(d.address(d.settings.PeerPort), tls, (*peerHandler)(d)); err != nil {
+	var err error
+	methods := home.NewServer(d.scheduler, &d.access).Methods()
+	if d.peers, err = peer.Listen(d.address(d.settings.PeerPort), d.tls, (*peerHandler)(d), methods...); err != nil {
 		return err
 	}
+	d.members.SetAddress(d.PeerAddress())
+	peer.RegisterTraffic(registry, metrics.Namespace, d.peers.Traffic(), d.members.Traffic())
 	if d.ops, err = net.Listen("tcp", d.address(d.settings.OpsPort)); err != nil {
 		return merry.Prepend(err, "daemon: operations port")
 	}
@@ -200,8 +209,8 @@
 	if d.peers != nil {
 		_ = d.peers.Close()
 	}
-	d.mates.close()
 	d.client.Close()
+	d.homes.Close()
 	d.endBase(caller.ErrDrained)
 }
 
@@ -228,6 +237,7 @@
 // Status returns what the daemon tells of itself.
 func (d *Daemon) Status() peer.Status {
 	queues, servers := d.scheduler.Status()
+	view := d.members.View()
 	return peer.Status{
 		Name:           d.settings.Name,
 		Role:           peer.RoleEntry,
@@ -240,6 +250,8 @@
 		Connections:    d.callers.Connections(),
 		Queues:         queues,
 		BackendServers: servers,
+		Members:        view.Members,
+		Domains:        view.Domains,
 	}
 }
 
--- a/entryd/home/home_test.go
+++ b/entryd/home/home_test.go
@@ -53,6 +53,10 @@
 	return peer.ConfigContent{}, nil
 }
 
+func (handler) Heartbeat(context.Context, peer.Heartbeat) (peer.HeartbeatAnswer, error) {
+	return peer.HeartbeatAnswer{}, nil
+}
+
 func newScheduler(places int) *scheduler.Scheduler {
 	s := scheduler.New("quito-a", time.Now, rand.New(rand.NewPCG(1, 2)))
 	s.SetLimits(config.Limits{RetryBudget: 10})
