keys withdraw: do not cut a round of questions short

Cause: TestDaemons showed all daemons as unreachable once under the race detector: the end of the wait cut the round that was under way, and its failures replaced what the daemons had answered before. Ruled out: a longer wait in the test, which would only make it rarer. Change: the wait bounds the rounds; each question has its own time limit.

--- a/acaciapath/command/confirm.go
+++ b/acaciapath/command/confirm.go
@@ -65,10 +65,10 @@
 }
 
 // waitForDaemons asks the daemons until all have the revision in force or the
-// wait is over. It returns ErrUnconfirmed with what they said last, or
-// ErrPlatform.
+// wait is over; a round that has begun is not cut short by its end. It returns
+// ErrUnconfirmed with what they said last, or ErrPlatform.
 func waitForDaemons(ctx context.Context, ports *ports, revision uint64, wait time.Duration) ([]confirmation, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	waiting, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	list, err := listDaemons(ctx, ports)
 	if err != nil {
@@ -88,7 +88,7 @@
 			return confirmed, nil
 		}
 		select {
-		case <-ctx.Done():
+		case <-waiting.Done():
 			return confirmed, merry.Wrap(ErrUnconfirmed, merry.AppendMessagef("%d of %d", open, len(answers)))
 		case <-time.After(confirmPause):
 		}
