entryd: send nothing for a key that is withdrawn

A waiting request could get the place that the withdrawal of its own key made free and be sent before its context ended; it was then refused as unknown.

--- a/entryd/access/access.go
+++ b/entryd/access/access.go
@@ -42,7 +42,8 @@
 	}
 }
 
-// Withdrawn reports whether the key has been withdrawn since.
+// Withdrawn reports whether the key has been withdrawn since. It does so before
+// any context ends that was joined.
 func (g *Grant) Withdrawn() bool { return g.life.ctx.Err() != nil }
 
 // Snapshot is the configuration in force and the grants that follow from it.
--- a/entryd/caller/exchange.go
+++ b/entryd/caller/exchange.go
@@ -102,6 +102,16 @@
 	return refused
 }
 
+// Ended returns why a request whose context is ctx is not to be sent on any
+// more, or nil. A withdrawn key is seen at once, also if the place that the
+// request got is one that the withdrawal made free.
+func (x *Exchange) Ended(ctx context.Context) error {
+	if x.Grant != nil && x.Grant.Withdrawn() {
+		return access.ErrWithdrawn
+	}
+	return context.Cause(ctx)
+}
+
 // ReadBody appends a request's body to buffer. The deadline for it was set when
 // the request arrived, and is lifted once the body is there.
 func (x *Exchange) ReadBody(buffer []byte, body io.Reader) ([]byte, *refusal.Refusal) {
--- a/entryd/chat/run.go
+++ b/entryd/chat/run.go
@@ -100,6 +100,9 @@
 func (r *run) send() (*http.Response, *failure) {
 	r.usage = nil
 	r.before = r.tokens
+	if ended := r.exchange.Ended(r.ctx); ended != nil {
+		return nil, &failure{refused: caller.EndRefusal(ended, refusal.NotRun)}
+	}
 	response, sent, err := r.attempt()
 	f := r.classify(response, sent, err)
 	if f != nil {
--- a/entryd/plain/call.go
+++ b/entryd/plain/call.go
@@ -49,6 +49,10 @@
 	if err != nil {
 		return asRefusal(err, refusal.NotRun)
 	}
+	if ended := c.exchange.Ended(ctx); ended != nil {
+		place.Finish(dispatch.Result{})
+		return caller.EndRefusal(ended, refusal.NotRun)
+	}
 	c.place = place
 	c.handler.Metrics.Waited(c.class.Name, place.Waited)
 	return nil
