controld: follow the work that entry daemons report

Tested with two entry daemons whose work together needs three backend servers. Pools go on being charged while a reconciliation fails.

--- a/controld/daemon/daemon_test.go
+++ b/controld/daemon/daemon_test.go
@@ -124,6 +124,18 @@
 	w.c.Assert(ordered, qt.Equals, 2)
 }
 
+// TestDaemonFollowsTheWork has two entry daemons whose work together needs three
+// backend servers with four places each.
+func TestDaemonFollowsTheWork(t *testing.T) {
+	w := newWorld(t)
+	w.startEntry("vm-8", 5)
+	w.startEntry("vm-9", 6)
+	w.start("vm-1")
+	w.eventually("the work has places", func() bool { return w.alive() == 3 })
+	time.Sleep(testLease)
+	w.c.Assert(w.alive(), qt.Equals, 3)
+}
+
 // TestDaemonHandsOver stops the holder gracefully: the next one takes over
 // without waiting for the lease to expire.
 func TestDaemonHandsOver(t *testing.T) {
--- a/controld/daemon/harness_test.go
+++ b/controld/daemon/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -28,6 +29,14 @@
 )
 
 const folder = `
+[service-class letters]
+tier = 1
+first-token-target = 1s
+max-wait = 10s
+prompt-price = 0.60 USD/Mtok
+completion-price = 2.40 USD/Mtok
+cheap-servers = true
+
 [failure-domain quito-a]
 region = quito
 
@@ -182,3 +191,26 @@
 	w.c.Assert(err, qt.IsNil)
 	return status
 }
+
+// fakeEntry is an entry daemon that reports the same work all the time.
+type fakeEntry struct{ status peer.Status }
+
+var _ peer.Handler = fakeEntry{}
+
+func (e fakeEntry) Status(context.Context) (peer.Status, error) { return e.status, nil }
+
+func (e fakeEntry) Head(context.Context, peer.Head) (peer.Head, error) { return peer.Head{}, nil }
+
+func (e fakeEntry) GetConfig(context.Context, peer.GetConfig) (peer.ConfigContent, error) {
+	return peer.ConfigContent{}, revision.ErrNotFound
+}
+
+// startEntry starts an entry daemon that reports a number of waiting requests.
+func (w *world) startEntry(name string, waiting int) {
+	queues := []peer.Queue{{Model: "letters", ServiceClass: "letters", Waiting: waiting}}
+	server, err := peer.Listen("127.0.0.1:0", nil, fakeEntry{status: peer.Status{Name: name, Queues: queues}})
+	w.c.Assert(err, qt.IsNil)
+	w.c.Cleanup(func() { _ = server.Close() })
+	address := netip.MustParseAddrPort(server.Address())
+	w.platform.AddVM(vms.VM{Name: name, FailureDomain: domain, Address: "127.0.0.1", PeerPort: int(address.Port())})
+}
--- a/controld/daemon/run.go
+++ b/controld/daemon/run.go
@@ -119,7 +119,9 @@
 	}
 	observed := order.Observe(statuses, index, known)
 	states, err := d.reconciler.Reconcile(ctx, d.monotonic(), index, observed)
-	d.metrics.pools(states, d.monotonic())
+	if states != nil {
+		d.metrics.pools(states, d.monotonic())
+	}
 	if err != nil {
 		d.report("orders")(err)
 	}
--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -8,6 +8,7 @@
 
 	"acaciapath.example/core/config"
 	"acaciapath.example/core/order"
+	"acaciapath.example/core/peer"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -53,6 +54,30 @@
 	}
 }
 
+func TestObserve(t *testing.T) {
+	c := qt.New(t)
+	index := config.NewIndex(&config.Config{Classes: []config.ServiceClass{
+		{Name: "chat"}, {Name: "letters", CheapServers: true},
+	}}, 1)
+	statuses := []peer.Status{
+		{
+			Queues: []peer.Queue{
+				{Model: "m", ServiceClass: "chat", Waiting: 1, Running: 2},
+				{Model: "m", ServiceClass: "letters", Waiting: 4},
+			},
+			BackendServers: []peer.BackendServer{{Name: "s-1", Running: 2}},
+		},
+		{
+			Queues:         []peer.Queue{{Model: "m", ServiceClass: "letters", Running: 8}},
+			BackendServers: []peer.BackendServer{{Name: "s-1", Running: 8}},
+		},
+	}
+	c.Assert(order.Observe(statuses, index, true), qt.DeepEquals, order.Observation{
+		Known: true, Models: map[string]order.Demand{"m": {Standard: 3, Any: 12}}, Running: map[string]int{"s-1": 10},
+	})
+	c.Assert(order.Observe(nil, index, true).Known, qt.IsFalse)
+}
+
 func TestScale(t *testing.T) {
 	c := qt.New(t)
 	var s order.Scale
