--- a/core/membership/domain.go
+++ b/core/membership/domain.go
@@ -170,13 +170,12 @@
 	for _, m := range t.members {
 		s.Revision = max(s.Revision, m.revision)
 	}
-	live := t.ids(func(m *member) bool { return !m.dead() })
-	s.Live = len(live)
-	if !t.stopped {
-		s.Live++
+	s.Live = t.size()
+	if t.stopped {
+		s.Live--
 	}
 	steady := t.choose(1, func(m *member) bool { return m.state() == peer.MemberLive })
-	if len(steady) > 0 && (t.self.Leaving || t.random.IntN(len(live)+1) > 0) {
+	if len(steady) > 0 && (t.self.Leaving || t.random.IntN(t.size()) > 0) {
 		s.Contact = t.members[steady[0]].record
 	}
 	return s
--- a/core/membership/network_test.go
+++ b/core/membership/network_test.go
@@ -57,6 +57,8 @@
 	seq    int
 	time   time.Duration
 	nodes  []*node
+	// byAddress has the daemons by the address of their peers' port.
+	byAddress map[string]*node
 	loss   float64
 	// cut holds the pairs whose first cannot reach the second.
 	cut map[[2]*node]bool
@@ -76,13 +78,14 @@
 	offset   time.Duration // of its clock
 	stopped  bool
 	offline  bool // cut from the platform
+	nextList time.Duration
 	revision uint64
 	messages int
 	bytes    int
 }
 
 func newNetwork(seed uint64) *network {
-	return &network{random: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]*node]bool{}, head: 1}
+	return &network{random: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]*node]bool{}, byAddress: map[string]*node{}, head: 1}
 }
 
 // join adds an entry daemon, and its VM to the platform's list.
@@ -95,6 +98,7 @@
 	}}
 	o.table = membership.New(o.record, rand.New(rand.NewPCG(n.random.Uint64(), 2)), o.now())
 	n.nodes = append(n.nodes, o)
+	n.byAddress[o.record.Address] = o
 	n.after(time.Duration(n.random.Int64N(int64(membership.Period))), o.tick)
 	return o
 }
@@ -157,8 +161,9 @@
 	o.awake(func() {
 		if !o.offline {
 			o.follow(o.net.head)
-			if !o.net.platformDown {
+			if !o.net.platformDown && o.net.time >= o.nextList {
 				o.table.SetList(o.net.list, o.now())
+				o.nextList = o.net.time + membership.ListInterval(len(o.net.list))
 			}
 		}
 		for _, p := range o.table.Tick(o.now()) {
@@ -179,21 +184,12 @@
 // heard asks a daemon that is ahead for its revision.
 func (o *node) heard() {
 	for _, r := range o.table.Ahead(o.revision, 1) {
-		if peer := o.net.find(r.Address); peer != nil && !peer.stopped && !o.net.lost(o, peer) && !o.net.lost(peer, o) {
+		if peer := o.net.byAddress[r.Address]; peer != nil && !peer.stopped && !o.net.lost(o, peer) && !o.net.lost(peer, o) {
 			o.follow(peer.revision)
 		}
 	}
 }
 
-func (n *network) find(address string) *node {
-	for _, o := range n.nodes {
-		if o.record.Address == address {
-			return o
-		}
-	}
-	return nil
-}
-
 func (n *network) lost(from, to *node) bool {
 	return n.cut[[2]*node{from, to}] || n.random.Float64() < n.loss
 }
@@ -228,7 +224,7 @@
 		}
 	}
 	o.net.after(timeout, func() { o.awake(func() { end(nil) }) })
-	to := o.net.find(p.To.Address)
+	to := o.net.byAddress[p.To.Address]
 	if to == nil || o.net.lost(o, to) {
 		return
 	}
--- a/core/membership/probe.go
+++ b/core/membership/probe.go
@@ -135,7 +135,9 @@
 	if m := t.members[to.MemberID]; m != nil && rank(m.record.State) > 0 {
 		gossip.Updates = append(gossip.Updates, m.record)
 	}
-	gossip.Updates = append(gossip.Updates, t.updates.take(maxUpdates-len(gossip.Updates), t.sendLimit())...)
+	if len(t.updates) > 0 {
+		gossip.Updates = append(gossip.Updates, t.updates.take(maxUpdates-len(gossip.Updates), t.sendLimit())...)
+	}
 	gossip.Summary = t.nextSummary()
 	return gossip
 }
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -183,7 +183,7 @@
 		}
 	}
 	suspicion := t.suspicionTime()
-	for _, id := range t.ids(func(*member) bool { return true }) {
+	for _, id := range t.ids(func(m *member) bool { return m.record.State != peer.MemberLive }) {
 		m := t.members[id]
 		switch {
 		case m.record.State == peer.MemberSuspected && t.time-m.since >= suspicion:
--- /dev/null
+++ b/core/membership/view_test.go
@@ -0,0 +1,131 @@
+package membership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"acaciapath.example/core/gen/vms"
+	"acaciapath.example/core/membership"
+	"acaciapath.example/core/peer"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// newTable returns the table of the entry daemon vm-000.
+func newTable() *membership.Table {
+	self := membership.Record{
+		MemberID: membership.ID{VM: "vm-000", Role: peer.RoleEntry}, FailureDomain: "a", Address: "10.0.0.1:1",
+	}
+	return membership.New(self, rand.New(rand.NewPCG(1, 1)), start)
+}
+
+// vmList returns VMs with an entry and a control daemon each.
+func vmList(count int) []*vms.VM {
+	list := make([]*vms.VM, count)
+	for i := range list {
+		list[i] = &vms.VM{Name: fmt.Sprintf("vm-%03d", i), FailureDomain: "a", Address: "10.0.0.1", PeerPort: 1, ControlPort: 2}
+	}
+	return list
+}
+
+// TestHomeMoves checks that the leaving of a member moves only its own keys.
+func TestHomeMoves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := newTable()
+		list := vmList(rapid.IntRange(2, 30).Draw(t, "vms"))
+		table.SetList(list, start)
+		keys := rapid.SliceOfN(rapid.String(), 1, 50).Draw(t, "keys")
+		before := make([]string, len(keys))
+		for i, key := range keys {
+			before[i] = table.Home(key, start)
+		}
+		leaving := rapid.SampledFrom(list[1:]).Draw(t, "leaving")
+		leaving.Leaving = true
+		table.SetList(list, start)
+		for i, key := range keys {
+			after := table.Home(key, start)
+			if after == leaving.Name || (after != before[i] && before[i] != leaving.Name) {
+				t.Fatalf("%q moved from %s to %s when %s left", key, before[i], after, leaving.Name)
+			}
+		}
+	})
+}
+
+// TestShare checks which daemons count for limits.
+func TestShare(t *testing.T) {
+	c := qt.New(t)
+	table := newTable()
+	c.Check(table.Share(start), qt.Equals, 1.0)
+	list := vmList(4)
+	table.SetList(list, start)
+	c.Check(table.Share(start), qt.Equals, 0.25)
+	list[3].Leaving = true
+	table.SetList(list, start)
+	c.Check(table.Share(start), qt.Equals, 0.25)
+	now := start
+	for range 12 {
+		now = now.Add(membership.Period)
+		table.View(now)
+	}
+	c.Check(table.Share(now), qt.Equals, 1.0/3)
+	c.Check(table.Share(now.Add(time.Hour)), qt.Equals, 1.0/3)
+}
+
+// TestPausedHoldsNobodyForDead checks that a suspected member keeps its time to
+// refute when the daemon that suspects it was paused.
+func TestPausedHoldsNobodyForDead(t *testing.T) {
+	c := qt.New(t)
+	table := newTable()
+	list := vmList(2)
+	list[1].ControlPort = 0
+	list[0].ControlPort = 0
+	table.SetList(list, start)
+	now := start
+	state := func() peer.MemberState { return table.Members(now)[1].State }
+	for state() == peer.MemberLive {
+		now = now.Add(membership.Period)
+		for _, probe := range table.Tick(now) {
+			table.Failed(probe, now)
+		}
+	}
+	c.Assert(state(), qt.Equals, peer.MemberSuspected)
+	now = now.Add(time.Hour)
+	table.Tick(now)
+	c.Check(state(), qt.Equals, peer.MemberSuspected)
+	c.Check(table.Share(now), qt.Equals, 0.5)
+}
+
+// TestMergeOrder checks that what a daemon knows does not depend on the order in
+// which it heard it.
+func TestMergeOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		record := rapid.Custom(func(t *rapid.T) membership.Record {
+			return membership.Record{
+				MemberID: membership.ID{VM: "vm-001", Role: peer.RoleEntry}, FailureDomain: "a", Address: "10.0.0.1:1",
+				Incarnation: rapid.Uint64Range(1, 3).Draw(t, "incarnation"),
+				State:       rapid.SampledFrom([]peer.MemberState{peer.MemberLive, peer.MemberSuspected, peer.MemberDead}).Draw(t, "state"),
+				Leaving:     rapid.Bool().Draw(t, "leaving"),
+			}
+		})
+		updates := rapid.SliceOfN(record, 1, 6).Draw(t, "updates")
+		shuffled := rapid.Permutation(updates).Draw(t, "shuffled")
+		if a, b := afterHearing(updates), afterHearing(shuffled); !slices.Equal(a, b) {
+			t.Fatalf("%v and %v", a, b)
+		}
+	})
+}
+
+// afterHearing returns the members of a table that heard updates in an order.
+func afterHearing(updates []membership.Record) []peer.Member {
+	table := newTable()
+	table.SetList(vmList(2), start)
+	from := membership.Record{MemberID: membership.ID{VM: "vm-001", Role: peer.RoleControl}, FailureDomain: "a", State: peer.MemberLive}
+	for _, update := range updates {
+		table.Receive(peer.Heartbeat{Gossip: peer.Gossip{From: from, Updates: []membership.Record{update}}}, start)
+	}
+	return table.Members(start)
+}
--- /dev/null
+++ b/core/peer/pool_test.go
@@ -0,0 +1,70 @@
+package peer_test
+
+import (
+	"context"
+	"testing"
+
+	"acaciapath.example/core/peer"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// echo answers calls with its name.
+type echo struct{ name string }
+
+var _ peer.Handler = echo{}
+
+func (e echo) Status(context.Context) (peer.Status, error) { return peer.Status{Name: e.name}, nil }
+
+func (e echo) Head(_ context.Context, head peer.Head) (peer.Head, error) { return head, nil }
+
+func (e echo) GetConfig(context.Context, peer.GetConfig) (peer.ConfigContent, error) {
+	return peer.ConfigContent{}, nil
+}
+
+func (e echo) Heartbeat(_ context.Context, heartbeat peer.Heartbeat) (peer.HeartbeatAnswer, error) {
+	return peer.HeartbeatAnswer{Gossip: heartbeat.Gossip, Reached: true}, nil
+}
+
+// listen starts a server without TLS, which ends with the test.
+func listen(t testing.TB, name string) *peer.Server {
+	server, err := peer.Listen("127.0.0.1:0", nil, echo{name})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = server.Close() })
+	return server
+}
+
+// TestPool checks that a pool keeps few clients, and that both sides count the
+// same traffic.
+func TestPool(t *testing.T) {
+	c := qt.New(t)
+	a, b := listen(t, "a"), listen(t, "b")
+	pool := peer.NewPool(nil, 1)
+	sent := peer.Heartbeat{Gossip: peer.Gossip{
+		From: peer.MemberRecord{MemberID: peer.MemberID{VM: "vm-1", Role: peer.RoleEntry}, Incarnation: 1 << 60}, Revision: 7,
+	}}
+	for _, address := range []string{a.Address(), b.Address(), a.Address(), a.Address()} {
+		err := pool.Call(address, func(client *peer.Client) error {
+			answer, err := client.Heartbeat(context.Background(), sent)
+			c.Check(answer, qt.DeepEquals, peer.HeartbeatAnswer{Gossip: sent.Gossip, Reached: true})
+			return err
+		})
+		c.Assert(err, qt.IsNil)
+	}
+	c.Check(pool.Call(a.Address(), func(*peer.Client) error {
+		return pool.Call(b.Address(), func(*peer.Client) error { return nil })
+	}), qt.ErrorIs, peer.ErrBusy)
+	out := pool.Traffic()
+	c.Check(out.MessagesSent.Load(), qt.Equals, uint64(4))
+	c.Check(a.Traffic().MessagesReceived.Load()+b.Traffic().MessagesReceived.Load(), qt.Equals, uint64(4))
+	c.Check(out.BytesSent.Load(), qt.Equals, a.Traffic().BytesReceived.Load()+b.Traffic().BytesReceived.Load())
+	c.Check(out.BytesReceived.Load() > 0, qt.IsTrue)
+	registry := prometheus.NewRegistry()
+	peer.RegisterTraffic(registry, "test", out, a.Traffic())
+	families, err := registry.Gather()
+	c.Assert(err, qt.IsNil)
+	c.Check(families, qt.HasLen, 2)
+	c.Assert(pool.Close(), qt.IsNil)
+	c.Check(pool.Call(a.Address(), func(*peer.Client) error { return nil }), qt.ErrorIs, peer.ErrClosed)
+}
