--- a/core/membership/network_test.go
+++ b/core/membership/network_test.go
@@ -59,7 +59,7 @@
 	nodes  []*node
 	// byAddress has the daemons by the address of their peers' port.
 	byAddress map[string]*node
-	loss   float64
+	loss      float64
 	// cut holds the pairs whose first cannot reach the second.
 	cut map[[2]*node]bool
 	// platformDown says whether the list cannot be read.
--- a/core/membership/view.go
+++ b/core/membership/view.go
@@ -25,8 +25,16 @@
 	// Share is the part of a client account's limits that each entry daemon of
 	// the failure domain may give out. 0 < Share ≤ 1.
 	Share float64
-	// homes are the VMs of the entry daemons that can be a home.
-	homes []string
+	// homes are the entry daemons that can be a home, by VM.
+	homes []Home
+}
+
+// Home is an entry daemon that can be the home of a key.
+type Home struct {
+	// VM is the name of its VM; empty for none.
+	VM string
+	// Address is the IP number and port of its peers' port.
+	Address string
 }
 
 // View returns what the table knows at now.
@@ -54,8 +62,8 @@
 // Summaries returns the other failure domains.
 func (t *Table) Summaries(now time.Time) []peer.Domain { return t.View(now).Domains }
 
-// Home returns the VM whose entry daemon is the home of a key. See View.Home.
-func (t *Table) Home(key string, now time.Time) string { return t.View(now).Home(key) }
+// Home returns the entry daemon that is the home of a key. See View.Home.
+func (t *Table) Home(key string, now time.Time) Home { return t.View(now).Home(key) }
 
 // Live returns the daemons of the own failure domain that are not dead.
 func (v *View) Live() []peer.Member {
@@ -64,17 +72,18 @@
 	})
 }
 
-// Home returns the VM whose entry daemon is the home of a key, or "" if the
-// failure domain has none, by rendezvous hashing (Thaler, Ravishankar: Using
+// Home returns the entry daemon that is the home of a key, or the zero Home if
+// the failure domain has none, by rendezvous hashing (Thaler, Ravishankar: Using
 // name-based mappings to increase hit rates, IEEE/ACM Transactions on
 // Networking 1998). Entry daemons that leave are no homes; suspected ones are
 // until they are dead. When an entry daemon comes or goes, only the keys whose
 // home it becomes or was move.
-func (v *View) Home(key string) string {
-	home, highest := "", uint64(0)
-	for _, vm := range v.homes {
-		if score := weigh(vm, key); home == "" || score > highest {
-			home, highest = vm, score
+func (v *View) Home(key string) Home {
+	var home Home
+	highest := uint64(0)
+	for _, candidate := range v.homes {
+		if score := weigh(candidate.VM, key); home.VM == "" || score > highest {
+			home, highest = candidate, score
 		}
 	}
 	return home
@@ -137,18 +146,18 @@
 	return count
 }
 
-// homes returns the VMs of the entry daemons that can be a home.
-func (t *Table) homes() []string {
-	var homes []string
+// homes returns the entry daemons that can be a home.
+func (t *Table) homes() []Home {
+	var homes []Home
 	if t.self.Role == peer.RoleEntry && !t.self.Leaving && !t.stopped {
-		homes = append(homes, t.self.VM)
+		homes = append(homes, Home{VM: t.self.VM, Address: t.self.Address})
 	}
 	for _, m := range t.members {
 		if m.record.Role == peer.RoleEntry && !m.dead() && !m.isLeaving() {
-			homes = append(homes, m.record.VM)
+			homes = append(homes, Home{VM: m.record.VM, Address: m.record.Address})
 		}
 	}
-	slices.Sort(homes)
+	slices.SortFunc(homes, func(a, b Home) int { return cmp.Compare(a.VM, b.VM) })
 	return homes
 }
 
--- a/core/membership/view_test.go
+++ b/core/membership/view_test.go
@@ -41,13 +41,13 @@
 		keys := rapid.SliceOfN(rapid.String(), 1, 50).Draw(t, "keys")
 		before := make([]string, len(keys))
 		for i, key := range keys {
-			before[i] = table.Home(key, start)
+			before[i] = table.Home(key, start).VM
 		}
 		leaving := rapid.SampledFrom(list[1:]).Draw(t, "leaving")
 		leaving.Leaving = true
 		table.SetList(list, start)
 		for i, key := range keys {
-			after := table.Home(key, start)
+			after := table.Home(key, start).VM
 			if after == leaving.Name || (after != before[i] && before[i] != leaving.Name) {
 				t.Fatalf("%q moved from %s to %s when %s left", key, before[i], after, leaving.Name)
 			}
@@ -55,6 +55,25 @@
 	})
 }
 
+// TestRound checks that every member is probed once before one is probed again.
+func TestRound(t *testing.T) {
+	c := qt.New(t)
+	const others = 2*20 - 1 // daemons beside this one
+	table := newTable()
+	now := start
+	table.SetList(vmList(20), now)
+	for range 3 {
+		probed := map[membership.ID]bool{}
+		for range others {
+			now = now.Add(membership.Period)
+			for _, probe := range table.Tick(now) {
+				probed[probe.To.MemberID] = true
+			}
+		}
+		c.Check(probed, qt.HasLen, others)
+	}
+}
+
 // TestShare checks which daemons count for limits.
 func TestShare(t *testing.T) {
 	c := qt.New(t)
--- a/core/peer/heartbeats/heartbeats.go
+++ b/core/peer/heartbeats/heartbeats.go
@@ -125,8 +125,27 @@
 	r.view.Store(r.table.View(now))
 }
 
-// Heartbeat answers a heartbeat.
-func (r *Runner) Heartbeat(ctx context.Context, heartbeat peer.Heartbeat) (peer.HeartbeatAnswer, error) {
+// Method returns the method of the peers' port that answers heartbeats.
+func (r *Runner) Method() peer.Method {
+	return peer.NewMethod(peer.MethodHeartbeat,
+		func(ctx context.Context, _ *peer.Session, heartbeat peer.Heartbeat) (peer.HeartbeatAnswer, error) {
+			return r.answer(ctx, heartbeat)
+		})
+}
+
+// Home returns the address of the peers' port of the home daemon of a key, or
+// an empty string if this daemon is it or there is none. See
+// membership.View.Home.
+func (r *Runner) Home(key string) string {
+	home := r.View().Home(key)
+	if home.VM == r.options.Self.VM {
+		return ""
+	}
+	return home.Address
+}
+
+// answer answers a heartbeat.
+func (r *Runner) answer(ctx context.Context, heartbeat peer.Heartbeat) (peer.HeartbeatAnswer, error) {
 	r.mu.Lock()
 	if !r.table.HasAddress() {
 		r.mu.Unlock()
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -36,13 +36,58 @@
 	Head(ctx context.Context, head Head) (Head, error)
 	// GetConfig returns the content of a revision.
 	GetConfig(ctx context.Context, get GetConfig) (ConfigContent, error)
-	// Heartbeat takes in what a peer tells and answers.
-	Heartbeat(ctx context.Context, heartbeat Heartbeat) (HeartbeatAnswer, error)
+}
+
+// Method is a method of a peers' port beside those of Handler.
+type Method struct {
+	name string
+	call func(ctx context.Context, session *Session, req *jsonrpc2.Request) (any, error)
+}
+
+// NewMethod returns a method that is answered by f, which several threads call.
+func NewMethod[P, R any](name string, f func(ctx context.Context, session *Session, params P) (R, error)) Method {
+	return Method{name: name, call: func(ctx context.Context, session *Session, req *jsonrpc2.Request) (any, error) {
+		return handleParams(ctx, req, func(ctx context.Context, params P) (R, error) {
+			return f(ctx, session, params)
+		})
+	}}
+}
+
+// Session is one connection of a peer, for methods that keep state with it.
+type Session struct {
+	mu      sync.Mutex
+	closed  bool
+	onClose []func()
+}
+
+// OnClose has f called when the connection has ended, at once if it has
+// already.
+func (s *Session) OnClose(f func()) {
+	s.mu.Lock()
+	if !s.closed {
+		s.onClose = append(s.onClose, f)
+		s.mu.Unlock()
+		return
+	}
+	s.mu.Unlock()
+	f()
+}
+
+func (s *Session) close() {
+	s.mu.Lock()
+	s.closed = true
+	all := s.onClose
+	s.onClose = nil
+	s.mu.Unlock()
+	for _, f := range all {
+		f()
+	}
 }
 
 // Server accepts peers on one port.
 type Server struct {
 	handler  Handler
+	methods  map[string]Method
 	listener net.Listener
 	traffic  Traffic
 	wait     sync.WaitGroup
@@ -53,7 +98,7 @@
 
 // Listen starts a server on address, an IP number and a port. A nil config
 // means no TLS, and then ErrPlain is returned unless address is on loopback.
-func Listen(address string, config *tls.Config, handler Handler) (*Server, error) {
+func Listen(address string, config *tls.Config, handler Handler, methods ...Method) (*Server, error) {
 	if config == nil && !isLoopback(address) {
 		return nil, merry.Wrap(ErrPlain, merry.WithValue("address", address))
 	}
@@ -61,11 +106,18 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "peer: listen")
 	}
-	s := &Server{handler: handler, conns: make(map[*jsonrpc2.Conn]struct{})}
+	s := &Server{
+		handler: handler,
+		methods: make(map[string]Method, len(methods)),
+		conns:   make(map[*jsonrpc2.Conn]struct{}),
+	}
 	s.listener = countedListener{Listener: listener, traffic: &s.traffic}
 	if config != nil {
 		s.listener = tls.NewListener(s.listener, config)
 	}
+	for _, m := range methods {
+		s.methods[m.name] = m
+	}
 	s.wait.Go(s.accept)
 	return s, nil
 }
@@ -111,13 +163,18 @@
 const acceptPause = 10 * time.Millisecond
 
 func (s *Server) serve(conn net.Conn) {
-	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
+	session := &Session{}
+	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(
+		func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+			return s.handle(ctx, session, req)
+		}))
 	rpc := jsonrpc2.NewConn(context.Background(), newStream(conn, &s.traffic), handler)
 	if !s.add(rpc) {
 		_ = rpc.Close()
 		return
 	}
 	<-rpc.DisconnectNotify()
+	session.close()
 	s.mu.Lock()
 	delete(s.conns, rpc)
 	s.mu.Unlock()
@@ -135,7 +192,7 @@
 	return true
 }
 
-func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+func (s *Server) handle(ctx context.Context, session *Session, req *jsonrpc2.Request) (any, error) {
 	switch req.Method {
 	case MethodStatus:
 		return s.handler.Status(ctx)
@@ -143,8 +200,9 @@
 		return handleParams(ctx, req, s.handler.Head)
 	case MethodGetConfig:
 		return handleParams(ctx, req, s.handler.GetConfig)
-	case MethodHeartbeat:
-		return handleParams(ctx, req, s.handler.Heartbeat)
+	}
+	if m, ok := s.methods[req.Method]; ok {
+		return m.call(ctx, session, req)
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method: " + req.Method}
 }
--- a/core/peer/pool_test.go
+++ b/core/peer/pool_test.go
@@ -23,13 +23,15 @@
 	return peer.ConfigContent{}, nil
 }
 
-func (e echo) Heartbeat(_ context.Context, heartbeat peer.Heartbeat) (peer.HeartbeatAnswer, error) {
-	return peer.HeartbeatAnswer{Gossip: heartbeat.Gossip, Reached: true}, nil
-}
+// heartbeat answers with what it was told.
+var heartbeat = peer.NewMethod(peer.MethodHeartbeat,
+	func(_ context.Context, _ *peer.Session, h peer.Heartbeat) (peer.HeartbeatAnswer, error) {
+		return peer.HeartbeatAnswer{Gossip: h.Gossip, Reached: true}, nil
+	})
 
 // listen starts a server without TLS, which ends with the test.
 func listen(t testing.TB, name string) *peer.Server {
-	server, err := peer.Listen("127.0.0.1:0", nil, echo{name})
+	server, err := peer.Listen("127.0.0.1:0", nil, echo{name}, heartbeat)
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = server.Close() })
 	return server
--- a/core/peer/tls_test.go
+++ b/core/peer/tls_test.go
@@ -76,7 +76,7 @@
 		return config
 	}
 	serve := func(config *tls.Config) string {
-		server, err := peer.Listen("127.0.0.1:0", config, echo{"a"})
+		server, err := peer.Listen("127.0.0.1:0", config, echo{"a"}, heartbeat)
 		c.Assert(err, qt.IsNil)
 		t.Cleanup(func() { _ = server.Close() })
 		return server.Address()
--- a/entryd/daemon/daemon.go
+++ b/entryd/daemon/daemon.go
@@ -168,7 +168,7 @@
 		return err
 	}
 	d.members = d.newMembers(tls)
-	if d.peers, err = peer.Listen(d.address(d.settings.PeerPort), tls, (*peerHandler)(d)); err != nil {
+	if d.peers, err = peer.Listen(d.address(d.settings.PeerPort), tls, (*peerHandler)(d), d.members.Method()); err != nil {
 		return err
 	}
 	d.members.SetAddress(d.PeerAddress())
--- a/entryd/daemon/peers.go
+++ b/entryd/daemon/peers.go
@@ -35,12 +35,6 @@
 	return h.watcher.Content(get)
 }
 
-// Heartbeat takes in what a peer tells and answers.
-func (h *peerHandler) Heartbeat(ctx context.Context, heartbeat peer.Heartbeat) (peer.HeartbeatAnswer, error) {
-	h.metrics.Controlled(metrics.ControlPeer)
-	return h.members.Heartbeat(ctx, heartbeat)
-}
-
 // newMembers returns what takes part in the membership. Its view decides the
 // daemon's share of the limits.
 func (d *Daemon) newMembers(tls *tls.Config) *heartbeats.Runner {
--- a/entryd/plain/call.go
+++ b/entryd/plain/call.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"time"
 
 	"acaciapath.example/core/config"
 	"acaciapath.example/core/dispatch"
@@ -51,7 +50,7 @@
 		return asRefusal(err, refusal.NotRun)
 	}
 	c.place = place
-	c.handler.Metrics.Waited(c.class.Name, place.Waited())
+	c.handler.Metrics.Waited(c.class.Name, place.Waited)
 	return nil
 }
 
@@ -62,23 +61,25 @@
 	}
 	ctx, stop := context.WithTimeoutCause(ctx, c.route.Timeout, caller.ErrTimeout)
 	defer stop()
+	mayHaveRun := false
 	for {
 		response, sent, err := c.send(ctx)
+		mayHaveRun = mayHaveRun || sent
 		if err == nil && !isTemporary(response.StatusCode) {
 			return c.pass(ctx, response)
 		}
 		if ctx.Err() != nil {
 			c.place.Finish(dispatch.Result{})
 			closeBody(response)
-			return caller.EndRefusal(context.Cause(ctx), ranIf(sent))
+			return caller.EndRefusal(context.Cause(ctx), ranIf(mayHaveRun))
 		}
 		retried, waitErr := c.place.Retry(ctx)
 		if waitErr != nil {
 			closeBody(response)
-			return asRefusal(waitErr, ranIf(sent))
+			return asRefusal(waitErr, ranIf(mayHaveRun))
 		}
 		if !retried {
-			return c.giveUp(ctx, response, sent)
+			return c.giveUp(ctx, response, mayHaveRun)
 		}
 		closeBody(response)
 		c.handler.Metrics.Retried()
@@ -140,12 +141,10 @@
 	defer response.Body.Close()
 	c.handler.Metrics.PlainCalled(c.service.Name, "answered")
 	c.charge()
-	controller := c.exchange.Controller
-	stop := context.AfterFunc(ctx, func() { _ = controller.SetWriteDeadline(time.Now().Add(after)) })
-	defer stop()
+	defer c.exchange.BoundWrites(ctx)()
 	answerHeaders(c.writer.Header(), response.Header)
 	c.writer.WriteHeader(response.StatusCode)
-	_, err := io.Copy(flusher{writer: c.writer, controller: controller}, response.Body)
+	_, err := io.Copy(flusher{writer: c.writer, controller: c.exchange.Controller}, response.Body)
 	c.place.Finish(dispatch.Result{Failed: err != nil && ctx.Err() == nil && c.request.Context().Err() == nil})
 	if err != nil {
 		c.exchange.Refusal = refusal.NewUnknown(refusal.AnswerIncomplete, "the answer broke off")
