--- a/controld/daemon/daemon.go
+++ b/controld/daemon/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/binary"
 	"encoding/hex"
 	"io"
@@ -14,8 +15,10 @@
 
 	"acaciapath.example/core/config"
 	"acaciapath.example/core/lease"
+	"acaciapath.example/core/membership"
 	"acaciapath.example/core/order"
 	"acaciapath.example/core/peer"
+	"acaciapath.example/core/peer/heartbeats"
 	"acaciapath.example/core/platform"
 	"acaciapath.example/core/revision"
 	"acaciapath.example/core/settings"
@@ -106,6 +109,7 @@
 
 	watcher    *revision.Watcher
 	members    *members
+	heartbeats *heartbeats.Runner
 	orders     *lease.Keeper
 	usage      *lease.Keeper
 	reconciler *order.Reconciler
@@ -152,6 +156,7 @@
 	}
 	d.watcher = revision.NewWatcher(revision.NewStore(d.platform), config.Parse)
 	d.members = newMembers(d.settings.Name, d.settings.FailureDomain, tls, d.platform.VMs)
+	d.heartbeats = d.newHeartbeats(tls, binary.LittleEndian.Uint64(random[:]))
 	holder := d.settings.Name + "/" + hex.EncodeToString(random[:])
 	d.orders = d.newKeeper(lease.OrdersName(d.settings.FailureDomain), holder)
 	d.usage = d.newKeeper(lease.UsageName, holder)
@@ -160,6 +165,24 @@
 	return nil
 }
 
+// newHeartbeats returns what takes part in the membership.
+func (d *Daemon) newHeartbeats(tls *tls.Config, seed uint64) *heartbeats.Runner {
+	return heartbeats.New(heartbeats.Options{
+		Self: membership.Record{
+			MemberID:      membership.ID{VM: d.settings.Name, Role: peer.RoleControl},
+			FailureDomain: d.settings.FailureDomain,
+		},
+		TLS:     tls,
+		VMs:     d.platform.VMs,
+		Watcher: d.watcher,
+		Clock:   d.now,
+		Random:  mathrand.New(mathrand.NewPCG(seed, 1)),
+	})
+}
+
+// now returns the present wall clock time.
+func (d *Daemon) now() time.Time { return d.options.Clock().Wall }
+
 func (d *Daemon) newKeeper(name, holder string) *lease.Keeper {
 	terms := lease.Terms{Name: name, Holder: holder, Duration: d.settings.Lease}
 	poll := lease.PollInterval(d.settings.Lease, 1, d.jitter)
@@ -169,9 +192,11 @@
 // listen binds the ports.
 func (d *Daemon) listen(registry *prometheus.Registry) error {
 	var err error
-	if d.peers, err = peer.Listen(d.address(d.settings.PeerPort), d.members.tls, (*peerHandler)(d)); err != nil {
+	if d.peers, err = peer.Listen(d.address(d.settings.PeerPort), d.members.tls, (*peerHandler)(d), d.heartbeats.Method()); err != nil {
 		return err
 	}
+	d.heartbeats.SetAddress(d.PeerAddress())
+	peer.RegisterTraffic(registry, namespace, d.peers.Traffic(), d.heartbeats.Traffic())
 	if d.ops, err = net.Listen("tcp", d.address(d.settings.OpsPort)); err != nil {
 		return merry.Prepend(err, "daemon: operations port")
 	}
@@ -213,6 +238,7 @@
 
 // Status returns what the daemon tells of itself.
 func (d *Daemon) Status() peer.Status {
+	view := d.heartbeats.View()
 	return peer.Status{
 		Name:           d.settings.Name,
 		Role:           peer.RoleControl,
@@ -225,6 +251,8 @@
 		Queues:         []peer.Queue{},
 		BackendServers: []peer.BackendServer{},
 		Leases:         []peer.Lease{leaseStatus(d.orders), leaseStatus(d.usage)},
+		Members:        view.Members,
+		Domains:        view.Domains,
 	}
 }
 
--- a/controld/daemon/run.go
+++ b/controld/daemon/run.go
@@ -23,6 +23,7 @@
 	defer stop()
 	var loops, duties sync.WaitGroup
 	loops.Go(func() { _ = d.opsHTTP.Serve(d.ops) })
+	loops.Go(func() { d.heartbeats.Run(work) })
 	loops.Go(func() { d.orders.Run(work, d.report("lease")) })
 	loops.Go(func() { d.usage.Run(work, d.report("lease")) })
 	loops.Go(func() { every(ctx, d.settings.ConfigPoll, func() { d.follow(work) }) })
@@ -34,6 +35,7 @@
 	<-ctx.Done()
 	d.logger.Info("shutting down")
 	d.leaving.Store(true)
+	d.heartbeats.Leave()
 	expired := time.AfterFunc(d.settings.DrainTimeout, stop)
 	duties.Wait()
 	expired.Stop()
--- /dev/null
+++ b/core/peer/heartbeats/heartbeats_test.go
@@ -0,0 +1,149 @@
+package heartbeats_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/gen/vms"
+	"acaciapath.example/core/membership"
+	"acaciapath.example/core/peer"
+	"acaciapath.example/core/peer/heartbeats"
+	"acaciapath.example/core/revision"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+)
+
+// patience is a safety net for what is polled for.
+const patience = 30 * time.Second
+
+// errDown is the answer of a platform that is down.
+var errDown = errors.New("down")
+
+// platform is a list of VMs, beside which everything is down.
+type platform struct{ list []*vms.VM }
+
+func (p *platform) List(context.Context) ([]*vms.VM, error) {
+	if p.list == nil {
+		return nil, errDown
+	}
+	return p.list, nil
+}
+
+func (p *platform) Head(context.Context) (uint64, error) { return 0, errDown }
+
+func (p *platform) Content(context.Context, uint64) ([]byte, error) { return nil, errDown }
+
+// daemon is what takes part in the membership of a daemon.
+type daemon struct {
+	watcher *revision.Watcher
+	runner  *heartbeats.Runner
+	server  *peer.Server
+	stop    func()
+}
+
+// Status is not asked for.
+func (d *daemon) Status(context.Context) (peer.Status, error) { return peer.Status{}, nil }
+
+// Head returns the revision in force.
+func (d *daemon) Head(context.Context, peer.Head) (peer.Head, error) { return d.watcher.Head("vm"), nil }
+
+// GetConfig returns the content of a revision.
+func (d *daemon) GetConfig(_ context.Context, get peer.GetConfig) (peer.ConfigContent, error) {
+	return d.watcher.Content(get)
+}
+
+// start starts a daemon that reads the list once it runs.
+func start(c *qt.C, name string, p *platform) *daemon {
+	parse := func([]config.File) (*config.Config, error) { return &config.Config{}, nil }
+	d := &daemon{watcher: revision.NewWatcher(p, parse)}
+	d.runner = heartbeats.New(heartbeats.Options{
+		Self:    membership.Record{MemberID: membership.ID{VM: name, Role: peer.RoleEntry}, FailureDomain: "quito-a"},
+		VMs:     p,
+		Watcher: d.watcher,
+		Clock:   time.Now,
+		Random:  rand.New(rand.NewPCG(1, uint64(len(name)))),
+	})
+	var err error
+	d.server, err = peer.Listen("127.0.0.1:0", nil, d, d.runner.Method())
+	c.Assert(err, qt.IsNil)
+	d.runner.SetAddress(d.server.Address())
+	return d
+}
+
+// run lets the daemon take part until it is stopped.
+func (d *daemon) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		d.runner.Run(ctx)
+	}()
+	d.stop = func() {
+		cancel()
+		<-ended
+		_ = d.server.Close()
+	}
+}
+
+func eventually(c *qt.C, condition func() bool) {
+	for deadline := time.Now().Add(patience); !condition(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			c.Fatal("the condition did not come true")
+		}
+	}
+}
+
+// TestRunners checks that daemons of which only one has the platform's list know
+// each other, follow the revision that one of them has, and tell each other that
+// they stop.
+func TestRunners(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := qt.New(t)
+	listed := &platform{}
+	daemons := make([]*daemon, 3)
+	for i := range daemons {
+		p := &platform{}
+		if i == 0 {
+			p = listed
+		}
+		daemons[i] = start(c, fmt.Sprint("vm-", i), p)
+		address := netip.MustParseAddrPort(daemons[i].server.Address())
+		listed.list = append(listed.list, &vms.VM{
+			Name: fmt.Sprint("vm-", i), FailureDomain: "quito-a", Address: "127.0.0.1", PeerPort: int(address.Port()),
+		})
+	}
+	for _, d := range daemons {
+		d.run()
+	}
+	eventually(c, func() bool {
+		for _, d := range daemons {
+			if len(d.runner.View().Live()) != 3 || d.runner.View().Share != 1.0/3 {
+				return false
+			}
+		}
+		return true
+	})
+	c.Check(daemons[0].runner.View().Home("key"), qt.Equals, daemons[2].runner.View().Home("key"))
+	bundle, err := revision.Pack([]config.File{{Name: "a.ini", Text: "x"}})
+	c.Assert(err, qt.IsNil)
+	_, err = daemons[1].watcher.Offer(7, bundle.Data, time.Now())
+	c.Assert(err, qt.IsNil)
+	eventually(c, func() bool {
+		return daemons[0].watcher.Revision() == 7 && daemons[2].watcher.Revision() == 7
+	})
+	daemons[2].runner.Leave()
+	daemons[2].stop()
+	for _, d := range daemons[:2] {
+		eventually(c, func() bool { return len(d.runner.View().Live()) == 2 && d.runner.View().Share == 0.5 })
+	}
+	c.Check(daemons[0].runner.Traffic().BytesSent.Load() > 0, qt.IsTrue)
+	daemons[0].stop()
+	daemons[1].stop()
+}
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -89,6 +89,7 @@
 	handler  Handler
 	methods  map[string]Method
 	listener net.Listener
+	traffic  Traffic
 	wait     sync.WaitGroup
 	mu       sync.Mutex
 	conns    map[*jsonrpc2.Conn]struct{}
@@ -105,14 +106,14 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "peer: listen")
 	}
-	if config != nil {
-		listener = tls.NewListener(listener, config)
-	}
 	s := &Server{
-		handler:  handler,
-		methods:  make(map[string]Method, len(methods)),
-		listener: listener,
-		conns:    make(map[*jsonrpc2.Conn]struct{}),
+		handler: handler,
+		methods: make(map[string]Method, len(methods)),
+		conns:   make(map[*jsonrpc2.Conn]struct{}),
+	}
+	s.listener = countedListener{Listener: listener, traffic: &s.traffic}
+	if config != nil {
+		s.listener = tls.NewListener(s.listener, config)
 	}
 	for _, m := range methods {
 		s.methods[m.name] = m
@@ -124,6 +125,9 @@
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// Traffic returns what the port carries.
+func (s *Server) Traffic() *Traffic { return &s.traffic }
+
 // Close stops the server and ends its connections.
 func (s *Server) Close() error {
 	err := s.listener.Close()
@@ -159,13 +163,12 @@
 const acceptPause = 10 * time.Millisecond
 
 func (s *Server) serve(conn net.Conn) {
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
 	session := &Session{}
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(
 		func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 			return s.handle(ctx, session, req)
 		}))
-	rpc := jsonrpc2.NewConn(context.Background(), stream, handler)
+	rpc := jsonrpc2.NewConn(context.Background(), newStream(conn, &s.traffic), handler)
 	if !s.add(rpc) {
 		_ = rpc.Close()
 		return
