--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -36,8 +36,6 @@
 	Head(ctx context.Context, head Head) (Head, error)
 	// GetConfig returns the content of a revision.
 	GetConfig(ctx context.Context, get GetConfig) (ConfigContent, error)
-	// Heartbeat takes in what a peer tells and answers.
-	Heartbeat(ctx context.Context, heartbeat Heartbeat) (HeartbeatAnswer, error)
 }
 
 // Method is a method of a peers' port beside those of Handler.
@@ -202,8 +200,6 @@
 		return handleParams(ctx, req, s.handler.Head)
 	case MethodGetConfig:
 		return handleParams(ctx, req, s.handler.GetConfig)
-	case MethodHeartbeat:
-		return handleParams(ctx, req, s.handler.Heartbeat)
 	}
 	if m, ok := s.methods[req.Method]; ok {
 		return m.call(ctx, session, req)
--- a/entryd/daemon/daemon.go
+++ b/entryd/daemon/daemon.go
@@ -141,7 +141,7 @@
 		return err
 	}
 	d.members = d.newMembers(d.tls)
-	d.homes = home.NewSource(d.scheduler, homeChooser{d.members}, d.tls, o.Clock)
+	d.homes = home.NewSource(d.scheduler, homeChooser{self: d.settings.Name, members: d.members}, d.tls, o.Clock)
 	d.directory = backend.NewDirectory(d.client, d.platform.Servers, d.scheduler, d.homes.Dispatches)
 	d.meter = usage.NewMeter()
 	d.writer = usage.NewWriter(d.platform.Table, d.settings.Name, instance)
@@ -173,7 +173,7 @@
 // listen binds the ports.
 func (d *Daemon) listen(registry *prometheus.Registry) error {
 	var err error
-	methods := home.NewServer(d.scheduler, &d.access).Methods()
+	methods := append(home.NewServer(d.scheduler, &d.access).Methods(), d.members.Method())
 	if d.peers, err = peer.Listen(d.address(d.settings.PeerPort), d.tls, (*peerHandler)(d), methods...); err != nil {
 		return err
 	}
--- a/entryd/daemon/peers.go
+++ b/entryd/daemon/peers.go
@@ -36,12 +36,6 @@
 	return h.watcher.Content(get)
 }
 
-// Heartbeat takes in what a peer tells and answers.
-func (h *peerHandler) Heartbeat(ctx context.Context, heartbeat peer.Heartbeat) (peer.HeartbeatAnswer, error) {
-	h.metrics.Controlled(metrics.ControlPeer)
-	return h.members.Heartbeat(ctx, heartbeat)
-}
-
 // newMembers returns what takes part in the membership. Its view decides the
 // daemon's share of the limits.
 func (d *Daemon) newMembers(tls *tls.Config) *heartbeats.Runner {
@@ -61,10 +55,19 @@
 }
 
 // homeChooser finds the home daemons of models among the members.
-type homeChooser struct{ members *heartbeats.Runner }
+type homeChooser struct {
+	self    string
+	members *heartbeats.Runner
+}
 
 var _ home.Chooser = homeChooser{}
 
 // Home returns the address of the peers' port of a model's home daemon, or an
 // empty string if this daemon is it.
-func (c homeChooser) Home(model string) string { return c.members.View().HomeAddress(model) }
+func (c homeChooser) Home(model string) string {
+	chosen := c.members.View().Home(model)
+	if chosen.VM == c.self {
+		return ""
+	}
+	return chosen.Address
+}
