--- a/core/peer/heartbeats/heartbeats_test.go
+++ b/core/peer/heartbeats/heartbeats_test.go
@@ -52,7 +52,9 @@
 func (d *daemon) Status(context.Context) (peer.Status, error) { return peer.Status{}, nil }
 
 // Head returns the revision in force.
-func (d *daemon) Head(context.Context, peer.Head) (peer.Head, error) { return d.watcher.Head("vm"), nil }
+func (d *daemon) Head(context.Context, peer.Head) (peer.Head, error) {
+	return d.watcher.Head("vm"), nil
+}
 
 // GetConfig returns the content of a revision.
 func (d *daemon) GetConfig(_ context.Context, get peer.GetConfig) (peer.ConfigContent, error) {
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -168,7 +168,7 @@
 		func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 			return s.handle(ctx, session, req)
 		}))
-	rpc := jsonrpc2.NewConn(context.Background(), newStream(conn, &s.traffic), handler)
+	rpc := jsonrpc2.NewConn(context.Background(), newStream(conn, &s.traffic), handler, silent)
 	if !s.add(rpc) {
 		_ = rpc.Close()
 		return
