entryd: send no new work to backend servers that are to be released

Cause: the control daemon records which backend servers it drains, and no entry daemon read it; a request could reach one just before its release. Change: entry daemons read the drains of all failure domains every 2 s beside the list of backend servers, and treat them as leaving.

--- a/core/order/rows.go
+++ b/core/order/rows.go
@@ -75,7 +75,14 @@
 
 func intentKeyPrefix(failureDomain string) string { return intentPrefix + failureDomain + "/" }
 
-func drainKeyPrefix(failureDomain string) string { return drainPrefix + failureDomain + "/" }
+// drainKeyPrefix returns the prefix of the drains of a failure domain, or of all
+// if it is empty.
+func drainKeyPrefix(failureDomain string) string {
+	if failureDomain == "" {
+		return drainPrefix
+	}
+	return drainPrefix + failureDomain + "/"
+}
 
 // decode reads the content of a row. It returns ErrRow if it is malformed.
 func decode[T any](value []byte) (T, error) {
--- a/core/order/state.go
+++ b/core/order/state.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// Drains returns the names of the backend servers of a failure domain that are
-// to get no more work. Entry daemons read them beside the list of backend
+// Drains returns the names of the backend servers of a failure domain, or of all
+// if it is empty, that are to get no more work. Entry daemons read them beside the list of backend
 // servers.
 func Drains(ctx context.Context, service table.Service, failureDomain string) ([]string, error) {
 	drains, err := readAll[Drain](ctx, service, drainKeyPrefix(failureDomain))
--- a/entryd/backend/directory.go
+++ b/entryd/backend/directory.go
@@ -9,6 +9,8 @@
 	"acaciapath.example/core/config"
 	"acaciapath.example/core/engine"
 	"acaciapath.example/core/gen/servers"
+	"acaciapath.example/core/order"
+	"acaciapath.example/core/platform"
 	"acaciapath.example/core/replica"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,6 +21,9 @@
 const (
 	// ListInterval is how often the platform is asked for its backend servers.
 	ListInterval = time.Second
+	// DrainInterval is how often the platform is asked which backend servers are
+	// to be released.
+	DrainInterval = 2 * time.Second
 	// LoadInterval is how often engines are asked for their load.
 	LoadInterval = 250 * time.Millisecond
 	// seldom is the number of LoadIntervals between two questions to an engine
@@ -45,7 +50,7 @@
 // while the platform does not answer.
 type Directory struct {
 	client     *Client
-	platform   servers.Service
+	platform   *platform.Client
 	sink       Sink
 	dispatches func(model string) bool
 
@@ -55,12 +60,14 @@
 	specs  []replica.Spec
 	loaded map[string][]string
 	events map[string]uint64
+	// drains are the backend servers that are to be released.
+	drains []string
 }
 
 // NewDirectory returns a directory without backend servers. Engines are asked
 // for their load often while dispatches says that this daemon gives out places
 // for one of their models, and else seldom.
-func NewDirectory(client *Client, platform servers.Service, sink Sink, dispatches func(model string) bool) *Directory {
+func NewDirectory(client *Client, platform *platform.Client, sink Sink, dispatches func(model string) bool) *Directory {
 	return &Directory{
 		client:     client,
 		platform:   platform,
@@ -84,6 +91,7 @@
 func (d *Directory) Run(ctx context.Context) {
 	var polls sync.WaitGroup
 	polls.Go(func() { every(ctx, ListInterval, d.pollList) })
+	polls.Go(func() { every(ctx, DrainInterval, d.pollDrains) })
 	round := uint64(0)
 	polls.Go(func() {
 		every(ctx, LoadInterval, func(ctx context.Context) {
@@ -109,7 +117,7 @@
 }
 
 func (d *Directory) pollList(ctx context.Context) {
-	listed, err := d.platform.List(ctx, &servers.ListPayload{})
+	listed, err := d.platform.Servers.List(ctx, &servers.ListPayload{})
 	if err != nil {
 		return
 	}
@@ -119,9 +127,27 @@
 	d.rebuild()
 }
 
+// pollDrains asks which backend servers are to be released; they get no more
+// work.
+func (d *Directory) pollDrains(ctx context.Context) {
+	drains, err := order.Drains(ctx, d.platform.Table, "")
+	if err != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !slices.Equal(d.drains, drains) {
+		d.drains = drains
+		d.rebuild()
+	}
+}
+
 // rebuild puts a new list in force. The caller holds the lock.
 func (d *Directory) rebuild() {
 	d.specs = Merge(d.config, d.listed, d.loaded)
+	for i := range d.specs {
+		d.specs[i].Leaving = d.specs[i].Leaving || slices.Contains(d.drains, d.specs[i].Name)
+	}
 	for name := range d.loaded {
 		if !slices.ContainsFunc(d.specs, func(s replica.Spec) bool { return s.Name == name }) {
 			delete(d.loaded, name)
--- a/entryd/daemon/servers_test.go
+++ b/entryd/daemon/servers_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"acaciapath.example/core/gen/servers"
+	"acaciapath.example/core/gen/table"
 	"acaciapath.example/core/gen/vms"
 	"acaciapath.example/core/peer"
 	"acaciapath.example/standin/engine"
@@ -75,6 +76,21 @@
 	s.c.Assert(first.Runs().Entries(), qt.HasLen, 1)
 }
 
+// TestDrainedServer checks that a backend server that the control daemon drains
+// gets no new work while the platform still lists it as running.
+func TestDrainedServer(t *testing.T) {
+	s := start(t, plan{engines: []engine.Options{}, extra: poolConfig})
+	chat := chatRequest(shopKey, chatBody(1, true))
+	drained := s.addListed("cheap-1", "assistant")
+	s.eventually(func() bool { return len(s.serving()) == 1 })
+	row := &table.Write{Key: "order/drain/quito-a/cheap-1", Value: []byte(`{"server":"cheap-1","released":false}`)}
+	_, err := s.platform.Client("controld").Table.Commit(t.Context(), &table.CommitPayload{Writes: []*table.Write{row}})
+	s.c.Assert(err, qt.IsNil)
+	s.eventually(func() bool { return len(s.serving()) == 0 })
+	s.c.Assert(s.do(chat(s)).body, qt.Contains, `"run":"not-run"`)
+	s.c.Assert(drained.Runs().Entries(), qt.HasLen, 0)
+}
+
 // TestPeers checks the peers' port, and that a daemon that is cut off from the
 // platform follows its neighbour to a newer configuration.
 func TestPeers(t *testing.T) {
