--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -71,13 +72,22 @@
 	r.target = address
 }
 
-// SetFaults replaces the faults of the link.
+// SetFaults replaces the faults of the link. Connections that lost data end as
+// soon as nothing is cut.
 func (r *Relay) SetFaults(f Faults) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.faults = f
 	close(r.changed)
 	r.changed = make(chan struct{})
+	if f.CutForward || f.CutBack {
+		return
+	}
+	for l := range r.links {
+		if l.dropped.Load() {
+			l.end()
+		}
+	}
 }
 
 // Reset ends all connections that are open.
@@ -146,6 +156,8 @@
 	near  net.Conn
 	once  sync.Once
 	over  chan struct{} // closed when the link ends
+	// dropped says whether a cut dropped data, or the end of a direction.
+	dropped atomic.Bool
 
 	mu  sync.Mutex // guards far until it is set
 	far net.Conn
@@ -191,8 +203,8 @@
 	})
 }
 
-// forward copies one direction until it ends or data of it is dropped. An end
-// that the cut hides from the other side is not passed on.
+// forward copies one direction until it ends. Once it has lost data nothing more
+// arrives, and an end that a cut hides from the other side is not passed on.
 func (l *link) forward(to, from net.Conn, back bool) {
 	buffer := make([]byte, bufferSize)
 	dropped := false
@@ -203,42 +215,33 @@
 			return
 		}
 		dropped = dropped || faults.cut(back)
-		if dropped && err == nil {
-			continue
-		}
-		if dropped {
-			l.hang()
-			return
-		}
-		if !l.pause(faults.Delay) {
+		switch {
+		case dropped:
+			l.drop()
+		case !l.pause(faults.Delay):
 			return
-		}
-		if n > 0 {
+		default:
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
-				l.end()
-				return
+				err = writeErr
 			}
 		}
-		if err != nil {
-			l.end()
+		if err == nil {
+			continue
+		}
+		if dropped {
+			<-l.over
 			return
 		}
+		l.end()
+		return
 	}
 }
 
-// hang waits until the cuts are lifted, and ends the link.
-func (l *link) hang() {
-	for {
-		faults, _, changed := l.relay.state()
-		if !faults.CutForward && !faults.CutBack {
-			l.end()
-			return
-		}
-		select {
-		case <-changed:
-		case <-l.over:
-			return
-		}
+// drop notes that data was lost, and ends the link if the cut has been lifted.
+func (l *link) drop() {
+	l.dropped.Store(true)
+	if faults, _, _ := l.relay.state(); !faults.CutForward && !faults.CutBack {
+		l.end()
 	}
 }
 
