--- a/controld/daemon/run.go
+++ b/controld/daemon/run.go
@@ -23,6 +23,7 @@
 	defer stop()
 	var loops, duties sync.WaitGroup
 	loops.Go(func() { _ = d.opsHTTP.Serve(d.ops) })
+	loops.Go(func() { d.heartbeats.Run(work) })
 	loops.Go(func() { d.orders.Run(work, d.report("lease")) })
 	loops.Go(func() { d.usage.Run(work, d.report("lease")) })
 	loops.Go(func() { every(ctx, d.settings.ConfigPoll, func() { d.follow(work) }) })
@@ -34,6 +35,7 @@
 	<-ctx.Done()
 	d.logger.Info("shutting down")
 	d.leaving.Store(true)
+	d.heartbeats.Leave()
 	expired := time.AfterFunc(d.settings.DrainTimeout, stop)
 	duties.Wait()
 	expired.Stop()
@@ -119,7 +121,9 @@
 	}
 	observed := order.Observe(statuses, index, known)
 	states, err := d.reconciler.Reconcile(ctx, d.monotonic(), index, observed)
-	d.metrics.pools(states, d.monotonic())
+	if states != nil {
+		d.metrics.pools(states, d.monotonic())
+	}
 	if err != nil {
 		d.report("orders")(err)
 	}
@@ -147,10 +151,10 @@
 }
 
 // report returns a function that logs and counts failures of a part. That the
-// daemon is not in charge is none.
+// daemon is not in charge, or that it shuts down, is none.
 func (d *Daemon) report(part string) func(error) {
 	return func(err error) {
-		if errors.Is(err, lease.ErrNotHeld) {
+		if errors.Is(err, lease.ErrNotHeld) || errors.Is(err, context.Canceled) {
 			return
 		}
 		d.metrics.failures.WithLabelValues(part).Inc()
--- a/core/lease/keeper.go
+++ b/core/lease/keeper.go
@@ -81,10 +81,11 @@
 }
 
 // Run acquires and renews the lease until ctx ends. Report is told of calls
-// that failed.
+// that failed, but not of conflicts, by which another process was faster.
 func (k *Keeper) Run(ctx context.Context, report func(error)) {
 	for ctx.Err() == nil {
-		if err := k.step(ctx); err != nil && ctx.Err() == nil {
+		err := k.step(ctx)
+		if err != nil && platform.AsConflict(err) == nil && ctx.Err() == nil {
 			report(err)
 		}
 		k.sleep(ctx)
@@ -141,7 +142,8 @@
 	}
 }
 
-// step makes the next request, if there is one, and takes in its answer.
+// step makes the next request, if there is one, and takes in its answer. That
+// somebody else was first is no error.
 func (k *Keeper) step(ctx context.Context) error {
 	k.mu.Lock()
 	request := k.lease.Next(k.clock())
@@ -163,6 +165,9 @@
 		k.lease.Committed(request, rows, k.clock())
 	}
 	k.grant.Store(k.lease.Grant())
+	if platform.AsConflict(err) != nil {
+		return nil
+	}
 	return err
 }
 
--- a/entryd/caller/exchange.go
+++ b/entryd/caller/exchange.go
@@ -102,6 +102,16 @@
 	return refused
 }
 
+// Ended returns why a request whose context is ctx is not to be sent on any
+// more, or nil. A withdrawn key is seen at once, also if the place that the
+// request got is one that the withdrawal made free.
+func (x *Exchange) Ended(ctx context.Context) error {
+	if x.Grant != nil && x.Grant.Withdrawn() {
+		return access.ErrWithdrawn
+	}
+	return context.Cause(ctx)
+}
+
 // ReadBody appends a request's body to buffer. The deadline for it was set when
 // the request arrived, and is lifted once the body is there.
 func (x *Exchange) ReadBody(buffer []byte, body io.Reader) ([]byte, *refusal.Refusal) {
@@ -133,7 +143,7 @@
 	done := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(done)
-		_ = x.Controller.SetWriteDeadline(time.Now().Add(lastWriteTimeout))
+		x.LimitWrites()
 	})
 	return func() {
 		if !stop() {
@@ -142,6 +152,12 @@
 	}
 }
 
+// LimitWrites lets writes of the answer end soon. The connection's next request
+// lifts the limit.
+func (x *Exchange) LimitWrites() {
+	_ = x.Controller.SetWriteDeadline(time.Now().Add(lastWriteTimeout))
+}
+
 // bodyRefusal returns the refusal of a request whose body could not be read.
 func bodyRefusal(err error) *refusal.Refusal {
 	var tooLarge *http.MaxBytesError
--- a/entryd/home/source.go
+++ b/entryd/home/source.go
@@ -279,7 +279,17 @@
 // Retry asks for another place, see scheduler.Holder. Without an answer there
 // is no retry.
 func (p *held) Retry(ctx context.Context) (*scheduler.Grant, error) {
-	got, err := p.home.ask(ctx, methodRetry, p.id, ticket{Ticket: p.id})
+	return p.again(ctx, retry{Ticket: p.id})
+}
+
+// Resume asks for another place, see scheduler.Holder. Without an answer there
+// is none.
+func (p *held) Resume(ctx context.Context) (*scheduler.Grant, error) {
+	return p.again(ctx, retry{Ticket: p.id, Resume: true})
+}
+
+func (p *held) again(ctx context.Context, message retry) (*scheduler.Grant, error) {
+	got, err := p.home.ask(ctx, methodRetry, p.id, message)
 	if errors.Is(err, errHome) || errors.Is(err, errUnknown) {
 		return nil, nil
 	}
--- a/entryd/plain/call.go
+++ b/entryd/plain/call.go
@@ -49,6 +49,10 @@
 	if err != nil {
 		return asRefusal(err, refusal.NotRun)
 	}
+	if ended := c.exchange.Ended(ctx); ended != nil {
+		place.Finish(dispatch.Result{})
+		return caller.EndRefusal(ended, refusal.NotRun)
+	}
 	c.place = place
 	c.handler.Metrics.Waited(c.class.Name, place.Waited)
 	return nil
@@ -61,23 +65,25 @@
 	}
 	ctx, stop := context.WithTimeoutCause(ctx, c.route.Timeout, caller.ErrTimeout)
 	defer stop()
+	mayHaveRun := false
 	for {
 		response, sent, err := c.send(ctx)
+		mayHaveRun = mayHaveRun || sent
 		if err == nil && !isTemporary(response.StatusCode) {
 			return c.pass(ctx, response)
 		}
 		if ctx.Err() != nil {
 			c.place.Finish(dispatch.Result{})
 			closeBody(response)
-			return caller.EndRefusal(context.Cause(ctx), ranIf(sent))
+			return caller.EndRefusal(context.Cause(ctx), ranIf(mayHaveRun))
 		}
 		retried, waitErr := c.place.Retry(ctx)
 		if waitErr != nil {
 			closeBody(response)
-			return asRefusal(waitErr, ranIf(sent))
+			return asRefusal(waitErr, ranIf(mayHaveRun))
 		}
 		if !retried {
-			return c.giveUp(ctx, response, sent)
+			return c.giveUp(ctx, response, mayHaveRun)
 		}
 		closeBody(response)
 		c.handler.Metrics.Retried()
--- a/entryd/scheduler/scheduler.go
+++ b/entryd/scheduler/scheduler.go
@@ -55,6 +55,14 @@
 	s.dispatcher.Budget.Percent = limits.RetryBudget
 }
 
+// SetShare sets the part of client accounts' limits that this daemon may give
+// out. 0 < share ≤ 1.
+func (s *Scheduler) SetShare(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatcher.Limiter.Share = share
+}
+
 // SetReplicas replaces all backend servers.
 func (s *Scheduler) SetReplicas(specs []replica.Spec) {
 	s.mu.Lock()
@@ -160,7 +168,8 @@
 type local struct {
 	scheduler *Scheduler
 	ticket    *dispatch.Ticket[waiter]
-	arrived   time.Time
+	// arrived is when the request began to wait, after Resume again.
+	arrived time.Time
 }
 
 var _ Holder = (*local)(nil)
@@ -171,13 +180,26 @@
 	s := p.scheduler
 	s.mu.Lock()
 	retried := s.dispatcher.Retry(p.ticket, s.clock())
-	if retried {
-		s.startNext()
+	s.startNext()
+	s.mu.Unlock()
+	if !retried {
+		return nil, nil
 	}
+	return p.wait(ctx)
+}
+
+// Resume is Retry for a request of whose answer a part has reached the caller.
+func (p *local) Resume(ctx context.Context) (*Grant, error) {
+	s := p.scheduler
+	s.mu.Lock()
+	now := s.clock()
+	retried := s.dispatcher.Resume(p.ticket, now)
+	s.startNext()
 	s.mu.Unlock()
 	if !retried {
 		return nil, nil
 	}
+	p.arrived = now
 	return p.wait(ctx)
 }
 
