--- a/acaciapath/proofs/stop_test.go
+++ b/acaciapath/proofs/stop_test.go
@@ -81,6 +81,7 @@
 		return held != nil
 	})
 	w.c.Assert(held.stop(), qt.IsNil)
+	w.c.Check(g.holder(domain) != held, qt.IsTrue, qt.Commentf("the lease was not given back"))
 	w.eventually("the other one is in charge", func() bool {
 		next := g.holder(domain)
 		return next != nil && next != held
