Start both daemons by one piece of code

Cause: entryd's and controld's main files held the same signal handling, output of errors and exit codes.

--- a/controld/main.go
+++ b/controld/main.go
@@ -4,15 +4,11 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"acaciapath.example/controld/daemon"
-	"acaciapath.example/core/finding"
 	"acaciapath.example/core/platform"
+	"acaciapath.example/core/program"
 	"acaciapath.example/core/settings"
 	"acaciapath.example/core/telemetry"
 
@@ -22,23 +18,7 @@
 // version is set by the linker.
 var version = "development"
 
-// Exit codes.
-const (
-	exitFailed   = 1
-	exitFindings = 2
-	exitUnclean  = 3
-)
-
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	err := newCommand().ExecuteContext(ctx)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-	}
-	stop()
-	os.Exit(exitCode(err))
-}
+func main() { program.Main(newCommand(), daemon.ErrRelease) }
 
 // newCommand returns the program's command.
 func newCommand() *cobra.Command {
@@ -74,17 +54,3 @@
 	}
 	return d.Run(ctx)
 }
-
-// exitCode returns the exit code for the end of the program.
-func exitCode(err error) int {
-	var findings *finding.List
-	switch {
-	case err == nil:
-		return 0
-	case errors.As(err, &findings):
-		return exitFindings
-	case errors.Is(err, daemon.ErrRelease):
-		return exitUnclean
-	}
-	return exitFailed
-}
--- a/controld/main_test.go
+++ b/controld/main_test.go
@@ -61,8 +61,8 @@
 	os.Exit(m.Run())
 }
 
-// program returns the program with the given arguments.
-func program(arguments ...string) *exec.Cmd {
+// newProgram returns the program with the given arguments.
+func newProgram(arguments ...string) *exec.Cmd {
 	command := exec.Command(os.Args[0], arguments...)
 	command.Env = append(os.Environ(), asProgram+"=1")
 	return command
@@ -71,7 +71,7 @@
 // startDaemon starts a control daemon as a process of its own.
 func startDaemon(c *qt.C, p *standin.Server, name string) *exec.Cmd {
 	p.AddVM(vms.VM{Name: name, FailureDomain: domain, Address: "127.0.0.1", ControlPort: 1})
-	command := program(
+	command := newProgram(
 		"--daemon-name", name, "--daemon-failure-domain", domain, "--daemon-address", "127.0.0.1",
 		"--listen-peer-port", "0", "--listen-ops-port", "0", "--platform-address", p.Address(),
 		"--lease-duration", testLease, "--platform-timeout", "30s", "--config-poll", "100ms",
@@ -197,11 +197,11 @@
 
 func TestExitCodes(t *testing.T) {
 	c := qt.New(t)
-	out, err := program("--version").Output()
+	out, err := newProgram("--version").Output()
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(out), qt.Contains, "controld version")
 	var exit *exec.ExitError
-	_, err = program("--daemon-name", "vm-1").Output()
+	_, err = newProgram("--daemon-name", "vm-1").Output()
 	c.Assert(err, qt.ErrorAs, &exit)
 	c.Assert(exit.ExitCode(), qt.Equals, exitFindings)
 	c.Assert(string(exit.Stderr), qt.Contains, "platform-address")
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -5,15 +5,11 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"acaciapath.example/core/finding"
 	"acaciapath.example/core/platform"
+	"acaciapath.example/core/program"
 	"acaciapath.example/core/settings"
 	"acaciapath.example/core/telemetry"
 	"acaciapath.example/entryd/daemon"
@@ -24,13 +20,6 @@
 // version is set by the linker.
 var version = "development"
 
-// Exit codes.
-const (
-	exitFailed   = 1
-	exitFindings = 2
-	exitUnclean  = 3
-)
-
 // defaultLeaveDelay is how long connections are accepted after the daemon has
 // said that it is not ready.
 const defaultLeaveDelay = 5 * time.Second
@@ -38,16 +27,7 @@
 // traceTimeout bounds the export of the last spans.
 const traceTimeout = 5 * time.Second
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	err := newCommand().ExecuteContext(ctx)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-	}
-	stop()
-	os.Exit(exitCode(err))
-}
+func main() { program.Main(newCommand(), daemon.ErrCut, daemon.ErrUsage) }
 
 // newCommand returns the program's command.
 func newCommand() *cobra.Command {
@@ -95,17 +75,3 @@
 	}
 	return d.Run(ctx)
 }
-
-// exitCode returns the exit code for the end of the program.
-func exitCode(err error) int {
-	var findings *finding.List
-	switch {
-	case err == nil:
-		return 0
-	case errors.As(err, &findings):
-		return exitFindings
-	case errors.Is(err, daemon.ErrCut), errors.Is(err, daemon.ErrUsage):
-		return exitUnclean
-	}
-	return exitFailed
-}
