--- a/controld/main_test.go
+++ b/controld/main_test.go
@@ -13,6 +13,7 @@
 	"acaciapath.example/core/gen/servers"
 	"acaciapath.example/core/gen/vms"
 	"acaciapath.example/core/lease"
+	"acaciapath.example/core/program"
 	"acaciapath.example/core/revision"
 	"acaciapath.example/standin/fault"
 	standin "acaciapath.example/standin/platform"
@@ -203,6 +204,6 @@
 	var exit *exec.ExitError
 	_, err = newProgram("--daemon-name", "vm-1").Output()
 	c.Assert(err, qt.ErrorAs, &exit)
-	c.Assert(exit.ExitCode(), qt.Equals, exitFindings)
+	c.Assert(exit.ExitCode(), qt.Equals, program.ExitFindings)
 	c.Assert(string(exit.Stderr), qt.Contains, "platform-address")
 }
