dispatch: a request that gave its place back unused tells nothing

Cause: a request that got a place and was then refused or left (seen by the entry daemon's author: a key withdrawn between the two) entered the averages as an answer of no length and no time, so that the pool looked faster than it is and requests that would wait too long were let in; it also made a failed replica look well. Seen failing first: TestNothingRanTellsNothing.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -254,6 +254,9 @@
 		r.Fail(now)
 		return
 	}
+	if !t.Request.Plain && result.CompletionTokens == 0 {
+		return // it gave its place back before anything ran, which tells nothing
+	}
 	r.Succeed()
 	r.ObservePace(result.Pace)
 	t.pool.observe(t.Request, result, now.Sub(t.Started))
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -417,6 +417,30 @@
 	c.Assert(r != nil, qt.IsTrue)
 }
 
+// TestNothingRanTellsNothing checks that requests that gave their places back at
+// once do not make the pool look fast, nor a failed replica well.
+func TestNothingRanTellsNothing(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(spec("a", 1))
+	now := start
+	for _, tokens := range []int{50, 50, 50, 50, 50, 50, 50, 50, 50, 50, 0, 0, 0, 0, 0, 0} {
+		ticket, r := d.Enter(request(chat), 0, now)
+		c.Assert(r == nil, qt.IsTrue)
+		c.Assert(d.Next(now), qt.Equals, ticket)
+		if tokens > 0 {
+			now = now.Add(6 * time.Second)
+		}
+		d.Finish(ticket, dispatch.Result{CompletionTokens: tokens}, now)
+	}
+	for range 2 {
+		_, r := d.Enter(request(chat), 0, now)
+		c.Assert(r == nil, qt.IsTrue)
+	}
+	_, r := d.Enter(request(chat), 0, now)
+	c.Assert(r != nil, qt.IsTrue)
+	c.Assert(r.Code, qt.Equals, refusal.WaitTooLong)
+}
+
 func TestMostUrgentOfAllModels(t *testing.T) {
 	c := qt.New(t)
 	both := spec("a", 1)
