--- a/entryd/chat/answer.go
+++ b/entryd/chat/answer.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -117,7 +118,7 @@
 		}
 		n, err := body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
-		if err == io.EOF { //nolint:errorlint // as io.Reader has it
+		if errors.Is(err, io.EOF) {
 			return buffer, nil
 		}
 		if err != nil {
