entryd: carry preemption out

Ruled out: ending the engine's request from another thread, which could race with the end of the answer; the relay looks for the signal between two events. Change: scheduler and home daemon tell the holder of a place (over the peers' connection by a notification); a streamed answer ends at its engine, yields, and goes on as after a crash. Yielding is no failed attempt. Seen failing first, on scratch copies: not notified, place not yielded, request not told, answer started anew. Not cancelling at the engine is not caught: the closed connection ends the request there too.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -179,6 +179,7 @@
 		return false
 	}
 	failed.Fail(now)
+	t.preempted = false
 	d.stop(t, now)
 	d.charge(t, -t.charged, now)
 	t.tried = tried
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -35,9 +35,13 @@
 }
 
 // Yield puts a preempted request back into the queue, at the place of its
-// arrival.
+// arrival. Being preempted does not count as an attempt that failed.
 func (d *Dispatcher[T]) Yield(t *Ticket[T], now time.Time) {
+	if t.ended || t.Replica == nil {
+		return
+	}
 	t.preempted = false
+	t.Attempts--
 	d.stop(t, now)
 	t.pool.queue.Push(&t.entry)
 }
--- a/core/peer/client.go
+++ b/core/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"encoding/json"
 	"net"
 	"sync"
 
@@ -19,6 +20,8 @@
 	mu      sync.Mutex
 	rpc     *jsonrpc2.Conn
 	closed  bool
+	// notified takes in notifications; it may be nil.
+	notified func(method string, params json.RawMessage)
 }
 
 // NewClient returns a client of the peer at address, an IP number and a port.
@@ -27,6 +30,10 @@
 	return &Client{address: address, config: config, traffic: new(Traffic)}
 }
 
+// OnNotify has f called with each message that the peer sends by itself. It is
+// called before the first call; f must not block.
+func (c *Client) OnNotify(f func(method string, params json.RawMessage)) { c.notified = f }
+
 // Status returns the state of the peer.
 func (c *Client) Status(ctx context.Context) (Status, error) {
 	var status Status
@@ -100,7 +107,7 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "peer: connect")
 	}
-	c.rpc = jsonrpc2.NewConn(context.Background(), newStream(conn, c.traffic), jsonrpc2.HandlerWithError(refuse), silent)
+	c.rpc = jsonrpc2.NewConn(context.Background(), newStream(conn, c.traffic), jsonrpc2.HandlerWithError(c.handle), silent)
 	return c.rpc, nil
 }
 
@@ -124,7 +131,11 @@
 	return secure, nil
 }
 
-// refuse answers calls from the server side, which makes none.
-func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+// handle takes in notifications, and refuses calls.
+func (c *Client) handle(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	if req.Notif && req.Params != nil && c.notified != nil {
+		c.notified(req.Method, *req.Params)
+		return nil, nil
+	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "clients answer no calls"}
 }
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -58,6 +58,7 @@
 	mu      sync.Mutex
 	closed  bool
 	onClose []func()
+	rpc     *jsonrpc2.Conn
 }
 
 // OnClose has f called when the connection has ended, at once if it has
@@ -73,6 +74,23 @@
 	f()
 }
 
+// Notify sends a message that the peer does not answer.
+func (s *Session) Notify(ctx context.Context, method string, params any) error {
+	s.mu.Lock()
+	rpc := s.rpc
+	s.mu.Unlock()
+	if rpc == nil {
+		return ErrClosed
+	}
+	return rpc.Notify(ctx, method, params)
+}
+
+func (s *Session) open(rpc *jsonrpc2.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rpc = rpc
+}
+
 func (s *Session) close() {
 	s.mu.Lock()
 	s.closed = true
@@ -169,6 +187,7 @@
 			return s.handle(ctx, session, req)
 		}))
 	rpc := jsonrpc2.NewConn(context.Background(), newStream(conn, &s.traffic), handler, silent)
+	session.open(rpc)
 	if !s.add(rpc) {
 		_ = rpc.Close()
 		return
--- a/entryd/chat/answer.go
+++ b/entryd/chat/answer.go
@@ -221,6 +221,13 @@
 // next returns the next event of the stream, which another engine goes on with
 // if the present one fails.
 func (a *answer) next() (event, *failure) {
+	select {
+	case <-a.run.place.Preempted():
+		if a.run.tokens > 0 && a.run.canProceed() {
+			return a.yield()
+		}
+	default:
+	}
 	e, err := a.events.next()
 	if err == nil && !e.failed {
 		return e, nil
--- a/entryd/chat/resume.go
+++ b/entryd/chat/resume.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"acaciapath.example/core/engine"
+	"acaciapath.example/core/refusal"
 )
 
 // maxPartialBytes bounds the text that is kept of an answer to resume it.
@@ -83,6 +84,37 @@
 	}
 }
 
+// yield gives the place to a more urgent request, waits for another and goes on
+// with the answer there. The engine has stopped before the place is given up, so
+// that the same engine may go on with it.
+func (a *answer) yield() (event, *failure) {
+	r := a.run
+	sent := r.tokens - r.before
+	a.detach()
+	r.mayHaveRun = true
+	wasted := r.cancelAt(r.place.Server).CompletionTokens - sent
+	r.service.Metrics.Wasted(r.exchange.Class.Name, max(wasted, 0))
+	r.service.Metrics.Preempted(r.exchange.Class.Name)
+	moved, err := r.place.Yield(r.ctx)
+	if err != nil {
+		return event{}, &failure{refused: asRefusal(err, refusal.Unknown)}
+	}
+	if !moved {
+		refused := refusal.NewUnknown(refusal.AnswerIncomplete, "the request yielded its place and got no other")
+		return event{}, &failure{refused: refused}
+	}
+	response, f := r.send()
+	if f != nil {
+		return a.resume(f)
+	}
+	e, f := a.attach(response)
+	if f != nil {
+		return a.resume(f)
+	}
+	a.bind()
+	return e, nil
+}
+
 // withUsage returns the text of an event with other figures of usage.
 func withUsage(text []byte, used engine.Usage) []byte {
 	start := bytes.IndexByte(text, '{')
--- a/entryd/chat/run.go
+++ b/entryd/chat/run.go
@@ -87,6 +87,7 @@
 		Class:        r.exchange.Class,
 		Prefixes:     prefixes(r.exchange.Model, r.request.Messages),
 		PromptTokens: r.request.PromptTokens,
+		Resumable:    r.request.Stream && !r.request.Unresumable,
 	})
 	if err != nil {
 		return asRefusal(err, refusal.NotRun)
--- a/entryd/home/home_test.go
+++ b/entryd/home/home_test.go
@@ -284,6 +284,43 @@
 	}
 }
 
+// TestPreemptionThroughTheHome lets a request of one daemon need the place that a
+// resumable one of another holds.
+func TestPreemptionThroughTheHome(t *testing.T) {
+	c := qt.New(t)
+	s, server := startHome(c, 1, known())
+	a, b := newSource(c, newChooser(server.Address())), newSource(c, newChooser(server.Address()))
+	earned := wait(c, enter(c.Context(), a, &chat))
+	earned.place.Finish(dispatch.Result{CompletionTokens: 100_000})
+	eventually(c, "the place is given back", hasCounts(s, 0, 0))
+	patient := request(&letters)
+	patient.Resumable = true
+	place, err := a.Enter(c.Context(), patient)
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(c.Context())
+	defer cancel()
+	go s.Run(ctx)
+	urgent := enter(c.Context(), b, &chat)
+	select {
+	case <-place.Preempted():
+	case <-time.After(patience):
+		c.Fatal("the place was not asked for")
+	}
+	yielded := make(chan result, 1)
+	go func() {
+		moved, err := place.Yield(c.Context())
+		c.Check(moved, qt.IsTrue)
+		yielded <- result{place, err}
+	}()
+	got := wait(c, urgent)
+	c.Assert(got.err, qt.IsNil)
+	eventually(c, "the patient request waits", hasCounts(s, 1, 1))
+	got.place.Finish(dispatch.Result{CompletionTokens: 1})
+	c.Assert(wait(c, yielded).err, qt.IsNil)
+	place.Finish(dispatch.Result{})
+	eventually(c, "all is given back", hasCounts(s, 0, 0))
+}
+
 func TestRetryAtTheHome(t *testing.T) {
 	c := qt.New(t)
 	s, server := startHome(c, 1, known())
--- a/entryd/home/messages.go
+++ b/entryd/home/messages.go
@@ -19,6 +19,9 @@
 	methodRetry = "place-retry"
 	// methodFinish takes a finish.
 	methodFinish = "place-finish"
+	// methodPreempt is sent by the home daemon with a ticket whose place a more
+	// urgent request needs.
+	methodPreempt = "place-preempt"
 	// methodCancel takes a ticket whose request is no longer waited for.
 	methodCancel = "place-cancel"
 )
@@ -49,6 +52,8 @@
 	Ticket uint64 `json:"ticket"`
 	// Resume says whether a part of the answer has reached the caller.
 	Resume bool `json:"resume,omitempty"`
+	// Yield says whether the place is given to a more urgent request.
+	Yield bool `json:"yield,omitempty"`
 }
 
 // ticket names a request within the connection.
--- a/entryd/home/server.go
+++ b/entryd/home/server.go
@@ -177,9 +177,25 @@
 		place.Finish(dispatch.Result{})
 		return answer{Unknown: true}, nil
 	}
+	if request.Resumable {
+		go passOn(h.ctx, p, e.Ticket, place)
+	}
 	return answer{Grant: newGrant(&place.Grant)}, nil
 }
 
+// passOn tells the daemon that holds a place each time that it is to yield it,
+// until the request has ended.
+func passOn(ctx context.Context, p *peer.Session, id uint64, place *scheduler.Place) {
+	for {
+		select {
+		case <-place.Preempted():
+			_ = p.Notify(ctx, methodPreempt, ticket{Ticket: id}) // a lost connection gives the place back
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // request returns what the dispatcher has to know. It reports false for a client
 // account or service class that this daemon's configuration does not have.
 func (s *Server) request(e enter) (dispatch.Request, bool) {
@@ -210,7 +226,10 @@
 		return answer{Unknown: true}, nil
 	}
 	again := h.place.Retry
-	if r.Resume {
+	switch {
+	case r.Yield:
+		again = h.place.Yield
+	case r.Resume:
 		again = h.place.Resume
 	}
 	retried, err := again(h.ctx)
--- a/entryd/home/source.go
+++ b/entryd/home/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"encoding/json"
 	"errors"
 	"sync"
 	"sync/atomic"
@@ -149,7 +150,7 @@
 	defer s.mu.Unlock()
 	h, ok := s.homes[address]
 	if !ok {
-		h = &remote{client: peer.NewClient(address, s.config)}
+		h = newRemote(peer.NewClient(address, s.config))
 		s.homes[address] = h
 	}
 	return h
@@ -160,6 +161,46 @@
 	client *peer.Client
 	// restsUntil is when it is asked again, in nanoseconds since 1970.
 	restsUntil atomic.Int64
+
+	mu sync.Mutex
+	// places are those that it granted or is asked for, by ticket.
+	places map[uint64]*held
+}
+
+func newRemote(client *peer.Client) *remote {
+	h := &remote{client: client, places: make(map[uint64]*held)}
+	client.OnNotify(h.notified)
+	return h
+}
+
+// notified takes in that a place is to be yielded.
+func (h *remote) notified(method string, params json.RawMessage) {
+	var t ticket
+	if method != methodPreempt || json.Unmarshal(params, &t) != nil {
+		return
+	}
+	h.mu.Lock()
+	p := h.places[t.Ticket]
+	h.mu.Unlock()
+	if p == nil {
+		return
+	}
+	select {
+	case p.preempted <- struct{}{}:
+	default:
+	}
+}
+
+func (h *remote) add(p *held) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.places[p.id] = p
+}
+
+func (h *remote) remove(id uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.places, id)
 }
 
 func (h *remote) rests(now time.Time) bool { return now.UnixNano() < h.restsUntil.Load() }
@@ -169,6 +210,18 @@
 // enter asks for a place. It returns errHome, errUnknown, a *refusal.Refusal, or
 // the cause of ctx's end.
 func (h *remote) enter(ctx context.Context, id uint64, request dispatch.Request, leave func(int)) (*scheduler.Place, error) {
+	holder := &held{home: h, id: id, model: request.Serves, leave: leave, preempted: make(chan struct{}, 1)}
+	h.add(holder)
+	got, err := h.askEnter(ctx, id, request)
+	if err != nil {
+		h.remove(id)
+		return nil, err
+	}
+	return scheduler.NewPlace(holder, got.place(request.Serves)), nil
+}
+
+// askEnter asks for a place and returns where it is.
+func (h *remote) askEnter(ctx context.Context, id uint64, request dispatch.Request) (*grant, error) {
 	got, err := h.ask(ctx, methodEnter, id, enter{
 		Ticket:        id,
 		Model:         request.Serves,
@@ -188,8 +241,7 @@
 	if got.Grant == nil {
 		return nil, errUnknown
 	}
-	holder := &held{home: h, id: id, model: request.Serves, leave: leave}
-	return scheduler.NewPlace(holder, got.Grant.place(request.Serves)), nil
+	return got.Grant, nil
 }
 
 // outcome is what a call brought.
@@ -272,6 +324,8 @@
 	model string
 	leave func(tokens int)
 	once  sync.Once
+	// preempted takes a value when the place is to be yielded.
+	preempted chan struct{}
 }
 
 var _ scheduler.Holder = (*held)(nil)
@@ -288,6 +342,14 @@
 	return p.again(ctx, retry{Ticket: p.id, Resume: true})
 }
 
+// Preempted takes a value when the place is to be yielded.
+func (p *held) Preempted() <-chan struct{} { return p.preempted }
+
+// Yield gives the place up and asks for another, see scheduler.Holder.
+func (p *held) Yield(ctx context.Context) (*scheduler.Grant, error) {
+	return p.again(ctx, retry{Ticket: p.id, Yield: true})
+}
+
 func (p *held) again(ctx context.Context, message retry) (*scheduler.Grant, error) {
 	got, err := p.home.ask(ctx, methodRetry, p.id, message)
 	if errors.Is(err, errHome) || errors.Is(err, errUnknown) {
@@ -310,10 +372,16 @@
 // Finish gives the place back. A second call does nothing.
 func (p *held) Finish(result dispatch.Result) {
 	p.once.Do(func() {
+		p.home.remove(p.id)
 		p.home.send(methodFinish, newFinish(p.id, result))
 		p.leave(result.PromptTokens + result.CompletionTokens)
 	})
 }
 
 // end settles the client account's limit without telling the home daemon.
-func (p *held) end(tokens int) { p.once.Do(func() { p.leave(tokens) }) }
+func (p *held) end(tokens int) {
+	p.once.Do(func() {
+		p.home.remove(p.id)
+		p.leave(tokens)
+	})
+}
--- a/entryd/metrics/metrics.go
+++ b/entryd/metrics/metrics.go
@@ -71,6 +71,7 @@
 	wait        *prometheus.HistogramVec
 	refusals    *prometheus.CounterVec
 	retries     prometheus.Counter
+	preempted   *prometheus.CounterVec
 	plain       *prometheus.CounterVec
 	control     *prometheus.CounterVec
 	accounts    *accounts
@@ -89,6 +90,7 @@
 		interTarget: counter("inter_token_targets_total", "Answers by whether they met their class's target between tokens.", []string{labelClass, labelResult}),
 		goodput:     counter("goodput_tokens_total", "Tokens of whole answers that met their class's targets.", class),
 		tokens:      counter("tokens_total", "Tokens that callers were sent.", class),
+		preempted:   counter("preemptions_total", "Times that a request yielded its place to a more urgent one.", class),
 		wasted:      counter("wasted_tokens_total", "Tokens that were generated for answers that did not reach their caller whole.", class),
 		wait:        histogram("queue_wait_seconds", "Time that a request waited for a place.", class),
 		refusals:    counter("refusals_total", "Refused requests by the code of their refusal.", []string{labelCode}),
@@ -98,7 +100,7 @@
 		accounts:    newAccounts(),
 	}
 	registry.MustRegister(m.firstToken, m.interToken, m.firstTarget, m.interTarget, m.goodput, m.tokens,
-		m.wasted, m.wait, m.refusals, m.retries, m.plain, m.control, m.accounts)
+		m.wasted, m.preempted, m.wait, m.refusals, m.retries, m.plain, m.control, m.accounts)
 	return m
 }
 
@@ -118,6 +120,9 @@
 	m.plain.WithLabelValues(service, result).Inc()
 }
 
+// Preempted counts a request of a class that yielded its place.
+func (m *Metrics) Preempted(class string) { m.preempted.WithLabelValues(class).Inc() }
+
 // Controlled counts a message that is no request of a caller.
 func (m *Metrics) Controlled(kind Control) { m.control.WithLabelValues(string(kind)).Inc() }
 
--- a/entryd/scheduler/place.go
+++ b/entryd/scheduler/place.go
@@ -37,6 +37,13 @@
 	// Resume is Retry for a request of whose answer a part has reached the
 	// caller. It may wait as long as if it had just arrived.
 	Resume(ctx context.Context) (*Grant, error)
+	// Preempted takes a value when a more urgent request needs the place. The
+	// request then stops on its backend server and calls Yield, or goes on if
+	// it cannot be resumed.
+	Preempted() <-chan struct{}
+	// Yield gives the place to the more urgent request and waits for another,
+	// as Resume does.
+	Yield(ctx context.Context) (*Grant, error)
 	// Finish gives the place back. A second call does nothing.
 	Finish(result dispatch.Result)
 }
@@ -68,6 +75,16 @@
 	return p.move(p.holder.Resume(ctx))
 }
 
+// Preempted takes a value when a more urgent request needs the place, see
+// Holder.
+func (p *Place) Preempted() <-chan struct{} { return p.holder.Preempted() }
+
+// Yield gives the place to a more urgent request and waits for another. It
+// returns the same as Resume.
+func (p *Place) Yield(ctx context.Context) (bool, error) {
+	return p.move(p.holder.Yield(ctx))
+}
+
 func (p *Place) move(grant *Grant, err error) (bool, error) {
 	if err != nil || grant == nil {
 		return false, err
--- a/entryd/scheduler/scheduler.go
+++ b/entryd/scheduler/scheduler.go
@@ -23,6 +23,12 @@
 type waiter struct {
 	// started takes one value when the request is started.
 	started chan struct{}
+	// preempted takes one value when the request is to yield its place.
+	preempted chan struct{}
+}
+
+func newWaiter() waiter {
+	return waiter{started: make(chan struct{}, 1), preempted: make(chan struct{}, 1)}
 }
 
 // Scheduler shares the places of backend servers among requests. It is safe
@@ -116,7 +122,7 @@
 func (s *Scheduler) Enter(ctx context.Context, request dispatch.Request) (*Place, error) {
 	now := s.clock()
 	s.mu.Lock()
-	ticket, refused := s.dispatcher.Enter(request, waiter{started: make(chan struct{}, 1)}, now)
+	ticket, refused := s.dispatcher.Enter(request, newWaiter(), now)
 	if refused != nil {
 		s.mu.Unlock()
 		return nil, refused
@@ -131,22 +137,21 @@
 	return NewPlace(p, grant), nil
 }
 
-// startNext starts all requests that can start and wakes them. The caller
-// holds the lock.
+// startNext starts all requests that can start and wakes them, and tells those
+// that are to yield their places. The caller holds the lock.
 func (s *Scheduler) startNext() {
 	now := s.clock()
-	for {
-		t := s.dispatcher.Next(now)
-		if t == nil {
-			return
-		}
+	for t := s.dispatcher.Next(now); t != nil; t = s.dispatcher.Next(now) {
 		t.Value.started <- struct{}{}
 	}
+	for t := s.dispatcher.Preempt(now); t != nil; t = s.dispatcher.Preempt(now) {
+		select {
+		case t.Value.preempted <- struct{}{}:
+		default: // it was told before and has not yielded
+		}
+	}
 }
 
-// Enter as a Source.
-var _ Source = (*Scheduler)(nil)
-
 // Admit holds a request to the limits of its client account, for places that
 // another daemon gives out. It returns a *refusal.Refusal if a limit refuses
 // the request, and else what is to be called with the tokens that ran when the
@@ -203,6 +208,20 @@
 	return p.wait(ctx)
 }
 
+// Preempted takes a value when the request is to yield its place.
+func (p *local) Preempted() <-chan struct{} { return p.ticket.Value.preempted }
+
+// Yield gives the place to a more urgent request and waits for another.
+func (p *local) Yield(ctx context.Context) (*Grant, error) {
+	s := p.scheduler
+	s.mu.Lock()
+	p.arrived = s.clock()
+	s.dispatcher.Yield(p.ticket, p.arrived)
+	s.startNext()
+	s.mu.Unlock()
+	return p.wait(ctx)
+}
+
 // Finish gives the place back. A second call does nothing.
 func (p *local) Finish(result dispatch.Result) {
 	s := p.scheduler
