--- a/acaciapath/command/apply.go
+++ b/acaciapath/command/apply.go
@@ -67,7 +67,7 @@
 revision: the one in DIR/` + folder.BaseFile + `, which apply and pull write, or
 that of --base. Otherwise the command shows what has changed since, and ends
 with status 4.`,
-		Args: cobra.ExactArgs(1),
+		Args: exactly("a folder"),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			flags.baseSet = cmd.Flags().Changed("base")
 			files, _, err := read(args[0])
--- a/acaciapath/command/command.go
+++ b/acaciapath/command/command.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"acaciapath.example/acaciapath/output"
@@ -88,6 +89,16 @@
 	return root
 }
 
+// exactly takes as many arguments as there are names.
+func exactly(names ...string) cobra.PositionalArgs {
+	return func(_ *cobra.Command, args []string) error {
+		if len(args) == len(names) {
+			return nil
+		}
+		return usage(fmt.Sprintf("expected %s, got %d arguments", strings.Join(names, " and "), len(args)))
+	}
+}
+
 // group is what a command that only holds others does.
 func group(cmd *cobra.Command, _ []string) error {
 	_ = cmd.Help()
--- a/acaciapath/command/confirm.go
+++ b/acaciapath/command/confirm.go
@@ -7,6 +7,7 @@
 
 	"acaciapath.example/acaciapath/daemons"
 	"acaciapath.example/acaciapath/output"
+	"acaciapath.example/core/platform"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -100,7 +101,7 @@
 func listDaemons(ctx context.Context, ports *ports) ([]daemons.Daemon, error) {
 	list, err := ports.platform.VMs.List(ctx)
 	if err != nil {
-		return nil, merry.Wrap(ErrPlatform, merry.AppendMessage(err.Error()), merry.WithCause(err))
+		return nil, merry.Wrap(ErrPlatform, merry.AppendMessage(platform.Reason(err)), merry.WithCause(err))
 	}
 	return daemons.Of(list), nil
 }
--- a/acaciapath/command/keys.go
+++ b/acaciapath/command/keys.go
@@ -72,7 +72,7 @@
 		Long: `Make a key for a client account and print it once. The folder gets its hash
 only, so that it cannot be printed again. With --apply the folder is applied, and
 the command waits until all daemons accept the key.`,
-		Args: cobra.ExactArgs(1),
+		Args: exactly("a folder"),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			result, err := p.issue(cmd.Context(), args[0], flags)
 			if result.Key == "" {
@@ -175,7 +175,7 @@
 		Long: `Withdraw a key in the folder. With --apply the folder is applied, and the command
 waits and shows which daemons have confirmed. It ends with status 6 if some have
 not: until they do, they may still accept the key.`,
-		Args: cobra.ExactArgs(2),
+		Args: exactly("a folder", "the name of a key"),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			result, err := p.withdraw(cmd.Context(), args[0], args[1], apply, flags)
 			if result.Name == "" {
@@ -244,7 +244,7 @@
 	return &cobra.Command{
 		Use:   "list DIR",
 		Short: "List the keys that a folder declares",
-		Args:  cobra.ExactArgs(1),
+		Args:  exactly("a folder"),
 		RunE: func(_ *cobra.Command, args []string) error {
 			_, parsed, err := read(args[0])
 			if err != nil {
--- a/acaciapath/command/pull.go
+++ b/acaciapath/command/pull.go
@@ -42,7 +42,7 @@
 		Long: `Write the files of the newest revision into a folder and remove its other
 configuration files. A folder with changes that were not applied is left alone
 unless --force is given.`,
-		Args: cobra.ExactArgs(1),
+		Args: exactly("a folder"),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			ports, err := p.connect()
 			if err != nil {
--- a/acaciapath/command/status.go
+++ b/acaciapath/command/status.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -173,6 +174,9 @@
 	}
 	list := make([]daemons.Daemon, len(addresses))
 	for i, address := range addresses {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return nil, usage(fmt.Sprintf("--peer: %q is not an IP number and a port such as 10.0.1.4:8081", address))
+		}
 		list[i] = daemons.Daemon{VM: address, Address: address, FailureDomain: "-"}
 	}
 	return list, nil
--- a/core/peer/client.go
+++ b/core/peer/client.go
@@ -100,7 +100,7 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "peer: connect")
 	}
-	c.rpc = jsonrpc2.NewConn(context.Background(), newStream(conn, c.traffic), jsonrpc2.HandlerWithError(refuse))
+	c.rpc = jsonrpc2.NewConn(context.Background(), newStream(conn, c.traffic), jsonrpc2.HandlerWithError(refuse), quiet)
 	return c.rpc, nil
 }
 
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -5,6 +5,8 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
+	"io"
+	"log"
 	"net"
 	"net/netip"
 	"sync"
@@ -28,6 +30,11 @@
 	ErrClosed = merry.Sentinel("peer: client is closed")
 )
 
+// quiet keeps the library from writing lines of its own to standard error: a
+// call that fails returns its error, and an answer to a peer that has left is
+// of no use.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 // Handler answers the calls of peers. It is called by several threads.
 type Handler interface {
 	// Status returns the state of the daemon.
@@ -168,7 +175,7 @@
 		func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 			return s.handle(ctx, session, req)
 		}))
-	rpc := jsonrpc2.NewConn(context.Background(), newStream(conn, &s.traffic), handler)
+	rpc := jsonrpc2.NewConn(context.Background(), newStream(conn, &s.traffic), handler, quiet)
 	if !s.add(rpc) {
 		_ = rpc.Close()
 		return
--- a/core/platform/errors.go
+++ b/core/platform/errors.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"io"
 	"net"
+	"syscall"
 
 	"acaciapath.example/core/gen/table"
 
@@ -41,6 +43,21 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
+// Reason says in plain words why the platform did not answer; any other error
+// it says as it is.
+func Reason(err error) string {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "the connection was refused"
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return "the connection was closed"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return "no answer within the timeout"
+	}
+	return err.Error()
+}
+
 // IsNotFound reports whether the object store has no such object.
 func IsNotFound(err error) bool { return answerName(err) == nameNotFound }
 
--- a/core/revision/errors.go
+++ b/core/revision/errors.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"acaciapath.example/core/platform"
+
 	"github.com/ansel1/merry/v2"
 )
 
@@ -41,7 +43,7 @@
 
 // unavailable returns ErrUnavailable with its cause.
 func unavailable(cause error) error {
-	return merry.Wrap(ErrUnavailable, merry.AppendMessage(cause.Error()), merry.WithCause(cause))
+	return merry.Wrap(ErrUnavailable, merry.AppendMessage(platform.Reason(cause)), merry.WithCause(cause))
 }
 
 // corrupt returns ErrCorrupt with its cause.
