entryd: count generated tokens by the kind of backend server

The users measure how much work runs on cheap backend servers without harm; no metric told that. backend_server_tokens_total has the kind and whether the answer reached its caller whole. An answer that was resumed counts for the backend server that ended it; labels of the other series are unchanged.

--- a/entryd/chat/settle.go
+++ b/entryd/chat/settle.go
@@ -45,6 +45,7 @@
 		r.usage = &engine.Usage{PromptTokens: cancelled.PromptTokens, CompletionTokens: cancelled.CompletionTokens}
 	}
 	r.charge()
+	r.service.Metrics.Ran(r.place.Server.Kind, r.ran().CompletionTokens, false)
 	r.place.Finish(r.result(failed))
 }
 
@@ -55,6 +56,7 @@
 	r.service.settling.Go(func() {
 		wasted := r.cancelAt(server).CompletionTokens - sent
 		r.service.Metrics.Wasted(r.exchange.Class.Name, max(wasted, 0))
+		r.service.Metrics.Ran(server.Kind, max(wasted, 0), false)
 	})
 }
 
@@ -85,6 +87,7 @@
 // complete ends a run whose answer reached the caller whole.
 func (r *run) complete() {
 	r.charge()
+	r.service.Metrics.Ran(r.place.Server.Kind, r.ran().CompletionTokens, true)
 	r.place.Finish(r.result(false))
 	now := r.service.Clock()
 	answer := metrics.Answer{
--- a/entryd/metrics/metrics.go
+++ b/entryd/metrics/metrics.go
@@ -27,6 +27,8 @@
 const (
 	met    = "met"
 	missed = "missed"
+	whole  = "whole"
+	broken = "broken"
 )
 
 // Control is a kind of control traffic, which is counted apart from requests.
@@ -68,6 +70,7 @@
 	goodput     *prometheus.CounterVec
 	tokens      *prometheus.CounterVec
 	wasted      *prometheus.CounterVec
+	byKind      *prometheus.CounterVec
 	wait        *prometheus.HistogramVec
 	refusals    *prometheus.CounterVec
 	retries     prometheus.Counter
@@ -90,6 +93,7 @@
 		goodput:     counter("goodput_tokens_total", "Tokens of whole answers that met their class's targets.", class),
 		tokens:      counter("tokens_total", "Tokens that callers were sent.", class),
 		wasted:      counter("wasted_tokens_total", "Tokens that were generated for answers that did not reach their caller whole.", class),
+		byKind:      counter("backend_server_tokens_total", "Generated tokens by the kind of the backend server that ended the answer.", []string{labelKind, labelResult}),
 		wait:        histogram("queue_wait_seconds", "Time that a request waited for a place.", class),
 		refusals:    counter("refusals_total", "Refused requests by the code of their refusal.", []string{labelCode}),
 		retries:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: Namespace, Name: "retries_total", Help: "Requests that were sent again."}),
@@ -98,7 +102,7 @@
 		accounts:    newAccounts(),
 	}
 	registry.MustRegister(m.firstToken, m.interToken, m.firstTarget, m.interTarget, m.goodput, m.tokens,
-		m.wasted, m.wait, m.refusals, m.retries, m.plain, m.control, m.accounts)
+		m.wasted, m.byKind, m.wait, m.refusals, m.retries, m.plain, m.control, m.accounts)
 	return m
 }
 
@@ -140,6 +144,16 @@
 	m.accounts.count(class, a.ClientAccount, onFirst && onPace)
 }
 
+// Ran counts the tokens of an answer by the kind of the backend server that
+// ended it and by whether it reached its caller whole.
+func (m *Metrics) Ran(kind config.ServerKind, tokens int, isWhole bool) {
+	result := broken
+	if isWhole {
+		result = whole
+	}
+	m.byKind.WithLabelValues(string(kind), result).Add(float64(tokens))
+}
+
 // Missed counts a request of a class that was refused or not answered whole
 // after it was admitted, and the tokens that were generated in vain.
 func (m *Metrics) Missed(class, clientAccount string, wasted int) {
--- a/entryd/metrics/metrics_test.go
+++ b/entryd/metrics/metrics_test.go
@@ -64,3 +64,19 @@
 acaciapath_entry_worst_client_account_attainment_ratio{service_class="chat"} 0
 `), "acaciapath_entry_worst_client_account_attainment_ratio"), qt.IsNil)
 }
+
+func TestTokensByKind(t *testing.T) {
+	c := qt.New(t)
+	registry := prometheus.NewRegistry()
+	m := metrics.New(registry)
+	m.Ran(config.KindCheap, 5, true)
+	m.Ran(config.KindCheap, 2, false)
+	m.Ran(config.KindStandard, 7, true)
+	c.Assert(testutil.GatherAndCompare(registry, strings.NewReader(`
+# HELP acaciapath_entry_backend_server_tokens_total Generated tokens by the kind of the backend server that ended the answer.
+# TYPE acaciapath_entry_backend_server_tokens_total counter
+acaciapath_entry_backend_server_tokens_total{kind="cheap",result="broken"} 2
+acaciapath_entry_backend_server_tokens_total{kind="cheap",result="whole"} 5
+acaciapath_entry_backend_server_tokens_total{kind="standard",result="whole"} 7
+`), "acaciapath_entry_backend_server_tokens_total"), qt.IsNil)
+}
