--- a/entryd/backend/directory.go
+++ b/entryd/backend/directory.go
@@ -9,8 +9,11 @@
 	"acaciapath.example/core/config"
 	"acaciapath.example/core/engine"
 	"acaciapath.example/core/gen/servers"
+	"acaciapath.example/core/order"
+	"acaciapath.example/core/platform"
 	"acaciapath.example/core/replica"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -18,8 +21,14 @@
 const (
 	// ListInterval is how often the platform is asked for its backend servers.
 	ListInterval = time.Second
+	// DrainInterval is how often the platform is asked which backend servers are
+	// to be released.
+	DrainInterval = 2 * time.Second
 	// LoadInterval is how often engines are asked for their load.
 	LoadInterval = 250 * time.Millisecond
+	// seldom is the number of LoadIntervals between two questions to an engine
+	// that this daemon gives out no places of: 30 s.
+	seldom = 120
 	// pollTimeout bounds one question to an engine.
 	pollTimeout = 2 * time.Second
 	// pollsAtOnce is the number of engines that are asked at the same time.
@@ -40,9 +49,10 @@
 // configuration and those that the platform lists. The last known list is kept
 // while the platform does not answer.
 type Directory struct {
-	client   *Client
-	platform servers.Service
-	sink     Sink
+	client     *Client
+	platform   *platform.Client
+	sink       Sink
+	dispatches func(model string) bool
 
 	mu     sync.Mutex
 	config *config.Config
@@ -50,17 +60,22 @@
 	specs  []replica.Spec
 	loaded map[string][]string
 	events map[string]uint64
+	// drains are the backend servers that are to be released.
+	drains []string
 }
 
-// NewDirectory returns a directory without backend servers.
-func NewDirectory(client *Client, platform servers.Service, sink Sink) *Directory {
+// NewDirectory returns a directory without backend servers. Engines are asked
+// for their load often while dispatches says that this daemon gives out places
+// for one of their models, and else seldom.
+func NewDirectory(client *Client, platform *platform.Client, sink Sink, dispatches func(model string) bool) *Directory {
 	return &Directory{
-		client:   client,
-		platform: platform,
-		sink:     sink,
-		config:   &config.Config{},
-		loaded:   make(map[string][]string),
-		events:   make(map[string]uint64),
+		client:     client,
+		platform:   platform,
+		sink:       sink,
+		dispatches: dispatches,
+		config:     &config.Config{},
+		loaded:     make(map[string][]string),
+		events:     make(map[string]uint64),
 	}
 }
 
@@ -76,7 +91,14 @@
 func (d *Directory) Run(ctx context.Context) {
 	var polls sync.WaitGroup
 	polls.Go(func() { every(ctx, ListInterval, d.pollList) })
-	polls.Go(func() { every(ctx, LoadInterval, d.pollEngines) })
+	polls.Go(func() { every(ctx, DrainInterval, d.pollDrains) })
+	round := uint64(0)
+	polls.Go(func() {
+		every(ctx, LoadInterval, func(ctx context.Context) {
+			d.pollEngines(ctx, round)
+			round++
+		})
+	})
 	polls.Wait()
 }
 
@@ -95,7 +117,7 @@
 }
 
 func (d *Directory) pollList(ctx context.Context) {
-	listed, err := d.platform.List(ctx, &servers.ListPayload{})
+	listed, err := d.platform.Servers.List(ctx, &servers.ListPayload{})
 	if err != nil {
 		return
 	}
@@ -105,9 +127,27 @@
 	d.rebuild()
 }
 
+// pollDrains asks which backend servers are to be released; they get no more
+// work.
+func (d *Directory) pollDrains(ctx context.Context) {
+	drains, err := order.Drains(ctx, d.platform.Table, "")
+	if err != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !slices.Equal(d.drains, drains) {
+		d.drains = drains
+		d.rebuild()
+	}
+}
+
 // rebuild puts a new list in force. The caller holds the lock.
 func (d *Directory) rebuild() {
 	d.specs = Merge(d.config, d.listed, d.loaded)
+	for i := range d.specs {
+		d.specs[i].Leaving = d.specs[i].Leaving || slices.Contains(d.drains, d.specs[i].Name)
+	}
 	for name := range d.loaded {
 		if !slices.ContainsFunc(d.specs, func(s replica.Spec) bool { return s.Name == name }) {
 			delete(d.loaded, name)
@@ -117,14 +157,15 @@
 	d.sink.SetReplicas(d.specs)
 }
 
-func (d *Directory) pollEngines(ctx context.Context) {
+// pollEngines asks the engines whose turn it is in a round.
+func (d *Directory) pollEngines(ctx context.Context, round uint64) {
 	d.mu.Lock()
 	specs := d.specs
 	d.mu.Unlock()
 	var group errgroup.Group
 	group.SetLimit(pollsAtOnce)
 	for _, s := range specs {
-		if IsPlain(s) {
+		if IsPlain(s) || !d.isDue(s, round) {
 			continue
 		}
 		group.Go(func() error {
@@ -135,6 +176,15 @@
 	_ = group.Wait()
 }
 
+// isDue reports whether an engine is asked in a round. Those that are asked
+// seldom are spread over the rounds by their names.
+func (d *Directory) isDue(s replica.Spec, round uint64) bool {
+	if len(s.Serves) == 0 || slices.ContainsFunc(s.Serves, d.dispatches) {
+		return true
+	}
+	return (round+xxhash.Sum64String(s.Name))%seldom == 0
+}
+
 func (d *Directory) pollEngine(ctx context.Context, s replica.Spec) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
--- a/entryd/daemon/daemon.go
+++ b/entryd/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"io"
 	mathrand "math/rand/v2"
 	"net"
@@ -24,6 +25,7 @@
 	"acaciapath.example/entryd/caller"
 	"acaciapath.example/entryd/chat"
 	"acaciapath.example/entryd/claims"
+	"acaciapath.example/entryd/home"
 	"acaciapath.example/entryd/metrics"
 	"acaciapath.example/entryd/plain"
 	"acaciapath.example/entryd/scheduler"
@@ -85,6 +87,7 @@
 	scheduler *scheduler.Scheduler
 	client    *backend.Client
 	directory *backend.Directory
+	homes     *home.Source
 	meter     *usage.Meter
 	writer    *usage.Writer
 	metrics   *metrics.Metrics
@@ -95,6 +98,7 @@
 	ops     net.Listener
 	opsHTTP *http.Server
 	peers   *peer.Server
+	tls     *tls.Config
 	members *heartbeats.Runner
 
 	base    context.Context
@@ -133,7 +137,12 @@
 	seed := uint64(o.Clock().UnixNano())
 	d.scheduler = scheduler.New(d.settings.FailureDomain, o.Clock, mathrand.New(mathrand.NewPCG(seed, 0)))
 	d.client = backend.NewClient()
-	d.directory = backend.NewDirectory(d.client, d.platform.Servers, d.scheduler)
+	if d.tls, err = d.settings.TLS.Load(); err != nil {
+		return err
+	}
+	d.members = d.newMembers(d.tls)
+	d.homes = home.NewSource(d.scheduler, d.members, d.tls, o.Clock)
+	d.directory = backend.NewDirectory(d.client, d.platform, d.scheduler, d.homes.Dispatches)
 	d.meter = usage.NewMeter()
 	d.writer = usage.NewWriter(d.platform.Table, d.settings.Name, instance)
 	d.gate = d.newGate(logger)
@@ -145,7 +154,7 @@
 	o := d.options
 	tracer := o.Tracers.Tracer(tracerName)
 	d.chat = &chat.Service{
-		Scheduler: d.scheduler, Client: d.client, Meter: d.meter, Metrics: d.metrics,
+		Scheduler: d.homes, Client: d.client, Meter: d.meter, Metrics: d.metrics,
 		Logger: logger, Tracer: tracer, Clock: o.Clock,
 	}
 	gate := &caller.Gate{
@@ -163,12 +172,9 @@
 
 // listen binds the ports.
 func (d *Daemon) listen(registry *prometheus.Registry) error {
-	tls, err := d.settings.TLS.Load()
-	if err != nil {
-		return err
-	}
-	d.members = d.newMembers(tls)
-	if d.peers, err = peer.Listen(d.address(d.settings.PeerPort), tls, (*peerHandler)(d), d.members.Method()); err != nil {
+	var err error
+	methods := append(home.NewServer(d.scheduler, &d.access).Methods(), d.members.Method())
+	if d.peers, err = peer.Listen(d.address(d.settings.PeerPort), d.tls, (*peerHandler)(d), methods...); err != nil {
 		return err
 	}
 	d.members.SetAddress(d.PeerAddress())
@@ -204,6 +210,7 @@
 		_ = d.peers.Close()
 	}
 	d.client.Close()
+	d.homes.Close()
 	d.endBase(caller.ErrDrained)
 }
 
--- a/entryd/daemon/peers.go
+++ b/entryd/daemon/peers.go
@@ -8,13 +8,17 @@
 	"acaciapath.example/core/membership"
 	"acaciapath.example/core/peer"
 	"acaciapath.example/core/peer/heartbeats"
+	"acaciapath.example/entryd/home"
 	"acaciapath.example/entryd/metrics"
 )
 
 // peerHandler answers the calls of peers.
 type peerHandler Daemon
 
-var _ peer.Handler = (*peerHandler)(nil)
+var (
+	_ peer.Handler = (*peerHandler)(nil)
+	_ home.Chooser = (*heartbeats.Runner)(nil)
+)
 
 // Status returns the state of the daemon.
 func (h *peerHandler) Status(context.Context) (peer.Status, error) {
