--- a/entryd/daemon/key_test.go
+++ b/entryd/daemon/key_test.go
@@ -54,6 +54,7 @@
 	s.c.Assert(s.logs.String(), qt.Contains, "client-account=shop")
 	s.c.Assert(s.logs.String(), qt.Not(qt.Contains), shopKey)
 	s.c.Assert(metrics.body, qt.Contains, "acaciapath_entry_goodput_tokens_total")
+	s.c.Assert(metrics.body, qt.Contains, `acaciapath_entry_backend_server_tokens_total{kind="standard",result="whole"} 6`)
 	s.c.Assert(metrics.body, qt.Not(qt.Contains), shopKey)
 }
 
