entryd: give up a stream whose engine stalls

Cause: a frozen engine held a streamed request for the whole request timeout (seen by hand: an urgent request waited 10 minutes while another engine was free). Ruled out: a shorter request timeout, which would cut long answers. A new attempt lifts the bound on writes that the end of the last set; without that the caller got an unexpected end (seen in the new test).

--- a/entryd/caller/exchange.go
+++ b/entryd/caller/exchange.go
@@ -137,9 +137,11 @@
 const lastWriteTimeout = time.Second
 
 // BoundWrites lets writes of the answer end soon after ctx has ended, also if
-// the caller reads nothing. The function that it returns undoes that; it is
-// called when the answer has ended.
+// the caller reads nothing, and lifts the bound of an earlier ctx. The function
+// that it returns undoes that; it is called when the answer, or the attempt that
+// it came from, has ended.
 func (x *Exchange) BoundWrites(ctx context.Context) (release func()) {
+	_ = x.Controller.SetWriteDeadline(time.Time{})
 	done := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(done)
--- a/entryd/chat/answer.go
+++ b/entryd/chat/answer.go
@@ -132,6 +132,9 @@
 
 // broken returns why an answer broke off.
 func (r *run) broken() *failure {
+	if errors.Is(context.Cause(r.hop), errStalled) {
+		return stalled()
+	}
 	if r.hop.Err() != nil {
 		return &failure{refused: caller.EndRefusal(context.Cause(r.hop), refusal.Unknown)}
 	}
@@ -201,6 +204,7 @@
 	var written int64
 	for e := a.first; ; {
 		a.run.saw(e)
+		a.run.resetWatch()
 		n, err := a.writeEvent(w, e)
 		written += n
 		if err != nil {
@@ -254,6 +258,7 @@
 // finish ends a stream that came whole.
 func (a *answer) finish() {
 	a.ended = true
+	a.run.stopWatch()
 	a.unbind()
 	// The end of the body is read so that the connection is kept.
 	timer := time.AfterFunc(endTimeout, a.run.stopHop)
--- a/entryd/chat/run.go
+++ b/entryd/chat/run.go
@@ -36,7 +36,11 @@
 	// hop ends with ctx or with the request's timeout.
 	hop     context.Context
 	stopHop context.CancelFunc
-	span    trace.Span
+	// endHop ends hop with a cause.
+	endHop context.CancelCauseFunc
+	span   trace.Span
+	// watch ends the attempt if its engine stalls; nil for whole answers.
+	watch *time.Timer
 
 	firstToken time.Time
 	lastToken  time.Time
@@ -156,13 +160,17 @@
 		trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String(telemetry.FieldBackendServer, server.Name)))
 	r.span = span
+	ctx, r.endHop = context.WithCancelCause(ctx)
 	r.hop, r.stopHop = context.WithTimeoutCause(ctx, timeout, caller.ErrTimeout)
+	r.startWatch()
 	return r.service.Client.Chat(r.hop, server, r.exchange.ID, r.bodyToSend())
 }
 
 // stopAttempt ends the connection of an attempt and its span.
 func (r *run) stopAttempt(response *http.Response) {
+	r.stopWatch()
 	r.stopHop()
+	r.endHop(nil)
 	if response != nil {
 		_ = response.Body.Close()
 	}
@@ -184,6 +192,8 @@
 	switch {
 	case err == nil:
 		return classifyStatus(response)
+	case errors.Is(context.Cause(r.hop), errStalled):
+		return stalled()
 	case r.hop.Err() != nil:
 		return &failure{refused: caller.EndRefusal(context.Cause(r.hop), ranIf(sent))}
 	case !sent:
--- a/entryd/daemon/crash_test.go
+++ b/entryd/daemon/crash_test.go
@@ -141,6 +141,41 @@
 	s.c.Assert(s.engines[0].Runs().Entries(), qt.HasLen, sent)
 }
 
+// TestStalledEngine freezes one of two engines and checks that requests that it
+// took, and a stream that it had begun, are answered whole by the other, long
+// before the request's timeout.
+func TestStalledEngine(t *testing.T) {
+	s := start(t, plan{
+		engines: []standin.Options{{Seed: 5}, {Seed: 5}},
+		extra:   "\n[limits]\nretry-budget = 100%\n",
+	})
+	stream := s.open(t.Context(), s.request("POST", "/v1/chat/completions", shopKey, chatBody(1500, true)))
+	frozen := s.engines[0]
+	if s.running("engine-2") == 1 {
+		frozen = s.engines[1]
+	}
+	frozen.SetFaults(standin.Faults{Faults: fault.Faults{Frozen: true}})
+	for i := range 4 {
+		body := strings.Replace(chatBody(2, true), "socks", fmt.Sprint("socks ", i), 1)
+		got := s.do(s.request("POST", "/v1/chat/completions", shopKey, body))
+		s.c.Assert(got.status, qt.Equals, 200)
+		s.c.Assert(strings.HasSuffix(got.body, "data: [DONE]\n\n"), qt.IsTrue)
+	}
+	text, err := stream.rest()
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(strings.HasSuffix(text, "data: [DONE]\n\n"), qt.IsTrue)
+}
+
+// running returns the number of the daemon's requests on a backend server.
+func (s *system) running(name string) int {
+	for _, server := range s.daemon.Status().BackendServers {
+		if server.Name == name {
+			return server.Running
+		}
+	}
+	return 0
+}
+
 // TestFrozenEngine checks that a request whose engine does not answer ends with
 // its timeout, and its place with it.
 func TestFrozenEngine(t *testing.T) {
