home: forget home daemons that were replaced

Seen failing first: TestReplacedHomesAreForgotten without the call of prune. Conclusion: at most 64 and those that hold places are kept.

--- a/entryd/home/source.go
+++ b/entryd/home/source.go
@@ -29,6 +29,10 @@
 	finishTimeout = 5 * time.Second
 )
 
+// maxHomes is the number of home daemons from which on unused connections are
+// closed.
+const maxHomes = 64
+
 // Reasons for giving out a place without the home daemon.
 var (
 	// errHome means that the home daemon does not answer.
@@ -150,12 +154,28 @@
 	defer s.mu.Unlock()
 	h, ok := s.homes[address]
 	if !ok {
+		s.prune()
 		h = newRemote(peer.NewClient(address, s.config))
 		s.homes[address] = h
 	}
 	return h
 }
 
+// prune closes the connections to home daemons that hold no place of this
+// daemon, if there are many: VMs are replaced, and their addresses do not come
+// back. The caller holds the lock.
+func (s *Source) prune() {
+	if len(s.homes) < maxHomes {
+		return
+	}
+	for address, h := range s.homes {
+		if h.idle() {
+			_ = h.client.Close()
+			delete(s.homes, address)
+		}
+	}
+}
+
 // remote is one home daemon.
 type remote struct {
 	client *peer.Client
@@ -203,6 +223,13 @@
 	delete(h.places, id)
 }
 
+// idle reports whether no place is held or asked for.
+func (h *remote) idle() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.places) == 0
+}
+
 func (h *remote) rests(now time.Time) bool { return now.UnixNano() < h.restsUntil.Load() }
 
 func (h *remote) rest(now time.Time) { h.restsUntil.Store(now.Add(restTime).UnixNano()) }
