usage: do not follow a wall clock that jumps ahead at once

Cause: TestClockJumpDelaysNoUsage was red: the reporter closed windows by its wall clock, so that a jump of an hour closed them ahead of time and usage after it was reported an hour late. Ruled out: the monotonic clock since the start, which never catches up with a clock that was wrong at the start and is set right.

--- a/controld/daemon/daemon.go
+++ b/controld/daemon/daemon.go
@@ -114,8 +114,10 @@
 	usage      *lease.Keeper
 	reconciler *order.Reconciler
 	reporter   *usage.Reporter
-	metrics    *metrics
-	jitter     *mathrand.Rand
+	// windows is used by the thread that settles alone.
+	windows usage.Clock
+	metrics *metrics
+	jitter  *mathrand.Rand
 
 	ops     net.Listener
 	opsHTTP *http.Server
--- a/controld/daemon/run.go
+++ b/controld/daemon/run.go
@@ -132,9 +132,12 @@
 // settle reports the usage windows that are due if the daemon is in charge,
 // until there are no more or ctx ends. Work outlasts ctx.
 func (d *Daemon) settle(ctx, work context.Context) {
+	instant := d.options.Clock()
+	// The clock is read in every round, so that a jump is known when the lease
+	// comes.
+	now := d.windows.Now(instant.Wall, instant.Monotonic)
 	index := d.watcher.Index()
 	for ctx.Err() == nil && index != nil && d.usage.Held() != nil {
-		now := d.options.Clock().Wall
 		window, err := d.reporter.Settle(work, now, index.Config.Billing)
 		if window != nil {
 			billing := index.Config.Billing
