--- a/entryd/caller/gate.go
+++ b/entryd/caller/gate.go
@@ -140,13 +140,13 @@
 // request.
 func (g *Gate) end(w *response, x *Exchange, span trace.Span) {
 	failure := recover()
-	if failure != nil && failure != http.ErrAbortHandler { //nolint:errorlint // net/http compares it so
+	if failure != nil && failure != http.ErrAbortHandler { // net/http compares it so
 		g.Logger.WithField(telemetry.FieldRequestID, x.ID).Errorf("panic: %v\n%s", failure, debug.Stack())
 		g.abandon(w, x)
 	}
 	g.report(x, span)
 	span.End()
-	if failure == http.ErrAbortHandler || (failure != nil && x.Refusal == nil) { //nolint:errorlint // as above
+	if failure == http.ErrAbortHandler || (failure != nil && x.Refusal == nil) { // as above
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/entryd/chat/events.go
+++ b/entryd/chat/events.go
@@ -80,9 +80,9 @@
 			return nil
 		case len(r.text) > maxEventBytes:
 			return ErrEventTooLarge
-		case err == bufio.ErrBufferFull: //nolint:errorlint // never wrapped
+		case err == bufio.ErrBufferFull: // never wrapped
 			continue
-		case err == io.EOF && len(r.text) > 0: //nolint:errorlint // never wrapped
+		case err == io.EOF && len(r.text) > 0: // never wrapped
 			return io.ErrUnexpectedEOF
 		default:
 			return err
