--- /dev/null
+++ b/core/dispatch/demand_test.go
@@ -0,0 +1,51 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/dispatch"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestPastDemandKeepsNothing checks that a class that stopped asking does not
+// keep the only place for ever.
+func TestPastDemandKeepsNothing(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(spec("a", 1))
+	urgent, _ := d.Enter(request(chat), 0, start)
+	c.Assert(d.Next(start), qt.Equals, urgent)
+	now := start.Add(time.Minute)
+	d.Finish(urgent, dispatch.Result{}, now)
+	patient, _ := d.Enter(request(letters), 1, now)
+	c.Assert(d.Next(now), qt.IsNil)
+	c.Assert(d.Next(now.Add(time.Minute)), qt.Equals, patient)
+}
+
+// TestPlacesAreKept checks that the last standard places are kept for the
+// demand of more urgent classes, and cheap ones are not.
+func TestPlacesAreKept(t *testing.T) {
+	c := qt.New(t)
+	cheap := spec("b", 1)
+	cheap.Kind = config.KindCheap
+	d := newDispatcher(spec("a", 4), cheap)
+	now := start
+	for range 200 {
+		ticket, _ := d.Enter(request(chat), 0, now)
+		c.Assert(d.Next(now), qt.Equals, ticket)
+		now = now.Add(time.Second)
+		d.Finish(ticket, dispatch.Result{CompletionTokens: 1}, now)
+	}
+	var started []string
+	for i := range 5 {
+		d.Enter(request(letters), i, now)
+	}
+	for t := d.Next(now); t != nil; t = d.Next(now) {
+		started = append(started, t.Replica.Spec.Name)
+	}
+	c.Assert(started, qt.DeepEquals, []string{"b", "a"}, qt.Commentf("3 of 4 places are kept for an average of 1"))
+	urgent, _ := d.Enter(request(chat), 9, now)
+	c.Assert(d.Next(now), qt.Equals, urgent)
+}
--- /dev/null
+++ b/core/dispatch/preempt_test.go
@@ -0,0 +1,64 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/dispatch"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func resumable(class *config.ServiceClass) dispatch.Request {
+	r := request(class)
+	r.Resumable = true
+	return r
+}
+
+func TestPreempt(t *testing.T) {
+	c := qt.New(t)
+	hurried := &config.ServiceClass{
+		Name: "chat", Tier: 1, FirstTokenTarget: time.Second, MaxWait: 10 * time.Second, QueueLimit: 4,
+	}
+	for _, test := range []struct {
+		name    string
+		running dispatch.Request
+		waiting *config.ServiceClass
+		earned  int
+		waited  time.Duration
+		want    bool
+	}{
+		{name: "lower tier yields", running: resumable(letters), waiting: hurried, earned: 100_000, waited: 300 * time.Millisecond, want: true},
+		{name: "not yet pressing", running: resumable(letters), waiting: hurried, earned: 100_000, waited: 200 * time.Millisecond},
+		{name: "too late to help", running: resumable(letters), waiting: hurried, earned: 100_000, waited: 800 * time.Millisecond},
+		{name: "same tier keeps its place", running: resumable(hurried), waiting: hurried, earned: 100_000, waited: 300 * time.Millisecond},
+		{name: "cannot be resumed", running: request(letters), waiting: hurried, earned: 100_000, waited: 300 * time.Millisecond},
+		{name: "no budget", running: resumable(letters), waiting: hurried, earned: 100, waited: 300 * time.Millisecond},
+	} {
+		c.Run(test.name, func(c *qt.C) {
+			d := newDispatcher(spec("a", 1))
+			first, _ := d.Enter(request(letters), 0, start)
+			c.Assert(d.Next(start), qt.Equals, first)
+			d.Finish(first, dispatch.Result{CompletionTokens: test.earned}, start)
+			victim, _ := d.Enter(test.running, 1, start)
+			c.Assert(d.Next(start), qt.Equals, victim)
+			urgent, _ := d.Enter(request(test.waiting), 2, start)
+			now := start.Add(test.waited)
+			c.Assert(d.Next(now), qt.IsNil)
+			got := d.Preempt(now)
+			c.Assert(got == victim, qt.Equals, test.want)
+			if !test.want {
+				c.Assert(got, qt.IsNil)
+				return
+			}
+			c.Assert(d.Preempt(now), qt.IsNil, qt.Commentf("one place is enough for one request"))
+			d.Yield(victim, now)
+			c.Assert(victim.Waiting(), qt.IsTrue)
+			c.Assert(d.Next(now), qt.Equals, urgent)
+			c.Assert(d.Next(now), qt.IsNil)
+			d.Finish(urgent, dispatch.Result{}, now)
+			c.Assert(d.Next(now), qt.Equals, victim)
+		})
+	}
+}
