Keep regular work and refusals of ended requests in one place

Cause: the loop that calls a function once an interval stood in three packages, and the two functions that turn an error into a refusal in two. Change: program.Every, caller.AsRefusal and refusal.RunIf; no behaviour and no test is changed.

--- a/controld/daemon/run.go
+++ b/controld/daemon/run.go
@@ -8,6 +8,7 @@
 
 	"acaciapath.example/core/lease"
 	"acaciapath.example/core/order"
+	"acaciapath.example/core/program"
 	"acaciapath.example/core/telemetry"
 	"acaciapath.example/core/usage"
 )
@@ -26,10 +27,10 @@
 	loops.Go(func() { d.heartbeats.Run(work) })
 	loops.Go(func() { d.orders.Run(work, d.report("lease")) })
 	loops.Go(func() { d.usage.Run(work, d.report("lease")) })
-	loops.Go(func() { every(ctx, d.settings.ConfigPoll, func() { d.follow(work) }) })
-	loops.Go(func() { every(ctx, d.options.ListInterval, func() { d.refresh(work) }) })
-	duties.Go(func() { every(ctx, d.options.OrderInterval, func() { d.reconcile(work) }) })
-	duties.Go(func() { every(ctx, d.options.UsageInterval, func() { d.settle(ctx, work) }) })
+	loops.Go(func() { program.Every(ctx, d.settings.ConfigPoll, func(context.Context) { d.follow(work) }) })
+	loops.Go(func() { program.Every(ctx, d.options.ListInterval, func(context.Context) { d.refresh(work) }) })
+	duties.Go(func() { program.Every(ctx, d.options.OrderInterval, func(context.Context) { d.reconcile(work) }) })
+	duties.Go(func() { program.Every(ctx, d.options.UsageInterval, func(context.Context) { d.settle(ctx, work) }) })
 	d.logger.WithField("address", d.PeerAddress()).Info("started")
 
 	<-ctx.Done()
@@ -48,19 +49,6 @@
 	return err
 }
 
-// every calls action at once and then once an interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, action func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for ctx.Err() == nil {
-		action()
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
-		}
-	}
-}
-
 // release gives the leases back.
 func (d *Daemon) release() error {
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Lease)
--- a/core/program/program.go
+++ b/core/program/program.go
@@ -1,4 +1,4 @@
-// Package program runs the command of a daemon as a process.
+// Package program runs the command of a daemon as a process, and its regular work.
 package program
 
 import (
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -19,6 +19,15 @@
 	Unknown Run = "unknown"
 )
 
+// RunIf returns Unknown for a request that was sent to a backend server, and
+// NotRun for one that was not.
+func RunIf(sent bool) Run {
+	if sent {
+		return Unknown
+	}
+	return NotRun
+}
+
 // Code is a stable name of a kind of refusal.
 type Code string
 
--- a/entryd/backend/directory.go
+++ b/entryd/backend/directory.go
@@ -11,6 +11,7 @@
 	"acaciapath.example/core/gen/servers"
 	"acaciapath.example/core/order"
 	"acaciapath.example/core/platform"
+	"acaciapath.example/core/program"
 	"acaciapath.example/core/replica"
 
 	"github.com/cespare/xxhash/v2"
@@ -90,11 +91,11 @@
 // Run polls the platform and the engines until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
 	var polls sync.WaitGroup
-	polls.Go(func() { every(ctx, ListInterval, d.pollList) })
-	polls.Go(func() { every(ctx, DrainInterval, d.pollDrains) })
+	polls.Go(func() { program.Every(ctx, ListInterval, d.pollList) })
+	polls.Go(func() { program.Every(ctx, DrainInterval, d.pollDrains) })
 	round := uint64(0)
 	polls.Go(func() {
-		every(ctx, LoadInterval, func(ctx context.Context) {
+		program.Every(ctx, LoadInterval, func(ctx context.Context) {
 			d.pollEngines(ctx, round)
 			round++
 		})
@@ -102,20 +103,6 @@
 	polls.Wait()
 }
 
-// every calls f at once and then once an interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 func (d *Directory) pollList(ctx context.Context) {
 	listed, err := d.platform.Servers.List(ctx, &servers.ListPayload{})
 	if err != nil {
--- a/entryd/caller/exchange.go
+++ b/entryd/caller/exchange.go
@@ -172,6 +172,16 @@
 	return refusal.New(refusal.InvalidRequest, "the body could not be read")
 }
 
+// AsRefusal returns the refusal that err is, or that of a request whose context
+// ended with err as its cause.
+func AsRefusal(err error, run refusal.Run) *refusal.Refusal {
+	var refused *refusal.Refusal
+	if errors.As(err, &refused) {
+		return refused
+	}
+	return EndRefusal(err, run)
+}
+
 // EndRefusal returns the refusal of a request whose context ended with cause.
 func EndRefusal(cause error, run refusal.Run) *refusal.Refusal {
 	switch {
--- a/entryd/chat/resume.go
+++ b/entryd/chat/resume.go
@@ -7,6 +7,7 @@
 
 	"acaciapath.example/core/engine"
 	"acaciapath.example/core/refusal"
+	"acaciapath.example/entryd/caller"
 )
 
 // maxPartialBytes bounds the text that is kept of an answer to resume it.
@@ -97,7 +98,7 @@
 	r.service.Metrics.Preempted(r.exchange.Class.Name)
 	moved, err := r.place.Yield(r.ctx)
 	if err != nil {
-		return event{}, &failure{refused: asRefusal(err, refusal.Unknown)}
+		return event{}, &failure{refused: caller.AsRefusal(err, refusal.Unknown)}
 	}
 	if !moved {
 		refused := refusal.NewUnknown(refusal.AnswerIncomplete, "the request yielded its place and got no other")
--- a/entryd/chat/run.go
+++ b/entryd/chat/run.go
@@ -94,7 +94,7 @@
 		Resumable:    r.request.Stream && !r.request.Unresumable,
 	})
 	if err != nil {
-		return asRefusal(err, refusal.NotRun)
+		return caller.AsRefusal(err, refusal.NotRun)
 	}
 	r.place = place
 	r.service.Metrics.Waited(r.exchange.Class.Name, place.Waited)
@@ -132,7 +132,7 @@
 			r.abandon(failed)
 		}
 		if err != nil {
-			return nil, &failure{refused: asRefusal(err, refusal.NotRun)}
+			return nil, &failure{refused: caller.AsRefusal(err, refusal.NotRun)}
 		}
 		var response *http.Response
 		if response, f = r.send(); f == nil {
@@ -195,7 +195,7 @@
 	case errors.Is(context.Cause(r.hop), errStalled):
 		return stalled()
 	case r.hop.Err() != nil:
-		return &failure{refused: caller.EndRefusal(context.Cause(r.hop), ranIf(sent))}
+		return &failure{refused: caller.EndRefusal(context.Cause(r.hop), refusal.RunIf(sent))}
 	case !sent:
 		refused := refusal.New(refusal.BackendServerFailed, "no backend server could be reached").After(time.Second)
 		return &failure{refused: refused, again: true, isServer: true}
@@ -224,19 +224,3 @@
 func tookNothing(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusNotFound
 }
-
-// asRefusal returns the refusal that err is, or that of a context that ended.
-func asRefusal(err error, ran refusal.Run) *refusal.Refusal {
-	var refused *refusal.Refusal
-	if errors.As(err, &refused) {
-		return refused
-	}
-	return caller.EndRefusal(err, ran)
-}
-
-func ranIf(sent bool) refusal.Run {
-	if sent {
-		return refusal.Unknown
-	}
-	return refusal.NotRun
-}
--- a/entryd/daemon/run.go
+++ b/entryd/daemon/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"acaciapath.example/core/config"
+	"acaciapath.example/core/program"
 	"acaciapath.example/core/telemetry"
 	"acaciapath.example/entryd/caller"
 	"acaciapath.example/entryd/metrics"
@@ -123,7 +124,7 @@
 
 // poll asks the platform for newer revisions.
 func (d *Daemon) poll(ctx context.Context) {
-	every(ctx, d.settings.ConfigPoll, func(ctx context.Context) {
+	program.Every(ctx, d.settings.ConfigPoll, func(ctx context.Context) {
 		d.metrics.Controlled(metrics.ControlConfig)
 		if _, err := d.watcher.Poll(ctx, d.options.Clock()); err != nil && ctx.Err() == nil {
 			d.logger.WithError(err).Debug("configuration was not polled")
@@ -133,7 +134,7 @@
 
 // flushUsage writes usage to the platform.
 func (d *Daemon) flushUsage(ctx context.Context) {
-	every(ctx, flushInterval, func(ctx context.Context) {
+	program.Every(ctx, flushInterval, func(ctx context.Context) {
 		if err := d.flush(ctx); err != nil && ctx.Err() == nil {
 			d.logger.WithError(err).Warn("usage was not written")
 		}
@@ -174,17 +175,3 @@
 	}
 	return defaultWindow
 }
-
-// every calls f at once and then once an interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
--- a/entryd/plain/call.go
+++ b/entryd/plain/call.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -47,7 +46,7 @@
 		Plain:   true,
 	})
 	if err != nil {
-		return asRefusal(err, refusal.NotRun)
+		return caller.AsRefusal(err, refusal.NotRun)
 	}
 	if ended := c.exchange.Ended(ctx); ended != nil {
 		place.Finish(dispatch.Result{})
@@ -75,12 +74,12 @@
 		if ctx.Err() != nil {
 			c.place.Finish(dispatch.Result{})
 			closeBody(response)
-			return caller.EndRefusal(context.Cause(ctx), ranIf(mayHaveRun))
+			return caller.EndRefusal(context.Cause(ctx), refusal.RunIf(mayHaveRun))
 		}
 		retried, waitErr := c.place.Retry(ctx)
 		if waitErr != nil {
 			closeBody(response)
-			return asRefusal(waitErr, ranIf(mayHaveRun))
+			return caller.AsRefusal(waitErr, refusal.RunIf(mayHaveRun))
 		}
 		if !retried {
 			return c.giveUp(ctx, response, mayHaveRun)
@@ -183,19 +182,3 @@
 		_ = response.Body.Close()
 	}
 }
-
-// asRefusal returns the refusal that err is, or that of a context that ended.
-func asRefusal(err error, ran refusal.Run) *refusal.Refusal {
-	var refused *refusal.Refusal
-	if errors.As(err, &refused) {
-		return refused
-	}
-	return caller.EndRefusal(err, ran)
-}
-
-func ranIf(sent bool) refusal.Run {
-	if sent {
-		return refusal.Unknown
-	}
-	return refusal.NotRun
-}
--- a/entryd/plain/once.go
+++ b/entryd/plain/once.go
@@ -133,7 +133,7 @@
 		retried, waitErr := c.place.Retry(ctx)
 		if waitErr != nil {
 			c.release(detached, held)
-			return nil, asRefusal(waitErr, refusal.NotRun)
+			return nil, caller.AsRefusal(waitErr, refusal.NotRun)
 		}
 		if !retried {
 			c.place.Finish(dispatch.Result{Failed: true})
