Serve callers on the users' platform

Adds platform/, which translates the platform's settings, desired state, discovery, store, duties and headers, and the daemon acaciad, which serves callers and takes part in the duties in one process. Placement keeps streams that allow only short pauses on servers of their own and sends long prompts to the server that rendezvous hashing names.

--- /dev/null
+++ b/acaciad/daemon/daemon.go
@@ -0,0 +1,264 @@
+// Package daemon assembles the daemon of an entry VM on the users' platform: it
+// serves callers and takes part in the duties towards the platform.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"acaciapath.example/acaciad/control"
+	"acaciapath.example/acaciad/directory"
+	"acaciapath.example/acaciad/relay"
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/lease"
+	"acaciapath.example/core/retry"
+	"acaciapath.example/core/telemetry"
+	"acaciapath.example/core/usage"
+	adapter "acaciapath.example/platform"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+)
+
+// Times of calls to the platform.
+const (
+	// storeTimeout bounds a call of the store, which usually answers within some
+	// 10 ms.
+	storeTimeout = 1500 * time.Millisecond
+	// dutyTimeout bounds a call of the API that takes the duties.
+	dutyTimeout = 1500 * time.Millisecond
+	// partGrace is how long after its end a usage window takes in parts.
+	partGrace = 2500 * time.Millisecond
+	// leasePoll is how often a daemon looks whether the lease is free.
+	leasePoll = 2 * time.Second
+)
+
+// Times of the shutdown, from its beginning.
+const (
+	// leaveDelay is how long connections are accepted after the daemon has said
+	// that it is not ready: two questions of the platform and their answers.
+	leaveDelay = 2500 * time.Millisecond
+	// graceMargin is how long before the platform kills the process it ends.
+	graceMargin = 700 * time.Millisecond
+)
+
+// memoryShare is the share of the VM's memory that the garbage collector aims
+// to stay below.
+const memoryShare = 0.6
+
+// retryBurst is the number of retries of one daemon that need not be earned.
+// Together the daemons of a deployment stay within what the platform allows.
+const retryBurst = 2
+
+// retryPart is the share of the retries allowed for each request that a daemon
+// uses, because requests and retries are not counted in the same window.
+const retryPart = 0.6
+
+// MetricsPort is where metrics are served.
+const MetricsPort = 9464
+
+// Daemon is the daemon of an entry VM.
+type Daemon struct {
+	settings  adapter.Settings
+	logger    *logrus.Logger
+	directory *directory.Directory
+	beliefs   *beliefs
+	store     *adapter.Store
+	usage     *control.Usage
+	keeper    *lease.Keeper
+	handler   *relay.Handler
+	registry  *prometheus.Registry
+
+	drain    context.Context
+	setDrain context.CancelFunc
+	mu       sync.Mutex // guards beliefs
+}
+
+// New assembles a daemon. Nothing runs until Run is called.
+func New(s adapter.Settings, logger *logrus.Logger, now time.Time) *Daemon {
+	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	instance := fmt.Sprintf("%s-%d", s.Name, now.UnixNano())
+	random := rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(s.Name))))
+	d := &Daemon{settings: s, logger: logger, directory: directory.New(s.FailureDomain, random)}
+	d.beliefs = newBeliefs(d.directory, logger)
+	d.drain, d.setDrain = context.WithCancel(context.Background())
+	d.store = adapter.NewStore(s.StoreAddress, storeTimeout)
+	table := &adapter.Table{Store: d.store}
+	duties := adapter.NewDuties(s.DutiesAddress, s.Name, s.UsageWindow, dutyTimeout)
+	terms := lease.Terms{Name: lease.UsageName, Holder: instance, Duration: s.Lease}
+	d.keeper = lease.NewKeeper(table, terms, leasePoll, newClock(now))
+	d.usage = &control.Usage{
+		Meter:    usage.NewMeter(),
+		Writer:   usage.NewWriter(table, s.Name, instance),
+		Reporter: usage.NewReporter(table, duties, d.keeper),
+		Keeper:   d.keeper,
+		Billing:  config.Billing{Window: s.UsageWindow, Grace: partGrace},
+		Logger:   logger,
+	}
+	d.registry = prometheus.NewRegistry()
+	d.handler = &relay.Handler{
+		Directory: d.directory,
+		Client:    relay.NewClient(),
+		Meter:     d.usage.Meter,
+		Metrics:   relay.NewMetrics(d.registry),
+		Logger:    logger,
+		Budgets:   relay.NewBudgets(retryBudget(s, now)),
+		Draining:  d.drain,
+	}
+	return d
+}
+
+// retryBudget returns this daemon's part of the retries that the platform allows
+// to all of them.
+func retryBudget(s adapter.Settings, now time.Time) retry.Budget {
+	share := int(s.RetryShare * retryPart * 100)
+	return retry.Budget{Percent: share, Burst: retryBurst, PerSecond: 0, Saved: retryBurst, Updated: now}
+}
+
+// newClock returns a clock that begins at start.
+func newClock(start time.Time) lease.Clock {
+	return func() lease.Instant {
+		now := time.Now()
+		return lease.Instant{Monotonic: now.Sub(start), Wall: now.Round(0)}
+	}
+}
+
+// Run serves until ctx ends, and then shuts down gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp4", d.settings.CallersAddress)
+	if err != nil {
+		return err
+	}
+	ready, err := net.Listen("tcp4", d.settings.ReadyAddress)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: d.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: nil}
+	go d.serve(server, callers)
+	go d.serve(&http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout}, ready)
+	d.serveMetrics()
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	workers := d.start(work)
+	d.logger.WithFields(logrus.Fields{
+		"vm": d.settings.Name, "failure-domain": d.settings.FailureDomain,
+		"callers": d.settings.CallersAddress, "store": d.settings.StoreAddress,
+	}).Info("started")
+	<-ctx.Done()
+	d.shutDown(server, stop, workers)
+	return nil
+}
+
+// Limits of callers' connections.
+const (
+	// headerTimeout bounds how long a caller takes to send a request's headers.
+	headerTimeout = 10 * time.Second
+	// callerIdleTimeout is how long a connection may be idle. Callers give up
+	// theirs before.
+	callerIdleTimeout = 60 * time.Second
+)
+
+func (d *Daemon) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
+		d.logger.WithError(err).Error("a listener failed")
+	}
+}
+
+// serveReady answers whether the daemon takes new callers.
+func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if d.drain.Err() != nil || !d.directory.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (d *Daemon) serveMetrics() {
+	listener, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", d.settings.IP, MetricsPort))
+	if err != nil {
+		d.logger.WithError(err).Warn("metrics are not served")
+		return
+	}
+	ready := func() error { return d.drain.Err() }
+	go d.serve(&http.Server{Handler: telemetry.OpsHandler(d.registry, ready), ReadHeaderTimeout: headerTimeout}, listener)
+}
+
+// start starts the daemon's regular work.
+func (d *Daemon) start(ctx context.Context) *sync.WaitGroup {
+	catalogFeed := &feed{
+		store: d.store, name: tableOperator, logger: d.logger,
+		apply:    func(rows []adapter.Row, whole bool) { d.beliefs.applyCatalog(rows, whole) },
+		returned: func(time.Time) {},
+	}
+	serversFeed := &feed{store: d.store, name: tableServers, logger: d.logger, apply: d.applyServers, returned: d.storeReturned}
+	workers := &sync.WaitGroup{}
+	workers.Go(func() { catalogFeed.run(ctx) })
+	workers.Go(func() { serversFeed.run(ctx) })
+	if d.settings.ReportsUsage || d.settings.OrdersServers {
+		workers.Go(func() { d.keeper.Run(ctx, d.leaseFailed) })
+	}
+	if d.settings.ReportsUsage {
+		workers.Go(func() { d.usage.RunParts(ctx) })
+		workers.Go(func() { d.usage.RunSettle(ctx) })
+	}
+	return workers
+}
+
+func (d *Daemon) leaseFailed(err error) {
+	d.logger.WithError(err).Warn("a call for the lease of the duties failed")
+}
+
+func (d *Daemon) applyServers(rows []adapter.Row, whole bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.beliefs.applyServers(rows, whole)
+}
+
+// storeReturned notes that the store answers again, and forgets the entries that
+// lapsed meanwhile once backend servers had time to come back.
+func (d *Daemon) storeReturned(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.beliefs.returned = now
+	time.AfterFunc(lapseHold, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.beliefs.expire(time.Now())
+	})
+}
+
+// shutDown says that the daemon is not ready, finishes what it has, and ends
+// before the platform kills the process.
+func (d *Daemon) shutDown(server *http.Server, stop context.CancelFunc, workers *sync.WaitGroup) {
+	began := time.Now()
+	d.logger.Info("shutting down")
+	d.setDrain()
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(d.settings.Grace-graceMargin))
+	defer cancel()
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		stop()
+		workers.Wait()
+		d.usage.Finish(ctx)
+		if err := d.keeper.Release(ctx); err != nil {
+			d.logger.WithError(err).Warn("the lease of the duties was not given back and expires by itself")
+		}
+	}()
+	pause(ctx, leaveDelay)
+	if err := server.Shutdown(ctx); err != nil {
+		d.logger.WithError(err).Warn("requests are cut off, the time to shut down is over")
+	}
+	d.usage.Finish(ctx)
+	select {
+	case <-released:
+	case <-ctx.Done():
+	}
+	d.logger.WithField("took-ms", time.Since(began).Milliseconds()).Info("stopped")
+}
--- /dev/null
+++ b/acaciad/directory/directory.go
@@ -0,0 +1,198 @@
+// Package directory holds what the daemon believes of the catalog and of the
+// backend servers, from the platform's store.
+package directory
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"acaciapath.example/core/catalog"
+	"acaciapath.example/core/placement"
+	"acaciapath.example/core/replica"
+)
+
+// View is the catalog in force. It is read-only.
+type View struct {
+	// Index is the catalog's.
+	Index *catalog.Index
+	// Since is when the daemon took it over.
+	Since time.Time
+}
+
+// Directory is what the daemon believes. It is safe for concurrent use.
+type Directory struct {
+	// FailureDomain is that of the daemon.
+	FailureDomain string
+
+	view atomic.Pointer[View]
+
+	mu     sync.Mutex // guards the fields below
+	pools  map[string]*placement.Pool
+	random *rand.Rand
+	// listed says whether the list of backend servers has been read.
+	listed bool
+}
+
+// New returns a directory of a daemon that knows nothing yet.
+func New(failureDomain string, random *rand.Rand) *Directory {
+	return &Directory{FailureDomain: failureDomain, pools: make(map[string]*placement.Pool), random: random}
+}
+
+// View returns the catalog in force, or nil before the first.
+func (d *Directory) View() *View { return d.view.Load() }
+
+// Ready reports whether the daemon knows enough to serve.
+func (d *Directory) Ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed && d.view.Load() != nil
+}
+
+// SetCatalog takes over a catalog unless a newer one is in force, and reports
+// whether it did.
+func (d *Directory) SetCatalog(c catalog.Catalog, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if old := d.view.Load(); old != nil && old.Index.Catalog.Revision >= c.Revision {
+		return false
+	}
+	d.view.Store(&View{Index: catalog.NewIndex(c), Since: now})
+	for name, pool := range d.pools {
+		pool.SetShortShare(d.shortShare(name))
+	}
+	return true
+}
+
+// shortShare returns the share of a service's servers that is kept for requests
+// with short pauses.
+func (d *Directory) shortShare(service string) float64 {
+	view := d.view.Load()
+	if view == nil {
+		return 0
+	}
+	return placement.ShortShare(view.Index, service)
+}
+
+// Change is how the servers of a service changed.
+type Change struct {
+	// Service is the name of the service.
+	Service string
+	// Added and Removed are the names of backend servers.
+	Added, Removed []string
+}
+
+// SetServers takes over the list of backend servers.
+func (d *Directory) SetServers(specs []replica.Spec) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listed = true
+	byService := make(map[string][]replica.Spec)
+	for _, spec := range specs {
+		for _, service := range spec.Serves {
+			byService[service] = append(byService[service], spec)
+		}
+	}
+	for name := range byService {
+		if d.pools[name] == nil {
+			d.pools[name] = &placement.Pool{ShortShare: d.shortShare(name)}
+		}
+	}
+	var changes []Change
+	for name, pool := range d.pools {
+		added, removed := pool.Update(byService[name])
+		if len(added)+len(removed) > 0 {
+			changes = append(changes, Change{Service: name, Added: added, Removed: removed})
+		}
+	}
+	return changes
+}
+
+// Random returns a number in [0, n).
+func (d *Directory) Random(n int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.random.IntN(n)
+}
+
+// Service draws the service that runs a request of a route.
+func (d *Directory) Service(r *catalog.Route) string {
+	if len(r.Splits) == 1 {
+		return r.Splits[0].Service
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return r.PickService(d.random)
+}
+
+// Lease is a place on a backend server that a request took. It ends by Finish.
+type Lease struct {
+	// Spec is the backend server.
+	Spec replica.Spec
+	// Running and Reading are what this daemon had there when it was taken.
+	Running, Reading int
+
+	directory *Directory
+	server    *placement.Server
+	wish      placement.Wish
+	read      bool
+}
+
+// Take chooses a backend server of a service, or returns nil if there is none.
+func (d *Directory) Take(service string, wish placement.Wish, now time.Time) *Lease {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pool := d.pools[service]
+	if pool == nil {
+		return nil
+	}
+	s := pool.Choose(wish, now, d.random)
+	if s == nil {
+		return nil
+	}
+	lease := &Lease{Spec: s.Spec, Running: s.Running, Reading: s.Reading, directory: d, server: s, wish: wish}
+	s.Start(wish, now)
+	return lease
+}
+
+// Read says that the backend server has read the prompt.
+func (l *Lease) Read() {
+	l.directory.mu.Lock()
+	defer l.directory.mu.Unlock()
+	l.readLocked()
+}
+
+func (l *Lease) readLocked() {
+	if !l.read {
+		l.server.Read(l.wish)
+		l.read = true
+	}
+}
+
+// Outcome is how a request ended at a backend server.
+type Outcome int
+
+// The outcomes.
+const (
+	// Succeeded is said of a whole answer.
+	Succeeded Outcome = iota
+	// Failed is said of a backend server that could not be reached or broke off.
+	Failed
+	// Neutral tells nothing about the backend server.
+	Neutral
+)
+
+// Finish gives the place back.
+func (l *Lease) Finish(outcome Outcome, now time.Time) {
+	l.directory.mu.Lock()
+	defer l.directory.mu.Unlock()
+	l.readLocked()
+	l.server.Finish(now)
+	switch outcome {
+	case Succeeded:
+		l.server.Succeed()
+	case Failed:
+		l.server.Fail(now)
+	}
+}
--- /dev/null
+++ b/acaciad/relay/handler.go
@@ -0,0 +1,343 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"acaciapath.example/acaciad/directory"
+	"acaciapath.example/core/catalog"
+	"acaciapath.example/core/placement"
+	"acaciapath.example/core/retry"
+	"acaciapath.example/core/usage"
+	"acaciapath.example/core/workload"
+	"acaciapath.example/platform"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Limits of a request.
+const (
+	// answerMargin is how long before the caller's deadline an answer is given,
+	// so that it arrives in time.
+	answerMargin = 40 * time.Millisecond
+	// defaultWait is how long a request is kept that says no deadline and whose
+	// route is not known yet.
+	defaultWait = 30 * time.Second
+	// defaultBodyBytes bounds a body while the catalog sets no bound.
+	defaultBodyBytes = 4 << 20
+)
+
+// Times that refused callers are told.
+const (
+	// afterStart is told while the daemon does not know the catalog yet.
+	afterStart = 500 * time.Millisecond
+	// afterFailure is told when no backend server took the request.
+	afterFailure = 300 * time.Millisecond
+)
+
+// Handler serves callers. All fields are set once and then only read.
+type Handler struct {
+	// Directory is what the daemon believes.
+	Directory *directory.Directory
+	// Client speaks to backend servers.
+	Client *Client
+	// Wire translates headers.
+	Wire platform.Wire
+	// Meter takes in what ran.
+	Meter *usage.Meter
+	// Metrics counts what became of requests.
+	Metrics *Metrics
+	// Logger logs what became of requests.
+	Logger *logrus.Logger
+	// Budgets bound retries by service.
+	Budgets *Budgets
+	// Draining ends when the daemon begins to shut down.
+	Draining context.Context
+}
+
+// Budgets bound the retries of this daemon, by service. They are safe for
+// concurrent use.
+type Budgets struct {
+	mu       sync.Mutex
+	template retry.Budget
+	budgets  map[string]*retry.Budget
+}
+
+// NewBudgets returns budgets that each start as the template.
+func NewBudgets(template retry.Budget) *Budgets {
+	return &Budgets{template: template, budgets: make(map[string]*retry.Budget)}
+}
+
+func (b *Budgets) of(service string) *retry.Budget {
+	budget := b.budgets[service]
+	if budget == nil {
+		fresh := b.template
+		budget = &fresh
+		b.budgets[service] = budget
+	}
+	return budget
+}
+
+// Earn accounts for a request.
+func (b *Budgets) Earn(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(service).Earn()
+}
+
+// Spend takes one retry, and reports false if there is none at hand.
+func (b *Budgets) Spend(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.of(service).Spend(now)
+}
+
+var _ http.Handler = (*Handler)(nil)
+
+// ServeHTTP serves one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{
+		handler: h,
+		writer:  w,
+		request: r,
+		arrived: time.Now(),
+		ask:     h.Wire.Ask(r.Header),
+	}
+	if h.Draining.Err() != nil {
+		w.Header().Set("Connection", "close")
+	}
+	defer x.report()
+	if refused := x.serve(); refused != nil {
+		x.refuse(refused)
+	}
+}
+
+// refusal is an answer of the daemon's own.
+type refusal struct {
+	status int
+	// reason says in a word why.
+	reason string
+	// after is when the caller may come back, or 0.
+	after time.Duration
+}
+
+// Refusals that do not depend on the request.
+var (
+	noCatalog    = &refusal{status: http.StatusServiceUnavailable, reason: "catalog-unknown", after: afterStart}
+	noRoute      = &refusal{status: http.StatusNotFound, reason: "route-unknown"}
+	noKey        = &refusal{status: http.StatusUnauthorized, reason: "key-unknown"}
+	bodyTooLarge = &refusal{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
+	bodyBroken   = &refusal{status: http.StatusBadRequest, reason: "body-incomplete"}
+	noServer     = &refusal{status: http.StatusServiceUnavailable, reason: "no-backend-server", after: afterFailure}
+	notRun       = &refusal{status: http.StatusServiceUnavailable, reason: "not-run", after: afterFailure}
+	mayHaveRun   = &refusal{status: http.StatusBadGateway, reason: "may-have-run"}
+	timeoutRun   = &refusal{status: http.StatusGatewayTimeout, reason: "timeout"}
+	timeoutIdle  = &refusal{status: http.StatusServiceUnavailable, reason: "timeout-not-run"}
+)
+
+// exchange is one request of a caller. It is used by one thread.
+type exchange struct {
+	handler *Handler
+	writer  http.ResponseWriter
+	request *http.Request
+	arrived time.Time
+	ask     workload.Ask
+
+	view    *directory.View
+	route   *catalog.Route
+	account *catalog.Account
+	service string
+	wish    placement.Wish
+	body    []byte
+
+	// ran says whether the request may have run.
+	ran bool
+	// failure is the answer of a backend server that failed the request, while
+	// others are tried.
+	failure *held
+	// counted says whether the meter has the request.
+	counted bool
+	// attempts are the backend servers that were tried, in order.
+	attempts []attempt
+	// lastEvent is the last whole event of a stream that the caller was sent.
+	lastEvent string
+	// events is the number of events passed on.
+	events int
+	// status and outcome are what the caller got.
+	status  int
+	outcome string
+}
+
+// attempt is one sending of a request to a backend server.
+type attempt struct {
+	server  string
+	domain  string
+	running int
+	reading int
+	result  string
+	first   time.Duration
+}
+
+func (x *exchange) serve() *refusal {
+	h := x.handler
+	x.view = h.Directory.View()
+	if x.view == nil {
+		return noCatalog
+	}
+	index := x.view.Index
+	x.route = index.Route(x.request.Host, x.request.URL.Path)
+	if x.route == nil {
+		return noRoute
+	}
+	if x.ask.Key != "" {
+		x.account = index.Account(x.ask.Key)
+	}
+	if index.Keyed(x.route) && x.account == nil {
+		return noKey
+	}
+	if refused := x.readBody(index.Catalog.Limits.BodyBytes); refused != nil {
+		return refused
+	}
+	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline())
+	defer cancel()
+	x.service = h.Directory.Service(x.route)
+	x.wish = x.newWish(index.Service(x.service))
+	x.lastEvent = x.ask.LastEventID
+	h.Budgets.Earn(x.service)
+	return x.run(ctx)
+}
+
+// deadline returns when the caller has to have its answer.
+func (x *exchange) deadline() time.Time {
+	wait := x.route.Timeout
+	if x.ask.Wait > 0 {
+		wait = min(wait, x.ask.Wait-answerMargin)
+	}
+	return x.arrived.Add(wait)
+}
+
+func (x *exchange) newWish(s *catalog.Service) placement.Wish {
+	w := placement.Wish{
+		FailureDomain: x.handler.Directory.FailureDomain,
+		Generates:     x.route.Generates,
+		ShortPauses:   placement.ShortPauses(x.route, s),
+		PromptTokens:  x.ask.Work.PromptTokens,
+	}
+	if w.Generates {
+		w.SharedKey = x.ask.Work.SharedKey()
+		w.SharedTokens = x.ask.Work.SharedTokens()
+	}
+	return w
+}
+
+func (x *exchange) readBody(limit int64) *refusal {
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if x.request.ContentLength > limit {
+		return bodyTooLarge
+	}
+	if x.request.ContentLength == 0 {
+		return nil
+	}
+	reader := http.MaxBytesReader(x.writer, x.request.Body, limit)
+	var err error
+	if n := x.request.ContentLength; n > 0 {
+		x.body = make([]byte, n)
+		_, err = io.ReadFull(reader, x.body)
+	} else {
+		x.body, err = io.ReadAll(reader)
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return bodyTooLarge
+	case err != nil:
+		return bodyBroken
+	}
+	return nil
+}
+
+// count tells the meter, once, that the request began to run.
+func (x *exchange) count() {
+	if x.counted || x.account == nil {
+		return
+	}
+	x.counted = true
+	key := usage.Key{ClientAccount: x.account.Name, ServiceClass: x.route.Name, Model: x.service}
+	work := usage.Work{Requests: 1}
+	if x.route.Generates {
+		work.PromptTokens = uint64(x.ask.Work.PromptTokens)
+	}
+	x.handler.Meter.Add(key, work, usage.Price{})
+}
+
+func (x *exchange) refuse(r *refusal) {
+	x.status, x.outcome = r.status, r.reason
+	h := x.writer.Header()
+	x.handler.Wire.SetID(h, x.ask.ID)
+	if r.after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(r.after.Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(r.reason)+1))
+	x.writer.WriteHeader(r.status)
+	_, _ = io.WriteString(x.writer, r.reason+"\n") // a caller that has left needs no answer
+}
+
+// report logs and counts what became of the request.
+func (x *exchange) report() {
+	now := time.Now()
+	x.handler.Metrics.finished(x, now.Sub(x.arrived))
+	entry := x.handler.Logger.WithFields(x.fields(now))
+	if x.outcome == outcomeServed {
+		entry.Info("request served")
+		return
+	}
+	entry.Warn("request not served")
+}
+
+func (x *exchange) fields(now time.Time) logrus.Fields {
+	f := logrus.Fields{
+		"request-id": x.ask.ID,
+		"status":     x.status,
+		"outcome":    x.outcome,
+		"took-ms":    now.Sub(x.arrived).Milliseconds(),
+		"may-run":    x.ran,
+	}
+	if x.view != nil {
+		f["revision"] = x.view.Index.Catalog.Revision
+		f["revision-age-ms"] = now.Sub(x.view.Since).Milliseconds()
+	}
+	if x.route != nil {
+		f["route"] = x.route.Name
+		f["wait-ms"] = x.ask.Wait.Milliseconds()
+	}
+	if x.account != nil {
+		f["client-account"] = x.account.Name
+	}
+	if len(x.attempts) > 0 {
+		f["attempts"] = attemptList(x.attempts)
+	}
+	if x.events > 0 {
+		f["events"] = x.events
+	}
+	return f
+}
+
+// attemptList renders attempts in a log line, as
+// server/domain running reading result first-ms.
+func attemptList(attempts []attempt) []string {
+	list := make([]string, len(attempts))
+	for i, a := range attempts {
+		list[i] = a.server + "/" + a.domain +
+			" running=" + strconv.Itoa(a.running) + " reading=" + strconv.Itoa(a.reading) +
+			" " + a.result + " first-ms=" + strconv.FormatInt(a.first.Milliseconds(), 10)
+	}
+	return list
+}
--- /dev/null
+++ b/acaciad/relay/metrics.go
@@ -0,0 +1,51 @@
+package relay
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics counts what became of requests.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	duration *prometheus.HistogramVec
+}
+
+// latencyBuckets are the bounds of latency histograms, in seconds.
+var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12, 30}
+
+// NewMetrics returns metrics that are registered at registry.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "acaciapath_requests_total",
+			Help: "Requests of callers that ended, by route, status and outcome.",
+		}, []string{"route", "status", "outcome"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "acaciapath_attempts_total",
+			Help: "Sendings of requests to backend servers, by route and result.",
+		}, []string{"route", "result"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "acaciapath_request_seconds",
+			Help:    "Time from a request's arrival to the end of its answer, by route.",
+			Buckets: latencyBuckets,
+		}, []string{"route"}),
+	}
+	registry.MustRegister(m.requests, m.attempts, m.duration)
+	return m
+}
+
+func (m *Metrics) finished(x *exchange, took time.Duration) {
+	route := ""
+	if x.route != nil {
+		route = x.route.Name
+	}
+	m.requests.WithLabelValues(route, strconv.Itoa(x.status), x.outcome).Inc()
+	m.duration.WithLabelValues(route).Observe(took.Seconds())
+	for _, a := range x.attempts {
+		m.attempts.WithLabelValues(route, a.result).Inc()
+	}
+}
--- /dev/null
+++ b/acaciad/relay/run.go
@@ -0,0 +1,307 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"acaciapath.example/acaciad/directory"
+	"acaciapath.example/core/catalog"
+	"acaciapath.example/platform"
+)
+
+// outcomeServed is the outcome of a request whose caller got a whole answer of a
+// backend server, and outcomeLeft that of one whose caller left.
+const (
+	outcomeServed = "served"
+	outcomeLeft   = "caller-left"
+	outcomeBroken = "answer-broken"
+)
+
+// maxAttempts bounds the backend servers that are tried for one request,
+// including those that could not be reached.
+const maxAttempts = 4
+
+// maxBuffered is the most bytes of an answer that are held to find out whether
+// it is whole before the caller is sent any of it.
+const maxBuffered = 1 << 20
+
+// result is how one attempt ended.
+type result int
+
+const (
+	// unreached: the backend server did not get the request.
+	unreached result = iota
+	// rejected: the backend server said that it did not run.
+	rejected
+	// broken: it may have run, and no usable answer came.
+	broken
+	// answered: the caller got an answer.
+	answered
+)
+
+// run sends the request until the caller has an answer, or returns why it gets
+// none.
+func (x *exchange) run(ctx context.Context) *refusal {
+	runs := 0
+	for len(x.attempts) < maxAttempts {
+		lease := x.handler.Directory.Take(x.service, x.wish, time.Now())
+		if lease == nil {
+			break
+		}
+		if len(x.attempts) > 0 && x.wasTried(lease.Spec.Name) {
+			lease.Finish(directory.Neutral, time.Now())
+			break
+		}
+		r := x.attempt(ctx, lease)
+		x.wish.Tried = append(x.wish.Tried, lease.Spec.Name)
+		if r == answered {
+			return nil
+		}
+		if ended := x.ended(ctx); ended != nil {
+			return ended
+		}
+		if r == broken {
+			x.ran = true
+			runs++
+			if !x.route.Repeatable() || runs >= x.route.MaxReplicas {
+				break
+			}
+		}
+		if r != unreached && !x.handler.Budgets.Spend(x.service, time.Now()) {
+			break
+		}
+	}
+	if x.failure != nil {
+		x.write(x.failure)
+		return nil
+	}
+	return x.giveUp()
+}
+
+func (x *exchange) wasTried(name string) bool {
+	for _, tried := range x.wish.Tried {
+		if tried == name {
+			return true
+		}
+	}
+	return false
+}
+
+// ended returns how a request ends whose caller has left or whose time is over,
+// or nil.
+func (x *exchange) ended(ctx context.Context) *refusal {
+	switch {
+	case x.request.Context().Err() != nil:
+		x.outcome = outcomeLeft
+		panic(http.ErrAbortHandler) // nobody is there to get an answer
+	case ctx.Err() == nil:
+		return nil
+	case x.ran || x.lastStarted():
+		return timeoutRun
+	}
+	return timeoutIdle
+}
+
+// lastStarted reports whether the last attempt may have run.
+func (x *exchange) lastStarted() bool {
+	n := len(x.attempts)
+	return n > 0 && x.attempts[n-1].result == resultBroken
+}
+
+// Results of attempts in logs.
+const (
+	resultUnreached = "unreached"
+	resultRejected  = "rejected"
+	resultBroken    = "broken"
+	resultAnswered  = "answered"
+)
+
+func (x *exchange) giveUp() *refusal {
+	switch {
+	case x.ran:
+		return mayHaveRun
+	case len(x.attempts) == 0:
+		return noServer
+	}
+	return notRun
+}
+
+// attempt sends the request to the backend server of a lease, and passes the
+// answer on if there is one.
+func (x *exchange) attempt(ctx context.Context, lease *directory.Lease) result {
+	x.attempts = append(x.attempts, attempt{
+		server: lease.Spec.Name, domain: lease.Spec.FailureDomain,
+		running: lease.Running, reading: lease.Reading,
+	})
+	a := &x.attempts[len(x.attempts)-1]
+	began := time.Now()
+	response, r := x.send(ctx, lease)
+	if response == nil {
+		x.fail(ctx, lease, a, r)
+		return r
+	}
+	defer response.Body.Close()
+	a.first = time.Since(began)
+	r = x.answer(ctx, lease, response)
+	a.result = r.String()
+	switch {
+	case r == answered:
+		lease.Finish(directory.Succeeded, time.Now())
+	case r == broken && x.request.Context().Err() == nil && ctx.Err() == nil:
+		lease.Finish(directory.Failed, time.Now())
+	default:
+		lease.Finish(directory.Neutral, time.Now())
+	}
+	return r
+}
+
+// String returns the result as logs name it.
+func (r result) String() string {
+	return [...]string{resultUnreached, resultRejected, resultBroken, resultAnswered}[r]
+}
+
+// fail ends an attempt that brought no answer.
+func (x *exchange) fail(ctx context.Context, lease *directory.Lease, a *attempt, r result) {
+	a.result = r.String()
+	outcome := directory.Neutral
+	if r != rejected && ctx.Err() == nil {
+		outcome = directory.Failed
+	}
+	lease.Finish(outcome, time.Now())
+}
+
+// send sends the request and returns the answer, or how it failed.
+func (x *exchange) send(ctx context.Context, lease *directory.Lease) (*http.Response, result) {
+	deadline, _ := ctx.Deadline()
+	forwarding := platform.Forwarding{
+		Server:    lease.Spec.Name,
+		Wait:      time.Until(deadline),
+		Tier:      catalog.Tier(x.route, x.account),
+		Generates: x.route.Generates,
+	}
+	if x.account != nil {
+		forwarding.Account = x.account.Name
+	}
+	if x.route.Kind == catalog.Stream {
+		forwarding.LastEventID = x.lastEvent
+	}
+	response, sent, err := x.handler.Client.send(ctx, outgoing{
+		method:     x.request.Method,
+		target:     x.request.URL,
+		host:       x.request.Host,
+		header:     x.handler.Wire.Outgoing(x.request.Header, forwarding),
+		body:       x.body,
+		address:    lease.Spec.Address,
+		repeatable: x.route.Repeatable(),
+	})
+	switch {
+	case err == nil:
+		return response, answered
+	case sent:
+		return nil, broken
+	}
+	return nil, unreached
+}
+
+// answer passes an answer on, unless it is none that the caller can be sent.
+func (x *exchange) answer(ctx context.Context, lease *directory.Lease, response *http.Response) result {
+	told := x.handler.Wire.Answer(response, x.ask.ID)
+	if told.NotRun && response.StatusCode != http.StatusBadRequest {
+		return rejected
+	}
+	success := response.StatusCode >= 200 && response.StatusCode < 300
+	if !told.Belongs || success && (!told.Signed || told.Encoded) {
+		return broken
+	}
+	if success && x.route.Kind == catalog.Stream {
+		return x.stream(ctx, lease, response)
+	}
+	return x.whole(response)
+}
+
+// held is an answer of a backend server that has arrived whole.
+type held struct {
+	status int
+	header http.Header
+	data   []byte
+}
+
+// whole passes an answer on once all of it has arrived, or as it comes if it is
+// too long to be held.
+func (x *exchange) whole(response *http.Response) result {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxBuffered+1))
+	if err != nil {
+		return broken
+	}
+	x.count()
+	if len(data) > maxBuffered {
+		return x.long(response, data)
+	}
+	h := &held{status: response.StatusCode, header: response.Header, data: data}
+	if x.mayImprove(response.StatusCode) {
+		x.failure = h
+		return broken
+	}
+	x.write(h)
+	return answered
+}
+
+// write sends an answer that has arrived whole to the caller.
+func (x *exchange) write(a *held) {
+	h := x.writer.Header()
+	x.handler.Wire.Returned(h, a.header)
+	h["Content-Length"] = []string{strconv.Itoa(len(a.data))}
+	x.status, x.outcome = a.status, outcomeServed
+	x.writer.WriteHeader(a.status)
+	if _, err := x.writer.Write(a.data); err != nil {
+		x.outcome = outcomeLeft
+	}
+}
+
+// long passes an answer on as it comes, of which data is the beginning.
+func (x *exchange) long(response *http.Response, data []byte) result {
+	x.handler.Wire.Returned(x.writer.Header(), response.Header)
+	x.status, x.outcome = response.StatusCode, outcomeServed
+	x.writer.WriteHeader(response.StatusCode)
+	_, err := x.writer.Write(data)
+	if err == nil {
+		_, err = io.Copy(x.writer, response.Body)
+	}
+	if err != nil {
+		x.outcome = outcomeBroken
+		panic(http.ErrAbortHandler) // the caller must see that the answer is not whole
+	}
+	return answered
+}
+
+// mayImprove reports whether a request that a backend server failed is to be
+// sent to another one.
+func (x *exchange) mayImprove(status int) bool {
+	return status >= http.StatusInternalServerError && x.route.Kind == catalog.Idempotent &&
+		len(x.attempts) < x.route.MaxReplicas
+}
+
+// stream passes the events of a stream on as they come. If the stream breaks
+// off and can be resumed, it goes on at another backend server.
+func (x *exchange) stream(ctx context.Context, lease *directory.Lease, response *http.Response) result {
+	err := x.pass(ctx, lease, response)
+	if err == nil {
+		x.outcome = outcomeServed
+		return answered
+	}
+	if x.status == 0 {
+		return broken
+	}
+	x.outcome = outcomeBroken
+	if x.request.Context().Err() != nil {
+		x.outcome = outcomeLeft
+	}
+	if errors.Is(err, errCaller) || !x.route.Resumable || ctx.Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return broken
+}
--- /dev/null
+++ b/core/placement/pool.go
@@ -0,0 +1,243 @@
+package placement
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/replica"
+)
+
+// Wish is what a request asks of a backend server.
+type Wish struct {
+	// FailureDomain is that of the entry daemon.
+	FailureDomain string
+	// Generates says whether the request runs on a model engine.
+	Generates bool
+	// ShortPauses says whether the pauses that the stream allows are so short
+	// that long prompts beside it make it late.
+	ShortPauses bool
+	// SharedKey names the beginning of the prompt that other requests share, or
+	// is 0.
+	SharedKey uint64
+	// SharedTokens is the length of that beginning.
+	SharedTokens int
+	// PromptTokens is the length of the whole prompt.
+	PromptTokens int
+	// Tried are the names of servers that failed the request.
+	Tried []string
+}
+
+// Server is a backend server as one entry daemon knows it.
+type Server struct {
+	*replica.Replica
+	// Short says whether it is kept for requests with short pauses.
+	Short bool
+	// Reading is the number of prompt tokens that this daemon sent it and that
+	// it has not answered yet with a first event. Reading ≥ 0.
+	Reading int
+
+	hash uint64
+}
+
+// Pool is the backend servers of one service.
+type Pool struct {
+	// Servers are in the order of their names.
+	Servers []*Server
+	// ShortShare is the share of the servers that is kept for requests with
+	// short pauses. 0 ≤ ShortShare < 1.
+	ShortShare float64
+}
+
+// Update replaces the servers, keeping the state of those that stay, and
+// returns the names of those that are new and of those that have gone. A server
+// that was born again is new.
+func (p *Pool) Update(specs []replica.Spec) (added, removed []string) {
+	known := make(map[string]*Server, len(p.Servers))
+	for _, s := range p.Servers {
+		known[s.Spec.Name] = s
+	}
+	servers := make([]*Server, 0, len(specs))
+	for _, spec := range specs {
+		s := known[spec.Name]
+		if s == nil || s.Spec.Address != spec.Address || !s.Spec.Born.Equal(spec.Born) {
+			s = &Server{Replica: replica.New(spec), hash: hashName(spec.Name)}
+			added = append(added, spec.Name)
+		}
+		delete(known, spec.Name)
+		s.Spec = spec
+		servers = append(servers, s)
+	}
+	for name := range known {
+		removed = append(removed, name)
+	}
+	slices.Sort(removed)
+	slices.SortFunc(servers, func(a, b *Server) int { return cmp.Compare(a.Spec.Name, b.Spec.Name) })
+	p.Servers = servers
+	p.divide()
+	return added, removed
+}
+
+// SetShortShare changes the share of the servers that is kept for requests with
+// short pauses.
+func (p *Pool) SetShortShare(share float64) {
+	p.ShortShare = share
+	p.divide()
+}
+
+// divide chooses the servers that are kept for requests with short pauses: in
+// each failure domain the same share, standard servers first, since such
+// streams often cannot be resumed. All daemons choose the same ones.
+func (p *Pool) divide() {
+	domains := make(map[string][]*Server)
+	for _, s := range p.Servers {
+		s.Short = false
+		if !s.Spec.Leaving {
+			domains[s.Spec.FailureDomain] = append(domains[s.Spec.FailureDomain], s)
+		}
+	}
+	if p.ShortShare <= 0 {
+		return
+	}
+	for _, servers := range domains {
+		slices.SortFunc(servers, func(a, b *Server) int {
+			return cmp.Or(cmp.Compare(kindRank(a), kindRank(b)), cmp.Compare(a.hash, b.hash))
+		})
+		n := int(math.Ceil(p.ShortShare * float64(len(servers))))
+		for _, s := range servers[:min(n, len(servers))] {
+			s.Short = true
+		}
+	}
+}
+
+func kindRank(s *Server) int {
+	if s.Spec.Kind == config.KindCheap {
+		return 1
+	}
+	return 0
+}
+
+func hashName(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name)) // a hash never fails
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of x (finalizer of MurmurHash3 by Appleby).
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// Weights of a placement, in prompt tokens, which take an engine some 20 µs
+// each.
+const (
+	// farTokens is what a server in another failure domain is worse by. It
+	// stands for the price of the request's bytes.
+	farTokens = 1000
+	// runningTokens is what a running request makes a server worse by.
+	runningTokens = 300
+	// tieTokens spreads requests over servers that are nearly as good.
+	tieTokens = 50
+	// laneTokens is what a server that is kept for the other kind of requests
+	// is worse by: it is used only if all others are away or far busier.
+	laneTokens = 200_000
+	// triedTokens is what a server that failed the request is worse by.
+	triedTokens = 10_000_000
+	// restingTokens is what a server that failed lately is worse by. It is
+	// used only if no other is left.
+	restingTokens = 1_000_000
+	// shortFarTokens is what a server in another failure domain is worse by for
+	// a request with short pauses, whose first event is urgent.
+	shortFarTokens = 2000
+)
+
+// Choose returns the server that is to run a request, or nil if there is none.
+func (p *Pool) Choose(wish Wish, now time.Time, random *rand.Rand) *Server {
+	home := p.home(wish)
+	var best *Server
+	bestCost := 0.0
+	for _, s := range p.Servers {
+		if s.Spec.Leaving {
+			continue
+		}
+		c := cost(s, wish, home, now) + tieTokens*random.Float64()
+		if best == nil || c < bestCost {
+			best, bestCost = s, c
+		}
+	}
+	return best
+}
+
+// home returns the server on which the beginning of the prompt is kept, or nil.
+func (p *Pool) home(wish Wish) *Server {
+	if wish.SharedKey == 0 || wish.ShortPauses {
+		return nil
+	}
+	var home *Server
+	var highest uint64
+	for _, s := range p.Servers {
+		if s.Spec.Leaving || s.Short {
+			continue
+		}
+		if weight := mix(s.hash ^ mix(wish.SharedKey)); home == nil || weight > highest {
+			home, highest = s, weight
+		}
+	}
+	return home
+}
+
+// cost returns how bad a server is for a request, in prompt tokens.
+func cost(s *Server, wish Wish, home *Server, now time.Time) float64 {
+	c := float64(s.Reading + s.Running*runningTokens)
+	if !wish.Generates {
+		c = float64(s.Running) / float64(max(s.Spec.Places, 1)) * plainTokens
+	}
+	if s.Spec.FailureDomain != wish.FailureDomain {
+		c += far(wish)
+	}
+	if wish.Generates && s.Short != wish.ShortPauses {
+		c += laneTokens
+	}
+	if s != home && !s.Cached(wish.SharedKey) {
+		c += float64(wish.SharedTokens)
+	}
+	if now.Before(s.RestsUntil) {
+		c += restingTokens
+	}
+	if slices.Contains(wish.Tried, s.Spec.Name) {
+		c += triedTokens
+	}
+	return c
+}
+
+// plainTokens is what a wholly occupied server of a plain service is worse by
+// than an idle one.
+const plainTokens = 5000
+
+func far(wish Wish) float64 {
+	if wish.ShortPauses || !wish.Generates {
+		return shortFarTokens
+	}
+	return farTokens
+}
+
+// Start accounts for a request that is sent to a server.
+func (s *Server) Start(wish Wish, now time.Time) {
+	var keys []uint64
+	if wish.SharedKey != 0 {
+		keys = []uint64{wish.SharedKey}
+	}
+	s.Replica.Start(keys, now)
+	s.Reading += wish.PromptTokens
+}
+
+// Read accounts for the first event of a request.
+func (s *Server) Read(wish Wish) { s.Reading = max(0, s.Reading-wish.PromptTokens) }
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -44,6 +44,9 @@
 	Places int
 	// Leaving says whether it is about to be taken away.
 	Leaving bool
+	// Born is when it started, or zero if it is not known. A backend server that
+	// started again under its name knows nothing of before.
+	Born time.Time
 }
 
 // Replica is a backend server as one entry daemon knows it. It is not safe for
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -24,7 +24,11 @@
 	// Percent is the number of retries that a hundred requests earn.
 	// 0 ≤ Percent ≤ 100; with 0 there are no retries.
 	Percent int
-	// Saved is the number of retries at hand. 0 ≤ Saved ≤ burst.
+	// Burst is the number of retries that an unused budget saves up. Burst ≥ 0.
+	Burst float64
+	// PerSecond is the number of retries that a second earns. PerSecond ≥ 0.
+	PerSecond float64
+	// Saved is the number of retries at hand. 0 ≤ Saved ≤ Burst.
 	Saved float64
 	// Updated is the time up to which seconds have earned. It never moves back.
 	Updated time.Time
@@ -36,7 +40,7 @@
 	if share <= 0 {
 		return Budget{Updated: now}
 	}
-	return Budget{Percent: share, Saved: burst, Updated: now}
+	return Budget{Percent: share, Burst: burst, PerSecond: perSecond, Saved: burst, Updated: now}
 }
 
 // Earn accounts for one first attempt.
@@ -45,7 +49,7 @@
 // Spend takes one retry, and reports false if there is none at hand.
 func (b *Budget) Spend(now time.Time) bool {
 	if elapsed := now.Sub(b.Updated); elapsed > 0 && b.Percent > 0 {
-		b.save(elapsed.Seconds() * perSecond)
+		b.save(elapsed.Seconds() * b.PerSecond)
 		b.Updated = now
 	}
 	if b.Saved < 1 {
@@ -55,7 +59,7 @@
 	return true
 }
 
-func (b *Budget) save(retries float64) { b.Saved = min(b.Saved+retries, burst) }
+func (b *Budget) save(retries float64) { b.Saved = min(b.Saved+retries, b.Burst) }
 
 // Bounds of the wait before a retry.
 const (
