--- /dev/null
+++ b/acaciad/control/orders.go
@@ -0,0 +1,160 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"acaciapath.example/acaciad/directory"
+	"acaciapath.example/core/catalog"
+	"acaciapath.example/core/gen/table"
+	"acaciapath.example/core/lease"
+	"acaciapath.example/core/order"
+	"acaciapath.example/core/platform"
+
+	"github.com/sirupsen/logrus"
+)
+
+// orderInterval is how often the holder of the lease compares what it ordered
+// with what is there.
+const orderInterval = 500 * time.Millisecond
+
+// Scaler takes orders.
+type Scaler interface {
+	// Scale orders that a service has count replicas of one purchase kind in a
+	// failure domain. Available is false if there are none of the kind.
+	Scale(ctx context.Context, fence uint64, service, failureDomain string, cheap bool, count int) (available bool, err error)
+}
+
+// Orders orders backend servers while the daemon holds the lease.
+type Orders struct {
+	// Directory tells the catalog and the backend servers.
+	Directory *directory.Directory
+	// Scaler takes the orders.
+	Scaler Scaler
+	// Keeper holds the lease of the duties.
+	Keeper *lease.Keeper
+	// Table holds what was there before anything was ordered.
+	Table table.Service
+	// FailureDomains are all that the deployment has.
+	FailureDomains []string
+	// Logger logs what was ordered and why.
+	Logger *logrus.Logger
+
+	// base is what was there before anything was ordered, or nil if it is not
+	// known yet.
+	base *order.Base
+	// standing are the orders that this daemon sent.
+	standing map[order.Subject]order.Standing
+}
+
+// Run orders until ctx ends.
+func (o *Orders) Run(ctx context.Context) {
+	o.standing = make(map[order.Subject]order.Standing)
+	for ctx.Err() == nil {
+		sleep(ctx, orderInterval)
+		if o.Keeper.Held() == nil {
+			clear(o.standing)
+			continue
+		}
+		o.step(ctx)
+	}
+}
+
+func (o *Orders) step(ctx context.Context) {
+	view := o.Directory.View()
+	if view == nil || !o.Directory.Ready() || !o.know(ctx, view.Index) {
+		return
+	}
+	for i := range view.Index.Catalog.Services {
+		s := &view.Index.Catalog.Services[i]
+		if s.Scaling == nil {
+			continue
+		}
+		for _, domain := range o.FailureDomains {
+			o.domain(ctx, s, domain)
+		}
+	}
+}
+
+// know reports whether the base is known, after reading it, or storing it if no
+// daemon has.
+func (o *Orders) know(ctx context.Context, index *catalog.Index) bool {
+	if o.base != nil {
+		return true
+	}
+	base, err := order.LoadBase(ctx, o.Table)
+	if err == nil && base == nil && order.Settled(o.Directory.ServersChanged(), time.Now()) {
+		err = order.StoreBase(ctx, o.Table, o.count(index))
+	}
+	if err != nil {
+		o.Logger.WithField("error", platform.Reason(err)).Warn("the number of backend servers deployed is not known yet")
+		return false
+	}
+	o.base = base
+	return base != nil
+}
+
+// count returns the number of replicas that are there.
+func (o *Orders) count(index *catalog.Index) order.Base {
+	base := order.Base{Counts: make(map[string]map[string]int)}
+	for _, s := range index.Catalog.Services {
+		if s.Scaling == nil {
+			continue
+		}
+		base.Counts[s.Name] = make(map[string]int)
+		for _, domain := range o.FailureDomains {
+			if c := o.Directory.Count(s.Name, domain); c.Standard+c.Cheap > 0 {
+				base.Counts[s.Name][domain] = c.Standard + c.Cheap
+			}
+		}
+	}
+	return base
+}
+
+// domain sends the orders that are due for a service in a failure domain.
+func (o *Orders) domain(ctx context.Context, s *catalog.Service, domain string) {
+	present := o.Directory.Count(s.Name, domain)
+	key := order.Subject{Service: s.Name, FailureDomain: domain}
+	base := o.base.Of(s.Name, domain)
+	if base == 0 {
+		return
+	}
+	standard, cheap := order.Counts(s.Scaling, base)
+	cheapKey := key
+	cheapKey.Cheap = true
+	if cheap > 0 {
+		o.send(ctx, cheapKey, cheap, present.Cheap, s.Scaling.Boot)
+		if present.Cheap < cheap && o.standing[key].At.IsZero() {
+			return // standard ones are given back once cheap ones have come
+		}
+	}
+	o.send(ctx, key, standard, present.Standard, s.Scaling.Boot)
+}
+
+// send sends an order if it is due.
+func (o *Orders) send(ctx context.Context, subject order.Subject, count, present int, boot time.Duration) {
+	last := o.standing[subject]
+	if !order.Due(count, present, last, boot, time.Now()) {
+		return
+	}
+	available := false
+	err := o.Keeper.Do(ctx, func(ctx context.Context, grant *lease.Grant) error {
+		var err error
+		available, err = o.Scaler.Scale(ctx, grant.Fence, subject.Service, subject.FailureDomain, subject.Cheap, count)
+		return err
+	})
+	entry := o.Logger.WithFields(logrus.Fields{
+		"service": subject.Service, "failure-domain": subject.FailureDomain, "cheap": subject.Cheap,
+		"count": count, "present": present, "last-count": last.Count,
+	})
+	switch {
+	case errors.Is(err, lease.ErrNotHeld):
+		return
+	case err != nil:
+		entry.WithField("error", platform.Reason(err)).Warn("an order of backend servers failed and is repeated")
+		return
+	}
+	o.standing[subject] = order.Standing{Count: count, At: time.Now(), Refused: !available}
+	entry.WithField("available", available).Info("backend servers ordered")
+}
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,6 +73,7 @@
 	beliefs   *beliefs
 	store     *adapter.Store
 	usage     *control.Usage
+	orders    *control.Orders
 	keeper    *lease.Keeper
 	handler   *relay.Handler
 	registry  *prometheus.Registry
@@ -101,6 +104,14 @@
 		Billing:  config.Billing{Window: s.UsageWindow, Grace: partGrace},
 		Logger:   logger,
 	}
+	d.orders = &control.Orders{
+		Directory:      d.directory,
+		Scaler:         duties,
+		Keeper:         d.keeper,
+		Table:          table,
+		FailureDomains: slices.Sorted(maps.Keys(s.Regions)),
+		Logger:         logger,
+	}
 	d.registry = prometheus.NewRegistry()
 	d.handler = &relay.Handler{
 		Directory: d.directory,
@@ -207,6 +218,9 @@
 		workers.Go(func() { d.usage.RunParts(ctx) })
 		workers.Go(func() { d.usage.RunSettle(ctx) })
 	}
+	if d.settings.OrdersServers {
+		workers.Go(func() { d.orders.Run(ctx) })
+	}
 	return workers
 }
 
--- a/acaciad/daemon/feed.go
+++ b/acaciad/daemon/feed.go
@@ -183,7 +183,7 @@
 	b.publish(now)
 }
 
-func (b *beliefs) publish(_ time.Time) {
+func (b *beliefs) publish(now time.Time) {
 	specs := make([]replica.Spec, 0, len(b.servers))
 	leaving := 0
 	for _, spec := range b.servers {
@@ -192,7 +192,7 @@
 			leaving++
 		}
 	}
-	for _, change := range b.directory.SetServers(specs) {
+	for _, change := range b.directory.SetServers(specs, now) {
 		b.logger.WithFields(logrus.Fields{
 			"service": change.Service, "added": change.Added, "removed": change.Removed,
 			"known": len(specs), "leaving": leaving, "lapsed": len(b.lapsed),
--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"acaciapath.example/core/catalog"
+	"acaciapath.example/core/config"
 	"acaciapath.example/core/placement"
 	"acaciapath.example/core/replica"
 )
@@ -33,6 +34,8 @@
 	random *rand.Rand
 	// listed says whether the list of backend servers has been read.
 	listed bool
+	// changed is when backend servers last came or went.
+	changed time.Time
 }
 
 // New returns a directory of a daemon that knows nothing yet.
@@ -84,7 +87,7 @@
 }
 
 // SetServers takes over the list of backend servers.
-func (d *Directory) SetServers(specs []replica.Spec) []Change {
+func (d *Directory) SetServers(specs []replica.Spec, now time.Time) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.listed = true
@@ -106,9 +109,19 @@
 			changes = append(changes, Change{Service: name, Added: added, Removed: removed})
 		}
 	}
+	if len(changes) > 0 {
+		d.changed = now
+	}
 	return changes
 }
 
+// ServersChanged returns when backend servers last came or went.
+func (d *Directory) ServersChanged() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
 // Random returns a number in [0, n).
 func (d *Directory) Random(n int) int {
 	d.mu.Lock()
@@ -196,3 +209,31 @@
 		l.server.Fail(now)
 	}
 }
+
+// Count is the number of backend servers by the way in which they were bought,
+// without those that leave.
+type Count struct {
+	// Standard and Cheap are the numbers.
+	Standard, Cheap int
+}
+
+// Count returns how many backend servers of a service are in a failure domain.
+func (d *Directory) Count(service, failureDomain string) Count {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var c Count
+	pool := d.pools[service]
+	if pool == nil {
+		return c
+	}
+	for _, s := range pool.Servers {
+		switch {
+		case s.Spec.Leaving || s.Spec.FailureDomain != failureDomain:
+		case s.Spec.Kind == config.KindCheap:
+			c.Cheap++
+		default:
+			c.Standard++
+		}
+	}
+	return c
+}
--- a/acaciad/relay/run.go
+++ b/acaciad/relay/run.go
@@ -75,7 +75,10 @@
 			break
 		}
 	}
-	if x.failure != nil {
+	switch {
+	case x.status != 0:
+		panic(http.ErrAbortHandler) // a stream that has begun must not look complete
+	case x.failure != nil:
 		x.write(x.failure)
 		return nil
 	}
@@ -100,6 +103,8 @@
 		panic(http.ErrAbortHandler) // nobody is there to get an answer
 	case ctx.Err() == nil:
 		return nil
+	case x.status != 0:
+		panic(http.ErrAbortHandler) // a stream that has begun must not look complete
 	case x.ran || x.lastStarted():
 		return timeoutRun
 	}
--- /dev/null
+++ b/core/order/base.go
@@ -0,0 +1,64 @@
+package order
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"acaciapath.example/core/gen/table"
+	"acaciapath.example/core/platform"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// BaseKey is the key of the row that holds a Base.
+const BaseKey = "order/base"
+
+// Base is the number of replicas that services had before anything was ordered:
+// what the operator deployed for the load that is expected.
+type Base struct {
+	// Counts are the replicas of each service in each failure domain.
+	Counts map[string]map[string]int `json:"counts"`
+}
+
+// Of returns the number of replicas of a service in a failure domain.
+func (b *Base) Of(service, failureDomain string) int { return b.Counts[service][failureDomain] }
+
+// LoadBase returns the base that was stored, or nil if there is none.
+func LoadBase(ctx context.Context, rows table.Service) (*Base, error) {
+	found, err := rows.Get(ctx, &table.GetPayload{Keys: []string{BaseKey}})
+	if err != nil || len(found) == 0 {
+		return nil, err
+	}
+	var base Base
+	if err := json.Unmarshal(found[0].Value, &base); err != nil {
+		return nil, merry.Wrap(ErrRow, merry.WithCause(err))
+	}
+	return &base, nil
+}
+
+// StoreBase stores a base unless there is one. Either way LoadBase returns the
+// one in force afterwards.
+func StoreBase(ctx context.Context, rows table.Service, base Base) error {
+	value, err := json.Marshal(base)
+	if err != nil {
+		return err
+	}
+	_, err = rows.Commit(ctx, &table.CommitPayload{
+		Conditions: []*table.Condition{{Key: BaseKey}},
+		Writes:     []*table.Write{{Key: BaseKey, Value: value}},
+	})
+	if platform.AsConflict(err) != nil {
+		return nil
+	}
+	return err
+}
+
+// settleTime is how long no backend server may have come or gone before their
+// number is taken for what the operator deployed. At a start of everything they
+// come one by one, each within a heartbeat.
+const settleTime = 2500 * time.Millisecond
+
+// Settled reports whether the list of backend servers that last changed at
+// changed is complete.
+func Settled(changed, now time.Time) bool { return now.Sub(changed) >= settleTime }
--- /dev/null
+++ b/core/order/count.go
@@ -0,0 +1,65 @@
+package order
+
+import (
+	"math"
+	"time"
+
+	"acaciapath.example/core/catalog"
+)
+
+// Subject is what one order is about.
+type Subject struct {
+	// Service is the name of the service.
+	Service string
+	// FailureDomain is where the replicas run.
+	FailureDomain string
+	// Cheap says whether the replicas are cheap backend servers.
+	Cheap bool
+}
+
+// Standing is the last order of a subject.
+type Standing struct {
+	// Count is the number that was ordered.
+	Count int
+	// At is when it was sent, or zero if none was.
+	At time.Time
+	// Refused says that the platform had none of the kind.
+	Refused bool
+}
+
+// Shares of the replicas of a service.
+const (
+	// standardShare is the share of the capacity that stays on standard backend
+	// servers, so that the loss of all cheap ones of a failure domain, or of
+	// several, leaves it something to serve with.
+	standardShare = 0.15
+	// cheapFactor is the number of cheap replicas for each standard one that is
+	// given back. Cheap ones are a fraction of the price, and some are away at
+	// times.
+	cheapFactor = 1.5
+)
+
+// Counts returns the number of replicas of each kind that a service is to have
+// in a failure domain in which base replicas, all standard, carry the load.
+func Counts(s *catalog.Scaling, base int) (standard, cheap int) {
+	base = min(max(base, s.Min), s.Max)
+	if s.CheapPrice <= 0 || s.CheapPrice >= 1 {
+		return base, 0
+	}
+	standard = max(int(math.Ceil(standardShare*float64(base))), s.Min)
+	cheap = int(math.Ceil(cheapFactor * float64(base-standard)))
+	return standard, min(cheap, s.Max-standard)
+}
+
+// repeatDelay is how long after the boot time of a replica an order is sent
+// again whose replicas have not come.
+const repeatDelay = 2 * time.Second
+
+// Due reports whether an order is to be sent: the count has changed, or fewer
+// are present than were ordered a while ago.
+func Due(desired, present int, last Standing, boot time.Duration, now time.Time) bool {
+	if last.At.IsZero() || last.Count != desired {
+		return last.At.IsZero() || !last.Refused || now.Sub(last.At) >= repeatDelay
+	}
+	return present < desired && now.Sub(last.At) >= boot+repeatDelay
+}
