Count the deployed backend servers only once any are known

Cause: the list of backend servers is known, and empty, before the first one has registered; the base was stored as empty and nothing was ever ordered.

--- a/core/order/base.go
+++ b/core/order/base.go
@@ -60,5 +60,7 @@
 const settleTime = 2500 * time.Millisecond
 
 // Settled reports whether the list of backend servers that last changed at
-// changed is complete.
-func Settled(changed, now time.Time) bool { return now.Sub(changed) >= settleTime }
+// changed is complete. It is not before any has come, when changed is zero.
+func Settled(changed, now time.Time) bool {
+	return !changed.IsZero() && now.Sub(changed) >= settleTime
+}
