--- a/acaciad/control/orders.go
+++ b/acaciad/control/orders.go
@@ -120,16 +120,15 @@
 	if base == 0 {
 		return
 	}
-	standard, cheap := order.Counts(s.Scaling, base)
+	standard, cheap := order.Counts(s.Scaling, base, present)
 	cheapKey := key
 	cheapKey.Cheap = true
 	if cheap > 0 {
 		o.send(ctx, cheapKey, cheap, present.Cheap, s.Scaling.Boot)
-		if present.Cheap < cheap && o.standing[key].At.IsZero() {
-			return // standard ones are given back once cheap ones have come
-		}
 	}
-	o.send(ctx, key, standard, present.Standard, s.Scaling.Boot)
+	if standard != present.Standard || !o.standing[key].At.IsZero() {
+		o.send(ctx, key, standard, present.Standard, s.Scaling.Boot)
+	}
 }
 
 // send sends an order if it is due.
--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -10,6 +10,7 @@
 
 	"acaciapath.example/core/catalog"
 	"acaciapath.example/core/config"
+	"acaciapath.example/core/order"
 	"acaciapath.example/core/placement"
 	"acaciapath.example/core/replica"
 )
@@ -210,18 +211,11 @@
 	}
 }
 
-// Count is the number of backend servers by the way in which they were bought,
-// without those that leave.
-type Count struct {
-	// Standard and Cheap are the numbers.
-	Standard, Cheap int
-}
-
 // Count returns how many backend servers of a service are in a failure domain.
-func (d *Directory) Count(service, failureDomain string) Count {
+func (d *Directory) Count(service, failureDomain string) order.Present {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var c Count
+	var c order.Present
 	pool := d.pools[service]
 	if pool == nil {
 		return c
--- a/core/order/count.go
+++ b/core/order/count.go
@@ -36,19 +36,30 @@
 	// cheapFactor is the number of cheap replicas for each standard one that is
 	// given back. Cheap ones are a fraction of the price, and some are away at
 	// times.
-	cheapFactor = 1.5
+	cheapFactor = 2.5
 )
 
+// Present is the number of replicas of a service in a failure domain that do not
+// leave.
+type Present struct {
+	// Standard and Cheap are the numbers by the way in which they were bought.
+	Standard, Cheap int
+}
+
 // Counts returns the number of replicas of each kind that a service is to have
 // in a failure domain in which base replicas, all standard, carry the load.
-func Counts(s *catalog.Scaling, base int) (standard, cheap int) {
+// Standard ones are given back only as far as cheap ones have come, and are
+// ordered again as soon as the platform takes cheap ones away. Both together
+// stay within the bound of the platform, which counts those that are there.
+func Counts(s *catalog.Scaling, base int, present Present) (standard, cheap int) {
 	base = min(max(base, s.Min), s.Max)
 	if s.CheapPrice <= 0 || s.CheapPrice >= 1 {
 		return base, 0
 	}
-	standard = max(int(math.Ceil(standardShare*float64(base))), s.Min)
-	cheap = int(math.Ceil(cheapFactor * float64(base-standard)))
-	return standard, min(cheap, s.Max-standard)
+	kept := max(int(math.Ceil(standardShare*float64(base))), s.Min)
+	standard = max(base-present.Cheap, kept)
+	cheap = int(math.Ceil(cheapFactor * float64(base-kept)))
+	return standard, max(min(cheap, s.Max-max(present.Standard, kept)), 0)
 }
 
 // repeatDelay is how long after the boot time of a replica an order is sent
