Scale by the pressure on latency objectives and the scarcity of cheap servers

Cause: while the platform has no cheap backend servers, a failure domain that lost its own has the base only, and bursts of twice the load find nothing to grow into.

--- a/acaciad/control/orders.go
+++ b/acaciad/control/orders.go
@@ -46,11 +46,14 @@
 	base *order.Base
 	// standing are the orders that this daemon sent.
 	standing map[order.Subject]order.Standing
+	// surplus is what services need beyond the base.
+	surplus map[string]order.Surplus
 }
 
 // Run orders until ctx ends.
 func (o *Orders) Run(ctx context.Context) {
 	o.standing = make(map[order.Subject]order.Standing)
+	o.surplus = make(map[string]order.Surplus)
 	for ctx.Err() == nil {
 		sleep(ctx, orderInterval)
 		if o.Keeper.Held() == nil {
@@ -71,12 +74,26 @@
 		if s.Scaling == nil {
 			continue
 		}
+		o.measure(s)
 		for _, domain := range o.FailureDomains {
 			o.domain(ctx, s, domain)
 		}
 	}
 }
 
+// measure takes the pressure of a service and says if that changes what is wanted.
+func (o *Orders) measure(s *catalog.Service) {
+	mean, n := o.Directory.Pressure(s.Name, time.Now())
+	last := o.surplus[s.Name]
+	next := last.Next(mean, n, s.Scaling.Boot, time.Now())
+	o.surplus[s.Name] = next
+	if next.Share != last.Share {
+		o.Logger.WithFields(logrus.Fields{
+			"service": s.Name, "pressure": mean, "requests": n, "surplus": next.Share, "last-surplus": last.Share,
+		}).Info("surplus of backend servers changed")
+	}
+}
+
 // know reports whether the base is known, after reading it, or storing it if no
 // daemon has.
 func (o *Orders) know(ctx context.Context, index *catalog.Index) bool {
@@ -120,9 +137,14 @@
 	if base == 0 {
 		return
 	}
-	standard, cheap := order.Counts(s.Scaling, base, present)
 	cheapKey := key
 	cheapKey.Cheap = true
+	standard, cheap := order.Counts(s.Scaling, order.Need{
+		Base:    base,
+		Surplus: o.surplus[s.Name].Share,
+		Scarce:  o.standing[cheapKey].Refused,
+		Present: present,
+	})
 	if cheap > 0 {
 		o.send(ctx, cheapKey, cheap, present.Cheap, s.Scaling.Boot)
 	}
--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -30,9 +30,11 @@
 
 	view atomic.Pointer[View]
 
-	mu     sync.Mutex // guards the fields below
-	pools  map[string]*placement.Pool
-	random *rand.Rand
+	mu    sync.Mutex // guards the fields below
+	pools map[string]*placement.Pool
+	// pressures are those of the services that generate.
+	pressures map[string]*order.Pressure
+	random    *rand.Rand
 	// listed says whether the list of backend servers has been read.
 	listed bool
 	// changed is when backend servers last came or went.
@@ -41,7 +43,12 @@
 
 // New returns a directory of a daemon that knows nothing yet.
 func New(failureDomain string, random *rand.Rand) *Directory {
-	return &Directory{FailureDomain: failureDomain, pools: make(map[string]*placement.Pool), random: random}
+	return &Directory{
+		FailureDomain: failureDomain,
+		pools:         make(map[string]*placement.Pool),
+		pressures:     make(map[string]*order.Pressure),
+		random:        random,
+	}
 }
 
 // View returns the catalog in force, or nil before the first.
@@ -151,6 +158,9 @@
 	server    *placement.Server
 	wish      placement.Wish
 	read      bool
+	// pressure and number measure the time to the first event.
+	pressure *order.Pressure
+	number   uint64
 }
 
 // Take chooses a backend server of a service, or returns nil if there is none.
@@ -167,20 +177,46 @@
 	}
 	lease := &Lease{Spec: s.Spec, Running: s.Running, Reading: s.Reading, directory: d, server: s, wish: wish}
 	s.Start(wish, now)
+	if wish.Generates {
+		lease.pressure = d.pressure(service)
+		lease.number = lease.pressure.Begin(wish.Target, now)
+	}
 	return lease
 }
 
+// pressure returns the pressure of a service.
+func (d *Directory) pressure(service string) *order.Pressure {
+	p := d.pressures[service]
+	if p == nil {
+		p = order.NewPressure()
+		d.pressures[service] = p
+	}
+	return p
+}
+
+// Pressure returns the mean share of their objectives that requests of a service
+// use up until their first event, and the number of requests it was taken over.
+func (d *Directory) Pressure(service string, now time.Time) (mean float64, n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pressure(service).Mean(now)
+}
+
 // Read says that the backend server has read the prompt.
-func (l *Lease) Read() {
+func (l *Lease) Read(now time.Time) {
 	l.directory.mu.Lock()
 	defer l.directory.mu.Unlock()
-	l.readLocked()
+	l.readLocked(now)
 }
 
-func (l *Lease) readLocked() {
-	if !l.read {
-		l.server.Read(l.wish)
-		l.read = true
+func (l *Lease) readLocked(now time.Time) {
+	if l.read {
+		return
+	}
+	l.read = true
+	l.server.Read(l.wish)
+	if l.pressure != nil {
+		l.pressure.End(l.number, now)
 	}
 }
 
@@ -201,7 +237,7 @@
 func (l *Lease) Finish(outcome Outcome, now time.Time) {
 	l.directory.mu.Lock()
 	defer l.directory.mu.Unlock()
-	l.readLocked()
+	l.readLocked(now)
 	l.server.Finish(now)
 	switch outcome {
 	case Succeeded:
--- a/acaciad/relay/events.go
+++ b/acaciad/relay/events.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"acaciapath.example/acaciad/directory"
 
@@ -59,7 +60,11 @@
 
 // begin sends the headers of the stream, of the first backend server only.
 func (x *exchange) begin(lease *directory.Lease, response *http.Response) {
-	lease.Read()
+	if x.begun == lease {
+		return
+	}
+	x.begun = lease
+	lease.Read(time.Now())
 	x.count()
 	if x.status != 0 {
 		return
--- a/acaciad/relay/handler.go
+++ b/acaciad/relay/handler.go
@@ -164,6 +164,8 @@
 	counted bool
 	// attempts are the backend servers that were tried, in order.
 	attempts []attempt
+	// begun is the attempt whose first event has arrived.
+	begun *directory.Lease
 	// lastEvent is the last whole event of a stream that the caller was sent.
 	lastEvent string
 	// events is the number of events passed on.
@@ -227,6 +229,7 @@
 		Generates:     x.route.Generates,
 		ShortPauses:   placement.ShortPauses(x.route, s),
 		PromptTokens:  x.ask.Work.PromptTokens,
+		Target:        x.route.Target,
 	}
 	if w.Generates {
 		w.SharedKey = x.ask.Work.SharedKey()
--- a/core/order/count.go
+++ b/core/order/count.go
@@ -46,20 +46,42 @@
 	Standard, Cheap int
 }
 
+// Need is what the number of replicas of a service in a failure domain depends
+// on.
+type Need struct {
+	// Base is the number of standard replicas that was deployed.
+	Base int
+	// Surplus is what is wanted beyond Base, as a share of it.
+	Surplus float64
+	// Scarce says that the platform has no cheap ones at present.
+	Scarce bool
+	// Present are the replicas that are there.
+	Present Present
+}
+
+// scarceShare is the share of the base that is wanted beyond it while no cheap
+// replicas can be had: a burst can then only be met by what is there.
+const scarceShare = 0.5
+
 // Counts returns the number of replicas of each kind that a service is to have
-// in a failure domain in which base replicas, all standard, carry the load.
-// Standard ones are given back only as far as cheap ones have come, and are
-// ordered again as soon as the platform takes cheap ones away. Both together
-// stay within the bound of the platform, which counts those that are there.
-func Counts(s *catalog.Scaling, base int, present Present) (standard, cheap int) {
-	base = min(max(base, s.Min), s.Max)
+// in a failure domain. Standard ones are given back only as far as cheap ones
+// have come, and are ordered again as soon as the platform takes cheap ones
+// away. Both together stay within the bound of the platform, which counts those
+// that are there.
+func Counts(s *catalog.Scaling, need Need) (standard, cheap int) {
+	base := min(max(need.Base, s.Min), s.Max)
+	surplus := need.Surplus
+	if need.Scarce {
+		surplus = max(surplus, scarceShare)
+	}
+	wanted := min(base+int(math.Ceil(surplus*float64(base))), s.Max)
 	if s.CheapPrice <= 0 || s.CheapPrice >= 1 {
-		return base, 0
+		return wanted, 0
 	}
 	kept := max(int(math.Ceil(standardShare*float64(base))), s.Min)
-	standard = max(base-present.Cheap, kept)
+	standard = min(max(wanted-need.Present.Cheap, kept), s.Max-need.Present.Cheap)
 	cheap = int(math.Ceil(cheapFactor * float64(base-kept)))
-	return standard, max(min(cheap, s.Max-max(present.Standard, kept)), 0)
+	return max(standard, s.Min), max(min(cheap, s.Max-max(need.Present.Standard, kept)), 0)
 }
 
 // repeatDelay is how long after the boot time of a replica an order is sent
