--- a/acaciad/control/usage.go
+++ b/acaciad/control/usage.go
@@ -21,9 +21,9 @@
 	settleInterval = time.Second
 	// retryInterval is the time between two tries to write a part.
 	retryInterval = 400 * time.Millisecond
-	// PartsPerWindow is the number of parts that a daemon writes in a window: what
+	// partsPerWindow is the number of parts that a daemon writes in a window: what
 	// ran since the last one is lost if its process is killed.
-	PartsPerWindow = 2
+	partsPerWindow = 2
 	// returnDelay is how long after the store has come back windows are not
 	// closed, so that all daemons can write the parts that wait.
 	returnDelay = 1200 * time.Millisecond
@@ -57,7 +57,7 @@
 
 // RunParts writes the daemon's parts until ctx ends, and what is left after it.
 func (u *Usage) RunParts(ctx context.Context) {
-	part := u.Billing.Window / PartsPerWindow
+	part := u.Billing.Window / partsPerWindow
 	for ctx.Err() == nil {
 		edge := time.Now().Truncate(part).Add(part)
 		sleep(ctx, time.Until(edge))
@@ -74,7 +74,9 @@
 // flush writes what ran up to now as a part, and what is left of earlier ones.
 // It tries until limit.
 func (u *Usage) flush(ctx context.Context, now, limit time.Time) {
-	u.Writer.Add(u.Meter.Close(now, u.Billing.Window))
+	part := u.Meter.Close(now, u.Billing.Window)
+	part.Final = now.Add(time.Nanosecond).Equal(part.Window.Add(u.Billing.Window))
+	u.Writer.Add(part)
 	for {
 		err := u.Writer.Flush(ctx, now, u.Billing.Window)
 		if err == nil {
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -108,7 +108,7 @@
 		Billing:  config.Billing{Window: s.UsageWindow, Grace: s.UsageDue - partGrace},
 		Logger:   logger,
 	}
-	d.usage.Reporter.Parts = control.PartsPerWindow
+	d.usage.Reporter.Early = true
 	d.orders = &control.Orders{
 		Directory:      d.directory,
 		Scaler:         duties,
@@ -159,15 +159,15 @@
 	go d.serve(server, callers)
 	go d.serve(&http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout}, ready)
 	d.serveMetrics()
-	work, stop := context.WithCancel(context.Background())
-	defer stop()
-	workers := d.start(work)
+	work := newWork()
+	duties := newWork()
+	d.start(work, duties)
 	d.logger.WithFields(logrus.Fields{
 		"vm": d.settings.Name, "failure-domain": d.settings.FailureDomain,
 		"callers": d.settings.CallersAddress, "store": d.settings.StoreAddress,
 	}).Info("started")
 	<-ctx.Done()
-	d.shutDown(server, stop, workers)
+	d.shutDown(server, work, duties)
 	return nil
 }
 
@@ -205,28 +205,48 @@
 	go d.serve(&http.Server{Handler: telemetry.OpsHandler(d.registry, ready), ReadHeaderTimeout: headerTimeout}, listener)
 }
 
-// start starts the daemon's regular work.
-func (d *Daemon) start(ctx context.Context) *sync.WaitGroup {
+// work is what goes on until it is stopped.
+type work struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+}
+
+func newWork() *work {
+	w := &work{}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
+	return w
+}
+
+// run runs f until the work is stopped.
+func (w *work) run(f func(context.Context)) { w.group.Go(func() { f(w.ctx) }) }
+
+// stop stops the work and waits for its end.
+func (w *work) stop() {
+	w.cancel()
+	w.group.Wait()
+}
+
+// start starts the daemon's regular work, and its part in the duties.
+func (d *Daemon) start(work, duties *work) {
 	catalogFeed := &feed{
 		store: d.store, name: tableOperator, logger: d.logger,
-		apply:    func(rows []adapter.Row, whole bool) { d.beliefs.applyCatalog(rows, whole) },
+		apply:    d.beliefs.applyCatalog,
 		returned: func(time.Time) {},
 	}
 	serversFeed := &feed{store: d.store, name: tableServers, logger: d.logger, apply: d.applyServers, returned: d.storeReturned}
-	workers := &sync.WaitGroup{}
-	workers.Go(func() { catalogFeed.run(ctx) })
-	workers.Go(func() { serversFeed.run(ctx) })
+	work.run(catalogFeed.run)
+	work.run(serversFeed.run)
 	if d.settings.ReportsUsage || d.settings.OrdersServers {
-		workers.Go(func() { d.keeper.Run(ctx, d.leaseFailed) })
+		duties.run(func(ctx context.Context) { d.keeper.Run(ctx, d.leaseFailed) })
 	}
 	if d.settings.ReportsUsage {
-		workers.Go(func() { d.usage.RunParts(ctx) })
-		workers.Go(func() { d.usage.RunSettle(ctx) })
+		work.run(d.usage.RunParts)
+		duties.run(d.usage.RunSettle)
 	}
 	if d.settings.OrdersServers {
-		workers.Go(func() { d.orders.Run(ctx) })
+		duties.run(d.orders.Run)
 	}
-	return workers
 }
 
 func (d *Daemon) leaseFailed(err error) {
@@ -254,7 +274,7 @@
 
 // shutDown says that the daemon is not ready, finishes what it has, and ends
 // before the platform kills the process.
-func (d *Daemon) shutDown(server *http.Server, stop context.CancelFunc, workers *sync.WaitGroup) {
+func (d *Daemon) shutDown(server *http.Server, work, duties *work) {
 	began := time.Now()
 	d.logger.Info("shutting down")
 	d.setDrain()
@@ -263,9 +283,7 @@
 	released := make(chan struct{})
 	go func() {
 		defer close(released)
-		stop()
-		workers.Wait()
-		d.usage.Finish(ctx)
+		duties.stop()
 		if err := d.keeper.Release(ctx); err != nil {
 			d.logger.WithError(err).Warn("the lease of the duties was not given back and expires by itself")
 		}
@@ -274,10 +292,8 @@
 	if err := server.Shutdown(ctx); err != nil {
 		d.logger.WithError(err).Warn("requests are cut off, the time to shut down is over")
 	}
+	work.stop()
 	d.usage.Finish(ctx)
-	select {
-	case <-released:
-	case <-ctx.Done():
-	}
+	<-released
 	d.logger.WithField("took-ms", time.Since(began).Milliseconds()).Info("stopped")
 }
--- a/core/usage/part.go
+++ b/core/usage/part.go
@@ -24,6 +24,8 @@
 	Window time.Time `json:"window"`
 	// Lines are the figures, one for each key, sorted by Sum.
 	Lines []Line `json:"lines"`
+	// Final says that the VM writes no more parts of the window.
+	Final bool `json:"final,omitempty"`
 }
 
 // PartName names a part within its window.
--- a/core/usage/reporter.go
+++ b/core/usage/reporter.go
@@ -41,21 +41,20 @@
 
 // Reporter settles usage windows in the name of the lease of usage reports.
 type Reporter struct {
-	// Parts is the number of parts that every daemon writes in a window, if it
-	// also writes empty ones, or 0. A window is then settled once it is
-	// complete, without waiting for the end of the grace.
-	Parts int
+	// Early says that every daemon writes a final part of each window. A window
+	// is then settled once it is complete, before the end of the grace.
+	Early bool
 
 	table  table.Service
 	usage  usageport.Service
 	sender Sender
-	// expected are the VMs that wrote parts of the window settled last.
-	expected []string
+	// wrote are the VMs that wrote parts lately, and the last window of each.
+	wrote map[string]time.Time
 }
 
 // NewReporter returns a reporter that sends in the name of sender.
 func NewReporter(rows table.Service, usage usageport.Service, sender Sender) *Reporter {
-	return &Reporter{table: rows, usage: usage, sender: sender}
+	return &Reporter{table: rows, usage: usage, sender: sender, wrote: make(map[string]time.Time)}
 }
 
 // Settle closes, fixes and reports the earliest window that is due, and returns
@@ -72,7 +71,7 @@
 		return nil, err
 	}
 	start, due := NextDue(progress.Last, first, now, billing)
-	if !due && !start.IsZero() && r.Parts > 0 && !now.Before(start.Add(billing.Window)) {
+	if !due && !start.IsZero() && r.Early && !now.Before(start.Add(billing.Window)) {
 		if due, err = r.complete(ctx, start); err != nil {
 			return nil, err
 		}
@@ -93,31 +92,51 @@
 	}); err != nil {
 		return nil, merry.Prepend(err, "usage: report")
 	}
-	r.expected = window.VMs()
+	r.remember(window, billing.Window)
 	return window, r.finish(ctx, window, progress, version)
 }
 
-// complete reports whether all parts of a window that has ended are there: as
-// many as every daemon writes, of each VM that wrote any of the window before.
-// Until one was settled it is not known which those are.
+// expectWindows is the number of windows for which a VM that writes no parts is
+// waited for: it may be cut off from the table for a while.
+const expectWindows = 4
+
+// remember notes which VMs wrote parts of a window.
+func (r *Reporter) remember(window *Window, length time.Duration) {
+	for _, vm := range window.VMs() {
+		r.wrote[vm] = window.Start
+	}
+	for vm, last := range r.wrote {
+		if window.Start.Sub(last) >= expectWindows*length {
+			delete(r.wrote, vm)
+		}
+	}
+}
+
+// complete reports whether all parts of a window that has ended are there: a
+// final one of each VM that wrote any lately. Until a window was settled it is
+// not known which those are.
 func (r *Reporter) complete(ctx context.Context, start time.Time) (bool, error) {
-	if len(r.expected) == 0 {
+	if len(r.wrote) == 0 {
 		return false, nil
 	}
 	rows, err := r.parts(ctx, start)
 	if err != nil {
 		return false, err
 	}
-	written := make(map[string]int)
+	final := make(map[string]bool)
 	for _, row := range rows {
 		_, name, err := parsePartKey(row.Key)
 		if err != nil {
 			return false, err
 		}
-		written[name.VM]++
+		part, err := decode[Part](row.Value)
+		if err != nil {
+			return false, err
+		}
+		final[name.VM] = final[name.VM] || part.Final
 	}
-	for _, vm := range r.expected {
-		if written[vm] < r.Parts {
+	for vm := range r.wrote {
+		if !final[vm] {
 			return false, nil
 		}
 	}
--- a/core/usage/writer.go
+++ b/core/usage/writer.go
@@ -70,6 +70,7 @@
 	i, found := slices.BinarySearchFunc(w.waiting, part, func(a, b Part) int { return a.Window.Compare(b.Window) })
 	if found {
 		w.waiting[i].Lines = Sum(w.waiting[i].Lines, part.Lines)
+		w.waiting[i].Final = w.waiting[i].Final || part.Final
 		return
 	}
 	w.waiting = slices.Insert(w.waiting, i, part)
@@ -129,7 +130,7 @@
 	w.waiting = slices.Delete(w.waiting, 0, 1)
 	part.Window = WindowStart(part.Window, length)
 	if part.Window.Before(w.earliest) {
-		part.Window = w.open(now, length)
+		part.Window, part.Final = w.open(now, length), false
 	}
 	w.sequence++
 	w.sent = &sentPart{name: PartName{VM: w.vm, ID: partID(w.instance, w.sequence)}, part: part}
