--- a/acaciad/daemon/feed.go
+++ b/acaciad/daemon/feed.go
@@ -23,8 +23,13 @@
 
 // Times of the feeds.
 const (
-	// feedWait is how long the store holds a call while nothing changes.
-	feedWait = 25 * time.Second
+	// minFeedWait and maxFeedWait bound how long the store holds a call while
+	// nothing changes.
+	minFeedWait = time.Second
+	maxFeedWait = 25 * time.Second
+	// feedMargin is what is left of the time in which a change must be followed
+	// for taking it in.
+	feedMargin = 500 * time.Millisecond
 	// feedRetry is the time between two tries while the store does not answer.
 	feedRetry = 300 * time.Millisecond
 	// feedGap is the time from one change to the next call: changes that come
@@ -37,8 +42,19 @@
 	lapseHold = 2200 * time.Millisecond
 )
 
+// feedWait returns how long the store holds a call while nothing changes. A
+// connection may have fallen silent, which shows only when its call ends; a
+// change must then still be followed in time, counted from when the VM is in
+// touch again.
+func feedWait(s adapter.Settings) time.Duration {
+	wait := s.Contact + s.ServerDrain - storeTimeout - feedGap - feedMargin
+	return min(max(wait, minFeedWait), maxFeedWait)
+}
+
 // feed follows one table of the store.
 type feed struct {
+	// wait is how long the store holds a call while nothing changes.
+	wait   time.Duration
 	store  *adapter.Store
 	name   string
 	logger *logrus.Logger
@@ -90,7 +106,7 @@
 		rows, err := f.store.Snapshot(ctx, f.name)
 		return rows, true, err
 	}
-	rows, err := f.store.Changes(ctx, f.name, version, feedWait)
+	rows, err := f.store.Changes(ctx, f.name, version, f.wait)
 	return rows, false, err
 }
 
--- a/acaciad/relay/run.go
+++ b/acaciad/relay/run.go
@@ -46,34 +46,27 @@
 // run sends the request until the caller has an answer, or returns why it gets
 // none.
 func (x *exchange) run(ctx context.Context) *refusal {
-	runs := 0
+	last, runs := unreached, 0
 	for len(x.attempts) < maxAttempts {
-		lease := x.handler.Directory.Take(x.service, x.wish, time.Now())
+		lease := x.next(last)
 		if lease == nil {
 			break
 		}
-		if len(x.attempts) > 0 && x.wasTried(lease.Spec.Name) {
-			lease.Finish(directory.Neutral, time.Now())
-			break
-		}
-		r := x.attempt(ctx, lease)
+		last = x.attempt(ctx, lease)
 		x.wish.Tried = append(x.wish.Tried, lease.Spec.Name)
-		if r == answered {
+		if last == answered {
 			return nil
 		}
 		if ended := x.ended(ctx); ended != nil {
 			return ended
 		}
-		if r == broken {
+		if last == broken {
 			x.ran = true
 			runs++
 			if !x.route.Repeatable() || runs >= x.route.MaxReplicas {
 				break
 			}
 		}
-		if r != unreached && !x.handler.Budgets.Spend(x.service, time.Now()) {
-			break
-		}
 	}
 	switch {
 	case x.status != 0:
@@ -85,6 +78,21 @@
 	return x.giveUp()
 }
 
+// next takes a place on a backend server that was not tried yet, or returns nil.
+// After a backend server got the request, another one costs a retry.
+func (x *exchange) next(last result) *directory.Lease {
+	now := time.Now()
+	lease := x.handler.Directory.Take(x.service, x.wish, now)
+	if lease == nil {
+		return nil
+	}
+	if x.wasTried(lease.Spec.Name) || last != unreached && !x.handler.Budgets.Spend(x.service, now) {
+		lease.Finish(directory.Neutral, now)
+		return nil
+	}
+	return lease
+}
+
 func (x *exchange) wasTried(name string) bool {
 	for _, tried := range x.wish.Tried {
 		if tried == name {
