Use a backend server no more whose address another one has

Cause: an answer 421 told nothing about the server, so that it was chosen again for each request, each time at the cost of a retry; with the budget used up, chats were refused while less urgent requests began elsewhere. Ruled out: too few servers (17 of 18 were free). The server is now left out until its entry changes, and one that is full is avoided for 200 ms.

--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -155,6 +155,7 @@
 	Running, Reading int
 
 	directory *Directory
+	pool      *placement.Pool
 	server    *placement.Server
 	wish      placement.Wish
 	read      bool
@@ -175,7 +176,7 @@
 	if s == nil {
 		return nil
 	}
-	lease := &Lease{Spec: s.Spec, Running: s.Running, Reading: s.Reading, directory: d, server: s, wish: wish}
+	lease := &Lease{Spec: s.Spec, Running: s.Running, Reading: s.Reading, directory: d, pool: pool, server: s, wish: wish}
 	s.Start(wish, now)
 	if wish.Generates {
 		lease.pressure = d.pressure(service)
@@ -229,6 +230,10 @@
 	Succeeded Outcome = iota
 	// Failed is said of a backend server that could not be reached or broke off.
 	Failed
+	// Full is said of a backend server that took no more requests.
+	Full
+	// Absent is said of a backend server at whose address another one answered.
+	Absent
 	// Neutral tells nothing about the backend server.
 	Neutral
 )
@@ -244,6 +249,10 @@
 		l.server.Succeed()
 	case Failed:
 		l.server.Fail(now)
+	case Full:
+		l.server.Reject(now)
+	case Absent:
+		l.pool.SetAbsent(l.server)
 	}
 }
 
--- a/acaciad/relay/client.go
+++ b/acaciad/relay/client.go
@@ -14,9 +14,9 @@
 
 // Limits of the connections to backend servers.
 const (
-	// dialTimeout bounds the setting up of a connection: a round trip between
-	// regions with room for one lost packet is below it.
-	dialTimeout = 400 * time.Millisecond
+	// dialTimeout bounds the setting up of a connection: some round trips
+	// between regions, which take 40 ms.
+	dialTimeout = 250 * time.Millisecond
 	// idleTimeout is how long a connection is kept without a request. Backend
 	// servers close theirs after some seconds.
 	idleTimeout = time.Second
--- a/acaciad/relay/run.go
+++ b/acaciad/relay/run.go
@@ -23,7 +23,7 @@
 
 // maxAttempts bounds the backend servers that are tried for one request,
 // including those that could not be reached.
-const maxAttempts = 4
+const maxAttempts = 8
 
 // maxBuffered is the most bytes of an answer that are held to find out whether
 // it is whole before the caller is sent any of it.
@@ -164,6 +164,12 @@
 	switch {
 	case r == answered:
 		lease.Finish(directory.Succeeded, time.Now())
+	case r == rejected && response.StatusCode == http.StatusMisdirectedRequest:
+		x.handler.Logger.WithField("backend-server", lease.Spec.Name).
+			Warn("another server answers at the address of a backend server, which is used no more")
+		lease.Finish(directory.Absent, time.Now())
+	case r == rejected:
+		lease.Finish(directory.Full, time.Now())
 	case r == broken && x.request.Context().Err() == nil && ctx.Err() == nil:
 		lease.Finish(directory.Failed, time.Now())
 	default:
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -42,6 +42,11 @@
 	// Reading is the number of prompt tokens that this daemon sent it and that
 	// it has not answered yet with a first event. Reading ≥ 0.
 	Reading int
+	// Absent says that another server answered at its address. It is not used
+	// until its entry changes.
+	Absent bool
+	// FullUntil is until when it is avoided because it took no more requests.
+	FullUntil time.Time
 
 	hash uint64
 }
@@ -91,6 +96,23 @@
 	p.divide()
 }
 
+// away reports whether the server is to get no requests at all.
+func (s *Server) away() bool { return s.Spec.Leaving || s.Absent }
+
+// fullRest is how long a server that was full is avoided: about the time in
+// which some of its requests end.
+const fullRest = 200 * time.Millisecond
+
+// Reject notes that the server was full.
+func (s *Server) Reject(now time.Time) { s.FullUntil = now.Add(fullRest) }
+
+// SetAbsent notes that another server answered at the address of the one with
+// the given name.
+func (p *Pool) SetAbsent(s *Server) {
+	s.Absent = true
+	p.divide()
+}
+
 // divide chooses the servers that are kept for requests with short pauses: in
 // each failure domain the same share, standard servers first, since such
 // streams often cannot be resumed. All daemons choose the same ones.
@@ -98,7 +120,7 @@
 	domains := make(map[string][]*Server)
 	for _, s := range p.Servers {
 		s.Short = false
-		if !s.Spec.Leaving {
+		if !s.away() {
 			domains[s.Spec.FailureDomain] = append(domains[s.Spec.FailureDomain], s)
 		}
 	}
@@ -153,6 +175,8 @@
 	laneTokens = 200_000
 	// triedTokens is what a server that failed the request is worse by.
 	triedTokens = 10_000_000
+	// fullTokens is what a server that was full just now is worse by.
+	fullTokens = 100_000
 	// restingTokens is what a server that failed lately is worse by. It is
 	// used only if no other is left.
 	restingTokens = 1_000_000
@@ -167,7 +191,7 @@
 	var best *Server
 	bestCost := 0.0
 	for _, s := range p.Servers {
-		if s.Spec.Leaving {
+		if s.away() {
 			continue
 		}
 		c := cost(s, wish, home, now) + tieTokens*random.Float64()
@@ -186,7 +210,7 @@
 	var home *Server
 	var highest uint64
 	for _, s := range p.Servers {
-		if s.Spec.Leaving || s.Short {
+		if s.away() || s.Short {
 			continue
 		}
 		if weight := mix(s.hash ^ mix(wish.SharedKey)); home == nil || weight > highest {
@@ -214,6 +238,9 @@
 	if now.Before(s.RestsUntil) {
 		c += restingTokens
 	}
+	if now.Before(s.FullUntil) {
+		c += fullTokens
+	}
 	if slices.Contains(wish.Tried, s.Spec.Name) {
 		c += triedTokens
 	}
