--- /dev/null
+++ b/core/catalog/index_test.go
@@ -0,0 +1,76 @@
+package catalog_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"acaciapath.example/core/catalog"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func newIndex() *catalog.Index {
+	urgent := 0
+	return catalog.NewIndex(catalog.Catalog{
+		Routes: []catalog.Route{
+			{Name: "all", Host: "a.example", Prefix: "/", Tier: 3},
+			{Name: "shop", Host: "a.example", Prefix: "/shop/"},
+			{Name: "deep", Host: "a.example", Prefix: "/shop/renewals/", Public: true},
+			{Name: "other", Host: "b.example", Prefix: "/shop/"},
+		},
+		Services: []catalog.Service{{Name: "s"}},
+		Accounts: []catalog.Account{{Name: "one", Keys: []string{"k1", "k2"}}, {Name: "two", Keys: []string{"k3"}, Tier: &urgent}},
+	})
+}
+
+func TestRoute(t *testing.T) {
+	c := qt.New(t)
+	x := newIndex()
+	for _, test := range []struct{ host, path, want string }{
+		{"a.example", "/", "all"},
+		{"A.Example:8080", "/shop/x", "shop"},
+		{"a.example", "/shop/renewals/1", "deep"},
+		{"a.example", "/shop/renewals", "shop"},
+		{"a.example", "/shopping", "all"},
+		{"b.example", "/shop/", "other"},
+		{"b.example", "/", ""},
+		{"c.example", "/shop/", ""},
+		{"a.example", "*", ""},
+	} {
+		got := ""
+		if r := x.Route(test.host, test.path); r != nil {
+			got = r.Name
+		}
+		c.Assert(got, qt.Equals, test.want, qt.Commentf("%s%s", test.host, test.path))
+	}
+}
+
+func TestAccounts(t *testing.T) {
+	c := qt.New(t)
+	x := newIndex()
+	c.Assert(x.Account("k2").Name, qt.Equals, "one")
+	c.Assert(x.Account(""), qt.IsNil)
+	c.Assert(x.Account("none"), qt.IsNil)
+	shop, public := x.Route("a.example", "/shop/"), x.Route("a.example", "/shop/renewals/")
+	c.Assert(x.Keyed(shop), qt.IsTrue)
+	c.Assert(x.Keyed(public), qt.IsFalse)
+	all := x.Route("a.example", "/")
+	c.Assert(catalog.Tier(all, nil), qt.Equals, 3)
+	c.Assert(catalog.Tier(all, x.Account("k1")), qt.Equals, 3)
+	c.Assert(catalog.Tier(all, x.Account("k3")), qt.Equals, 0)
+	open := catalog.NewIndex(catalog.Catalog{Routes: []catalog.Route{{Host: "a", Prefix: "/"}}})
+	c.Assert(open.Keyed(open.Route("a", "/")), qt.IsFalse)
+}
+
+func TestPickService(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	r := catalog.Route{Splits: []catalog.Split{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}}
+	n := make(map[string]int)
+	for range 10_000 {
+		n[r.PickService(random)]++
+	}
+	c.Assert(n["a"] > 8800 && n["a"] < 9200 && n["b"] == 10_000-n["a"], qt.IsTrue, qt.Commentf("%v", n))
+	none := catalog.Route{Splits: []catalog.Split{{Service: "a"}, {Service: "b"}}}
+	c.Assert(none.PickService(random), qt.Equals, "a")
+}
--- /dev/null
+++ b/core/order/count_test.go
@@ -0,0 +1,137 @@
+package order_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"acaciapath.example/core/catalog"
+	"acaciapath.example/core/order"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var scaling = &catalog.Scaling{Min: 1, Max: 12, Boot: 4 * time.Second, CheapPrice: 0.22}
+
+// TestCounts follows a failure domain of six standard replicas from its start
+// through the loss of all its cheap ones.
+func TestCounts(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		name            string
+		need            order.Need
+		standard, cheap int
+	}{
+		{"at the start", order.Need{Base: 6, Present: order.Present{Standard: 6}}, 6, 6},
+		{"cheap ones come", order.Need{Base: 6, Present: order.Present{Standard: 6, Cheap: 3}}, 3, 6},
+		{"all have come", order.Need{Base: 6, Present: order.Present{Standard: 6, Cheap: 6}}, 1, 6},
+		{"standard ones are gone", order.Need{Base: 6, Present: order.Present{Standard: 1, Cheap: 6}}, 1, 11},
+		{"steady", order.Need{Base: 6, Present: order.Present{Standard: 1, Cheap: 11}}, 1, 11},
+		{"taken away", order.Need{Base: 6, Present: order.Present{Standard: 1}}, 6, 11},
+		{"none to be had", order.Need{Base: 6, Scarce: true, Present: order.Present{Standard: 1}}, 9, 11},
+		{"pressed", order.Need{Base: 6, Surplus: 1, Present: order.Present{Standard: 6}}, 12, 6},
+		{"pressed beyond the bound", order.Need{Base: 6, Surplus: 9, Present: order.Present{Standard: 6, Cheap: 2}}, 10, 6},
+	} {
+		c.Run(test.name, func(c *qt.C) {
+			standard, cheap := order.Counts(scaling, test.need)
+			c.Assert(standard, qt.Equals, test.standard)
+			c.Assert(cheap, qt.Equals, test.cheap)
+		})
+	}
+	standard, cheap := order.Counts(&catalog.Scaling{Min: 1, Max: 12}, order.Need{Base: 6})
+	c.Assert([]int{standard, cheap}, qt.DeepEquals, []int{6, 0})
+}
+
+// TestCountsKeepTheBounds checks that what is ordered never exceeds the bound
+// with what is there, nor falls below the least.
+func TestCountsKeepTheBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &catalog.Scaling{Min: rapid.IntRange(0, 3).Draw(t, "min"), CheapPrice: 0.22}
+		s.Max = s.Min + rapid.IntRange(0, 12).Draw(t, "room")
+		present := order.Present{Standard: rapid.IntRange(0, s.Max).Draw(t, "standard")}
+		present.Cheap = rapid.IntRange(0, s.Max-present.Standard).Draw(t, "cheap")
+		need := order.Need{
+			Base:    rapid.IntRange(0, 15).Draw(t, "base"),
+			Surplus: rapid.Float64Range(0, 4).Draw(t, "surplus"),
+			Scarce:  rapid.Bool().Draw(t, "scarce"),
+			Present: present,
+		}
+		standard, cheap := order.Counts(s, need)
+		if standard < s.Min || standard > s.Max || cheap < 0 || standard+present.Cheap > max(s.Max, s.Min+present.Cheap) {
+			t.Fatalf("%+v: standard %d, cheap %d with bounds %d, %d", need, standard, cheap, s.Min, s.Max)
+		}
+		if present.Standard+cheap > s.Max && cheap > 0 {
+			t.Fatalf("%+v: %d cheap beside what is there", need, cheap)
+		}
+	})
+}
+
+func TestDue(t *testing.T) {
+	c := qt.New(t)
+	now := start
+	sent := order.Standing{Count: 6, At: now}
+	refused := order.Standing{Count: 6, At: now, Refused: true}
+	boot := 4 * time.Second
+	c.Assert(order.Due(6, 0, order.Standing{}, boot, now), qt.IsTrue)
+	c.Assert(order.Due(6, 0, sent, boot, now.Add(time.Second)), qt.IsFalse)
+	c.Assert(order.Due(6, 6, sent, boot, now.Add(time.Hour)), qt.IsFalse)
+	c.Assert(order.Due(6, 5, sent, boot, now.Add(6*time.Second)), qt.IsTrue)
+	c.Assert(order.Due(7, 6, sent, boot, now), qt.IsTrue)
+	c.Assert(order.Due(7, 6, refused, boot, now.Add(time.Second)), qt.IsFalse)
+	c.Assert(order.Due(7, 6, refused, boot, now.Add(2*time.Second)), qt.IsTrue)
+}
+
+// TestPressureOfABurst replays a burst: first events come later and later, and
+// those that have not come count as well.
+func TestPressureOfABurst(t *testing.T) {
+	c := qt.New(t)
+	p := order.NewPressure()
+	now := start
+	for range 20 {
+		n := p.Begin(2*time.Second, now)
+		p.End(n, now.Add(400*time.Millisecond))
+		now = now.Add(100 * time.Millisecond)
+	}
+	mean, n := p.Mean(now)
+	c.Assert(n, qt.Equals, 20)
+	c.Assert(math.Abs(mean-0.2) < 1e-9, qt.IsTrue)
+	var surplus order.Surplus
+	surplus = surplus.Next(mean, n, scaling.Boot, now)
+	c.Assert(surplus.Share, qt.Equals, 0.0)
+	for range 40 {
+		p.Begin(2*time.Second, now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	mean, n = p.Mean(now)
+	c.Assert(mean >= 0.5, qt.IsTrue, qt.Commentf("%f of %d", mean, n))
+	surplus = surplus.Next(mean, n, scaling.Boot, now)
+	c.Assert(surplus.Share, qt.Equals, 0.5)
+	surplus = surplus.Next(mean, n, scaling.Boot, now.Add(time.Second))
+	c.Assert(surplus.Share, qt.Equals, 0.5)
+	surplus = surplus.Next(mean, n, scaling.Boot, now.Add(scaling.Boot))
+	c.Assert(surplus.Share, qt.Equals, 1.0)
+	later := now.Add(scaling.Boot + 6*time.Second)
+	c.Assert(surplus.Next(0.4, 10, scaling.Boot, later).Share, qt.Equals, 1.0)
+	c.Assert(surplus.Next(0.2, 10, scaling.Boot, later).Share, qt.Equals, 0.0)
+}
+
+func TestPressureOfFewRequestsSaysNothing(t *testing.T) {
+	c := qt.New(t)
+	p := order.NewPressure()
+	c.Assert(p.Begin(0, start), qt.Equals, uint64(0))
+	p.End(0, start)
+	for range 5 {
+		p.Begin(time.Second, start)
+	}
+	mean, n := p.Mean(start.Add(time.Minute))
+	c.Assert(mean, qt.Equals, 2.0)
+	c.Assert(order.Surplus{}.Next(mean, n, time.Second, start).Share, qt.Equals, 0.0)
+}
+
+func TestSettled(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(order.Settled(time.Time{}, start), qt.IsFalse)
+	c.Assert(order.Settled(start, start.Add(time.Second)), qt.IsFalse)
+	c.Assert(order.Settled(start, start.Add(3*time.Second)), qt.IsTrue)
+}
--- /dev/null
+++ b/core/placement/pool_test.go
@@ -0,0 +1,236 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"acaciapath.example/core/catalog"
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/placement"
+	"acaciapath.example/core/replica"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fleet returns n servers of a service in each of the failure domains a, b and c.
+func fleet(n int, kind config.ServerKind) []replica.Spec {
+	var specs []replica.Spec
+	for _, domain := range []string{"a", "b", "c"} {
+		for i := range n {
+			name := fmt.Sprintf("%s-%s-%d", domain, kind, i)
+			specs = append(specs, replica.Spec{
+				Name: name, Address: "10.0.0.1:1", FailureDomain: domain, Kind: kind, Places: 64,
+			})
+		}
+	}
+	return specs
+}
+
+func newPool(share float64, specs ...replica.Spec) *placement.Pool {
+	p := &placement.Pool{ShortShare: share}
+	p.Update(specs)
+	return p
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// TestLongPromptsStayApart replays chats beside long prompts: no long prompt may
+// run beside a chat while each kind has servers of its own.
+func TestLongPromptsStayApart(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(0.3, fleet(6, config.KindStandard)...)
+	random := newRandom()
+	for i := range 2000 {
+		chat := placement.Wish{FailureDomain: "a", Generates: true, ShortPauses: true, PromptTokens: 1500}
+		s := p.Choose(chat, start, random)
+		c.Assert(s.Short, qt.IsTrue)
+		letter := placement.Wish{
+			FailureDomain: "a", Generates: true, PromptTokens: 17000,
+			SharedKey: uint64(i%200 + 1), SharedTokens: 13300,
+		}
+		s = p.Choose(letter, start, random)
+		c.Assert(s.Short, qt.IsFalse)
+	}
+}
+
+// TestBothKindsAreServedByWhatIsLeft has only one server left.
+func TestBothKindsAreServedByWhatIsLeft(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(0.3, fleet(1, config.KindStandard)[0])
+	for _, short := range []bool{false, true} {
+		wish := placement.Wish{FailureDomain: "b", Generates: true, ShortPauses: short}
+		c.Assert(p.Choose(wish, start, newRandom()), qt.IsNotNil)
+	}
+}
+
+// TestDaemonsAgreeOnTheHome has daemons in different failure domains place the
+// same prompt: all choose the same server while it is not busy, so that the
+// beginning of the prompt is read once.
+func TestDaemonsAgreeOnTheHome(t *testing.T) {
+	c := qt.New(t)
+	specs := fleet(6, config.KindStandard)
+	one, two := newPool(0.3, specs...), newPool(0.3, specs...)
+	for key := uint64(1); key < 300; key++ {
+		wish := placement.Wish{FailureDomain: "a", Generates: true, PromptTokens: 17000, SharedKey: key, SharedTokens: 13300}
+		other := wish
+		other.FailureDomain = "c"
+		c.Assert(one.Choose(wish, start, newRandom()).Spec.Name, qt.Equals, two.Choose(other, start, newRandom()).Spec.Name)
+	}
+}
+
+// TestFewKeysMove adds a server: only the prompts that it takes over move.
+func TestFewKeysMove(t *testing.T) {
+	c := qt.New(t)
+	specs := fleet(6, config.KindStandard)
+	before, after := newPool(0, specs[1:]...), newPool(0, specs...)
+	moved := 0
+	const keys = 1000
+	for key := uint64(1); key <= keys; key++ {
+		wish := placement.Wish{FailureDomain: "a", Generates: true, SharedKey: key, SharedTokens: 13300}
+		old, now := before.Choose(wish, start, newRandom()), after.Choose(wish, start, newRandom())
+		if old.Spec.Name != now.Spec.Name {
+			moved++
+			c.Assert(now.Spec.Name, qt.Equals, specs[0].Name)
+		}
+	}
+	c.Assert(moved > 0 && moved < 2*keys/len(specs), qt.IsTrue, qt.Commentf("%d moved", moved))
+}
+
+// TestBusyHomeIsPassedOver replays a hot key: a home that is behind by more than
+// the shared beginning costs to read does not get all requests.
+func TestBusyHomeIsPassedOver(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(0, fleet(6, config.KindStandard)...)
+	random := newRandom()
+	wish := placement.Wish{FailureDomain: "a", Generates: true, PromptTokens: 17000, SharedKey: 7, SharedTokens: 13300}
+	used := make(map[string]int)
+	for range 60 {
+		s := p.Choose(wish, start, random)
+		s.Start(wish, start)
+		used[s.Spec.Name]++
+	}
+	c.Assert(len(used) >= 10, qt.IsTrue, qt.Commentf("%v", used))
+	for name, n := range used {
+		c.Assert(n <= 6, qt.IsTrue, qt.Commentf("%s got %d", name, n))
+	}
+}
+
+// TestStandardServersAreKeptForShortPauses: streams that cannot be resumed stay
+// on servers that the platform does not take away.
+func TestStandardServersAreKeptForShortPauses(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(0.3, append(fleet(8, config.KindCheap), fleet(1, config.KindStandard)...)...)
+	short := 0
+	for _, s := range p.Servers {
+		if s.Short {
+			short++
+		} else {
+			c.Assert(s.Spec.Kind, qt.Equals, config.KindCheap)
+		}
+	}
+	c.Assert(short, qt.Equals, 9)
+}
+
+func TestServersThatGetNothing(t *testing.T) {
+	c := qt.New(t)
+	specs := fleet(2, config.KindStandard)
+	for i := range specs[:3] {
+		specs[i].Leaving = true
+	}
+	p := newPool(0, specs...)
+	p.SetAbsent(p.Servers[3])
+	p.Servers[4].Fail(start)
+	wish := placement.Wish{FailureDomain: "a"}
+	c.Assert(p.Choose(wish, start, newRandom()), qt.Equals, p.Servers[5])
+	wish.Tried = []string{p.Servers[5].Spec.Name}
+	c.Assert(p.Choose(wish, start, newRandom()), qt.Equals, p.Servers[4])
+	p.SetAbsent(p.Servers[4])
+	p.SetAbsent(p.Servers[5])
+	c.Assert(p.Choose(wish, start, newRandom()), qt.IsNil)
+}
+
+// TestUpdateKeepsState replaces the list. What is known of servers that stay is
+// kept; one that was born again, or moved, is a new one.
+func TestUpdateKeepsState(t *testing.T) {
+	c := qt.New(t)
+	specs := fleet(1, config.KindStandard)
+	p := newPool(0, specs...)
+	for _, s := range p.Servers {
+		s.Start(placement.Wish{PromptTokens: 5}, start)
+	}
+	specs[1].Born = start
+	specs[2].Address = "10.0.0.2:1"
+	added, removed := p.Update(append(specs[:3:3], replica.Spec{Name: "new"}))
+	c.Assert(added, qt.DeepEquals, []string{specs[1].Name, specs[2].Name, "new"})
+	c.Assert(removed, qt.HasLen, 0)
+	c.Assert(p.Servers[0].Running, qt.Equals, 1)
+	c.Assert(p.Servers[1].Running, qt.Equals, 0)
+	c.Assert(p.Servers[2].Reading, qt.Equals, 0)
+	_, removed = p.Update(nil)
+	c.Assert(removed, qt.HasLen, 4)
+}
+
+// TestChooseProperties checks over random fleets that a server that may be used
+// is always found, and never one that may not.
+func TestChooseProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		specs := fleet(rapid.IntRange(1, 5).Draw(t, "n"), config.KindStandard)
+		usable := 0
+		for i := range specs {
+			specs[i].Leaving = rapid.Bool().Draw(t, "leaving")
+			if !specs[i].Leaving {
+				usable++
+			}
+		}
+		p := newPool(rapid.Float64Range(0, 0.9).Draw(t, "share"), specs...)
+		for _, s := range p.Servers {
+			if rapid.Bool().Draw(t, "failed") {
+				s.Fail(start)
+			}
+		}
+		wish := placement.Wish{
+			FailureDomain: "b",
+			Generates:     rapid.Bool().Draw(t, "generates"),
+			ShortPauses:   rapid.Bool().Draw(t, "short"),
+			SharedKey:     rapid.Uint64Range(0, 5).Draw(t, "key"),
+		}
+		s := p.Choose(wish, start, newRandom())
+		if (s != nil) != (usable > 0) || s != nil && s.Spec.Leaving {
+			t.Fatalf("chose %v of %d usable", s, usable)
+		}
+	})
+}
+
+func TestShortPauses(t *testing.T) {
+	c := qt.New(t)
+	service := &catalog.Service{Name: "llm", Engine: &catalog.Engine{EventTokens: 3}}
+	chat := catalog.Route{Generates: true, GapTarget: 150 * time.Millisecond, Splits: []catalog.Split{{Service: "llm"}}}
+	reply := chat
+	reply.GapTarget = 250 * time.Millisecond
+	c.Assert(placement.ShortPauses(&chat, service), qt.IsTrue)
+	c.Assert(placement.ShortPauses(&reply, service), qt.IsFalse)
+	c.Assert(placement.ShortPauses(&chat, &catalog.Service{}), qt.IsFalse)
+	services := []catalog.Service{*service}
+	both := catalog.NewIndex(catalog.Catalog{Routes: []catalog.Route{chat, reply}, Services: services})
+	c.Assert(placement.ShortShare(both, "llm") > 0, qt.IsTrue)
+	one := catalog.NewIndex(catalog.Catalog{Routes: []catalog.Route{chat}, Services: services})
+	c.Assert(placement.ShortShare(one, "llm"), qt.Equals, 0.0)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{6, 48, 240} {
+		p := newPool(0.3, fleet(n, config.KindStandard)...)
+		random := newRandom()
+		wish := placement.Wish{FailureDomain: "a", Generates: true, SharedKey: 7, SharedTokens: 13300}
+		b.Run(fmt.Sprintf("servers=%d", 3*n), func(b *testing.B) {
+			for b.Loop() {
+				p.Choose(wish, start, random)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/workload/workload_test.go
@@ -0,0 +1,20 @@
+package workload_test
+
+import (
+	"testing"
+
+	"acaciapath.example/core/workload"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestShared(t *testing.T) {
+	c := qt.New(t)
+	w := workload.Work{Parts: []workload.Part{{ID: 1, Tokens: 800}, {ID: 2, Tokens: 410}, {ID: 3, Tokens: 250}}}
+	c.Assert(w.SharedKey(), qt.Equals, uint64(2))
+	c.Assert(w.SharedTokens(), qt.Equals, 1210)
+	w.Parts = w.Parts[:1]
+	c.Assert(w.SharedKey(), qt.Equals, uint64(0))
+	c.Assert(w.SharedTokens(), qt.Equals, 0)
+	c.Assert(workload.Work{}.SharedTokens(), qt.Equals, 0)
+}
