--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -71,19 +71,18 @@
 	}
 	d.view.Store(&View{Index: catalog.NewIndex(c), Since: now})
 	for name, pool := range d.pools {
-		pool.SetShortShare(d.shortShare(name))
+		pool.SetShares(d.shares(name))
 	}
 	return true
 }
 
-// shortShare returns the share of a service's servers that is kept for requests
-// with short pauses.
-func (d *Directory) shortShare(service string) float64 {
+// shares returns the shares of a service's servers that are kept for lanes.
+func (d *Directory) shares(service string) placement.Shares {
 	view := d.view.Load()
 	if view == nil {
-		return 0
+		return placement.Shares{}
 	}
-	return placement.ShortShare(view.Index, service)
+	return placement.SharesOf(view.Index, service)
 }
 
 // Change is how the servers of a service changed.
@@ -107,7 +106,7 @@
 	}
 	for name := range byService {
 		if d.pools[name] == nil {
-			d.pools[name] = &placement.Pool{ShortShare: d.shortShare(name)}
+			d.pools[name] = &placement.Pool{Shares: d.shares(name)}
 		}
 	}
 	var changes []Change
--- a/acaciad/relay/handler.go
+++ b/acaciad/relay/handler.go
@@ -227,7 +227,7 @@
 	w := placement.Wish{
 		FailureDomain: x.handler.Directory.FailureDomain,
 		Generates:     x.route.Generates,
-		ShortPauses:   placement.ShortPauses(x.route, s),
+		Lane:          placement.LaneOf(x.view.Index, x.route, s),
 		PromptTokens:  x.ask.Work.PromptTokens,
 		Target:        x.route.Target,
 	}
--- a/core/placement/lane.go
+++ b/core/placement/lane.go
@@ -6,6 +6,41 @@
 	"acaciapath.example/core/catalog"
 )
 
+// Lane is a kind of requests that has servers of its own.
+type Lane int
+
+// The lanes.
+const (
+	// Patient is the lane of long prompts.
+	Patient Lane = iota
+	// Urgent is the lane of long prompts with the tightest latency objective of
+	// their service. An engine reads prompts in the order in which it admitted
+	// them; in a burst of patient ones, urgent ones would be late behind them.
+	Urgent
+	// Short is the lane of streams that allow only short pauses.
+	Short
+)
+
+// String returns the lane as logs name it.
+func (l Lane) String() string { return [...]string{"patient", "urgent", "short-pauses"}[l] }
+
+// Shares are the shares of a service's servers that are kept for lanes; the rest
+// is for patient requests.
+type Shares struct {
+	// Short and Urgent are the shares. Both are ≥ 0, and their sum is < 1.
+	Short, Urgent float64
+}
+
+// Shares of the servers, where a service runs requests of several lanes.
+const (
+	defaultShortShare  = 0.2
+	defaultUrgentShare = 0.2
+)
+
+// urgentFactor is how much larger than the tightest latency objective another one
+// must be for its requests to be patient.
+const urgentFactor = 1.5
+
 // readingStep is how long a token takes while a model engine reads a prompt of
 // usual length beside it: a chunk of 2,048 tokens at some 50 tokens per
 // millisecond, the step's own time and the attention to the tokens before.
@@ -15,10 +50,6 @@
 // the pause that a prompt beside it causes.
 const pauseMargin = 1.2
 
-// defaultShortShare is the share of the servers kept for requests with short
-// pauses, where a service runs both kinds.
-const defaultShortShare = 0.3
-
 // ShortPauses reports whether the pauses that streams of a route allow are so
 // short that long prompts beside them make them late.
 func ShortPauses(r *catalog.Route, s *catalog.Service) bool {
@@ -29,26 +60,53 @@
 	return float64(r.GapTarget) < pause
 }
 
-// ShortShare returns the share of a service's servers that is kept for requests
-// with short pauses: none unless it runs requests of both kinds.
-func ShortShare(x *catalog.Index, service string) float64 {
+// LaneOf returns the lane of a route's requests at a service.
+func LaneOf(x *catalog.Index, r *catalog.Route, s *catalog.Service) Lane {
+	switch {
+	case s == nil || !r.Generates:
+		return Patient
+	case ShortPauses(r, s):
+		return Short
+	}
+	for i := range x.Catalog.Routes {
+		other := &x.Catalog.Routes[i]
+		if !other.Generates || !runsOn(other, s.Name) || ShortPauses(other, s) {
+			continue
+		}
+		if float64(other.Target) > urgentFactor*float64(r.Target) {
+			return Urgent
+		}
+	}
+	return Patient
+}
+
+// SharesOf returns the shares of a service's servers that are kept for lanes:
+// none for a lane without requests.
+func SharesOf(x *catalog.Index, service string) Shares {
 	s := x.Service(service)
-	short, long := false, false
+	var used [Short + 1]bool
+	lanes := 0
 	for i := range x.Catalog.Routes {
 		r := &x.Catalog.Routes[i]
-		if !r.Generates || !runsOn(r, service) {
+		if s == nil || !r.Generates || !runsOn(r, service) {
 			continue
 		}
-		if ShortPauses(r, s) {
-			short = true
-		} else {
-			long = true
+		if lane := LaneOf(x, r, s); !used[lane] {
+			used[lane] = true
+			lanes++
 		}
 	}
-	if short && long {
-		return defaultShortShare
+	var shares Shares
+	if lanes < 2 {
+		return shares
+	}
+	if used[Short] {
+		shares.Short = defaultShortShare
+	}
+	if used[Urgent] {
+		shares.Urgent = defaultUrgentShare
 	}
-	return 0
+	return shares
 }
 
 func runsOn(r *catalog.Route, service string) bool {
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -18,9 +18,8 @@
 	FailureDomain string
 	// Generates says whether the request runs on a model engine.
 	Generates bool
-	// ShortPauses says whether the pauses that the stream allows are so short
-	// that long prompts beside it make it late.
-	ShortPauses bool
+	// Lane is the lane of its route. Requests that do not generate have none.
+	Lane Lane
 	// SharedKey names the beginning of the prompt that other requests share, or
 	// is 0.
 	SharedKey uint64
@@ -37,8 +36,8 @@
 // Server is a backend server as one entry daemon knows it.
 type Server struct {
 	*replica.Replica
-	// Short says whether it is kept for requests with short pauses.
-	Short bool
+	// Lane is the lane whose requests it is kept for.
+	Lane Lane
 	// Reading is the number of prompt tokens that this daemon sent it and that
 	// it has not answered yet with a first event. Reading ≥ 0.
 	Reading int
@@ -55,9 +54,8 @@
 type Pool struct {
 	// Servers are in the order of their names.
 	Servers []*Server
-	// ShortShare is the share of the servers that is kept for requests with
-	// short pauses. 0 ≤ ShortShare < 1.
-	ShortShare float64
+	// Shares are the shares of the servers that are kept for lanes.
+	Shares Shares
 }
 
 // Update replaces the servers, keeping the state of those that stay, and
@@ -89,10 +87,9 @@
 	return added, removed
 }
 
-// SetShortShare changes the share of the servers that is kept for requests with
-// short pauses.
-func (p *Pool) SetShortShare(share float64) {
-	p.ShortShare = share
+// SetShares changes the shares of the servers that are kept for lanes.
+func (p *Pool) SetShares(shares Shares) {
+	p.Shares = shares
 	p.divide()
 }
 
@@ -113,27 +110,29 @@
 	p.divide()
 }
 
-// divide chooses the servers that are kept for requests with short pauses: in
-// each failure domain the same share, standard servers first, since such
-// streams often cannot be resumed. All daemons choose the same ones.
+// divide gives each server its lane: in each failure domain the same shares,
+// standard servers to short pauses first, since such streams often cannot be
+// resumed. All daemons choose the same ones.
 func (p *Pool) divide() {
 	domains := make(map[string][]*Server)
 	for _, s := range p.Servers {
-		s.Short = false
+		s.Lane = Patient
 		if !s.away() {
 			domains[s.Spec.FailureDomain] = append(domains[s.Spec.FailureDomain], s)
 		}
 	}
-	if p.ShortShare <= 0 {
-		return
-	}
 	for _, servers := range domains {
 		slices.SortFunc(servers, func(a, b *Server) int {
 			return cmp.Or(cmp.Compare(kindRank(a), kindRank(b)), cmp.Compare(a.hash, b.hash))
 		})
-		n := int(math.Ceil(p.ShortShare * float64(len(servers))))
-		for _, s := range servers[:min(n, len(servers))] {
-			s.Short = true
+		n := float64(len(servers))
+		short := min(int(math.Ceil(p.Shares.Short*n)), len(servers))
+		urgent := min(short+int(math.Round(p.Shares.Urgent*n)), len(servers))
+		for _, s := range servers[:short] {
+			s.Lane = Short
+		}
+		for _, s := range servers[short:urgent] {
+			s.Lane = Urgent
 		}
 	}
 }
@@ -170,8 +169,8 @@
 	runningTokens = 300
 	// tieTokens spreads requests over servers that are nearly as good.
 	tieTokens = 50
-	// laneTokens is what a server that is kept for the other kind of requests
-	// is worse by: it is used only if all others are away or far busier.
+	// laneTokens is what a server that is kept for another lane is worse by: it
+	// is used only if all others are away or far busier.
 	laneTokens = 200_000
 	// triedTokens is what a server that failed the request is worse by.
 	triedTokens = 10_000_000
@@ -204,13 +203,13 @@
 
 // home returns the server on which the beginning of the prompt is kept, or nil.
 func (p *Pool) home(wish Wish) *Server {
-	if wish.SharedKey == 0 || wish.ShortPauses {
+	if wish.SharedKey == 0 || wish.Lane == Short {
 		return nil
 	}
 	var home *Server
 	var highest uint64
 	for _, s := range p.Servers {
-		if s.away() || s.Short {
+		if s.away() || s.Lane != wish.Lane {
 			continue
 		}
 		if weight := mix(s.hash ^ mix(wish.SharedKey)); home == nil || weight > highest {
@@ -229,7 +228,7 @@
 	if s.Spec.FailureDomain != wish.FailureDomain {
 		c += far(wish)
 	}
-	if wish.Generates && s.Short != wish.ShortPauses {
+	if wish.Generates && s.Lane != wish.Lane {
 		c += laneTokens
 	}
 	if s != home && !s.Cached(wish.SharedKey) {
@@ -252,7 +251,7 @@
 const plainTokens = 5000
 
 func far(wish Wish) float64 {
-	if wish.ShortPauses || !wish.Generates {
+	if wish.Lane == Short || !wish.Generates {
 		return shortFarTokens
 	}
 	return farTokens
--- a/core/placement/pool_test.go
+++ b/core/placement/pool_test.go
@@ -31,8 +31,8 @@
 	return specs
 }
 
-func newPool(share float64, specs ...replica.Spec) *placement.Pool {
-	p := &placement.Pool{ShortShare: share}
+func newPool(short float64, specs ...replica.Spec) *placement.Pool {
+	p := &placement.Pool{Shares: placement.Shares{Short: short}}
 	p.Update(specs)
 	return p
 }
@@ -46,15 +46,36 @@
 	p := newPool(0.3, fleet(6, config.KindStandard)...)
 	random := newRandom()
 	for i := range 2000 {
-		chat := placement.Wish{FailureDomain: "a", Generates: true, ShortPauses: true, PromptTokens: 1500}
+		chat := placement.Wish{FailureDomain: "a", Generates: true, Lane: placement.Short, PromptTokens: 1500}
 		s := p.Choose(chat, start, random)
-		c.Assert(s.Short, qt.IsTrue)
+		c.Assert(s.Lane, qt.Equals, placement.Short)
 		letter := placement.Wish{
 			FailureDomain: "a", Generates: true, PromptTokens: 17000,
 			SharedKey: uint64(i%200 + 1), SharedTokens: 13300,
 		}
 		s = p.Choose(letter, start, random)
-		c.Assert(s.Short, qt.IsFalse)
+		c.Assert(s.Lane, qt.Equals, placement.Patient)
+	}
+}
+
+// TestUrgentPromptsStayApart replays urgent prompts in a burst of patient ones.
+func TestUrgentPromptsStayApart(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(0, fleet(6, config.KindStandard)...)
+	p.SetShares(placement.Shares{Short: 0.2, Urgent: 0.2})
+	random := newRandom()
+	for i := range 2000 {
+		wish := placement.Wish{
+			FailureDomain: "a", Generates: true, PromptTokens: 9000, Lane: placement.Urgent,
+			SharedKey: uint64(i%100 + 1), SharedTokens: 6300,
+		}
+		c.Assert(p.Choose(wish, start, random).Lane, qt.Equals, placement.Urgent)
+		wish.Lane = placement.Patient
+		s := p.Choose(wish, start, random)
+		c.Assert(s.Lane, qt.Equals, placement.Patient)
+		if i < 100 {
+			s.Start(wish, start)
+		}
 	}
 }
 
@@ -62,8 +83,8 @@
 func TestBothKindsAreServedByWhatIsLeft(t *testing.T) {
 	c := qt.New(t)
 	p := newPool(0.3, fleet(1, config.KindStandard)[0])
-	for _, short := range []bool{false, true} {
-		wish := placement.Wish{FailureDomain: "b", Generates: true, ShortPauses: short}
+	for _, lane := range []placement.Lane{placement.Patient, placement.Urgent, placement.Short} {
+		wish := placement.Wish{FailureDomain: "b", Generates: true, Lane: lane}
 		c.Assert(p.Choose(wish, start, newRandom()), qt.IsNotNil)
 	}
 }
@@ -127,7 +148,7 @@
 	p := newPool(0.3, append(fleet(8, config.KindCheap), fleet(1, config.KindStandard)...)...)
 	short := 0
 	for _, s := range p.Servers {
-		if s.Short {
+		if s.Lane == placement.Short {
 			short++
 		} else {
 			c.Assert(s.Spec.Kind, qt.Equals, config.KindCheap)
@@ -196,7 +217,7 @@
 		wish := placement.Wish{
 			FailureDomain: "b",
 			Generates:     rapid.Bool().Draw(t, "generates"),
-			ShortPauses:   rapid.Bool().Draw(t, "short"),
+			Lane:          placement.Lane(rapid.IntRange(0, 2).Draw(t, "lane")),
 			SharedKey:     rapid.Uint64Range(0, 5).Draw(t, "key"),
 		}
 		s := p.Choose(wish, start, newRandom())
@@ -216,10 +237,20 @@
 	c.Assert(placement.ShortPauses(&reply, service), qt.IsFalse)
 	c.Assert(placement.ShortPauses(&chat, &catalog.Service{}), qt.IsFalse)
 	services := []catalog.Service{*service}
+	reply.Target, chat.Target = 800*time.Millisecond, 500*time.Millisecond
+	letter := reply
+	letter.Target = 2 * time.Second
+	all := catalog.NewIndex(catalog.Catalog{Routes: []catalog.Route{chat, reply, letter}, Services: services})
+	c.Assert(placement.LaneOf(all, &chat, service), qt.Equals, placement.Short)
+	c.Assert(placement.LaneOf(all, &reply, service), qt.Equals, placement.Urgent)
+	c.Assert(placement.LaneOf(all, &letter, service), qt.Equals, placement.Patient)
+	shares := placement.SharesOf(all, "llm")
+	c.Assert(shares.Short > 0 && shares.Urgent > 0 && shares.Short+shares.Urgent < 1, qt.IsTrue)
 	both := catalog.NewIndex(catalog.Catalog{Routes: []catalog.Route{chat, reply}, Services: services})
-	c.Assert(placement.ShortShare(both, "llm") > 0, qt.IsTrue)
+	c.Assert(placement.LaneOf(both, &reply, service), qt.Equals, placement.Patient)
+	c.Assert(placement.SharesOf(both, "llm").Urgent, qt.Equals, 0.0)
 	one := catalog.NewIndex(catalog.Catalog{Routes: []catalog.Route{chat}, Services: services})
-	c.Assert(placement.ShortShare(one, "llm"), qt.Equals, 0.0)
+	c.Assert(placement.SharesOf(one, "llm"), qt.Equals, placement.Shares{})
 }
 
 func BenchmarkChoose(b *testing.B) {
