Order cheap servers before the base is known, and ask again sooner for those refused

Cause: at a start the swap of standard for cheap servers reached into the first burst, so that prompts were read anew on servers that had just come; after a shortage cheap ones were asked for only every 6 s.

--- a/acaciad/control/orders.go
+++ b/acaciad/control/orders.go
@@ -66,9 +66,10 @@
 
 func (o *Orders) step(ctx context.Context) {
 	view := o.Directory.View()
-	if view == nil || !o.Directory.Ready() || !o.know(ctx, view.Index) {
+	if view == nil || !o.Directory.Ready() {
 		return
 	}
+	known := o.know(ctx, view.Index)
 	for i := range view.Index.Catalog.Services {
 		s := &view.Index.Catalog.Services[i]
 		if s.Scaling == nil {
@@ -76,7 +77,7 @@
 		}
 		o.measure(s)
 		for _, domain := range o.FailureDomains {
-			o.domain(ctx, s, domain)
+			o.domain(ctx, s, domain, known)
 		}
 	}
 }
@@ -101,7 +102,7 @@
 		return true
 	}
 	base, err := order.LoadBase(ctx, o.Table)
-	if err == nil && base == nil && order.Settled(o.Directory.ServersChanged(), time.Now()) {
+	if err == nil && base == nil && order.Settled(o.Directory.StandardChanged(), time.Now()) {
 		err = order.StoreBase(ctx, o.Table, o.count(index))
 	}
 	if err != nil {
@@ -121,19 +122,23 @@
 		}
 		base.Counts[s.Name] = make(map[string]int)
 		for _, domain := range o.FailureDomains {
-			if c := o.Directory.Count(s.Name, domain); c.Standard+c.Cheap > 0 {
-				base.Counts[s.Name][domain] = c.Standard + c.Cheap
+			if c := o.Directory.Count(s.Name, domain); c.Standard > 0 {
+				base.Counts[s.Name][domain] = c.Standard
 			}
 		}
 	}
 	return base
 }
 
-// domain sends the orders that are due for a service in a failure domain.
-func (o *Orders) domain(ctx context.Context, s *catalog.Service, domain string) {
+// domain sends the orders that are due for a service in a failure domain. While
+// the base is not known, only cheap servers are ordered, as standard ones come.
+func (o *Orders) domain(ctx context.Context, s *catalog.Service, domain string, known bool) {
 	present := o.Directory.Count(s.Name, domain)
 	key := order.Subject{Service: s.Name, FailureDomain: domain}
-	base := o.base.Of(s.Name, domain)
+	base := present.Standard
+	if known {
+		base = o.base.Of(s.Name, domain)
+	}
 	if base == 0 {
 		return
 	}
@@ -148,7 +153,7 @@
 	if cheap > 0 {
 		o.send(ctx, cheapKey, cheap, present.Cheap, s.Scaling.Boot)
 	}
-	if standard != present.Standard || !o.standing[key].At.IsZero() {
+	if known && (standard != present.Standard || !o.standing[key].At.IsZero()) {
 		o.send(ctx, key, standard, present.Standard, s.Scaling.Boot)
 	}
 }
--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -37,8 +37,9 @@
 	random    *rand.Rand
 	// listed says whether the list of backend servers has been read.
 	listed bool
-	// changed is when backend servers last came or went.
-	changed time.Time
+	// changed is when the number of standard backend servers last changed.
+	changed  time.Time
+	standard int
 }
 
 // New returns a directory of a daemon that knows nothing yet.
@@ -116,14 +117,21 @@
 			changes = append(changes, Change{Service: name, Added: added, Removed: removed})
 		}
 	}
-	if len(changes) > 0 {
-		d.changed = now
+	standard := 0
+	for _, spec := range specs {
+		if spec.Kind == config.KindStandard && !spec.Leaving {
+			standard++
+		}
+	}
+	if standard != d.standard {
+		d.standard, d.changed = standard, now
 	}
 	return changes
 }
 
-// ServersChanged returns when backend servers last came or went.
-func (d *Directory) ServersChanged() time.Time {
+// StandardChanged returns when the number of standard backend servers last
+// changed, or zero if there never was one.
+func (d *Directory) StandardChanged() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.changed
--- a/core/order/base.go
+++ b/core/order/base.go
@@ -54,13 +54,13 @@
 	return err
 }
 
-// settleTime is how long no backend server may have come or gone before their
-// number is taken for what the operator deployed. At a start of everything they
-// come one by one, each within a heartbeat.
-const settleTime = 2500 * time.Millisecond
+// settleTime is how long no standard backend server may have come or gone before
+// their number is taken for what the operator deployed. At a start of everything
+// they come one by one, each within a heartbeat.
+const settleTime = 1500 * time.Millisecond
 
-// Settled reports whether the list of backend servers that last changed at
-// changed is complete. It is not before any has come, when changed is zero.
+// Settled reports whether the list of standard backend servers that last changed
+// at changed is complete. It is not before any has come, when changed is zero.
 func Settled(changed, now time.Time) bool {
 	return !changed.IsZero() && now.Sub(changed) >= settleTime
 }
--- a/core/order/count.go
+++ b/core/order/count.go
@@ -88,11 +88,17 @@
 // again whose replicas have not come.
 const repeatDelay = 2 * time.Second
 
-// Due reports whether an order is to be sent: the count has changed, or fewer
-// are present than were ordered a while ago.
+// Due reports whether an order is to be sent: the count has changed, fewer are
+// present than were ordered a while ago, or the platform had none of the kind a
+// moment ago.
 func Due(desired, present int, last Standing, boot time.Duration, now time.Time) bool {
-	if last.At.IsZero() || last.Count != desired {
-		return last.At.IsZero() || !last.Refused || now.Sub(last.At) >= repeatDelay
+	switch {
+	case last.At.IsZero():
+		return true
+	case last.Refused:
+		return now.Sub(last.At) >= repeatDelay
+	case last.Count != desired:
+		return true
 	}
 	return present < desired && now.Sub(last.At) >= boot+repeatDelay
 }
