--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -118,6 +118,7 @@
 		Logger:         logger,
 	}
 	d.registry = prometheus.NewRegistry()
+	d.registry.MustRegister(d.directory)
 	d.handler = &relay.Handler{
 		Directory: d.directory,
 		Client:    relay.NewClient(),
@@ -236,6 +237,7 @@
 		returned: func(time.Time) {},
 	}
 	serversFeed := &feed{wait: wait, gap: gap, store: d.store, name: tableServers, logger: d.logger, apply: d.applyServers, returned: d.storeReturned}
+	work.run(d.watchPauses)
 	work.run(catalogFeed.run)
 	work.run(serversFeed.run)
 	if d.settings.ReportsUsage || d.settings.OrdersServers {
@@ -250,6 +252,28 @@
 	}
 }
 
+// Times of the watch for pauses.
+const (
+	// pauseWatch is how often the daemon looks whether it runs.
+	pauseWatch = time.Second
+	// pauseNoted is the pause beyond which it says that it did not run.
+	pauseNoted = 500 * time.Millisecond
+)
+
+// watchPauses says when the process did not run for a while, because its VM stood
+// still or had no processor time: requests are late then for no other reason.
+func (d *Daemon) watchPauses(ctx context.Context) {
+	last := time.Now().Round(0)
+	for ctx.Err() == nil {
+		pause(ctx, pauseWatch)
+		now := time.Now().Round(0) // the wall clock, since the monotonic one may stand still
+		if stood := now.Sub(last) - pauseWatch; stood > pauseNoted || stood < -pauseNoted {
+			d.logger.WithField("ms", stood.Milliseconds()).Warn("the process did not run for a while, or the clock was set")
+		}
+		last = now
+	}
+}
+
 func (d *Daemon) leaseFailed(err error) {
 	d.logger.WithError(err).Warn("a call for the lease of the duties failed")
 }
--- /dev/null
+++ b/acaciad/directory/collector.go
@@ -0,0 +1,72 @@
+package directory
+
+import (
+	"acaciapath.example/core/config"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Descriptions of the metrics.
+var (
+	descServers = prometheus.NewDesc("acaciapath_backend_servers",
+		"Backend servers that are believed to be there, by service, kind and state.",
+		[]string{"service", "kind", "state"}, nil)
+	descRunning = prometheus.NewDesc("acaciapath_running_requests",
+		"Requests that this daemon runs on backend servers, by service.", []string{"service"}, nil)
+	descReading = prometheus.NewDesc("acaciapath_reading_tokens",
+		"Prompt tokens that this daemon sent and that are not read yet, by service.", []string{"service"}, nil)
+	descRevision = prometheus.NewDesc("acaciapath_catalog_revision",
+		"Revision of the catalog in force.", nil, nil)
+)
+
+// States of backend servers in metrics.
+const (
+	stateReady   = "ready"
+	stateLeaving = "leaving"
+	stateAbsent  = "absent"
+)
+
+var _ prometheus.Collector = (*Directory)(nil)
+
+// Describe describes the metrics of the directory.
+func (d *Directory) Describe(descriptions chan<- *prometheus.Desc) {
+	for _, desc := range []*prometheus.Desc{descServers, descRunning, descReading, descRevision} {
+		descriptions <- desc
+	}
+}
+
+// serverGroup is the labels by which backend servers are counted.
+type serverGroup struct {
+	service, state string
+	kind           config.ServerKind
+}
+
+// Collect takes the metrics of the directory.
+func (d *Directory) Collect(metrics chan<- prometheus.Metric) {
+	if view := d.view.Load(); view != nil {
+		metrics <- prometheus.MustNewConstMetric(descRevision, prometheus.GaugeValue, float64(view.Index.Catalog.Revision))
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, pool := range d.pools {
+		running, reading := 0, 0
+		groups := make(map[serverGroup]int)
+		for _, s := range pool.Servers {
+			running += s.Running
+			reading += s.Reading
+			group := serverGroup{service: name, kind: s.Spec.Kind, state: stateReady}
+			switch {
+			case s.Spec.Leaving:
+				group.state = stateLeaving
+			case s.Absent:
+				group.state = stateAbsent
+			}
+			groups[group]++
+		}
+		metrics <- prometheus.MustNewConstMetric(descRunning, prometheus.GaugeValue, float64(running), name)
+		metrics <- prometheus.MustNewConstMetric(descReading, prometheus.GaugeValue, float64(reading), name)
+		for g, n := range groups {
+			metrics <- prometheus.MustNewConstMetric(descServers, prometheus.GaugeValue, float64(n), g.service, string(g.kind), g.state)
+		}
+	}
+}
--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -283,3 +283,19 @@
 	}
 	return c
 }
+
+// Load returns the requests that this daemon runs on the backend servers of a
+// service, and the prompt tokens of them that are not read yet.
+func (d *Directory) Load(service string) (running, reading int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pool := d.pools[service]
+	if pool == nil {
+		return 0, 0
+	}
+	for _, s := range pool.Servers {
+		running += s.Running
+		reading += s.Reading
+	}
+	return running, reading
+}
--- a/acaciad/relay/relay_test.go
+++ b/acaciad/relay/relay_test.go
@@ -233,6 +233,36 @@
 	w.Assert(a.body, qt.Equals, events(1, 3))
 }
 
+// TestPlacesAreGivenBack ends requests in every way. None may count as running
+// afterwards, or its server would be passed over for good.
+func TestPlacesAreGivenBack(t *testing.T) {
+	w := newWorld(t, 100)
+	w.ready()
+	servers := []*standin.Server{
+		w.server("i-1", "llm", 6), w.server("i-2", "llm", 6), w.server("i-3", "shop", 0), w.server("i-4", "shop", 0),
+	}
+	for manner := standin.Whole; manner <= standin.Hangs; manner++ {
+		for _, s := range servers {
+			s.SetManner(manner)
+		}
+		for _, path := range []string{"/quote/", "/reply/", "/look/", "/order/"} {
+			ctx, leave := context.WithTimeout(w.Context(), 150*time.Millisecond)
+			w.do(w.request(ctx, http.MethodPost, path, "x"))
+			leave()
+		}
+	}
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		llm, reading := w.directory.Load("llm")
+		shop, _ := w.directory.Load("shop")
+		if llm == 0 && shop == 0 && reading == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			w.Fatalf("%d and %d requests still count as running", llm, shop)
+		}
+	}
+}
+
 // TestCallerLeaves checks that work is stopped at the backend server when its
 // caller leaves.
 func TestCallerLeaves(t *testing.T) {
--- a/acaciad/relay/run.go
+++ b/acaciad/relay/run.go
@@ -39,6 +39,8 @@
 	rejected
 	// broken: it may have run, and no usable answer came.
 	broken
+	// cut: the caller got a part of the answer, and nothing can go on with it.
+	cut
 	// answered: the caller got an answer.
 	answered
 )
@@ -57,6 +59,9 @@
 		if last == answered {
 			return nil
 		}
+		if last == cut {
+			panic(http.ErrAbortHandler) // the answer must not look complete
+		}
 		if ended := x.ended(ctx); ended != nil {
 			return ended
 		}
@@ -130,6 +135,7 @@
 	resultUnreached = "unreached"
 	resultRejected  = "rejected"
 	resultBroken    = "broken"
+	resultCut       = "cut"
 	resultAnswered  = "answered"
 )
 
@@ -170,7 +176,7 @@
 		lease.Finish(directory.Absent, time.Now())
 	case r == rejected:
 		lease.Finish(directory.Full, time.Now())
-	case r == broken && x.request.Context().Err() == nil && ctx.Err() == nil:
+	case r != answered && x.request.Context().Err() == nil && ctx.Err() == nil && x.outcome != outcomeLeft:
 		lease.Finish(directory.Failed, time.Now())
 	default:
 		lease.Finish(directory.Neutral, time.Now())
@@ -180,7 +186,7 @@
 
 // String returns the result as logs name it.
 func (r result) String() string {
-	return [...]string{resultUnreached, resultRejected, resultBroken, resultAnswered}[r]
+	return [...]string{resultUnreached, resultRejected, resultBroken, resultCut, resultAnswered}[r]
 }
 
 // fail ends an attempt that brought no answer.
@@ -292,7 +298,7 @@
 	}
 	if err != nil {
 		x.outcome = outcomeBroken
-		panic(http.ErrAbortHandler) // the caller must see that the answer is not whole
+		return cut
 	}
 	return answered
 }
@@ -315,12 +321,13 @@
 	if x.status == 0 {
 		return broken
 	}
-	x.outcome = outcomeBroken
-	if x.request.Context().Err() != nil {
+	x.ran, x.outcome = true, outcomeBroken
+	if errors.Is(err, errCaller) || x.request.Context().Err() != nil {
 		x.outcome = outcomeLeft
+		return cut
 	}
-	if errors.Is(err, errCaller) || !x.route.Resumable || ctx.Err() != nil {
-		panic(http.ErrAbortHandler)
+	if !x.route.Resumable || ctx.Err() != nil {
+		return cut
 	}
 	return broken
 }
