--- a/acaciad/daemon/daemon_test.go
+++ b/acaciad/daemon/daemon_test.go
@@ -46,7 +46,7 @@
 		"version": version,
 		"routes": []any{map[string]any{
 			"name": "look", "host": "shop.example", "prefix": "/look/", "type": "safe",
-			"timeoutMs": 2000, "targetLatencyMs": 400, "service": "shop", "maxAttempts": 2,
+			"timeoutMs": 5000, "targetLatencyMs": 400, "service": "shop", "maxAttempts": 2,
 		}},
 		"services": []any{map[string]any{"name": "shop", "healthPath": "/healthz"}},
 		"limits":   map[string]any{"maxBodyBytes": 1000},
@@ -213,7 +213,7 @@
 	d.register("ready")
 	one, two := d.start("vm-1"), d.start("vm-2")
 	d.eventually("both serve", func() bool { return one.look("k") == http.StatusOK && two.look("k") == http.StatusOK })
-	d.shop.SetPause(time.Second)
+	d.shop.SetPause(3500 * time.Millisecond) // longer than connections are accepted
 	status := make(chan int, 1)
 	before := len(d.shop.Arrivals())
 	go func() { status <- one.look("k") }()
