--- a/acaciad/control/orders.go
+++ b/acaciad/control/orders.go
@@ -11,6 +11,7 @@
 	"acaciapath.example/core/lease"
 	"acaciapath.example/core/order"
 	"acaciapath.example/core/platform"
+	"acaciapath.example/core/sleep"
 
 	"github.com/sirupsen/logrus"
 )
@@ -55,7 +56,7 @@
 	o.standing = make(map[order.Subject]order.Standing)
 	o.surplus = make(map[string]order.Surplus)
 	for ctx.Err() == nil {
-		sleep(ctx, orderInterval)
+		sleep.For(ctx, orderInterval)
 		if o.Keeper.Held() == nil {
 			clear(o.standing)
 			continue
--- a/acaciad/control/usage.go
+++ b/acaciad/control/usage.go
@@ -10,6 +10,7 @@
 	"acaciapath.example/core/config"
 	"acaciapath.example/core/lease"
 	"acaciapath.example/core/platform"
+	"acaciapath.example/core/sleep"
 	"acaciapath.example/core/usage"
 
 	"github.com/sirupsen/logrus"
@@ -62,7 +63,7 @@
 	for ctx.Err() == nil {
 		part := u.partLength()
 		edge := time.Now().Truncate(part).Add(part)
-		sleep(ctx, time.Until(edge))
+		sleep.For(ctx, time.Until(edge))
 		u.flush(ctx, edge.Add(-time.Nanosecond), edge.Add(part-retryInterval))
 	}
 }
@@ -98,7 +99,7 @@
 		if ctx.Err() != nil || time.Now().After(limit) {
 			return
 		}
-		sleep(ctx, retryInterval)
+		sleep.For(ctx, retryInterval)
 	}
 }
 
@@ -106,11 +107,12 @@
 func (u *Usage) RunSettle(ctx context.Context) {
 	u.random = rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0))
 	for ctx.Err() == nil {
-		sleep(ctx, settleInterval)
+		sleep.For(ctx, settleInterval)
 		if n := u.Keeper.Row().Candidates; n > 0 {
 			u.Keeper.SetPoll(lease.PollInterval(u.Lease, n, u.random))
 		}
-		for u.Keeper.Held() != nil && u.settle(ctx) {
+		for more := true; more && u.Keeper.Held() != nil; {
+			more = u.settle(ctx)
 		}
 	}
 }
@@ -150,13 +152,3 @@
 	}).Info("usage window reported")
 	return true
 }
-
-// sleep waits, or until ctx ends.
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"acaciapath.example/core/config"
 	"acaciapath.example/core/lease"
 	"acaciapath.example/core/retry"
+	"acaciapath.example/core/sleep"
 	"acaciapath.example/core/telemetry"
 	"acaciapath.example/core/usage"
 	adapter "acaciapath.example/platform"
@@ -265,7 +266,7 @@
 func (d *Daemon) watchPauses(ctx context.Context) {
 	last := time.Now().Round(0)
 	for ctx.Err() == nil {
-		pause(ctx, pauseWatch)
+		sleep.For(ctx, pauseWatch)
 		now := time.Now().Round(0) // the wall clock, since the monotonic one may stand still
 		if stood := now.Sub(last) - pauseWatch; stood > pauseNoted || stood < -pauseNoted {
 			d.logger.WithField("ms", stood.Milliseconds()).Warn("the process did not run for a while, or the clock was set")
@@ -313,7 +314,7 @@
 			d.logger.WithError(err).Warn("the lease of the duties was not given back and expires by itself")
 		}
 	}()
-	pause(ctx, leaveDelay)
+	sleep.For(ctx, leaveDelay)
 	if err := server.Shutdown(ctx); err != nil {
 		d.logger.WithError(err).Warn("requests are cut off, the time to shut down is over")
 	}
--- a/acaciad/daemon/feed.go
+++ b/acaciad/daemon/feed.go
@@ -8,6 +8,7 @@
 	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/core/platform"
 	"acaciapath.example/core/replica"
+	"acaciapath.example/core/sleep"
 	adapter "acaciapath.example/platform"
 
 	"github.com/sirupsen/logrus"
@@ -92,7 +93,7 @@
 					Warn("store lost")
 			}
 			failing = true
-			pause(ctx, feedRetry)
+			sleep.For(ctx, feedRetry)
 			continue
 		}
 		if failing {
@@ -103,7 +104,7 @@
 		version, known = rows.Version, true
 		if whole || len(rows.Rows) > 0 {
 			f.apply(rows.Rows, whole)
-			pause(ctx, f.gap)
+			sleep.For(ctx, f.gap)
 		}
 	}
 }
@@ -228,13 +229,3 @@
 		}).Info("backend servers changed")
 	}
 }
-
-// pause waits, or until ctx ends.
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/acaciad/soak/faults_test.go
+++ b/acaciad/soak/faults_test.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"acaciapath.example/core/sleep"
 	"acaciapath.example/platform/standin"
 	"acaciapath.example/standin/relay"
 )
@@ -37,7 +38,7 @@
 func (s *storm) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.next(ctx)
-		pause(ctx, s.milliseconds(100, 700))
+		sleep.For(ctx, s.milliseconds(100, 700))
 	}
 	s.group.Wait()
 	s.world.store.SetFault(nil)
@@ -57,13 +58,6 @@
 	s.history = append(s.history, time.Since(s.began).Round(time.Millisecond).String()+" "+text)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // next injects one fault.
 func (s *storm) next(ctx context.Context) {
 	v := s.world.vms[s.random.IntN(len(s.world.vms))]
@@ -124,7 +118,7 @@
 	s.note("freeze " + v.name + " " + span.String())
 	v.signal(syscall.SIGSTOP)
 	s.group.Go(func() {
-		pause(ctx, span)
+		sleep.For(ctx, span)
 		v.signal(syscall.SIGCONT)
 	})
 }
@@ -150,7 +144,7 @@
 		return
 	}
 	s.group.Go(func() {
-		pause(ctx, span)
+		sleep.For(ctx, span)
 		r.SetFaults(relay.Faults{})
 	})
 }
@@ -160,7 +154,7 @@
 	s.note(b.ID + " has a manner " + span.String())
 	b.SetManner(m)
 	s.group.Go(func() {
-		pause(ctx, span)
+		sleep.For(ctx, span)
 		b.SetManner(standin.Whole)
 	})
 }
@@ -186,7 +180,7 @@
 		return fault
 	})
 	s.group.Go(func() {
-		pause(ctx, span)
+		sleep.For(ctx, span)
 		s.world.store.SetFault(nil)
 		s.world.store.Apply()
 	})
@@ -197,9 +191,9 @@
 	s.note(b.ID + " leaves " + span.String())
 	s.world.register(b, "draining")
 	s.group.Go(func() {
-		pause(ctx, span)
+		sleep.For(ctx, span)
 		s.world.store.Remove("servers", b.ID)
-		pause(ctx, span)
+		sleep.For(ctx, span)
 		s.world.register(b, "ready")
 	})
 }
--- a/core/lease/keeper.go
+++ b/core/lease/keeper.go
@@ -8,6 +8,7 @@
 
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/core/platform"
+	"acaciapath.example/core/sleep"
 )
 
 // callPart is the share of a lease's duration, as a divisor, that bounds one
@@ -111,7 +112,7 @@
 	doubt := k.doubt
 	k.mu.Unlock()
 	if doubt != nil {
-		pause(ctx, k.terms.Margin()-k.clock().atLeast(*doubt))
+		sleep.For(ctx, k.terms.Margin()-k.clock().atLeast(*doubt))
 	}
 	for ctx.Err() == nil {
 		if k.released() {
@@ -137,17 +138,7 @@
 	k.mu.Lock()
 	wait := k.lease.Wake(k.clock())
 	k.mu.Unlock()
-	pause(ctx, wait)
-}
-
-// pause waits, or until ctx ends.
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	sleep.For(ctx, wait)
 }
 
 // step makes the next request, if there is one, and takes in its answer. That
--- a/entryd/plain/headers.go
+++ b/entryd/plain/headers.go
@@ -5,14 +5,9 @@
 	"strings"
 
 	"acaciapath.example/core/apikey"
+	"acaciapath.example/core/hop"
 )
 
-// connectionHeaders belong to one connection and are not passed on (RFC 9110).
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // secretHeaders can carry a caller's key or other secrets.
 var secretHeaders = []string{
 	"Authorization", "Proxy-Authorization", "Cookie", "X-Api-Key", "Api-Key", "Apikey", "X-Auth-Token",
@@ -31,7 +26,7 @@
 			h[name] = values
 		}
 	}
-	removeConnection(h)
+	hop.Remove(h, nil)
 	remove(h, secretHeaders)
 	remove(h, ownHeaders)
 	return h
@@ -50,24 +45,13 @@
 // answerHeaders copies the headers of an answer that its caller is sent.
 func answerHeaders(to, from http.Header) {
 	from = from.Clone()
-	removeConnection(from)
+	hop.Remove(from, nil)
 	from.Del("X-Request-Id")
 	for name, values := range from {
 		to[name] = values
 	}
 }
 
-// removeConnection removes the headers that belong to one connection, with
-// those that Connection names.
-func removeConnection(h http.Header) {
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	remove(h, connectionHeaders)
-}
-
 func remove(h http.Header, names []string) {
 	for _, name := range names {
 		delete(h, name)
