A resumption that fails must not end the stream as complete

Cause: when a stream had broken off and the backend server that was to go on with it answered 500, that failure was written behind the events already sent, and the stream was framed as complete. Ruled out: events lost on the way (those sent were whole and in order).

--- a/acaciad/relay/relay_test.go
+++ b/acaciad/relay/relay_test.go
@@ -233,6 +233,25 @@
 	w.Assert(a.body, qt.Equals, events(1, 3))
 }
 
+// TestResumptionThatFails breaks a stream off and has the backend server that is
+// to go on with it fail, in every way. The answer must not look complete.
+func TestResumptionThatFails(t *testing.T) {
+	for _, manner := range []standin.Manner{standin.Full, standin.Fails, standin.Mute, standin.Unsigned, standin.Crossed} {
+		w := newWorld(t, 100)
+		w.ready()
+		one, two := w.server("i-1", "llm", 6), w.server("i-2", "llm", 6)
+		one.SetManner(standin.Cut)
+		two.SetManner(manner)
+		for range 6 {
+			a := w.get(http.MethodPost, "/reply/", "x")
+			if a.status == http.StatusOK {
+				w.Assert(a.err, qt.IsNotNil, qt.Commentf("manner %d", manner))
+				w.Assert(a.body, qt.Equals, events(1, 3))
+			}
+		}
+	}
+}
+
 // TestPlacesAreGivenBack ends requests in every way. None may count as running
 // afterwards, or its server would be passed over for good.
 func TestPlacesAreGivenBack(t *testing.T) {
--- a/acaciad/relay/run.go
+++ b/acaciad/relay/run.go
@@ -242,8 +242,11 @@
 	if !told.Belongs || success && (!told.Signed || told.Encoded) {
 		return broken
 	}
-	if success && x.route.Kind == catalog.Stream {
+	switch {
+	case success && x.route.Kind == catalog.Stream:
 		return x.stream(ctx, lease, response)
+	case x.status != 0:
+		return broken // the caller has the beginning of a stream, and can be sent no failure
 	}
 	return x.whole(response)
 }
--- a/acaciad/soak/soak_test.go
+++ b/acaciad/soak/soak_test.go
@@ -23,7 +23,10 @@
 )
 
 // regressions are seeds that failed once, each with its cause.
-var regressions = []uint64{}
+var regressions = []uint64{
+	101, // a failure of the backend server that was to resume a stream ended the stream as complete
+	135, // the same
+}
 
 // settle bounds how long daemons take to follow the platform and to report what
 // ran, once nothing fails any more.
