--- a/core/usage/writer.go
+++ b/core/usage/writer.go
@@ -56,9 +56,13 @@
 	return &Writer{table: service, vm: vm, instance: instance}
 }
 
-// Add takes over the figures of a part, which may have none. They go into its window, or, if that is
-// closed by the time they are written, into the one that is open then.
+// Add takes over the figures of a part. They go into its window, or, if it has
+// none or that is closed by the time they are written, into the one that is open
+// then. A part without figures is written only if it is final.
 func (w *Writer) Add(part Part) {
+	if len(part.Lines) == 0 && !part.Final {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.merge(part)
@@ -128,8 +132,10 @@
 	}
 	part := w.waiting[0]
 	w.waiting = slices.Delete(w.waiting, 0, 1)
-	part.Window = WindowStart(part.Window, length)
-	if part.Window.Before(w.earliest) {
+	if !part.Window.IsZero() {
+		part.Window = WindowStart(part.Window, length)
+	}
+	if part.Window.IsZero() || part.Window.Before(w.earliest) {
 		part.Window, part.Final = w.open(now, length), false
 	}
 	w.sequence++
--- a/core/usage/writer_test.go
+++ b/core/usage/writer_test.go
@@ -122,6 +122,25 @@
 	c.Assert(service.commits, qt.Equals, 2)
 }
 
+// TestWriterOfPartWithoutWindow adds figures that say no window, and parts
+// without figures.
+func TestWriterOfPartWithoutWindow(t *testing.T) {
+	c := qt.New(t)
+	service := newFakeTable()
+	w := usage.NewWriter(service, "vm-1", "a1")
+	w.Add(usage.Part{Window: start})
+	c.Assert(w.Flush(context.Background(), start, length), qt.IsNil)
+	c.Assert(service.rows, qt.HasLen, 0)
+	w.Add(usage.Part{Window: start, Final: true})
+	c.Assert(w.Flush(context.Background(), start, length), qt.IsNil)
+	c.Assert(service.rows, qt.HasLen, 1)
+	part := partOf(2)
+	part.Window = time.Time{}
+	w.Add(part)
+	c.Assert(w.Flush(context.Background(), start.Add(length), length), qt.IsNil)
+	c.Assert(requestsIn(service), qt.DeepEquals, map[string]uint64{usage.FormatStart(start.Add(length)): 2})
+}
+
 // TestWriterKeepsWindowsThroughOutage has two windows end while the table is
 // away. Their figures go into their own windows, which are still open.
 func TestWriterKeepsWindowsThroughOutage(t *testing.T) {
