Read as a newcomer: each type with its methods, one subject a file

Places on backend servers are no longer called leases; budgets, beliefs and work have files of their own; settings that nothing uses are gone; the retries that need not be earned are bounded by what the platform allows.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -136,7 +136,8 @@
 // to all of them.
 func retryBudget(s adapter.Settings, now time.Time) retry.Budget {
 	share := int(s.RetryShare * retryPart * 100)
-	return retry.Budget{Percent: share, Burst: retryBurst, PerSecond: 0, Saved: retryBurst, Updated: now}
+	burst := float64(min(retryBurst, s.RetryExtra))
+	return retry.Budget{Percent: share, Burst: burst, Saved: burst, Updated: now}
 }
 
 // newClock returns a clock that begins at start.
@@ -207,28 +208,6 @@
 	go d.serve(&http.Server{Handler: telemetry.OpsHandler(d.registry, ready), ReadHeaderTimeout: headerTimeout}, listener)
 }
 
-// work is what goes on until it is stopped.
-type work struct {
-	ctx    context.Context
-	cancel context.CancelFunc
-	group  sync.WaitGroup
-}
-
-func newWork() *work {
-	w := &work{}
-	w.ctx, w.cancel = context.WithCancel(context.Background())
-	return w
-}
-
-// run runs f until the work is stopped.
-func (w *work) run(f func(context.Context)) { w.group.Go(func() { f(w.ctx) }) }
-
-// stop stops the work and waits for its end.
-func (w *work) stop() {
-	w.cancel()
-	w.group.Wait()
-}
-
 // start starts the daemon's regular work, and its part in the duties.
 func (d *Daemon) start(work, duties *work) {
 	wait, gap := feedWait(d.settings), feedGap(d.settings)
--- a/acaciad/daemon/daemon_test.go
+++ b/acaciad/daemon/daemon_test.go
@@ -94,7 +94,7 @@
 		StoreAddress: d.store.Address(), DutiesAddress: d.duties.Address(),
 		ReportsUsage: true, OrdersServers: true, MemoryBytes: 1 << 30,
 		Grace: 8 * time.Second, Lease: time.Second, UsageWindow: time.Second, UsageDue: 4 * time.Second,
-		RetryShare: 0.2, Contact: time.Second, ServerDrain: 2500 * time.Millisecond,
+		RetryShare: 0.2, RetryExtra: 20, Contact: time.Second, ServerDrain: 2500 * time.Millisecond,
 	}
 	r := &running{settings: s, log: &logs{}, ended: make(chan error, 1)}
 	logger := logrus.New()
--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -154,25 +154,8 @@
 	return r.PickService(d.random)
 }
 
-// Lease is a place on a backend server that a request took. It ends by Finish.
-type Lease struct {
-	// Spec is the backend server.
-	Spec replica.Spec
-	// Running and Reading are what this daemon had there when it was taken.
-	Running, Reading int
-
-	directory *Directory
-	pool      *placement.Pool
-	server    *placement.Server
-	wish      placement.Wish
-	read      bool
-	// pressure and number measure the time to the first event.
-	pressure *order.Pressure
-	number   uint64
-}
-
 // Take chooses a backend server of a service, or returns nil if there is none.
-func (d *Directory) Take(service string, wish placement.Wish, now time.Time) *Lease {
+func (d *Directory) Take(service string, wish placement.Wish, now time.Time) *Place {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	pool := d.pools[service]
@@ -183,13 +166,13 @@
 	if s == nil {
 		return nil
 	}
-	lease := &Lease{Spec: s.Spec, Running: s.Running, Reading: s.Reading, directory: d, pool: pool, server: s, wish: wish}
+	place := &Place{Spec: s.Spec, Running: s.Running, Reading: s.Reading, directory: d, pool: pool, server: s, wish: wish}
 	s.Start(wish, now)
 	if wish.Generates {
-		lease.pressure = d.pressure(service)
-		lease.number = lease.pressure.Begin(wish.Target, now)
+		place.pressure = d.pressure(service)
+		place.number = place.pressure.Begin(wish.Target, now)
 	}
-	return lease
+	return place
 }
 
 // pressure returns the pressure of a service.
@@ -210,59 +193,6 @@
 	return d.pressure(service).Mean(now)
 }
 
-// Read says that the backend server has read the prompt.
-func (l *Lease) Read(now time.Time) {
-	l.directory.mu.Lock()
-	defer l.directory.mu.Unlock()
-	l.readLocked(now)
-}
-
-func (l *Lease) readLocked(now time.Time) {
-	if l.read {
-		return
-	}
-	l.read = true
-	l.server.Read(l.wish)
-	if l.pressure != nil {
-		l.pressure.End(l.number, now)
-	}
-}
-
-// Outcome is how a request ended at a backend server.
-type Outcome int
-
-// The outcomes.
-const (
-	// Succeeded is said of a whole answer.
-	Succeeded Outcome = iota
-	// Failed is said of a backend server that could not be reached or broke off.
-	Failed
-	// Full is said of a backend server that took no more requests.
-	Full
-	// Absent is said of a backend server at whose address another one answered.
-	Absent
-	// Neutral tells nothing about the backend server.
-	Neutral
-)
-
-// Finish gives the place back.
-func (l *Lease) Finish(outcome Outcome, now time.Time) {
-	l.directory.mu.Lock()
-	defer l.directory.mu.Unlock()
-	l.readLocked(now)
-	l.server.Finish(now)
-	switch outcome {
-	case Succeeded:
-		l.server.Succeed()
-	case Failed:
-		l.server.Fail(now)
-	case Full:
-		l.server.Reject(now)
-	case Absent:
-		l.pool.SetAbsent(l.server)
-	}
-}
-
 // Count returns how many backend servers of a service are in a failure domain.
 func (d *Directory) Count(service, failureDomain string) order.Present {
 	d.mu.Lock()
--- a/acaciad/relay/events.go
+++ b/acaciad/relay/events.go
@@ -28,7 +28,7 @@
 
 // pass passes whole events on as they arrive. It returns nil once the stream
 // ended as complete.
-func (x *exchange) pass(_ context.Context, lease *directory.Lease, response *http.Response) error {
+func (x *exchange) pass(_ context.Context, place *directory.Place, response *http.Response) error {
 	controller := http.NewResponseController(x.writer)
 	buffer := make([]byte, 0, readBytes)
 	for {
@@ -41,14 +41,14 @@
 		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if end := lastEventEnd(buffer); end > 0 {
-			if passErr := x.passEvents(controller, lease, response, buffer[:end]); passErr != nil {
+			if passErr := x.passEvents(controller, place, response, buffer[:end]); passErr != nil {
 				return passErr
 			}
 			buffer = buffer[:copy(buffer, buffer[end:])]
 		}
 		switch {
 		case err == io.EOF && len(buffer) == 0:
-			x.begin(lease, response)
+			x.begin(place, response)
 			return nil
 		case err == io.EOF:
 			return errEvent
@@ -59,12 +59,12 @@
 }
 
 // begin sends the headers of the stream, of the first backend server only.
-func (x *exchange) begin(lease *directory.Lease, response *http.Response) {
-	if x.begun == lease {
+func (x *exchange) begin(place *directory.Place, response *http.Response) {
+	if x.begun == place {
 		return
 	}
-	x.begun = lease
-	lease.Read(time.Now())
+	x.begun = place
+	place.Read(time.Now())
 	x.count()
 	if x.status != 0 {
 		return
@@ -76,8 +76,8 @@
 	x.writer.WriteHeader(response.StatusCode)
 }
 
-func (x *exchange) passEvents(controller *http.ResponseController, lease *directory.Lease, response *http.Response, events []byte) error {
-	x.begin(lease, response)
+func (x *exchange) passEvents(controller *http.ResponseController, place *directory.Place, response *http.Response, events []byte) error {
+	x.begin(place, response)
 	if _, err := x.writer.Write(events); err != nil {
 		return errCaller
 	}
--- a/acaciad/relay/handler.go
+++ b/acaciad/relay/handler.go
@@ -6,13 +6,11 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/core/catalog"
 	"acaciapath.example/core/placement"
-	"acaciapath.example/core/retry"
 	"acaciapath.example/core/usage"
 	"acaciapath.example/core/workload"
 	"acaciapath.example/platform"
@@ -60,43 +58,6 @@
 	Draining context.Context
 }
 
-// Budgets bound the retries of this daemon, by service. They are safe for
-// concurrent use.
-type Budgets struct {
-	mu       sync.Mutex
-	template retry.Budget
-	budgets  map[string]*retry.Budget
-}
-
-// NewBudgets returns budgets that each start as the template.
-func NewBudgets(template retry.Budget) *Budgets {
-	return &Budgets{template: template, budgets: make(map[string]*retry.Budget)}
-}
-
-func (b *Budgets) of(service string) *retry.Budget {
-	budget := b.budgets[service]
-	if budget == nil {
-		fresh := b.template
-		budget = &fresh
-		b.budgets[service] = budget
-	}
-	return budget
-}
-
-// Earn accounts for a request.
-func (b *Budgets) Earn(service string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.of(service).Earn()
-}
-
-// Spend takes one retry, and reports false if there is none at hand.
-func (b *Budgets) Spend(service string, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.of(service).Spend(now)
-}
-
 var _ http.Handler = (*Handler)(nil)
 
 // ServeHTTP serves one request.
@@ -165,7 +126,7 @@
 	// attempts are the backend servers that were tried, in order.
 	attempts []attempt
 	// begun is the attempt whose first event has arrived.
-	begun *directory.Lease
+	begun *directory.Place
 	// lastEvent is the last whole event of a stream that the caller was sent.
 	lastEvent string
 	// events is the number of events passed on.
--- a/acaciad/relay/run.go
+++ b/acaciad/relay/run.go
@@ -50,12 +50,12 @@
 func (x *exchange) run(ctx context.Context) *refusal {
 	last, runs := unreached, 0
 	for len(x.attempts) < maxAttempts {
-		lease := x.next(last)
-		if lease == nil {
+		place := x.next(last)
+		if place == nil {
 			break
 		}
-		last = x.attempt(ctx, lease)
-		x.wish.Tried = append(x.wish.Tried, lease.Spec.Name)
+		last = x.attempt(ctx, place)
+		x.wish.Tried = append(x.wish.Tried, place.Spec.Name)
 		if last == answered {
 			return nil
 		}
@@ -85,17 +85,17 @@
 
 // next takes a place on a backend server that was not tried yet, or returns nil.
 // After a backend server got the request, another one costs a retry.
-func (x *exchange) next(last result) *directory.Lease {
+func (x *exchange) next(last result) *directory.Place {
 	now := time.Now()
-	lease := x.handler.Directory.Take(x.service, x.wish, now)
-	if lease == nil {
+	place := x.handler.Directory.Take(x.service, x.wish, now)
+	if place == nil {
 		return nil
 	}
-	if x.wasTried(lease.Spec.Name) || last != unreached && !x.handler.Budgets.Spend(x.service, now) {
-		lease.Finish(directory.Neutral, now)
+	if x.wasTried(place.Spec.Name) || last != unreached && !x.handler.Budgets.Spend(x.service, now) {
+		place.Finish(directory.Neutral, now)
 		return nil
 	}
-	return lease
+	return place
 }
 
 func (x *exchange) wasTried(name string) bool {
@@ -149,37 +149,37 @@
 	return notRun
 }
 
-// attempt sends the request to the backend server of a lease, and passes the
+// attempt sends the request to the backend server of a place, and passes the
 // answer on if there is one.
-func (x *exchange) attempt(ctx context.Context, lease *directory.Lease) result {
+func (x *exchange) attempt(ctx context.Context, place *directory.Place) result {
 	x.attempts = append(x.attempts, attempt{
-		server: lease.Spec.Name, domain: lease.Spec.FailureDomain,
-		running: lease.Running, reading: lease.Reading,
+		server: place.Spec.Name, domain: place.Spec.FailureDomain,
+		running: place.Running, reading: place.Reading,
 	})
 	a := &x.attempts[len(x.attempts)-1]
 	began := time.Now()
-	response, r := x.send(ctx, lease)
+	response, r := x.send(ctx, place)
 	if response == nil {
-		x.fail(ctx, lease, a, r)
+		x.fail(ctx, place, a, r)
 		return r
 	}
 	defer response.Body.Close()
 	a.first = time.Since(began)
-	r = x.answer(ctx, lease, response)
+	r = x.answer(ctx, place, response)
 	a.result = r.String()
 	switch {
 	case r == answered:
-		lease.Finish(directory.Succeeded, time.Now())
+		place.Finish(directory.Succeeded, time.Now())
 	case r == rejected && response.StatusCode == http.StatusMisdirectedRequest:
-		x.handler.Logger.WithField("backend-server", lease.Spec.Name).
+		x.handler.Logger.WithField("backend-server", place.Spec.Name).
 			Warn("another server answers at the address of a backend server, which is used no more")
-		lease.Finish(directory.Absent, time.Now())
+		place.Finish(directory.Absent, time.Now())
 	case r == rejected:
-		lease.Finish(directory.Full, time.Now())
+		place.Finish(directory.Full, time.Now())
 	case r != answered && x.request.Context().Err() == nil && ctx.Err() == nil && x.outcome != outcomeLeft:
-		lease.Finish(directory.Failed, time.Now())
+		place.Finish(directory.Failed, time.Now())
 	default:
-		lease.Finish(directory.Neutral, time.Now())
+		place.Finish(directory.Neutral, time.Now())
 	}
 	return r
 }
@@ -190,20 +190,20 @@
 }
 
 // fail ends an attempt that brought no answer.
-func (x *exchange) fail(ctx context.Context, lease *directory.Lease, a *attempt, r result) {
+func (x *exchange) fail(ctx context.Context, place *directory.Place, a *attempt, r result) {
 	a.result = r.String()
 	outcome := directory.Neutral
 	if r != rejected && ctx.Err() == nil {
 		outcome = directory.Failed
 	}
-	lease.Finish(outcome, time.Now())
+	place.Finish(outcome, time.Now())
 }
 
 // send sends the request and returns the answer, or how it failed.
-func (x *exchange) send(ctx context.Context, lease *directory.Lease) (*http.Response, result) {
+func (x *exchange) send(ctx context.Context, place *directory.Place) (*http.Response, result) {
 	deadline, _ := ctx.Deadline()
 	forwarding := platform.Forwarding{
-		Server:    lease.Spec.Name,
+		Server:    place.Spec.Name,
 		Wait:      time.Until(deadline),
 		Tier:      catalog.Tier(x.route, x.account),
 		Generates: x.route.Generates,
@@ -220,7 +220,7 @@
 		host:       x.request.Host,
 		header:     x.handler.Wire.Outgoing(x.request.Header, forwarding),
 		body:       x.body,
-		address:    lease.Spec.Address,
+		address:    place.Spec.Address,
 		repeatable: x.route.Repeatable(),
 	})
 	switch {
@@ -233,7 +233,7 @@
 }
 
 // answer passes an answer on, unless it is none that the caller can be sent.
-func (x *exchange) answer(ctx context.Context, lease *directory.Lease, response *http.Response) result {
+func (x *exchange) answer(ctx context.Context, place *directory.Place, response *http.Response) result {
 	told := x.handler.Wire.Answer(response, x.ask.ID)
 	if told.NotRun && response.StatusCode != http.StatusBadRequest {
 		return rejected
@@ -244,7 +244,7 @@
 	}
 	switch {
 	case success && x.route.Kind == catalog.Stream:
-		return x.stream(ctx, lease, response)
+		return x.stream(ctx, place, response)
 	case x.status != 0:
 		return broken // the caller has the beginning of a stream, and can be sent no failure
 	}
@@ -315,8 +315,8 @@
 
 // stream passes the events of a stream on as they come. If the stream breaks
 // off and can be resumed, it goes on at another backend server.
-func (x *exchange) stream(ctx context.Context, lease *directory.Lease, response *http.Response) result {
-	err := x.pass(ctx, lease, response)
+func (x *exchange) stream(ctx context.Context, place *directory.Place, response *http.Response) result {
+	err := x.pass(ctx, place, response)
 	if err == nil {
 		x.outcome = outcomeServed
 		return answered
