Read once more: one copy of a pool's load, no dead code, the field's words

The load of a pool was added up in two places; a search through a slice was written by hand; an unused method, an unused argument and two conditions that always held are gone. Comments and the soak's notes say configuration. Errors that are dropped say why. Behaviour is as before.

--- a/acaciad/daemon/beliefs.go
+++ b/acaciad/daemon/beliefs.go
@@ -31,7 +31,7 @@
 	return &beliefs{directory: d, logger: logger, servers: make(map[string]replica.Spec), lapsed: make(map[string]time.Time)}
 }
 
-// applyCatalog takes over the operator's desired state.
+// applyCatalog takes over the configuration that the operator wrote.
 func (b *beliefs) applyCatalog(rows []adapter.Row, _ bool) {
 	for _, row := range rows {
 		if row.Key != keyCatalog || row.Deleted {
--- a/acaciad/daemon/daemon_test.go
+++ b/acaciad/daemon/daemon_test.go
@@ -40,7 +40,7 @@
 	return d
 }
 
-// declare writes a desired state whose route /look/ may be asked for with a key.
+// declare writes a configuration whose route /look/ may be asked for with a key.
 func (d *deployment) declare(version int, key string) {
 	d.store.Write("op", "config", map[string]any{
 		"version": version,
@@ -155,7 +155,7 @@
 }
 
 // TestFollowsThePlatform follows a daemon from its start before anything is
-// declared through changes of the desired state and of the backend servers.
+// declared through changes of the configuration and of the backend servers.
 func TestFollowsThePlatform(t *testing.T) {
 	d := newDeployment(t)
 	r := d.start("vm-1")
--- a/acaciad/directory/collector.go
+++ b/acaciad/directory/collector.go
@@ -49,11 +49,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for name, pool := range d.pools {
-		running, reading := 0, 0
+		running, reading := pool.Load()
 		groups := make(map[serverGroup]int)
 		for _, s := range pool.Servers {
-			running += s.Running
-			reading += s.Reading
 			group := serverGroup{service: name, kind: s.Spec.Kind, state: stateReady}
 			switch {
 			case s.Spec.Leaving:
--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -137,13 +137,6 @@
 	return d.changed
 }
 
-// Random returns a number in [0, n).
-func (d *Directory) Random(n int) int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.random.IntN(n)
-}
-
 // Service draws the service that runs a request of a route.
 func (d *Directory) Service(r *catalog.Route) string {
 	if len(r.Splits) == 1 {
@@ -223,9 +216,5 @@
 	if pool == nil {
 		return 0, 0
 	}
-	for _, s := range pool.Servers {
-		running += s.Running
-		reading += s.Reading
-	}
-	return running, reading
+	return pool.Load()
 }
--- a/acaciad/relay/client.go
+++ b/acaciad/relay/client.go
@@ -88,7 +88,6 @@
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
-		Close:         false,
 	}).WithContext(httptrace.WithClientTrace(ctx, trace))
 	if len(o.body) > 0 {
 		request.Body = io.NopCloser(bytes.NewReader(o.body))
--- a/acaciad/relay/events.go
+++ b/acaciad/relay/events.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 	"time"
@@ -28,7 +27,7 @@
 
 // pass passes whole events on as they arrive. It returns nil once the stream
 // ended as complete.
-func (x *exchange) pass(_ context.Context, place *directory.Place, response *http.Response) error {
+func (x *exchange) pass(place *directory.Place, response *http.Response) error {
 	controller := http.NewResponseController(x.writer)
 	buffer := make([]byte, 0, readBytes)
 	for {
--- a/acaciad/relay/run.go
+++ b/acaciad/relay/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -91,22 +92,13 @@
 	if place == nil {
 		return nil
 	}
-	if x.wasTried(place.Spec.Name) || last != unreached && !x.handler.Budgets.Spend(x.service, now) {
+	if slices.Contains(x.wish.Tried, place.Spec.Name) || last != unreached && !x.handler.Budgets.Spend(x.service, now) {
 		place.Finish(directory.Neutral, now)
 		return nil
 	}
 	return place
 }
 
-func (x *exchange) wasTried(name string) bool {
-	for _, tried := range x.wish.Tried {
-		if tried == name {
-			return true
-		}
-	}
-	return false
-}
-
 // ended returns how a request ends whose caller has left or whose time is over,
 // or nil.
 func (x *exchange) ended(ctx context.Context) *refusal {
@@ -176,7 +168,7 @@
 		place.Finish(directory.Absent, time.Now())
 	case r == rejected:
 		place.Finish(directory.Full, time.Now())
-	case r != answered && x.request.Context().Err() == nil && ctx.Err() == nil && x.outcome != outcomeLeft:
+	case x.request.Context().Err() == nil && ctx.Err() == nil && x.outcome != outcomeLeft:
 		place.Finish(directory.Failed, time.Now())
 	default:
 		place.Finish(directory.Neutral, time.Now())
@@ -193,7 +185,7 @@
 func (x *exchange) fail(ctx context.Context, place *directory.Place, a *attempt, r result) {
 	a.result = r.String()
 	outcome := directory.Neutral
-	if r != rejected && ctx.Err() == nil {
+	if ctx.Err() == nil {
 		outcome = directory.Failed
 	}
 	place.Finish(outcome, time.Now())
@@ -316,7 +308,7 @@
 // stream passes the events of a stream on as they come. If the stream breaks
 // off and can be resumed, it goes on at another backend server.
 func (x *exchange) stream(ctx context.Context, place *directory.Place, response *http.Response) result {
-	err := x.pass(ctx, place, response)
+	err := x.pass(place, response)
 	if err == nil {
 		x.outcome = outcomeServed
 		return answered
--- a/acaciad/soak/faults_test.go
+++ b/acaciad/soak/faults_test.go
@@ -83,7 +83,7 @@
 		s.store(ctx, span)
 	case 10:
 		s.second = !s.second
-		s.note("desired state")
+		s.note("configuration")
 		s.world.declare(s.second)
 	case 11:
 		s.leave(ctx, b, span)
--- a/acaciad/soak/soak_test.go
+++ b/acaciad/soak/soak_test.go
@@ -99,7 +99,7 @@
 }
 
 // checkAfterwards checks that all daemons serve again and follow the newest
-// desired state, whatever happened.
+// configuration, whatever happened.
 func (w *world) checkAfterwards() {
 	for _, second := range []bool{false, true} {
 		w.declare(second)
--- a/acaciapath/command/apply.go
+++ b/acaciapath/command/apply.go
@@ -139,10 +139,10 @@
 	metas, err := ports.store.History(ctx, int(min(since, raceHistory)))
 	if err == nil && len(metas) > 0 {
 		fmt.Fprintf(p.Stderr, "Since revision %d:\n", race.Base)
-		_ = historyResult(metas).Text(p.Stderr)
+		_ = historyResult(metas).Text(p.Stderr) // a failed write to standard error can be told nowhere
 	}
 	changes, err := diffNumbers(ctx, ports, race.Base, race.Newest.Revision)
 	if err == nil {
-		_ = changes.Text(p.Stderr)
+		_ = changes.Text(p.Stderr) // likewise
 	}
 }
--- a/core/peer/heartbeats/heartbeats.go
+++ b/core/peer/heartbeats/heartbeats.go
@@ -225,6 +225,7 @@
 	var wait sync.WaitGroup
 	for _, probe := range probes {
 		wait.Go(func() {
+			// A neighbour that misses this finds out by its own heartbeats.
 			_ = r.pool.Call(probe.To.Address, func(c *peer.Client) error {
 				_, err := c.Heartbeat(ctx, probe.Request)
 				return err
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -87,6 +87,16 @@
 	return added, removed
 }
 
+// Load returns the requests that this daemon runs on the servers, and the prompt
+// tokens of them that are not read yet.
+func (p *Pool) Load() (running, reading int) {
+	for _, s := range p.Servers {
+		running += s.Running
+		reading += s.Reading
+	}
+	return running, reading
+}
+
 // SetShares changes the shares of the servers that are kept for lanes.
 func (p *Pool) SetShares(shares Shares) {
 	p.Shares = shares
