--- a/acaciad/soak/world_test.go
+++ b/acaciad/soak/world_test.go
@@ -108,7 +108,7 @@
 	w.store.Write("servers", s.ID, entry)
 }
 
-// declare writes the next desired state, with the second key or without it.
+// declare writes the next configuration, with the second key or without it.
 func (w *world) declare(second bool) {
 	w.version += 3
 	route := func(name, kind, service string) map[string]any {
