queue: under overload a client account's missed requests are made up for

Cause: client accounts of one class share by tokens, so that where the class asks for more than there is, those that ask most get the least part of their requests in time. Requests that can still be served in time go by the part of their client account's requests that became late, in tenths, then by tokens; a client account that suddenly asks for over four times its usual gains nothing. TestLargeAccountsInOverload failed before.

--- a/core/queue/class.go
+++ b/core/queue/class.go
@@ -24,6 +24,8 @@
 	// counter is the number of tokens charged, lifted to the class's floor
 	// whenever the client account begins to wait anew.
 	counter float64
+	// record is how many of the client account's requests became late.
+	record record
 	// lanes hold the fresh and the late entries.
 	lanes [urgencies]lane[T]
 }
@@ -73,6 +75,10 @@
 	// credit is the guaranteed work, in tokens, that the class has not got yet.
 	// credit ≥ 0.
 	credit float64
+	// demand tells the client accounts that ask for more than usual.
+	demand demand
+	// now is the latest time that the class was told. It never moves back.
+	now time.Time
 }
 
 func newClass[T any](tier int) *class[T] {
@@ -88,10 +94,33 @@
 	if s.idle() {
 		s.counter = max(s.counter, c.floor)
 	}
+	c.tell(e.Arrived)
+	if !e.asked {
+		e.asked = true
+		e.unusual = c.demand.ask(&s.record, c.now)
+		if !e.unusual {
+			s.record.ask(c.now)
+		}
+	}
 	c.insert(e, s, fresh)
+	c.fix(s, fresh)
 	c.waiting++
 }
 
+// tell notes the present time.
+func (c *class[T]) tell(now time.Time) {
+	if now.After(c.now) {
+		c.now = now
+	}
+}
+
+// fix restores the order of a heap after a change of a share.
+func (c *class[T]) fix(s *share[T], u urgency) {
+	if i := s.lanes[u].position; i != notInHeap {
+		heap.Fix(&c.backlog[u], i)
+	}
+}
+
 // insert puts an entry into one of its client account's lanes.
 func (c *class[T]) insert(e *Entry[T], s *share[T], u urgency) {
 	l := &s.lanes[u]
@@ -117,6 +146,7 @@
 // age moves the entries that have become late. The requests of a class are
 // late after the same time, so that the first to arrive is the first to be late.
 func (c *class[T]) age(now time.Time) {
+	c.tell(now)
 	for {
 		e := c.entries[fresh].head
 		if e == nil || !now.After(e.FreshUntil) {
@@ -124,7 +154,11 @@
 		}
 		s := e.owner.share
 		c.detach(e)
+		if !e.unusual {
+			s.record.miss(c.now)
+		}
 		c.insert(e, s, late)
+		c.fix(s, fresh)
 	}
 }
 
@@ -163,9 +197,7 @@
 	s := c.share(account)
 	s.counter += tokens
 	for u := range urgencies {
-		if i := s.lanes[u].position; i != notInHeap {
-			heap.Fix(&c.backlog[u], i)
-		}
+		c.fix(s, u)
 	}
 	c.forget(s)
 }
@@ -181,9 +213,10 @@
 }
 
 // forget drops an idle share that a new one would not differ from. Shares above
-// the floor stay until the floor has passed them.
+// the floor stay until the floor has passed them, and shares with a record until
+// it has faded.
 func (c *class[T]) forget(s *share[T]) {
-	if s.idle() && s.counter <= c.floor {
+	if s.idle() && s.counter <= c.floor && s.record.faded(c.now) {
 		delete(c.shares, s.account)
 	}
 }
@@ -195,7 +228,8 @@
 	}
 }
 
-// laneHeap is a heap of lanes by their shares' counters, then by name.
+// laneHeap is a heap of lanes: fresh ones by the part of their shares' requests
+// that became late, then all by their shares' counters, then by name.
 type laneHeap[T any] []*lane[T]
 
 var _ heap.Interface = (*laneHeap[struct{}])(nil)
@@ -206,6 +240,11 @@
 // Less reports whether lane i is served before lane j.
 func (h laneHeap[T]) Less(i, j int) bool {
 	a, b := h[i].share, h[j].share
+	if h[i].urgency == fresh {
+		if x, y := a.record.misses(), b.record.misses(); x != y {
+			return x > y
+		}
+	}
 	if a.counter != b.counter {
 		return a.counter < b.counter
 	}
--- a/core/queue/entry.go
+++ b/core/queue/entry.go
@@ -17,6 +17,9 @@
 	// requests of a class go before others.
 	FreshUntil time.Time
 
+	// asked says that the entry was pushed before; unusual, that its client
+	// account asked for more than usual then.
+	asked, unusual bool
 	// owner is the lane that holds the entry, nil while it does not wait.
 	owner *lane[T]
 	// inLane links the entries of a client account.
