entryd: a daemon that reaches nobody accepts no key after a while

Ruled out: going by the platform alone, which would stop a failure domain that is cut off as a whole. After [keys] isolated (10 s) without an answer of the platform or of another VM the daemon ends its grants, refuses keyed requests as not run and says that it is not ready. TestWithdrawnKeyStopsWhereIsolated failed before. Its check of the status is replaced: 401 would say that the key is known to be withdrawn, which the daemon cannot know; 503 with Retry-After lets callers go to another VM. It now also demands that the running stream ends, that nothing runs any more, and that all is back after the cut.

--- a/acaciapath/proofs/keys_test.go
+++ b/acaciapath/proofs/keys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -104,7 +105,9 @@
 const isolatedPatience = 14 * time.Second
 
 // TestWithdrawnKeyStopsWhereIsolated withdraws a key while one daemon is cut off
-// from the platform and from all neighbours.
+// from the platform and from all neighbours, and a stream runs there. The stream
+// ends, and nothing runs with the key any more. The daemon cannot know that the
+// key was withdrawn, and must not say so. Once the links are back, it does.
 func TestWithdrawnKeyStopsWhereIsolated(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, 1, engineOptions, "")
@@ -113,11 +116,29 @@
 	for _, link := range links {
 		link.SetFaults(relay.Faults{CutForward: true, CutBack: true})
 	}
+	stream := make(chan answer, 1)
+	go func() { stream <- w.chat(daemons[1], roofersKey, "slate", endless, true) }()
+	w.eventually("the stream runs", func() bool { return w.running(daemons) == 1 })
 	w.apply("\n[key roofers-1]\nwithdrawn = true\n")
-	stopped := func() bool { return w.chat(daemons[1], roofersKey, "slate", 1, false).status == 401 }
+	stopped := func() bool {
+		got := w.chat(daemons[1], roofersKey, "slate", 1, false)
+		return got.status == http.StatusServiceUnavailable && got.notRun() && got.refusal().Code == refusal.KeysUnconfirmed
+	}
 	for end := time.Now().Add(isolatedPatience); !stopped(); time.Sleep(100 * time.Millisecond) {
 		if time.Now().After(end) {
 			w.c.Fatal("the withdrawn key still works")
 		}
 	}
+	w.c.Check((<-stream).refusal().Code, qt.Equals, refusal.KeysUnconfirmed)
+	runs := len(w.engines[0].Runs().Entries())
+	w.c.Check(stopped(), qt.IsTrue)
+	w.c.Check(w.engines[0].Runs().Entries(), qt.HasLen, runs)
+	w.platform.SetFaults(platform.All, fault.Faults{})
+	for _, link := range links {
+		link.SetFaults(relay.Faults{})
+	}
+	w.eventually("the withdrawal is told", func() bool {
+		return w.chat(daemons[1], roofersKey, "slate", 1, false).status == http.StatusUnauthorized
+	})
+	w.c.Check(w.chat(daemons[1], shopKey, "socks", 1, false).status, qt.Equals, http.StatusOK)
 }
--- a/core/peer/heartbeats/heartbeats.go
+++ b/core/peer/heartbeats/heartbeats.go
@@ -56,7 +56,10 @@
 	options Options
 	pool    *peer.Pool
 	view    atomic.Pointer[membership.View]
-	wait    sync.WaitGroup
+	// contacted is when a daemon of another VM answered last, in Unix
+	// nanoseconds; 0 if none ever did.
+	contacted atomic.Int64
+	wait      sync.WaitGroup
 	// behind takes a value when a peer may have a newer revision in force.
 	behind chan struct{}
 
@@ -89,6 +92,15 @@
 	r.table.SetAddress(address)
 }
 
+// ContactedAt returns when a daemon of another VM last answered. It is zero if
+// none ever did.
+func (r *Runner) ContactedAt() time.Time {
+	if at := r.contacted.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
+
 // View returns what was known at the last period.
 func (r *Runner) View() *membership.View { return r.view.Load() }
 
@@ -205,6 +217,9 @@
 	r.mu.Lock()
 	now := r.options.Clock()
 	answered := err == nil && r.table.Answered(probe, answer, now)
+	if answered && probe.To.VM != r.options.Self.VM {
+		r.contacted.Store(now.UnixNano())
+	}
 	var indirect []membership.Probe
 	if !answered {
 		indirect = r.table.Failed(probe, now)
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -39,6 +39,7 @@
 	KeyMissing          Code = "key-missing"
 	KeyInvalid          Code = "key-invalid"
 	KeyWithdrawn        Code = "key-withdrawn"
+	KeysUnconfirmed     Code = "keys-unconfirmed"
 	ClassNotBought      Code = "class-not-bought"
 	RouteUnknown        Code = "route-unknown"
 	ModelUnknown        Code = "model-unknown"
@@ -68,6 +69,7 @@
 	KeyMissing:          http.StatusUnauthorized,
 	KeyInvalid:          http.StatusUnauthorized,
 	KeyWithdrawn:        http.StatusUnauthorized,
+	KeysUnconfirmed:     http.StatusServiceUnavailable,
 	ClassNotBought:      http.StatusForbidden,
 	RouteUnknown:        http.StatusNotFound,
 	ModelUnknown:        http.StatusNotFound,
--- a/core/settings/flags_test.go
+++ b/core/settings/flags_test.go
@@ -30,7 +30,7 @@
 		Name: "entry-1", FailureDomain: "quito-a", Address: "10.0.1.5",
 		CallersPort: 8080, PeerPort: 9001, OpsPort: 0,
 		PlatformAddress: "10.0.9.1:7000", PlatformTimeout: 500 * time.Millisecond,
-		ConfigPoll: time.Second, DrainTimeout: 10 * time.Minute, Lease: 6 * time.Second,
+		ConfigPoll: time.Second, IsolatedKeys: 10 * time.Second, DrainTimeout: 10 * time.Minute, Lease: 6 * time.Second,
 		TLS:      peer.Files{Certificate: "vm.pem", Key: "vm-key.pem", Authority: "authority.pem"},
 		LogLevel: "warning", LogFormat: "json",
 	})
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -50,6 +50,10 @@
 	// ConfigPoll is how often the platform is asked for a newer revision.
 	// ConfigPoll > 0.
 	ConfigPoll time.Duration
+	// IsolatedKeys is how long an entry daemon goes on accepting keys while it
+	// reaches neither the platform nor any neighbour; 0 means for ever.
+	// IsolatedKeys ≥ 0.
+	IsolatedKeys time.Duration
 	// DrainTimeout bounds a graceful shutdown. DrainTimeout > 0.
 	DrainTimeout time.Duration
 	// Lease is how long a lease lasts without being renewed. Lease > 0.
--- a/core/settings/tables.go
+++ b/core/settings/tables.go
@@ -27,7 +27,7 @@
 // kinds returns the tables of all sections, with what the role requires.
 func kinds(role Role) []ini.Kind[Settings] {
 	return []ini.Kind[Settings]{
-		daemonSection(role), listenSection(), platformSection(), configSection(), drainSection(),
+		daemonSection(role), listenSection(), platformSection(), configSection(), keysSection(), drainSection(),
 		leaseSection(), tlsSection(), logSection(), traceSection(),
 	}
 }
@@ -107,6 +107,15 @@
 	})
 }
 
+func keysSection() ini.Kind[Settings] {
+	return durationSection("keys", "Says how long an entry daemon relies on the keys that it knows.", ini.Setting[Settings]{
+		Name: "isolated", Default: "10s",
+		Help: "How long keys are accepted while neither the platform nor any daemon of another VM can be reached, " +
+			"so that the daemon does not hear of withdrawn keys; 0s accepts them for ever.",
+		Binding: ini.Bind(func(s *Settings) *time.Duration { return &s.IsolatedKeys }, value.Duration(0, 24*time.Hour)),
+	})
+}
+
 func drainSection() ini.Kind[Settings] {
 	return durationSection("drain", "Says how a daemon stops.", ini.Setting[Settings]{
 		Name: "timeout", Default: "10m",
--- a/entryd/access/access.go
+++ b/entryd/access/access.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"acaciapath.example/core/apikey"
 	"acaciapath.example/core/config"
@@ -14,6 +15,14 @@
 // ErrWithdrawn is the cause with which the context of a Grant ends.
 var ErrWithdrawn = merry.Sentinel("access: key was withdrawn")
 
+// ErrUnconfirmed is the cause with which the context of a Grant ends when it is
+// not known any more whether its key was withdrawn.
+var ErrUnconfirmed = merry.Sentinel("access: the key cannot be confirmed")
+
+// unconfirmedAfter is when a caller whose key cannot be confirmed may come back;
+// other entry daemons are likely to know.
+const unconfirmedAfter = time.Second
+
 // Grant is the right to use one key while it is not withdrawn.
 type Grant struct {
 	// Key is the key as it was in the revision that the grant was made for.
@@ -31,26 +40,29 @@
 }
 
 // Join returns a context that ends with ctx, or with ErrWithdrawn as its cause
-// once the key is withdrawn. The caller calls the returned function when the
+// or ErrUnconfirmed as its cause once the key is withdrawn or cannot be confirmed. The caller calls the returned function when the
 // context is no longer used.
 func (g *Grant) Join(ctx context.Context) (context.Context, context.CancelCauseFunc) {
 	joined, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(g.life.ctx, func() { cancel(ErrWithdrawn) })
+	stop := context.AfterFunc(g.life.ctx, func() { cancel(context.Cause(g.life.ctx)) })
 	return joined, func(cause error) {
 		stop()
 		cancel(cause)
 	}
 }
 
-// Withdrawn reports whether the key has been withdrawn since. It does so before
+// Ended returns ErrWithdrawn or ErrUnconfirmed once the grant has ended, before
 // any context ends that was joined.
-func (g *Grant) Withdrawn() bool { return g.life.ctx.Err() != nil }
+func (g *Grant) Ended() error { return context.Cause(g.life.ctx) }
 
 // Snapshot is the configuration in force and the grants that follow from it.
 // It is read-only once built.
 type Snapshot struct {
 	// Index is the configuration in force.
 	Index *config.Index
+	// Unconfirmed says that it is not known which keys were withdrawn; no key
+	// is accepted then.
+	Unconfirmed bool
 
 	grants map[[32]byte]*Grant
 }
@@ -68,7 +80,10 @@
 	if grant := s.grants[hash]; grant != nil {
 		return grant, nil
 	}
-	if s.Index.Key(hash) != nil {
+	if key := s.Index.Key(hash); key != nil {
+		if s.Unconfirmed && !key.Withdrawn {
+			return nil, Unconfirmed(refusal.NotRun)
+		}
 		return nil, Withdrawn(refusal.NotRun)
 	}
 	return nil, refusal.New(refusal.KeyInvalid, "the key is not known")
@@ -92,6 +107,16 @@
 	return &refusal.Refusal{Code: refusal.KeyWithdrawn, Message: "the key has been withdrawn", Run: run}
 }
 
+// Unconfirmed returns the refusal of a request whose key cannot be confirmed.
+func Unconfirmed(run refusal.Run) *refusal.Refusal {
+	r := &refusal.Refusal{
+		Code:    refusal.KeysUnconfirmed,
+		Message: "the entry VM reaches neither the platform nor its neighbours and cannot confirm the key",
+		Run:     run,
+	}
+	return r.After(unconfirmedAfter)
+}
+
 // List holds the snapshot in force. One thread replaces it while others read.
 type List struct {
 	current atomic.Pointer[Snapshot]
@@ -114,7 +139,19 @@
 		next.grants[key.Hash] = &Grant{Key: key, Account: account, life: lifeOf(old, key)}
 	}
 	l.current.Store(next)
-	endMissing(old, next)
+	endMissing(old, next, ErrWithdrawn)
+}
+
+// Suspend ends all grants until the next Replace, because it is not known which
+// keys were withdrawn. It is called by the thread that calls Replace.
+func (l *List) Suspend() {
+	old := l.current.Load()
+	if old == nil || old.Unconfirmed {
+		return
+	}
+	next := &Snapshot{Index: old.Index, Unconfirmed: true}
+	l.current.Store(next)
+	endMissing(old, next, ErrUnconfirmed)
 }
 
 // lifeOf returns the life of a key that the old snapshot grants to the same
@@ -130,13 +167,13 @@
 }
 
 // endMissing ends the lives that the next snapshot does not go on with.
-func endMissing(old, next *Snapshot) {
+func endMissing(old, next *Snapshot, cause error) {
 	if old == nil {
 		return
 	}
 	for hash, g := range old.grants {
 		if n := next.grants[hash]; n == nil || n.life != g.life {
-			g.life.end(ErrWithdrawn)
+			g.life.end(cause)
 		}
 	}
 }
--- a/entryd/access/access_test.go
+++ b/entryd/access/access_test.go
@@ -84,7 +84,7 @@
 			ctx, cancel := grant.Join(context.Background())
 			defer cancel(nil)
 			list.Replace(index(2, test.change))
-			c.Assert(grant.Withdrawn(), qt.Equals, test.ends)
+			c.Assert(grant.Ended() != nil, qt.Equals, test.ends)
 			if test.ends {
 				<-ctx.Done()
 				c.Assert(context.Cause(ctx), qt.ErrorIs, access.ErrWithdrawn)
--- a/entryd/caller/exchange.go
+++ b/entryd/caller/exchange.go
@@ -106,8 +106,10 @@
 // more, or nil. A withdrawn key is seen at once, also if the place that the
 // request got is one that the withdrawal made free.
 func (x *Exchange) Ended(ctx context.Context) error {
-	if x.Grant != nil && x.Grant.Withdrawn() {
-		return access.ErrWithdrawn
+	if x.Grant != nil {
+		if err := x.Grant.Ended(); err != nil {
+			return err
+		}
 	}
 	return context.Cause(ctx)
 }
@@ -187,6 +189,8 @@
 	switch {
 	case errors.Is(cause, access.ErrWithdrawn):
 		return access.Withdrawn(run)
+	case errors.Is(cause, access.ErrUnconfirmed):
+		return access.Unconfirmed(run)
 	case errors.Is(cause, ErrDrained):
 		r := &refusal.Refusal{Code: refusal.ShuttingDown, Message: "the entry VM is shutting down", Run: run}
 		return r.After(time.Second)
--- a/entryd/daemon/daemon.go
+++ b/entryd/daemon/daemon.go
@@ -41,6 +41,7 @@
 var (
 	ErrLeaving       = merry.Sentinel("daemon: shutting down")
 	ErrNotConfigured = merry.Sentinel("daemon: no configuration is in force")
+	ErrIsolated      = merry.Sentinel("daemon: neither the platform nor a neighbour can be reached")
 )
 
 // tracerName names the tracer of the daemon's spans.
@@ -104,6 +105,9 @@
 	base    context.Context
 	endBase context.CancelCauseFunc
 	leaving atomic.Bool
+	// hasNeighbours says that daemons of other VMs were heard of. Only the
+	// thread that follows the configuration uses it.
+	hasNeighbours bool
 }
 
 // New returns a daemon whose ports are bound. It returns an error if a port
@@ -231,6 +235,9 @@
 	if d.access.Load() == nil {
 		return ErrNotConfigured
 	}
+	if d.access.Load().Unconfirmed {
+		return ErrIsolated
+	}
 	return nil
 }
 
--- a/entryd/daemon/run.go
+++ b/entryd/daemon/run.go
@@ -5,10 +5,12 @@
 	"encoding/hex"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
 	"acaciapath.example/core/config"
+	"acaciapath.example/core/peer"
 	"acaciapath.example/core/program"
 	"acaciapath.example/core/telemetry"
 	"acaciapath.example/entryd/caller"
@@ -23,6 +25,8 @@
 	flushInterval = 2 * time.Second
 	// flushTimeout bounds the last writing of usage.
 	flushTimeout = 30 * time.Second
+	// isolationCheck is how often the daemon checks whether it reaches anybody.
+	isolationCheck = 500 * time.Millisecond
 	// endTimeout is how long requests that were cut have to end.
 	endTimeout = 3 * time.Second
 	// retryPause is the time between attempts at the last writing of usage.
@@ -100,18 +104,49 @@
 	return ErrCut
 }
 
-// follow puts each new configuration in force.
+// follow puts each new configuration in force, and accepts no keys while the
+// daemon is isolated.
 func (d *Daemon) follow(ctx context.Context, changes <-chan *config.Index) {
+	ticker := time.NewTicker(isolationCheck)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case index := <-changes:
 			d.bring(index)
+		case <-ticker.C:
+			d.checkIsolation(d.options.Clock())
 		}
 	}
 }
 
+// checkIsolation suspends the keys once the daemon has reached nobody for too
+// long, and accepts them again when it has. Neighbours count as well as the
+// platform, so that a failure domain that is cut off as a whole serves on.
+func (d *Daemon) checkIsolation(now time.Time) {
+	snapshot := d.access.Load()
+	if snapshot == nil {
+		return
+	}
+	log := d.logger.WithField(telemetry.FieldRevision, snapshot.Index.Revision)
+	d.hasNeighbours = d.hasNeighbours || slices.ContainsFunc(d.members.View().Members, func(m peer.Member) bool {
+		return m.VM != d.settings.Name
+	})
+	reached := isolation{
+		Limit: d.settings.IsolatedKeys, Platform: d.watcher.ConfirmedAt(),
+		Neighbour: d.members.ContactedAt(), HasNeighbours: d.hasNeighbours,
+	}
+	switch isolated := reached.isolated(now); {
+	case isolated && !snapshot.Unconfirmed:
+		d.access.Suspend()
+		log.WithField("reached", reached.last()).Warn("neither the platform nor a neighbour was reached: keys are not accepted")
+	case !isolated && snapshot.Unconfirmed:
+		d.access.Replace(snapshot.Index)
+		log.Info("the platform or a neighbour is reached: keys are accepted again")
+	}
+}
+
 // bring puts a configuration in force. Keys come last, so that a request that
 // is let in finds all else in place.
 func (d *Daemon) bring(index *config.Index) {
