feed: the rest of many changes is read at once

Ruled out: the store's rates and the links (each page came within 0.2 s). The pause is left out while an answer is full.

--- a/acaciad/daemon/feed.go
+++ b/acaciad/daemon/feed.go
@@ -98,7 +98,9 @@
 		version, known = rows.Version, true
 		if whole || len(rows.Rows) > 0 {
 			f.apply(rows.Rows, whole)
-			sleep.For(ctx, f.gap)
+			if whole || !rows.Full() {
+				sleep.For(ctx, f.gap)
+			}
 		}
 	}
 }
--- /dev/null
+++ b/acaciad/daemon/feed_test.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	adapter "acaciapath.example/platform"
+	"acaciapath.example/platform/standin"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+)
+
+// TestFeedOfManyChanges has more rows change at once than fit into one answer, as
+// when a large service is released or taken away. The rest is read at once, not
+// after the pause that keeps daemons from calling for each change.
+func TestFeedOfManyChanges(t *testing.T) {
+	c := qt.New(t)
+	const pause, rows, pages = 2 * time.Second, 1600, 4
+	store := standin.NewStore()
+	c.Cleanup(store.Close)
+	store.Write(tableServers, "first", nil)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	applied := make(chan int, rows)
+	f := &feed{
+		wait: pause, gap: pause, store: adapter.NewStore(store.Address(), pause), name: tableServers, logger: logger,
+		apply:    func(rows []adapter.Row, _ bool) { applied <- len(rows) },
+		returned: func(time.Time) {},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.Cleanup(cancel)
+	go f.run(ctx)
+	c.Assert(<-applied, qt.Equals, 1)
+	for i := range rows {
+		store.Write(tableServers, fmt.Sprint(i), nil)
+	}
+	began := time.Now()
+	for known := 0; known < rows; {
+		select {
+		case n := <-applied:
+			known += n
+		case <-time.After(pages * pause):
+			c.Fatalf("%d of %d rows are known", known, rows)
+		}
+	}
+	c.Assert(time.Since(began) < (pages-1)*pause, qt.IsTrue)
+}
