relay: runs move from leaving engines with their memory

Ruled out: sending them anew (they would run twice); keeping them off cheap engines (these cost 0.22 of the standard ones and carry most of the work).

--- a/acaciad/control/orders_test.go
+++ b/acaciad/control/orders_test.go
@@ -95,7 +95,7 @@
 		})
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	d := directory.New("z", rand.New(rand.NewPCG(1, 2)))
+	d := directory.New("z", time.Second, rand.New(rand.NewPCG(1, 2)))
 	scaling := &catalog.Scaling{Min: 1, Max: 12, Boot: 50 * time.Millisecond, CheapPrice: 0.22}
 	d.SetCatalog(catalog.Catalog{Revision: 1, Services: []catalog.Service{{Name: "llm", Scaling: scaling}}}, began)
 	standard := order.Subject{Service: "llm", FailureDomain: "z"}
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -91,7 +91,7 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
 	instance := fmt.Sprintf("%s-%d", s.Name, now.UnixNano())
 	random := rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(s.Name))))
-	d := &Daemon{settings: s, logger: logger, directory: directory.New(s.FailureDomain, random)}
+	d := &Daemon{settings: s, logger: logger, directory: directory.New(s.FailureDomain, s.ServerDrain, random)}
 	d.beliefs = newBeliefs(d.directory, logger)
 	d.drain, d.setDrain = context.WithCancel(context.Background())
 	d.store = adapter.NewStore(s.StoreAddress, storeTimeout)
@@ -120,9 +120,11 @@
 	}
 	d.registry = prometheus.NewRegistry()
 	d.registry.MustRegister(d.directory)
+	client := relay.NewClient()
 	d.handler = &relay.Handler{
 		Directory: d.directory,
-		Client:    relay.NewClient(),
+		Client:    client,
+		Engines:   &adapter.Engines{Transport: client.Transport()},
 		Meter:     d.usage.Meter,
 		Metrics:   relay.NewMetrics(d.registry),
 		Logger:    logger,
--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -35,6 +35,11 @@
 	// pressures are those of the services that generate.
 	pressures map[string]*order.Pressure
 	random    *rand.Rand
+	// departures are those of the backend servers on which requests ran.
+	departures departures
+	// notice is how long a backend server serves on that leaves without saying
+	// when.
+	notice time.Duration
 	// listed says whether the list of backend servers has been read.
 	listed bool
 	// changed is when the number of standard backend servers last changed.
@@ -42,12 +47,15 @@
 	standard int
 }
 
-// New returns a directory of a daemon that knows nothing yet.
-func New(failureDomain string, random *rand.Rand) *Directory {
+// New returns a directory of a daemon that knows nothing yet. Notice is how long
+// a backend server serves on that leaves without saying when.
+func New(failureDomain string, notice time.Duration, random *rand.Rand) *Directory {
 	return &Directory{
 		FailureDomain: failureDomain,
 		pools:         make(map[string]*placement.Pool),
 		pressures:     make(map[string]*order.Pressure),
+		departures:    make(departures),
+		notice:        notice,
 		random:        random,
 	}
 }
@@ -117,6 +125,7 @@
 			changes = append(changes, Change{Service: name, Added: added, Removed: removed})
 		}
 	}
+	d.departures.update(d.pools, d.notice, now)
 	standard := 0
 	for _, spec := range specs {
 		if spec.Kind == config.KindStandard && !spec.Leaving {
@@ -159,9 +168,12 @@
 	if s == nil {
 		return nil
 	}
-	place := &Place{Spec: s.Spec, Running: s.Running, Reading: s.Reading, directory: d, pool: pool, server: s, wish: wish}
+	place := &Place{
+		Spec: s.Spec, Running: s.Running, Reading: s.Reading,
+		directory: d, pool: pool, server: s, wish: wish, departure: d.departures.of(s),
+	}
 	s.Start(wish, now)
-	if wish.Generates {
+	if wish.Generates && wish.Target > 0 {
 		place.pressure = d.pressure(service)
 		place.number = place.pressure.Begin(wish.Target, now)
 	}
--- a/acaciad/directory/place.go
+++ b/acaciad/directory/place.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"context"
 	"time"
 
 	"acaciapath.example/core/order"
@@ -36,12 +37,20 @@
 	pool      *placement.Pool
 	server    *placement.Server
 	wish      placement.Wish
+	departure *departure
 	read      bool
 	// pressure and number measure the time to the first event.
 	pressure *order.Pressure
 	number   uint64
 }
 
+// Leaving returns a context that ends once the backend server is known to leave.
+func (p *Place) Leaving() context.Context { return p.departure.ctx }
+
+// LeavesAt returns when the backend server leaves. It is called after Leaving has
+// ended.
+func (p *Place) LeavesAt() time.Time { return p.departure.at }
+
 // Read says that the backend server has read the prompt.
 func (p *Place) Read(now time.Time) {
 	p.directory.mu.Lock()
--- a/acaciad/relay/client.go
+++ b/acaciad/relay/client.go
@@ -42,6 +42,10 @@
 	return &Client{shared: newTransport(false), single: newTransport(true)}
 }
 
+// Transport returns what keeps connections to backend servers open, for other
+// calls to them.
+func (c *Client) Transport() http.RoundTripper { return c.shared }
+
 func newTransport(single bool) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
--- a/acaciad/relay/events.go
+++ b/acaciad/relay/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -27,7 +28,7 @@
 
 // pass passes whole events on as they arrive. It returns nil once the stream
 // ended as complete.
-func (x *exchange) pass(place *directory.Place, response *http.Response) error {
+func (x *exchange) pass(ctx context.Context, place *directory.Place, response *http.Response) error {
 	controller := http.NewResponseController(x.writer)
 	buffer := make([]byte, 0, readBytes)
 	for {
@@ -40,14 +41,14 @@
 		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if end := lastEventEnd(buffer); end > 0 {
-			if passErr := x.passEvents(controller, place, response, buffer[:end]); passErr != nil {
+			if passErr := x.passEvents(ctx, controller, place, response, buffer[:end]); passErr != nil {
 				return passErr
 			}
 			buffer = buffer[:copy(buffer, buffer[end:])]
 		}
 		switch {
 		case err == io.EOF && len(buffer) == 0:
-			x.begin(place, response)
+			x.begin(ctx, place, response)
 			return nil
 		case err == io.EOF:
 			return errEvent
@@ -58,13 +59,14 @@
 }
 
 // begin sends the headers of the stream, of the first backend server only.
-func (x *exchange) begin(place *directory.Place, response *http.Response) {
+func (x *exchange) begin(ctx context.Context, place *directory.Place, response *http.Response) {
 	if x.begun == place {
 		return
 	}
 	x.begun = place
 	place.Read(time.Now())
 	x.count()
+	x.move = x.watchMove(ctx, place, func() { response.Body.Close() })
 	if x.status != 0 {
 		return
 	}
@@ -75,8 +77,8 @@
 	x.writer.WriteHeader(response.StatusCode)
 }
 
-func (x *exchange) passEvents(controller *http.ResponseController, place *directory.Place, response *http.Response, events []byte) error {
-	x.begin(place, response)
+func (x *exchange) passEvents(ctx context.Context, controller *http.ResponseController, place *directory.Place, response *http.Response, events []byte) error {
+	x.begin(ctx, place, response)
 	if _, err := x.writer.Write(events); err != nil {
 		return errCaller
 	}
@@ -93,6 +95,9 @@
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
 			x.events++
+			if x.move != nil {
+				x.move.events.Add(1)
+			}
 			continue
 		}
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
--- a/acaciad/relay/handler.go
+++ b/acaciad/relay/handler.go
@@ -44,6 +44,8 @@
 	Directory *directory.Directory
 	// Client speaks to backend servers.
 	Client *Client
+	// Engines moves the memory of runs between model engines; nil if they cannot.
+	Engines *platform.Engines
 	// Wire translates headers.
 	Wire platform.Wire
 	// Meter takes in what ran.
@@ -127,6 +129,11 @@
 	attempts []attempt
 	// begun is the attempt whose first event has arrived.
 	begun *directory.Place
+	// moved is where a run goes on whose memory was moved, and copy its memory.
+	moved *directory.Place
+	copy  platform.Copy
+	// move follows the run of the attempt whose events are passed on.
+	move *move
 	// lastEvent is the last whole event of a stream that the caller was sent.
 	lastEvent string
 	// events is the number of events passed on.
--- /dev/null
+++ b/acaciad/relay/handover.go
@@ -0,0 +1,218 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"acaciapath.example/acaciad/directory"
+	"acaciapath.example/core/catalog"
+	"acaciapath.example/core/handover"
+	"acaciapath.example/core/placement"
+	"acaciapath.example/core/workload"
+	"acaciapath.example/platform"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Bounds of handovers.
+const (
+	// freeTimeout bounds the call that frees a copy which is not used.
+	freeTimeout = 500 * time.Millisecond
+	// moveSlack is how long after its engine was to leave a handover is given
+	// up: engines serve a little longer than they say.
+	moveSlack = 500 * time.Millisecond
+	// closeWait is how long after a run was stopped its stream may stay open:
+	// the events under way arrive within a round trip between regions.
+	closeWait = 200 * time.Millisecond
+	// moveTargets is the number of engines that are asked to take a run.
+	moveTargets = 2
+)
+
+// Results of handovers in logs and metrics.
+const (
+	handoverStays  = "stays"
+	handoverNoRoom = "no-room"
+	handoverEnded  = "ended-before"
+	handoverFailed = "failed"
+	handoverMoved  = "moved"
+)
+
+// move follows one run on a model engine, and moves its memory to another engine
+// if the engine leaves before the run ends.
+type move struct {
+	handler *Handler
+	id      string
+	service string
+	work    workload.Work
+	wish    placement.Wish
+	engine  *catalog.Engine
+	from    *directory.Place
+	// began is when the first event arrived, and events how many have.
+	began  time.Time
+	events atomic.Int64
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	// unwatch ends the watch for the engine's leaving. It returns false if the
+	// handover has begun; done is closed then once it is over.
+	unwatch func() bool
+	done    chan struct{}
+	// switching says that the run is being stopped on its engine.
+	switching atomic.Bool
+	// hangUp closes the stream of the engine that was left.
+	hangUp func()
+
+	// to is where the run goes on, and copy its memory there. They are read
+	// once done is closed; to is nil if the run was not moved.
+	to   *directory.Place
+	copy platform.Copy
+}
+
+// watchMove begins to follow a run whose first event has arrived, or returns nil
+// if its engine cannot move it. HangUp closes the engine's stream.
+func (x *exchange) watchMove(ctx context.Context, from *directory.Place, hangUp func()) *move {
+	service := x.view.Index.Service(x.service)
+	if x.handler.Engines == nil || service == nil || service.Engine == nil || !service.Engine.Moves {
+		return nil
+	}
+	m := &move{
+		handler: x.handler, id: x.ask.ID, service: x.service, work: x.ask.Work, wish: x.wish,
+		engine: service.Engine, from: from, began: time.Now(), done: make(chan struct{}), hangUp: hangUp,
+	}
+	m.wish.Tried = append([]string{from.Spec.Name}, x.wish.Tried...)
+	m.wish.SharedKey, m.wish.SharedTokens, m.wish.PromptTokens = 0, 0, 0 // the copy has what was read
+	m.wish.Target = 0
+	m.ctx, m.cancel = context.WithCancel(ctx)
+	m.unwatch = context.AfterFunc(from.Leaving(), m.follow)
+	return m
+}
+
+// end ends the watch, and returns where the run goes on, or nil. Broken says that
+// the stream ended before the answer did.
+func (m *move) end(broken bool) *directory.Place {
+	if m == nil {
+		return nil
+	}
+	defer m.cancel()
+	if m.unwatch() {
+		return nil
+	}
+	if !broken || !m.switching.Load() {
+		m.cancel()
+	}
+	<-m.done
+	return m.to
+}
+
+// follow decides what becomes of the run, and carries it out.
+func (m *move) follow() {
+	defer close(m.done)
+	now := time.Now()
+	run := m.run(now)
+	plan := handover.Decide(run, m.from.LeavesAt(), m.engine.CopyBandwidth, now)
+	result, to, err := handoverStays, "", error(nil)
+	if plan.Move {
+		ctx, cancel := context.WithDeadline(m.ctx, m.from.LeavesAt().Add(moveSlack))
+		defer cancel()
+		result, to, err = m.carryOut(ctx, plan)
+	}
+	m.handler.Metrics.handover(result)
+	entry := m.handler.Logger.WithFields(logrus.Fields{
+		"request-id": m.id, "backend-server": m.from.Spec.Name, "to": to, "result": result,
+		"left-ms": m.from.LeavesAt().Sub(now).Milliseconds(), "events": run.Events, "expected-events": run.Expected,
+		"pace-ms": run.Pace.Milliseconds(), "took-ms": time.Since(now).Milliseconds(),
+	})
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info("the engine of a running request leaves")
+}
+
+// run returns what is known of the run.
+func (m *move) run(now time.Time) handover.Run {
+	events := int(m.events.Load())
+	tokens := m.work.PromptTokens + events*m.engine.EventTokens
+	r := handover.Run{Events: events, Bytes: float64(tokens) * m.engine.TokenBytes}
+	output := m.work.OutputTokens
+	if output == 0 {
+		output = m.work.ExpectedTokens
+	}
+	if events > 1 {
+		r.Pace = now.Sub(m.began) / time.Duration(events-1)
+		r.Expected = (output + m.engine.EventTokens - 1) / m.engine.EventTokens
+	}
+	return r
+}
+
+// carryOut copies the run's memory while it runs on, and then stops it and copies
+// the rest.
+func (m *move) carryOut(ctx context.Context, plan handover.Plan) (result, target string, err error) {
+	to, first, err := m.prepare(ctx)
+	if to == nil {
+		return m.failure(err), "", err
+	}
+	target = to.Spec.Name
+	select {
+	case <-time.After(time.Until(plan.SwitchAt)):
+	case <-ctx.Done():
+	}
+	if ctx.Err() != nil {
+		m.release(to, first)
+		return handoverEnded, target, nil
+	}
+	m.switching.Store(true)
+	last, err := m.handler.Engines.Copy(ctx, m.from.Spec.Address, to.Spec.Address, m.id, true)
+	if err != nil {
+		m.release(to, first)
+		return m.failure(err), target, err
+	}
+	m.to, m.copy = to, last
+	time.AfterFunc(closeWait, m.hangUp)
+	return handoverMoved, target, nil
+}
+
+// failure returns the result of a handover that failed.
+func (m *move) failure(err error) string {
+	switch {
+	case m.ctx.Err() != nil, errors.Is(err, platform.ErrNoRun):
+		return handoverEnded
+	case err == nil, errors.Is(err, platform.ErrNoRoom):
+		return handoverNoRoom
+	}
+	return handoverFailed
+}
+
+// prepare copies the run's memory to another engine while it runs on. It returns
+// nil if no engine takes it.
+func (m *move) prepare(ctx context.Context) (*directory.Place, platform.Copy, error) {
+	var err error
+	for range moveTargets {
+		to := m.handler.Directory.Take(m.service, m.wish, time.Now())
+		if to == nil {
+			return nil, "", err
+		}
+		var first platform.Copy
+		first, err = m.handler.Engines.Copy(ctx, m.from.Spec.Address, to.Spec.Address, m.id, false)
+		if err == nil {
+			return to, first, nil
+		}
+		to.Finish(directory.Neutral, time.Now())
+		if !errors.Is(err, platform.ErrNoRoom) {
+			return nil, "", err
+		}
+		m.wish.Tried = append(m.wish.Tried, to.Spec.Name)
+	}
+	return nil, "", err
+}
+
+// release gives up a copy that is not used.
+func (m *move) release(to *directory.Place, c platform.Copy) {
+	to.Finish(directory.Neutral, time.Now())
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	if err := m.handler.Engines.Free(ctx, m.from.Spec.Address, c); err != nil {
+		m.handler.Logger.WithError(err).WithField("request-id", m.id).Info("a copy was not freed and lapses by itself")
+	}
+}
--- a/acaciad/relay/harness_test.go
+++ b/acaciad/relay/harness_test.go
@@ -66,7 +66,7 @@
 // newWorld starts a handler whose retries are bounded by burst.
 func newWorld(t *testing.T, burst float64) *world {
 	c := qt.New(t)
-	w := &world{C: c, directory: directory.New("z", rand.New(rand.NewPCG(1, 2)))}
+	w := &world{C: c, directory: directory.New("z", time.Second, rand.New(rand.NewPCG(1, 2)))}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	drain, cancel := context.WithCancel(context.Background())
@@ -173,6 +173,19 @@
 	return n
 }
 
+// eventually waits for a condition.
+func (w *world) eventually(condition func() bool) {
+	w.Helper()
+	for end := time.Now().Add(patience); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			w.Fatalf("not within %s", patience)
+		}
+	}
+}
+
+// patience is far more than anything in these tests takes on a busy machine.
+const patience = 10 * time.Second
+
 // events returns the stream of events first to last.
 func events(first, last int) string {
 	var b strings.Builder
--- a/acaciad/relay/metrics.go
+++ b/acaciad/relay/metrics.go
@@ -9,9 +9,10 @@
 
 // Metrics counts what became of requests.
 type Metrics struct {
-	requests *prometheus.CounterVec
-	attempts *prometheus.CounterVec
-	duration *prometheus.HistogramVec
+	requests  *prometheus.CounterVec
+	attempts  *prometheus.CounterVec
+	duration  *prometheus.HistogramVec
+	handovers *prometheus.CounterVec
 }
 
 // latencyBuckets are the bounds of latency histograms, in seconds.
@@ -34,7 +35,11 @@
 			Buckets: latencyBuckets,
 		}, []string{"route"}),
 	}
-	registry.MustRegister(m.requests, m.attempts, m.duration)
+	m.handovers = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "acaciapath_handovers_total",
+		Help: "Running requests whose model engine was about to leave, by result.",
+	}, []string{"result"})
+	registry.MustRegister(m.requests, m.attempts, m.duration, m.handovers)
 	return m
 }
 
@@ -49,3 +54,5 @@
 		m.attempts.WithLabelValues(route, a.result).Inc()
 	}
 }
+
+func (m *Metrics) handover(result string) { m.handovers.WithLabelValues(result).Inc() }
--- a/acaciad/relay/run.go
+++ b/acaciad/relay/run.go
@@ -42,6 +42,8 @@
 	broken
 	// cut: the caller got a part of the answer, and nothing can go on with it.
 	cut
+	// moved: the run goes on at another backend server, which has its memory.
+	moved
 	// answered: the caller got an answer.
 	answered
 )
@@ -49,9 +51,13 @@
 // run sends the request until the caller has an answer, or returns why it gets
 // none.
 func (x *exchange) run(ctx context.Context) *refusal {
+	defer x.dropMoved()
 	last, runs := unreached, 0
 	for len(x.attempts) < maxAttempts {
-		place := x.next(last)
+		place := x.moved
+		if x.moved = nil; place == nil {
+			place = x.next(last)
+		}
 		if place == nil {
 			break
 		}
@@ -73,6 +79,9 @@
 				break
 			}
 		}
+		if last != moved && x.status != 0 && !x.route.Resumable {
+			break // only its own memory could go on with the stream
+		}
 	}
 	switch {
 	case x.status != 0:
@@ -116,6 +125,14 @@
 	return timeoutIdle
 }
 
+// dropMoved gives up the place at which a moved run was to go on.
+func (x *exchange) dropMoved() {
+	if x.moved != nil {
+		x.moved.Finish(directory.Neutral, time.Now())
+		x.moved = nil
+	}
+}
+
 // lastStarted reports whether the last attempt may have run.
 func (x *exchange) lastStarted() bool {
 	n := len(x.attempts)
@@ -128,6 +145,7 @@
 	resultRejected  = "rejected"
 	resultBroken    = "broken"
 	resultCut       = "cut"
+	resultMoved     = "moved"
 	resultAnswered  = "answered"
 )
 
@@ -162,6 +180,8 @@
 	switch {
 	case r == answered:
 		place.Finish(directory.Succeeded, time.Now())
+	case r == moved:
+		place.Finish(directory.Neutral, time.Now())
 	case r == rejected && response.StatusCode == http.StatusMisdirectedRequest:
 		x.handler.Logger.WithField("backend-server", place.Spec.Name).
 			Warn("another server answers at the address of a backend server, which is used no more")
@@ -178,7 +198,7 @@
 
 // String returns the result as logs name it.
 func (r result) String() string {
-	return [...]string{resultUnreached, resultRejected, resultBroken, resultCut, resultAnswered}[r]
+	return [...]string{resultUnreached, resultRejected, resultBroken, resultCut, resultMoved, resultAnswered}[r]
 }
 
 // fail ends an attempt that brought no answer.
@@ -206,6 +226,7 @@
 	if x.route.Kind == catalog.Stream {
 		forwarding.LastEventID = x.lastEvent
 	}
+	forwarding.Copy, x.copy = x.copy, ""
 	response, sent, err := x.handler.Client.send(ctx, outgoing{
 		method:     x.request.Method,
 		target:     x.request.URL,
@@ -308,7 +329,17 @@
 // stream passes the events of a stream on as they come. If the stream breaks
 // off and can be resumed, it goes on at another backend server.
 func (x *exchange) stream(ctx context.Context, place *directory.Place, response *http.Response) result {
-	err := x.pass(place, response)
+	err := x.pass(ctx, place, response)
+	to := x.move.end(err != nil)
+	if to != nil && err != nil && x.request.Context().Err() == nil && !errors.Is(err, errCaller) {
+		x.moved, x.copy = to, x.move.copy
+		x.move = nil
+		return moved
+	}
+	x.move = nil
+	if to != nil {
+		to.Finish(directory.Neutral, time.Now())
+	}
 	if err == nil {
 		x.outcome = outcomeServed
 		return answered
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -71,6 +71,12 @@
 	// EventTokens is the number of tokens in one event of a stream.
 	// EventTokens ≥ 1.
 	EventTokens int
+	// Moves says that the engines can copy the memory of a run to each other.
+	Moves bool
+	// TokenBytes is the memory of one token of a run, in bytes.
+	TokenBytes float64
+	// CopyBandwidth is that of copies between engines, in bytes a second.
+	CopyBandwidth float64
 }
 
 // Scaling bounds the replicas of a service that can be ordered.
--- /dev/null
+++ b/core/handover/handover.go
@@ -0,0 +1,74 @@
+// Package handover decides what becomes of a run on a model engine that is about
+// to be taken away. It answers the load in which a failure domain loses its cheap
+// engines at some seconds' notice while long answers run on them: an answer that
+// does not end in time is continued on another engine from a copy of its memory,
+// instead of being cut off.
+//
+// The copying of memory between engines while a request runs on follows Sun et
+// al., "Llumnix: Dynamic Scheduling for Large Language Model Serving" (OSDI 2024).
+// Functions take the present time as an argument and perform no I/O.
+package handover
+
+import "time"
+
+// Run is an answer that runs on an engine which leaves.
+type Run struct {
+	// Events is the number of events that have arrived. Events ≥ 1.
+	Events int
+	// Expected is the number of events that the whole answer is expected to
+	// have, or 0 if it is not known.
+	Expected int
+	// Pace is the mean time between events. Pace ≥ 0.
+	Pace time.Duration
+	// Bytes is the memory of the run on its engine.
+	Bytes float64
+}
+
+// Plan is what is to be done with a run.
+type Plan struct {
+	// Move says that its memory is to be copied to another engine.
+	Move bool
+	// SwitchAt is when the run is to stop on its engine and go on at the other.
+	SwitchAt time.Time
+}
+
+const (
+	// switchLead is how long before its engine leaves a run switches: the last
+	// part of the copy, its queue behind those of other runs, and the
+	// connection to the other engine, some 100 ms each.
+	switchLead = 700 * time.Millisecond
+	// paceMargin is the factor by which the rest of an answer may take longer
+	// than at its pace so far.
+	paceMargin = 1.3
+	// setUp is the time of a copy beside that of its bytes.
+	setUp = 50 * time.Millisecond
+)
+
+// Decide returns what is to be done with a run whose engine leaves at a time.
+// Bandwidth is that of the copy in bytes a second, or 0 if it is not known. A run
+// that is expected to end before its engine leaves stays, and so does one whose
+// memory cannot be copied in time.
+func Decide(run Run, leavesAt time.Time, bandwidth float64, now time.Time) Plan {
+	left := leavesAt.Sub(now)
+	if run.Expected > 0 {
+		rest := float64(max(run.Expected-run.Events, 0)) * float64(run.Pace) * paceMargin
+		if time.Duration(rest) < left {
+			return Plan{}
+		}
+	}
+	copying := setUp
+	if bandwidth > 0 {
+		copying += time.Duration(run.Bytes / bandwidth * float64(time.Second))
+	}
+	if copying >= left {
+		return Plan{}
+	}
+	return Plan{Move: true, SwitchAt: later(leavesAt.Add(-switchLead), now)}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -27,7 +27,8 @@
 	SharedTokens int
 	// PromptTokens is the length of the whole prompt.
 	PromptTokens int
-	// Target is the latency objective of the first event.
+	// Target is the latency objective of the first event, or 0 if that has
+	// arrived.
 	Target time.Duration
 	// Tried are the names of servers that failed the request.
 	Tried []string
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -44,6 +44,9 @@
 	Places int
 	// Leaving says whether it is about to be taken away.
 	Leaving bool
+	// LeavesIn is the time that a leaving backend server had left when it wrote
+	// its entry, or 0 if it did not say.
+	LeavesIn time.Duration
 	// Born is when it started, or zero if it is not known. A backend server that
 	// started again under its name knows nothing of before.
 	Born time.Time
--- a/core/workload/workload.go
+++ b/core/workload/workload.go
@@ -20,6 +20,9 @@
 	PromptTokens int
 	// OutputTokens is the most tokens that are generated.
 	OutputTokens int
+	// ExpectedTokens is the caller's estimate of the tokens that are generated,
+	// or 0. It is good at the median and often far off.
+	ExpectedTokens int
 	// Parts are the parts of the prompt in their order. The last one belongs to
 	// the request itself or to its session.
 	Parts []Part
