--- a/acaciad/relay/handover.go
+++ b/acaciad/relay/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -68,6 +69,8 @@
 	// once done is closed; to is nil if the run was not moved.
 	to   *directory.Place
 	copy platform.Copy
+	// asked are the engines that were asked to take the run, for the log.
+	asked []string
 }
 
 // watchMove begins to follow a run whose first event has arrived, or returns nil
@@ -120,7 +123,7 @@
 	}
 	m.handler.Metrics.handover(result)
 	entry := m.handler.Logger.WithFields(logrus.Fields{
-		"request-id": m.id, "backend-server": m.from.Spec.Name, "to": to, "result": result,
+		"request-id": m.id, "backend-server": m.from.Spec.Name, "to": to, "asked": m.asked, "result": result,
 		"left-ms": m.from.LeavesAt().Sub(now).Milliseconds(), "events": run.Events, "expected-events": run.Expected,
 		"pace-ms": run.Pace.Milliseconds(), "took-ms": time.Since(now).Milliseconds(),
 	})
@@ -193,6 +196,7 @@
 		if to == nil {
 			return nil, "", err
 		}
+		m.asked = append(m.asked, to.Spec.Name+"/"+to.Spec.FailureDomain+"/"+string(to.Spec.Kind)+" running="+strconv.Itoa(to.Running))
 		var first platform.Copy
 		first, err = m.handler.Engines.Copy(ctx, m.from.Spec.Address, to.Spec.Address, m.id, false)
 		if err == nil {
