--- a/acaciad/relay/handover.go
+++ b/acaciad/relay/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"acaciapath.example/core/catalog"
 	"acaciapath.example/core/handover"
 	"acaciapath.example/core/placement"
+	"acaciapath.example/core/sleep"
 	"acaciapath.example/core/workload"
 	"acaciapath.example/platform"
 
@@ -28,7 +30,7 @@
 	// the events under way arrive within a round trip between regions.
 	closeWait = 200 * time.Millisecond
 	// moveTargets is the number of engines that are asked to take a run.
-	moveTargets = 2
+	moveTargets = 6
 )
 
 // Results of handovers in logs and metrics.
@@ -85,8 +87,10 @@
 		engine: service.Engine, from: from, began: time.Now(), done: make(chan struct{}), hangUp: hangUp,
 	}
 	m.wish.Tried = append([]string{from.Spec.Name}, x.wish.Tried...)
-	m.wish.SharedKey, m.wish.SharedTokens, m.wish.PromptTokens = 0, 0, 0 // the copy has what was read
-	m.wish.Target = 0
+	m.wish.SharedKey, m.wish.SharedTokens, m.wish.Target = 0, 0, 0
+	m.wish.FailureDomain = from.Spec.FailureDomain
+	m.wish.CopiedTokens = x.ask.Work.PromptTokens
+	m.wish.PromptTokens = 0 // the copy has what was read
 	m.ctx, m.cancel = context.WithCancel(ctx)
 	m.unwatch = context.AfterFunc(from.Leaving(), m.follow)
 	return m
@@ -114,7 +118,8 @@
 	defer close(m.done)
 	now := time.Now()
 	run := m.run(now)
-	plan := handover.Decide(run, m.from.LeavesAt(), m.engine.CopyBandwidth, now)
+	random := rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(run.Bytes)))
+	plan := handover.Decide(run, m.from.LeavesAt(), m.engine.CopyBandwidth, now, random)
 	result, to, err := handoverStays, "", error(nil)
 	if plan.Move {
 		ctx, cancel := context.WithDeadline(m.ctx, m.from.LeavesAt().Add(moveSlack))
@@ -138,42 +143,47 @@
 	events := int(m.events.Load())
 	tokens := m.work.PromptTokens + events*m.engine.EventTokens
 	r := handover.Run{Events: events, Bytes: float64(tokens) * m.engine.TokenBytes}
-	output := m.work.OutputTokens
-	if output == 0 {
-		output = m.work.ExpectedTokens
-	}
 	if events > 1 {
 		r.Pace = now.Sub(m.began) / time.Duration(events-1)
-		r.Expected = (output + m.engine.EventTokens - 1) / m.engine.EventTokens
+	}
+	if m.work.ExpectedTokens > 0 {
+		r.Expected = max(m.work.ExpectedTokens/m.engine.EventTokens, events+1)
 	}
 	return r
 }
 
 // carryOut copies the run's memory while it runs on, and then stops it and copies
-// the rest.
+// the rest. It tries again while no engine has room.
 func (m *move) carryOut(ctx context.Context, plan handover.Plan) (result, target string, err error) {
-	to, first, err := m.prepare(ctx)
-	if to == nil {
-		return m.failure(err), "", err
-	}
-	target = to.Spec.Name
-	select {
-	case <-time.After(time.Until(plan.SwitchAt)):
-	case <-ctx.Done():
-	}
-	if ctx.Err() != nil {
-		m.release(to, first)
-		return handoverEnded, target, nil
+	for at, more := plan.Start, true; more; at, more = plan.Retry(time.Now()) {
+		sleep.For(ctx, time.Until(at))
+		if ctx.Err() != nil {
+			break
+		}
+		var to *directory.Place
+		var first platform.Copy
+		if to, first, err = m.prepare(ctx); to != nil {
+			return m.switchOver(ctx, to, first)
+		}
+		if !errors.Is(err, platform.ErrNoRoom) {
+			break
+		}
 	}
+	return m.failure(err), "", err
+}
+
+// switchOver stops the run and copies what is new since the first copy.
+func (m *move) switchOver(ctx context.Context, to *directory.Place, first platform.Copy) (result, target string, err error) {
+	to.Read(time.Now())
 	m.switching.Store(true)
 	last, err := m.handler.Engines.Copy(ctx, m.from.Spec.Address, to.Spec.Address, m.id, true)
 	if err != nil {
 		m.release(to, first)
-		return m.failure(err), target, err
+		return m.failure(err), to.Spec.Name, err
 	}
 	m.to, m.copy = to, last
 	time.AfterFunc(closeWait, m.hangUp)
-	return handoverMoved, target, nil
+	return handoverMoved, to.Spec.Name, nil
 }
 
 // failure returns the result of a handover that failed.
--- a/core/handover/handover.go
+++ b/core/handover/handover.go
@@ -9,7 +9,10 @@
 // Functions take the present time as an argument and perform no I/O.
 package handover
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Run is an answer that runs on an engine which leaves.
 type Run struct {
@@ -18,7 +21,7 @@
 	// Expected is the number of events that the whole answer is expected to
 	// have, or 0 if it is not known.
 	Expected int
-	// Pace is the mean time between events. Pace ≥ 0.
+	// Pace is the mean time between events, or 0 if it is not known.
 	Pace time.Duration
 	// Bytes is the memory of the run on its engine.
 	Bytes float64
@@ -28,15 +31,16 @@
 type Plan struct {
 	// Move says that its memory is to be copied to another engine.
 	Move bool
-	// SwitchAt is when the run is to stop on its engine and go on at the other.
-	SwitchAt time.Time
+	// Start is when copying begins.
+	Start time.Time
+	// Until is when the last try to copy begins.
+	Until time.Time
 }
 
 const (
-	// switchLead is how long before its engine leaves a run switches: the last
-	// part of the copy, its queue behind those of other runs, and the
-	// connection to the other engine, some 100 ms each.
-	switchLead = 700 * time.Millisecond
+	// switchLead is how long before its engine leaves a run must be on its way:
+	// the last part of the copy and its queue, some 100 ms each.
+	switchLead = 300 * time.Millisecond
 	// paceMargin is the factor by which the rest of an answer may take longer
 	// than at its pace so far.
 	paceMargin = 1.3
@@ -47,10 +51,11 @@
 // Decide returns what is to be done with a run whose engine leaves at a time.
 // Bandwidth is that of the copy in bytes a second, or 0 if it is not known. A run
 // that is expected to end before its engine leaves stays, and so does one whose
-// memory cannot be copied in time.
-func Decide(run Run, leavesAt time.Time, bandwidth float64, now time.Time) Plan {
+// memory cannot be copied in time. The others begin at a random time, because
+// copies of all runs at once would queue on the engine's link.
+func Decide(run Run, leavesAt time.Time, bandwidth float64, now time.Time, random *rand.Rand) Plan {
 	left := leavesAt.Sub(now)
-	if run.Expected > 0 {
+	if run.Expected > 0 && run.Pace > 0 {
 		rest := float64(max(run.Expected-run.Events, 0)) * float64(run.Pace) * paceMargin
 		if time.Duration(rest) < left {
 			return Plan{}
@@ -63,12 +68,17 @@
 	if copying >= left {
 		return Plan{}
 	}
-	return Plan{Move: true, SwitchAt: later(leavesAt.Add(-switchLead), now)}
+	until := now.Add(max(0, left-copying-switchLead))
+	start := now.Add(time.Duration(random.Float64() * float64(until.Sub(now))))
+	return Plan{Move: true, Start: start, Until: until}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+// Retry returns when a run is tried again that no engine had room for, and false
+// if there is no time left. Room comes free as other runs end.
+func (p Plan) Retry(now time.Time) (time.Time, bool) {
+	next := now.Add(retryPause)
+	return next, !next.After(p.Until)
 }
+
+// retryPause is the time between two tries: some runs of an engine end in it.
+const retryPause = 150 * time.Millisecond
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -27,6 +27,9 @@
 	SharedTokens int
 	// PromptTokens is the length of the whole prompt.
 	PromptTokens int
+	// CopiedTokens is the length of a run whose memory is copied to the server,
+	// or 0. FailureDomain is that of the engine it comes from then.
+	CopiedTokens int
 	// Target is the latency objective of the first event, or 0 if that has
 	// arrived.
 	Target time.Duration
@@ -261,7 +264,14 @@
 // than an idle one.
 const plainTokens = 5000
 
+// copyShare is how long the copying of a token to another failure domain takes
+// longer than inside, relative to the reading of a token.
+const copyShare = 0.5
+
 func far(wish Wish) float64 {
+	if wish.CopiedTokens > 0 {
+		return copyShare * float64(wish.CopiedTokens)
+	}
 	if wish.Lane == Short || !wish.Generates {
 		return shortFarTokens
 	}
@@ -275,8 +285,10 @@
 		keys = []uint64{wish.SharedKey}
 	}
 	s.Replica.Start(keys, now)
-	s.Reading += wish.PromptTokens
+	s.Reading += wish.PromptTokens + int(copyShare*float64(wish.CopiedTokens))
 }
 
 // Read accounts for the first event of a request.
-func (s *Server) Read(wish Wish) { s.Reading = max(0, s.Reading-wish.PromptTokens) }
+func (s *Server) Read(wish Wish) {
+	s.Reading = max(0, s.Reading-wish.PromptTokens-int(copyShare*float64(wish.CopiedTokens)))
+}
