--- a/acaciad/daemon/beliefs.go
+++ b/acaciad/daemon/beliefs.go
@@ -32,7 +32,7 @@
 }
 
 // applyCatalog takes over the configuration that the operator wrote.
-func (b *beliefs) applyCatalog(rows []adapter.Row, _ bool) {
+func (b *beliefs) applyCatalog(rows []adapter.Row, _ bool) bool {
 	for _, row := range rows {
 		if row.Key != keyCatalog || row.Deleted {
 			continue
@@ -51,11 +51,14 @@
 			"client-accounts": len(c.Accounts), "taken": taken,
 		}).Info("catalog read")
 	}
+	return false
 }
 
-// applyServers takes over entries of backend servers.
-func (b *beliefs) applyServers(rows []adapter.Row, whole bool) {
+// applyServers takes over entries of backend servers. It reports whether any of
+// them began to leave.
+func (b *beliefs) applyServers(rows []adapter.Row, whole bool) bool {
 	now := time.Now()
+	leaving := false
 	seen := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		seen[row.Key] = true
@@ -70,6 +73,7 @@
 			continue
 		}
 		delete(b.lapsed, row.Key)
+		leaving = leaving || spec.Leaving && !b.servers[row.Key].Leaving
 		b.servers[row.Key] = spec
 	}
 	if whole {
@@ -80,6 +84,7 @@
 		}
 	}
 	b.publish(now)
+	return leaving
 }
 
 // remove forgets a backend server, at once unless its entry may have lapsed
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -260,10 +260,10 @@
 	d.logger.WithError(err).Warn("a call for the lease of the duties failed")
 }
 
-func (d *Daemon) applyServers(rows []adapter.Row, whole bool) {
+func (d *Daemon) applyServers(rows []adapter.Row, whole bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.beliefs.applyServers(rows, whole)
+	return d.beliefs.applyServers(rows, whole)
 }
 
 // storeReturned notes that the store answers again, and forgets the entries that
--- a/acaciad/daemon/feed.go
+++ b/acaciad/daemon/feed.go
@@ -36,6 +36,10 @@
 	// meanwhile are read together. Every daemon calls once for each change
 	// otherwise.
 	feedGapShare = 0.3
+	// burstGap is the time to the next call after a backend server began to
+	// leave: the platform takes all cheap ones of a failure domain away
+	// together, and some tens of entries are written within it.
+	burstGap = 60 * time.Millisecond
 )
 
 // feedWait returns how long the store holds a call while nothing changes. A
@@ -61,8 +65,9 @@
 	store  *adapter.Store
 	name   string
 	logger *logrus.Logger
-	// apply takes rows in. Whole says that rows are all that there are.
-	apply func(rows []adapter.Row, whole bool)
+	// apply takes rows in. Whole says that rows are all that there are. It
+	// reports whether further changes are likely to follow at once.
+	apply func(rows []adapter.Row, whole bool) bool
 	// returned is called when the store answers again after it was away.
 	returned func(now time.Time)
 }
@@ -97,8 +102,12 @@
 		}
 		version, known = rows.Version, true
 		if whole || len(rows.Rows) > 0 {
-			f.apply(rows.Rows, whole)
-			if whole || !rows.Full() {
+			more := f.apply(rows.Rows, whole)
+			switch {
+			case !whole && rows.Full():
+			case more:
+				sleep.For(ctx, min(burstGap, f.gap))
+			default:
 				sleep.For(ctx, f.gap)
 			}
 		}
--- a/acaciad/daemon/feed_test.go
+++ b/acaciad/daemon/feed_test.go
@@ -28,7 +28,7 @@
 	applied := make(chan int, rows)
 	f := &feed{
 		wait: pause, gap: pause, store: adapter.NewStore(store.Address(), pause), name: tableServers, logger: logger,
-		apply:    func(rows []adapter.Row, _ bool) { applied <- len(rows) },
+		apply:    func(rows []adapter.Row, _ bool) bool { applied <- len(rows); return false },
 		returned: func(time.Time) {},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/acaciad/relay/handover.go
+++ b/acaciad/relay/handover.go
@@ -23,6 +23,9 @@
 const (
 	// freeTimeout bounds the call that frees a copy which is not used.
 	freeTimeout = 500 * time.Millisecond
+	// stateTimeout bounds the question when an engine leaves: some round trips
+	// between regions.
+	stateTimeout = 200 * time.Millisecond
 	// moveSlack is how long after its engine was to leave a handover is given
 	// up: engines serve a little longer than they say.
 	moveSlack = 500 * time.Millisecond
@@ -119,17 +122,18 @@
 	now := time.Now()
 	run := m.run(now)
 	random := rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(run.Bytes)))
-	plan := handover.Decide(run, m.from.LeavesAt(), m.engine.CopyBandwidth, now, random)
+	leavesAt := m.leavesAt(now)
+	plan := handover.Decide(run, leavesAt, m.engine.CopyBandwidth, now, random)
 	result, to, err := handoverStays, "", error(nil)
 	if plan.Move {
-		ctx, cancel := context.WithDeadline(m.ctx, m.from.LeavesAt().Add(moveSlack))
+		ctx, cancel := context.WithDeadline(m.ctx, leavesAt.Add(moveSlack))
 		defer cancel()
 		result, to, err = m.carryOut(ctx, plan)
 	}
 	m.handler.Metrics.handover(result)
 	entry := m.handler.Logger.WithFields(logrus.Fields{
 		"request-id": m.id, "backend-server": m.from.Spec.Name, "to": to, "asked": m.asked, "result": result,
-		"left-ms": m.from.LeavesAt().Sub(now).Milliseconds(), "events": run.Events, "expected-events": run.Expected,
+		"left-ms": leavesAt.Sub(now).Milliseconds(), "events": run.Events, "expected-events": run.Expected,
 		"pace-ms": run.Pace.Milliseconds(), "took-ms": time.Since(now).Milliseconds(),
 	})
 	if err != nil {
@@ -138,6 +142,22 @@
 	entry.Info("the engine of a running request leaves")
 }
 
+// leavesAt returns when the engine leaves, as it says itself, or else as its entry
+// lets expect.
+func (m *move) leavesAt(now time.Time) time.Time {
+	ctx, cancel := context.WithTimeout(m.ctx, stateTimeout)
+	defer cancel()
+	state, err := m.handler.Engines.State(ctx, m.from.Spec.Address)
+	if err != nil && m.ctx.Err() == nil {
+		m.handler.Logger.WithError(err).WithField("backend-server", m.from.Spec.Name).
+			Info("a leaving engine does not say when it leaves")
+	}
+	if state.LeavesIn > 0 {
+		return now.Add(state.LeavesIn)
+	}
+	return m.from.LeavesAt()
+}
+
 // run returns what is known of the run.
 func (m *move) run(now time.Time) handover.Run {
 	events := int(m.events.Load())
--- a/acaciad/relay/handover_test.go
+++ b/acaciad/relay/handover_test.go
@@ -58,9 +58,10 @@
 	return got
 }
 
-// leave has the first engine leave.
-func (w *world) leave() {
-	w.specs[0].Leaving, w.specs[0].LeavesIn = true, longNotice
+// leave has the first engine leave. Only the engine itself says when.
+func (w *world) leave(one *standin.Server) {
+	one.SetLeaving(longNotice)
+	w.specs[0].Leaving = true
 	w.directory.SetServers(w.specs, time.Now())
 }
 
@@ -78,7 +79,7 @@
 func TestRunsMoveFromLeavingEngines(t *testing.T) {
 	w, one, two := leavingWorld(t)
 	got := w.begin("/quote/", one, two)
-	w.leave()
+	w.leave(one)
 	time.AfterFunc(longNotice, one.Close)
 	w.checkWhole(<-got)
 	w.Assert(arrived(one), qt.Equals, 1)
@@ -96,7 +97,8 @@
 func TestRunsThatEndInTimeStay(t *testing.T) {
 	w, one, two := leavingWorld(t)
 	got := w.begin("/quote/", one, two)
-	w.specs[0].Leaving, w.specs[0].LeavesIn = true, 10*time.Second
+	one.SetLeaving(10 * time.Second)
+	w.specs[0].Leaving = true
 	w.directory.SetServers(w.specs, time.Now())
 	w.checkWhole(<-got)
 	moves, _ := one.Moves()
@@ -110,7 +112,7 @@
 	w, one, two := leavingWorld(t)
 	two.SetNoRoom(true)
 	got := w.begin("/quote/", one, two)
-	w.leave()
+	w.leave(one)
 	time.AfterFunc(longNotice, one.Close)
 	w.Assert((<-got).err, qt.IsNotNil)
 	w.Assert(arrived(two), qt.Equals, 0)
@@ -124,7 +126,7 @@
 	w, one, two := leavingWorld(t)
 	two.SetManner(standin.Full)
 	got := w.begin("/quote/", one, two)
-	w.leave()
+	w.leave(one)
 	w.Assert((<-got).err, qt.IsNotNil)
 	for _, a := range two.Arrivals() {
 		w.Assert(a.Ran, qt.IsFalse)
@@ -143,7 +145,7 @@
 	w.eventually(func() bool { return arrived(one) == 1 })
 	time.Sleep(3 * longPause)
 	w.register("i-2", "llm", two.Address())
-	w.leave()
+	w.leave(one)
 	w.eventually(func() bool { moves, _ := one.Moves(); return moves > 0 })
 	cancel()
 	w.eventually(func() bool { running, _ := w.directory.Load("llm"); return running == 0 })
