sentry: cheap engines are asked whether they leave while the store cannot be relied on

While the store fails, and 10 s after, one cheap engine of each failure domain is asked twice a second, and three more if it leaves.

--- a/acaciad/daemon/beliefs.go
+++ b/acaciad/daemon/beliefs.go
@@ -1,9 +1,12 @@
 package daemon
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"acaciapath.example/acaciad/directory"
+	"acaciapath.example/core/config"
 	"acaciapath.example/core/replica"
 	adapter "acaciapath.example/platform"
 
@@ -23,12 +26,14 @@
 	// lapsed are entries that went away while or just after the store was
 	// away, and until when they are believed.
 	lapsed map[string]time.Time
+	// told are the engines that said themselves that they leave, and when.
+	told map[string]time.Time
 	// returned is when the store last answered again.
 	returned time.Time
 }
 
 func newBeliefs(d *directory.Directory, logger *logrus.Logger) *beliefs {
-	return &beliefs{directory: d, logger: logger, servers: make(map[string]replica.Spec), lapsed: make(map[string]time.Time)}
+	return &beliefs{directory: d, logger: logger, servers: make(map[string]replica.Spec), lapsed: make(map[string]time.Time), told: make(map[string]time.Time)}
 }
 
 // applyCatalog takes over the configuration that the operator wrote.
@@ -112,10 +117,52 @@
 	b.publish(now)
 }
 
+// toldHold is how long after an engine was to leave its own word is believed
+// rather than its entry.
+const toldHold = 3 * time.Second
+
+// leave takes over that engines said that they leave.
+func (b *beliefs) leave(specs []replica.Spec, at, now time.Time) {
+	for _, spec := range specs {
+		b.told[spec.Name] = at
+	}
+	b.publish(now)
+}
+
+// withTold returns what is believed of a backend server with what it said itself.
+func (b *beliefs) withTold(spec replica.Spec, now time.Time) replica.Spec {
+	at, told := b.told[spec.Name]
+	switch {
+	case !told:
+	case now.After(at.Add(toldHold)):
+		delete(b.told, spec.Name)
+	case !spec.Leaving:
+		spec.Leaving, spec.LeavesIn = true, max(at.Sub(now), time.Millisecond)
+	}
+	return spec
+}
+
+// cheapGroups returns the cheap engines that are believed to stay, by service and
+// failure domain.
+func (b *beliefs) cheapGroups(now time.Time) [][]replica.Spec {
+	groups := make(map[[2]string][]replica.Spec)
+	for _, spec := range b.servers {
+		if spec = b.withTold(spec, now); spec.Kind != config.KindCheap || spec.Leaving {
+			continue
+		}
+		for _, service := range spec.Serves {
+			key := [2]string{service, spec.FailureDomain}
+			groups[key] = append(groups[key], spec)
+		}
+	}
+	return slices.Collect(maps.Values(groups))
+}
+
 func (b *beliefs) publish(now time.Time) {
 	specs := make([]replica.Spec, 0, len(b.servers))
 	leaving := 0
 	for _, spec := range b.servers {
+		spec = b.withTold(spec, now)
 		specs = append(specs, spec)
 		if spec.Leaving {
 			leaving++
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"acaciapath.example/acaciad/relay"
 	"acaciapath.example/core/config"
 	"acaciapath.example/core/lease"
+	"acaciapath.example/core/replica"
 	"acaciapath.example/core/retry"
 	"acaciapath.example/core/sleep"
 	"acaciapath.example/core/telemetry"
@@ -74,6 +75,7 @@
 	logger    *logrus.Logger
 	directory *directory.Directory
 	beliefs   *beliefs
+	sentry    *sentry
 	store     *adapter.Store
 	usage     *control.Usage
 	orders    *control.Orders
@@ -121,10 +123,15 @@
 	d.registry = prometheus.NewRegistry()
 	d.registry.MustRegister(d.directory)
 	client := relay.NewClient()
+	engines := &adapter.Engines{Transport: client.Transport()}
+	d.sentry = &sentry{
+		engines: engines, groups: d.cheapGroups, leave: d.enginesLeave, logger: logger,
+		random: rand.New(rand.NewPCG(uint64(now.UnixNano()), 1)),
+	}
 	d.handler = &relay.Handler{
 		Directory: d.directory,
 		Client:    client,
-		Engines:   &adapter.Engines{Transport: client.Transport()},
+		Engines:   engines,
 		Meter:     d.usage.Meter,
 		Metrics:   relay.NewMetrics(d.registry),
 		Logger:    logger,
@@ -217,8 +224,13 @@
 		wait: wait, gap: gap, store: d.store, name: tableOperator, logger: d.logger,
 		apply:    d.beliefs.applyCatalog,
 		returned: func(time.Time) {},
+		failed:   func(time.Time) {},
+	}
+	serversFeed := &feed{
+		wait: wait, gap: gap, store: d.store, name: tableServers, logger: d.logger,
+		apply: d.applyServers, returned: d.storeReturned, failed: d.sentry.doubt,
 	}
-	serversFeed := &feed{wait: wait, gap: gap, store: d.store, name: tableServers, logger: d.logger, apply: d.applyServers, returned: d.storeReturned}
+	work.run(d.sentry.run)
 	work.run(d.watchPauses)
 	work.run(catalogFeed.run)
 	work.run(serversFeed.run)
@@ -266,6 +278,18 @@
 	return d.beliefs.applyServers(rows, whole)
 }
 
+func (d *Daemon) cheapGroups() [][]replica.Spec {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.beliefs.cheapGroups(time.Now())
+}
+
+func (d *Daemon) enginesLeave(specs []replica.Spec, at, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.beliefs.leave(specs, at, now)
+}
+
 // storeReturned notes that the store answers again, and forgets the entries that
 // lapsed meanwhile once backend servers had time to come back.
 func (d *Daemon) storeReturned(now time.Time) {
--- a/acaciad/daemon/feed.go
+++ b/acaciad/daemon/feed.go
@@ -70,6 +70,8 @@
 	apply func(rows []adapter.Row, whole bool) bool
 	// returned is called when the store answers again after it was away.
 	returned func(now time.Time)
+	// failed is called when the store does not answer, or has dropped changes.
+	failed func(now time.Time)
 }
 
 // run follows the table until ctx ends.
@@ -82,6 +84,7 @@
 			f.logger.WithFields(logrus.Fields{"table": f.name, "version": version}).
 				Warn("the store has dropped its history, the table is read anew")
 			known = false
+			f.failed(time.Now())
 			continue
 		case err != nil:
 			if ctx.Err() != nil {
@@ -92,6 +95,7 @@
 					Warn("store lost")
 			}
 			failing = true
+			f.failed(time.Now())
 			sleep.For(ctx, feedRetry)
 			continue
 		}
--- a/acaciad/daemon/feed_test.go
+++ b/acaciad/daemon/feed_test.go
@@ -30,6 +30,7 @@
 		wait: pause, gap: pause, store: adapter.NewStore(store.Address(), pause), name: tableServers, logger: logger,
 		apply:    func(rows []adapter.Row, _ bool) bool { applied <- len(rows); return false },
 		returned: func(time.Time) {},
+		failed:   func(time.Time) {},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Cleanup(cancel)
--- a/acaciad/relay/handover.go
+++ b/acaciad/relay/handover.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -121,9 +120,8 @@
 	defer close(m.done)
 	now := time.Now()
 	run := m.run(now)
-	random := rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(run.Bytes)))
 	leavesAt := m.leavesAt(now)
-	plan := handover.Decide(run, leavesAt, m.engine.CopyBandwidth, now, random)
+	plan := handover.Decide(run, leavesAt, m.engine.CopyBandwidth, now)
 	result, to, err := handoverStays, "", error(nil)
 	if plan.Move {
 		ctx, cancel := context.WithDeadline(m.ctx, leavesAt.Add(moveSlack))
--- a/core/handover/handover.go
+++ b/core/handover/handover.go
@@ -9,10 +9,7 @@
 // Functions take the present time as an argument and perform no I/O.
 package handover
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 // Run is an answer that runs on an engine which leaves.
 type Run struct {
@@ -51,9 +48,10 @@
 // Decide returns what is to be done with a run whose engine leaves at a time.
 // Bandwidth is that of the copy in bytes a second, or 0 if it is not known. A run
 // that is expected to end before its engine leaves stays, and so does one whose
-// memory cannot be copied in time. The others begin at a random time, because
-// copies of all runs at once would queue on the engine's link.
-func Decide(run Run, leavesAt time.Time, bandwidth float64, now time.Time, random *rand.Rand) Plan {
+// memory cannot be copied in time. The others begin after the time that their copy
+// takes: copies queue on the engine's link, where a small one that comes first
+// delays the others least.
+func Decide(run Run, leavesAt time.Time, bandwidth float64, now time.Time) Plan {
 	left := leavesAt.Sub(now)
 	if run.Expected > 0 && run.Pace > 0 {
 		rest := float64(max(run.Expected-run.Events, 0)) * float64(run.Pace) * paceMargin
@@ -68,9 +66,8 @@
 	if copying >= left {
 		return Plan{}
 	}
-	until := now.Add(max(0, left-copying-switchLead))
-	start := now.Add(time.Duration(random.Float64() * float64(until.Sub(now))))
-	return Plan{Move: true, Start: start, Until: until}
+	until := max(0, left-copying-switchLead)
+	return Plan{Move: true, Start: now.Add(min(copying, until)), Until: now.Add(until)}
 }
 
 // Retry returns when a run is tried again that no engine had room for, and false
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -28,7 +28,8 @@
 	// PromptTokens is the length of the whole prompt.
 	PromptTokens int
 	// CopiedTokens is the length of a run whose memory is copied to the server,
-	// or 0. FailureDomain is that of the engine it comes from then.
+	// or 0. FailureDomain is that of the engine it comes from then. Its prompt is
+	// not read again, so that it delays no request of another lane.
 	CopiedTokens int
 	// Target is the latency objective of the first event, or 0 if that has
 	// arrived.
@@ -242,7 +243,7 @@
 	if s.Spec.FailureDomain != wish.FailureDomain {
 		c += far(wish)
 	}
-	if wish.Generates && s.Lane != wish.Lane {
+	if wish.Generates && s.Lane != wish.Lane && wish.CopiedTokens == 0 {
 		c += laneTokens
 	}
 	if s != home && !s.Cached(wish.SharedKey) {
