handover: copies take turns by what the engine reports, within the retry budget

The engine's report lists all its runs, so that every daemon computes the same order, smallest first, and leaves out those that do not fit.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -66,6 +66,14 @@
 // uses, because requests and retries are not counted in the same window.
 const retryPart = 0.6
 
+// movePart is the share of the retries allowed for each request that a daemon
+// uses to move runs.
+const movePart = 0.2
+
+// maxMoveBurst bounds the moves of one daemon that need not be earned: about the
+// long answers that it has on the cheap engines of one failure domain.
+const maxMoveBurst = 6
+
 // MetricsPort is where metrics are served.
 const MetricsPort = 9464
 
@@ -136,6 +144,7 @@
 		Metrics:   relay.NewMetrics(d.registry),
 		Logger:    logger,
 		Budgets:   relay.NewBudgets(retryBudget(s, now)),
+		Moves:     relay.NewBudgets(moveBudget(s, now)),
 		Draining:  d.drain,
 	}
 	return d
@@ -149,6 +158,21 @@
 	return retry.Budget{Percent: share, Burst: burst, Saved: burst, Updated: now}
 }
 
+// moveBudget returns this daemon's part of the retries allowed for moving runs,
+// while it does not know how many daemons there are.
+func moveBudget(s adapter.Settings, now time.Time) retry.Budget {
+	return retry.Budget{Percent: int(s.RetryShare * movePart * 100), Burst: 1, Updated: now}
+}
+
+// moveBurst returns the number of moves that need not be earned by one of so many
+// daemons: its part of what the retries leave.
+func moveBurst(extra, daemons int) float64 {
+	if daemons <= 0 {
+		return 1
+	}
+	return min(max(float64(extra)/float64(daemons)-retryBurst, 1), maxMoveBurst)
+}
+
 // newClock returns a clock that begins at start.
 func newClock(start time.Time) lease.Clock {
 	return func() lease.Instant {
@@ -265,6 +289,7 @@
 			d.logger.WithField("ms", stood.Milliseconds()).Warn("the process did not run for a while, or the clock was set")
 		}
 		last = now
+		d.handler.Moves.SetBurst(moveBurst(d.settings.RetryExtra, d.keeper.Row().Candidates))
 	}
 }
 
--- a/acaciad/relay/budgets.go
+++ b/acaciad/relay/budgets.go
@@ -43,3 +43,13 @@
 	defer b.mu.Unlock()
 	return b.of(service).Spend(now)
 }
+
+// SetBurst changes the number of retries that an unused budget saves up.
+func (b *Budgets) SetBurst(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.template.Burst = burst
+	for _, budget := range b.budgets {
+		budget.Burst = burst
+	}
+}
--- a/acaciad/relay/handler.go
+++ b/acaciad/relay/handler.go
@@ -56,6 +56,9 @@
 	Logger *logrus.Logger
 	// Budgets bound retries by service.
 	Budgets *Budgets
+	// Moves bound the runs that are moved to other engines, by service: the
+	// platform counts each as one more sending of its request.
+	Moves *Budgets
 	// Draining ends when the daemon begins to shut down.
 	Draining context.Context
 }
@@ -179,6 +182,7 @@
 	x.wish = x.newWish(index.Service(x.service))
 	x.lastEvent = x.ask.LastEventID
 	h.Budgets.Earn(x.service)
+	h.Moves.Earn(x.service)
 	return x.run(ctx)
 }
 
--- a/acaciad/relay/handover.go
+++ b/acaciad/relay/handover.go
@@ -120,8 +120,11 @@
 	defer close(m.done)
 	now := time.Now()
 	run := m.run(now)
-	leavesAt := m.leavesAt(now)
-	plan := handover.Decide(run, leavesAt, m.engine.CopyBandwidth, now)
+	link, leavesAt := m.link(now)
+	plan := handover.Decide(run, link, leavesAt, now)
+	if plan.Move && !m.handler.Moves.Spend(m.service, now) {
+		plan.Move = false
+	}
 	result, to, err := handoverStays, "", error(nil)
 	if plan.Move {
 		ctx, cancel := context.WithDeadline(m.ctx, leavesAt.Add(moveSlack))
@@ -140,9 +143,10 @@
 	entry.Info("the engine of a running request leaves")
 }
 
-// leavesAt returns when the engine leaves, as it says itself, or else as its entry
-// lets expect.
-func (m *move) leavesAt(now time.Time) time.Time {
+// link returns what else is on the engine, and when it leaves: as it says itself,
+// or else as its entry lets expect.
+func (m *move) link(now time.Time) (handover.Link, time.Time) {
+	link := handover.Link{TokenBytes: m.engine.TokenBytes, Bandwidth: m.engine.CopyBandwidth}
 	ctx, cancel := context.WithTimeout(m.ctx, stateTimeout)
 	defer cancel()
 	state, err := m.handler.Engines.State(ctx, m.from.Spec.Address)
@@ -150,17 +154,17 @@
 		m.handler.Logger.WithError(err).WithField("backend-server", m.from.Spec.Name).
 			Info("a leaving engine does not say when it leaves")
 	}
+	link.Runs = state.Runs
 	if state.LeavesIn > 0 {
-		return now.Add(state.LeavesIn)
+		return link, now.Add(state.LeavesIn)
 	}
-	return m.from.LeavesAt()
+	return link, m.from.LeavesAt()
 }
 
 // run returns what is known of the run.
 func (m *move) run(now time.Time) handover.Run {
 	events := int(m.events.Load())
-	tokens := m.work.PromptTokens + events*m.engine.EventTokens
-	r := handover.Run{Events: events, Bytes: float64(tokens) * m.engine.TokenBytes}
+	r := handover.Run{ID: m.id, Events: events, Tokens: m.work.PromptTokens + events*m.engine.EventTokens}
 	if events > 1 {
 		r.Pace = now.Sub(m.began) / time.Duration(events-1)
 	}
--- a/acaciad/relay/harness_test.go
+++ b/acaciad/relay/harness_test.go
@@ -78,6 +78,7 @@
 		Metrics:   relay.NewMetrics(prometheus.NewRegistry()),
 		Logger:    logger,
 		Budgets:   relay.NewBudgets(retry.Budget{Burst: burst, Saved: burst}),
+		Moves:     relay.NewBudgets(retry.Budget{Burst: burst, Saved: burst}),
 		Draining:  drain,
 	}
 	w.front = httptest.NewServer(w.handler)
--- a/core/handover/handover.go
+++ b/core/handover/handover.go
@@ -13,6 +13,8 @@
 
 // Run is an answer that runs on an engine which leaves.
 type Run struct {
+	// ID is the id of the request.
+	ID string
 	// Events is the number of events that have arrived. Events ≥ 1.
 	Events int
 	// Expected is the number of events that the whole answer is expected to
@@ -20,8 +22,8 @@
 	Expected int
 	// Pace is the mean time between events, or 0 if it is not known.
 	Pace time.Duration
-	// Bytes is the memory of the run on its engine.
-	Bytes float64
+	// Tokens is the memory of the run on its engine.
+	Tokens int
 }
 
 // Plan is what is to be done with a run.
@@ -41,33 +43,78 @@
 	// paceMargin is the factor by which the rest of an answer may take longer
 	// than at its pace so far.
 	paceMargin = 1.3
+	// usualPace is the pace of an answer of which too little has arrived: that
+	// of an event of three tokens in a full batch.
+	usualPace = 60 * time.Millisecond
 	// setUp is the time of a copy beside that of its bytes.
-	setUp = 50 * time.Millisecond
+	setUp = 10 * time.Millisecond
+	// queueFactor is how much longer a copy takes than inside a failure domain:
+	// twice as long to another one, where about half of them go.
+	queueFactor = 1.5
 )
 
-// Decide returns what is to be done with a run whose engine leaves at a time.
-// Bandwidth is that of the copy in bytes a second, or 0 if it is not known. A run
-// that is expected to end before its engine leaves stays, and so does one whose
-// memory cannot be copied in time. The others begin after the time that their copy
-// takes: copies queue on the engine's link, where a small one that comes first
-// delays the others least.
-func Decide(run Run, leavesAt time.Time, bandwidth float64, now time.Time) Plan {
+// Decide returns what is to be done with a run whose engine leaves at a time. A
+// run that is expected to end before its engine leaves stays, and so does one
+// whose memory cannot be copied in time when its turn has come.
+func Decide(run Run, link Link, leavesAt, now time.Time) Plan {
 	left := leavesAt.Sub(now)
-	if run.Expected > 0 && run.Pace > 0 {
-		rest := float64(max(run.Expected-run.Events, 0)) * float64(run.Pace) * paceMargin
+	if run.Expected > 0 {
+		pace := run.Pace
+		if pace == 0 {
+			pace = usualPace
+		}
+		rest := float64(max(run.Expected-run.Events, 0)) * float64(pace) * paceMargin
 		if time.Duration(rest) < left {
 			return Plan{}
 		}
 	}
-	copying := setUp
-	if bandwidth > 0 {
-		copying += time.Duration(run.Bytes / bandwidth * float64(time.Second))
-	}
-	if copying >= left {
+	until := left - link.copyTime(run.Tokens) - switchLead
+	turn := link.turn(run)
+	if until < turn {
 		return Plan{}
 	}
-	until := max(0, left-copying-switchLead)
-	return Plan{Move: true, Start: now.Add(min(copying, until)), Until: now.Add(until)}
+	return Plan{Move: true, Start: now.Add(turn), Until: now.Add(until)}
+}
+
+// Link is what is known of the link by which an engine copies the memory of its
+// runs, one after the other.
+type Link struct {
+	// TokenBytes is the memory of one token.
+	TokenBytes float64
+	// Bandwidth is in bytes a second, or 0 if it is not known.
+	Bandwidth float64
+	// Runs are those that the engine reports, of all entry daemons.
+	Runs []Held
+}
+
+// Held is a run in the memory of an engine.
+type Held struct {
+	// ID is the id of the request.
+	ID string
+	// Tokens is its memory.
+	Tokens int
+}
+
+// copyTime returns how long a copy takes.
+func (l Link) copyTime(tokens int) time.Duration {
+	if l.Bandwidth <= 0 {
+		return setUp
+	}
+	return setUp + time.Duration(float64(tokens)*l.TokenBytes*queueFactor/l.Bandwidth*float64(time.Second))
+}
+
+// turn returns after which time the link is free for a run: after the copies of
+// all that are smaller. So most runs are copied in the time that is left, and all
+// entry daemons keep the same order without a message.
+func (l Link) turn(run Run) time.Duration {
+	turn := time.Duration(0)
+	for _, other := range l.Runs {
+		if other.ID == run.ID || other.Tokens > run.Tokens || other.Tokens == run.Tokens && other.ID > run.ID {
+			continue
+		}
+		turn += l.copyTime(other.Tokens)
+	}
+	return turn
 }
 
 // Retry returns when a run is tried again that no engine had room for, and false
