--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -66,6 +66,14 @@
 	}
 }
 
+// resize changes the size, and evicts what does not fit any more.
+func (c *cache) resize(size int) {
+	c.size = size
+	for c.used > c.size && c.recent.Len() > 0 {
+		c.evict()
+	}
+}
+
 func (c *cache) storeOne(entry cacheEntry) {
 	if c.entries[entry.hash] != nil {
 		return
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -38,6 +38,11 @@
 	// CacheTokens is the size of the prefix cache; 100,000. Below 0 there is
 	// none.
 	CacheTokens int
+	// MemoryTokens is the memory that running requests and the prefix cache
+	// share: the cache gets what the requests leave, and if they have more than
+	// it, the newest of the least urgent is preempted; 0 means that only the
+	// cache is bounded, by CacheTokens.
+	MemoryTokens int
 	// ContextTokens is the size of the context window; no limit.
 	ContextTokens int
 	// MeanTokens is about the mean length of an answer; 100. A prompt that has
--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -69,6 +69,8 @@
 
 	pending int // tokens still to be processed before generation
 	take    int // tokens of pending that are processed in this step
+	// copied says that prompt and answer so far are in memory already.
+	copied bool
 
 	generated atomic.Int64  // tokens that were generated
 	progress  chan struct{} // has an element if tokens were generated
@@ -111,6 +113,11 @@
 	return true
 }
 
+// memory returns the tokens that the run has in memory.
+func (r *run) memory() int {
+	return max(r.prompt.tokens+r.log.CompletionTokens-r.pending, 0)
+}
+
 // complete reports whether the run has generated all that it is to.
 func (r *run) complete() bool { return r.log.CompletionTokens >= r.limit }
 
--- a/standin/engine/step.go
+++ b/standin/engine/step.go
@@ -45,6 +45,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.fillBatch()
+	e.fitMemory()
 	e.publishLoad(now)
 	if len(e.running) == 0 {
 		return 0, false
@@ -66,12 +67,52 @@
 			return
 		}
 		r := e.waiting[0]
+		if !e.fits(r) {
+			return
+		}
 		e.waiting = slices.Delete(e.waiting, 0, 1)
 		e.running = append(e.running, r)
 		cached := e.cache.match(r.prompt.prefixes)
 		r.log.CachedTokens = max(r.log.CachedTokens, cached)
 		r.pending = r.prompt.tokens + r.log.CompletionTokens - cached
+		if r.copied {
+			r.pending, r.copied = 0, false
+		}
+	}
+}
+
+// fitMemory gives the cache what running requests leave of the memory, and
+// preempts requests while they have more than it. e.mu is held.
+func (e *Engine) fitMemory() {
+	if e.options.MemoryTokens <= 0 {
+		return
 	}
+	for {
+		used := e.used()
+		if used <= e.options.MemoryTokens || len(e.running) <= 1 {
+			e.cache.resize(max(e.options.MemoryTokens-used, 0))
+			return
+		}
+		newest := slices.MaxFunc(e.running, compareRuns)
+		e.running = removeRun(e.running, newest)
+		e.waiting = insertRun(e.waiting, newest)
+		newest.log.Preemptions++
+	}
+}
+
+// used returns the tokens that running requests have in memory. e.mu is held.
+func (e *Engine) used() int {
+	used := 0
+	for _, r := range e.running {
+		used += r.memory()
+	}
+	return used
+}
+
+// fits reports whether there is memory for a request. e.mu is held.
+func (e *Engine) fits(r *run) bool {
+	return e.options.MemoryTokens <= 0 || len(e.running) == 0 ||
+		e.used()+r.prompt.tokens+r.log.CompletionTokens <= e.options.MemoryTokens
 }
 
 // preempt makes room for r by moving the least urgent running request back to
