neighbours: a daemon that is cut off from the store reaches it through another one

Ruled out: waiting longer for parts (the window is due). Daemons write a row with their address; a call that the store did not do goes through a neighbour at once, others once the direct way has failed. The lease takes no detours: its holder must reach the platform itself.

--- a/acaciad/control/orders_test.go
+++ b/acaciad/control/orders_test.go
@@ -86,7 +86,7 @@
 	c := qt.New(t)
 	store := standin.NewStore()
 	c.Cleanup(store.Close)
-	table := &platform.Table{Store: platform.NewStore(store.Address(), time.Second)}
+	table := &platform.Table{Store: platform.NewStore(store.Address(), time.Second, platform.NewStoreTransport())}
 	began := time.Now()
 	keeper := lease.NewKeeper(table, lease.Terms{Name: lease.UsageName, Holder: "a", Duration: time.Second},
 		300*time.Millisecond, func() lease.Instant {
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"acaciapath.example/acaciad/control"
 	"acaciapath.example/acaciad/directory"
+	"acaciapath.example/acaciad/neighbours"
 	"acaciapath.example/acaciad/relay"
 	"acaciapath.example/core/config"
 	"acaciapath.example/core/lease"
@@ -85,11 +86,15 @@
 	beliefs   *beliefs
 	sentry    *sentry
 	store     *adapter.Store
-	usage     *control.Usage
-	orders    *control.Orders
-	keeper    *lease.Keeper
-	handler   *relay.Handler
-	registry  *prometheus.Registry
+	// direct is the client of the store that takes no detours.
+	direct     *adapter.Store
+	detour     *neighbours.Transport
+	neighbours *neighbours.Registry
+	usage      *control.Usage
+	orders     *control.Orders
+	keeper     *lease.Keeper
+	handler    *relay.Handler
+	registry   *prometheus.Registry
 
 	drain    context.Context
 	setDrain context.CancelFunc
@@ -104,14 +109,23 @@
 	d := &Daemon{settings: s, logger: logger, directory: directory.New(s.FailureDomain, s.ServerDrain, random)}
 	d.beliefs = newBeliefs(d.directory, logger)
 	d.drain, d.setDrain = context.WithCancel(context.Background())
-	d.store = adapter.NewStore(s.StoreAddress, storeTimeout)
-	table := &adapter.Table{Store: d.store}
+	d.detour = neighbours.NewTransport(adapter.NewStoreTransport(), s.FailureDomain, logger,
+		rand.New(rand.NewPCG(uint64(now.UnixNano()), 2)))
+	d.store = adapter.NewStore(s.StoreAddress, storeTimeout, d.detour)
+	d.direct = adapter.NewStore(s.StoreAddress, storeTimeout, d.detour.Direct())
+	anyway := &adapter.Table{Store: d.store}
+	table := &adapter.Table{Store: d.direct}
+	d.neighbours = &neighbours.Registry{
+		VM: s.Name, FailureDomain: s.FailureDomain, Address: s.NeighboursAddress,
+		Table: anyway, Found: d.detour.SetNeighbours, Logger: logger,
+		Random: rand.New(rand.NewPCG(uint64(now.UnixNano()), 3)),
+	}
 	duties := adapter.NewDuties(s.DutiesAddress, s.Name, s.UsageWindow, dutyTimeout)
 	terms := lease.Terms{Name: lease.UsageName, Holder: instance, Duration: s.Lease}
 	d.keeper = lease.NewKeeper(table, terms, leasePoll, newClock(now))
 	d.usage = &control.Usage{
 		Meter:    usage.NewMeter(),
-		Writer:   usage.NewWriter(table, s.Name, instance),
+		Writer:   usage.NewWriter(anyway, s.Name, instance),
 		Reporter: usage.NewReporter(table, duties, d.keeper),
 		Keeper:   d.keeper,
 		Lease:    s.Lease,
@@ -195,6 +209,7 @@
 	go d.serve(server, callers)
 	go d.serve(&http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout}, ready)
 	d.serveMetrics()
+	d.serveNeighbours()
 	work := newWork()
 	duties := newWork()
 	d.start(work, duties)
@@ -241,6 +256,24 @@
 	go d.serve(&http.Server{Handler: telemetry.OpsHandler(d.registry, ready), ReadHeaderTimeout: headerTimeout}, listener)
 }
 
+// serveNeighbours passes calls of the store on for other daemons.
+func (d *Daemon) serveNeighbours() {
+	if d.settings.NeighboursAddress == "" {
+		d.logger.Info("the settings have no port for calls between daemons")
+		return
+	}
+	listener, err := net.Listen("tcp4", d.settings.NeighboursAddress)
+	if err != nil {
+		d.logger.WithError(err).Warn("neighbours are not served")
+		return
+	}
+	relay := &neighbours.Relay{
+		Store: d.settings.StoreAddress, Allowed: adapter.IsStoreCall, Failing: d.detour.Failing,
+		Base: d.detour.Direct(), Logger: d.logger,
+	}
+	go d.serve(&http.Server{Handler: relay, ReadHeaderTimeout: headerTimeout}, listener)
+}
+
 // start starts the daemon's regular work, and its part in the duties.
 func (d *Daemon) start(work, duties *work) {
 	wait, gap := feedWait(d.settings), feedGap(d.settings)
@@ -256,6 +289,10 @@
 	}
 	work.run(d.sentry.run)
 	work.run(d.watchPauses)
+	work.run(func(ctx context.Context) { d.detour.Run(ctx, d.direct.Ping) })
+	if d.settings.NeighboursAddress != "" {
+		work.run(d.neighbours.Run)
+	}
 	work.run(catalogFeed.run)
 	work.run(serversFeed.run)
 	if d.settings.ReportsUsage || d.settings.OrdersServers {
@@ -350,6 +387,9 @@
 	}
 	work.stop()
 	d.usage.Finish(ctx)
+	if d.settings.NeighboursAddress != "" {
+		d.neighbours.Remove(ctx)
+	}
 	<-released
 	d.logger.WithField("took-ms", time.Since(began).Milliseconds()).Info("stopped")
 }
--- a/acaciad/daemon/feed_test.go
+++ b/acaciad/daemon/feed_test.go
@@ -27,7 +27,7 @@
 	logger.SetOutput(io.Discard)
 	applied := make(chan int, rows)
 	f := &feed{
-		wait: pause, gap: pause, store: adapter.NewStore(store.Address(), pause), name: tableServers, logger: logger,
+		wait: pause, gap: pause, store: adapter.NewStore(store.Address(), pause, adapter.NewStoreTransport()), name: tableServers, logger: logger,
 		apply:    func(rows []adapter.Row, _ bool) bool { applied <- len(rows); return false },
 		returned: func(time.Time) {},
 		failed:   func(time.Time) {},
