neighbours: what a daemon could not write before it ended is handed over

The writes carry their own conditions and insert rows that are inserted once, so that a neighbour can carry them out when the store is back. TestWritesAreHandedOver.

--- a/acaciad/control/usage.go
+++ b/acaciad/control/usage.go
@@ -49,6 +49,8 @@
 	Billing config.Billing
 	// Due is how long after its end a window must be reported.
 	Due time.Duration
+	// HandOver has other daemons carry out what this one writes from now on.
+	HandOver func()
 	// Logger logs what was settled and what failed.
 	Logger *logrus.Logger
 
@@ -76,28 +78,37 @@
 	return u.Billing.Window
 }
 
-// Finish writes what is left when the daemon shuts down, until ctx ends.
+// Finish writes what is left when the daemon shuts down, until ctx ends. If the
+// store does not answer, it is handed over to other daemons.
 func (u *Usage) Finish(ctx context.Context) {
 	now := time.Now()
+	if u.flush(ctx, now, now.Add(finishTries)) {
+		return
+	}
+	u.HandOver()
 	u.flush(ctx, now, now.Add(u.Due))
 }
 
+// finishTries is how long the last part is tried to be written before it is handed
+// over.
+const finishTries = time.Second
+
 // flush writes what ran up to now as a part, and what is left of earlier ones.
-// It tries until limit.
-func (u *Usage) flush(ctx context.Context, now, limit time.Time) {
+// It tries until limit, and reports whether nothing is left.
+func (u *Usage) flush(ctx context.Context, now, limit time.Time) bool {
 	part := u.Meter.Close(now, u.Billing.Window)
 	part.Final = now.Add(time.Nanosecond).Equal(part.Window.Add(u.Billing.Window))
 	u.Writer.Add(part)
 	for {
 		err := u.Writer.Flush(ctx, now, u.Billing.Window)
 		if err == nil {
-			return
+			return true
 		}
 		u.failed.Store(time.Now().UnixNano())
 		u.Logger.WithError(err).WithField("window", usage.FormatStart(usage.WindowStart(now, u.Billing.Window))).
 			Warn("the part of a usage window is not written yet")
 		if ctx.Err() != nil || time.Now().After(limit) {
-			return
+			return false
 		}
 		sleep.For(ctx, retryInterval)
 	}
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -90,6 +90,7 @@
 	direct     *adapter.Store
 	detour     *neighbours.Transport
 	neighbours *neighbours.Registry
+	handed     *neighbours.Handed
 	usage      *control.Usage
 	orders     *control.Orders
 	keeper     *lease.Keeper
@@ -133,7 +134,9 @@
 		Billing:  config.Billing{Window: s.UsageWindow, Grace: s.UsageDue - partGrace},
 		Logger:   logger,
 	}
+	d.usage.HandOver = d.detour.HandOver
 	d.usage.Reporter.Early = true
+	d.handed = &neighbours.Handed{Send: d.direct.Post, Keep: s.UsageDue, Logger: logger}
 	d.orders = &control.Orders{
 		Directory:      d.directory,
 		Scaler:         duties,
@@ -269,7 +272,7 @@
 	}
 	relay := &neighbours.Relay{
 		Store: d.settings.StoreAddress, Allowed: adapter.IsStoreCall, Failing: d.detour.Failing,
-		Base: d.detour.Direct(), Logger: d.logger,
+		Base: d.detour.Direct(), Handed: d.handed, Logger: d.logger,
 	}
 	go d.serve(&http.Server{Handler: relay, ReadHeaderTimeout: headerTimeout}, listener)
 }
@@ -292,6 +295,7 @@
 	work.run(func(ctx context.Context) { d.detour.Run(ctx, d.direct.Ping) })
 	if d.settings.NeighboursAddress != "" {
 		work.run(d.neighbours.Run)
+		work.run(d.handed.Run)
 	}
 	work.run(catalogFeed.run)
 	work.run(serversFeed.run)
@@ -388,6 +392,7 @@
 	work.stop()
 	d.usage.Finish(ctx)
 	if d.settings.NeighboursAddress != "" {
+		d.handed.Flush(ctx)
 		d.neighbours.Remove(ctx)
 	}
 	<-released
--- /dev/null
+++ b/acaciad/neighbours/handed.go
@@ -0,0 +1,185 @@
+package neighbours
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"acaciapath.example/core/sleep"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+)
+
+// pathHanded is where a daemon that shuts down hands writes over.
+const pathHanded = "/handed-over"
+
+// Bounds of writes that were handed over.
+const (
+	// maxHanded is the most writes that a daemon takes: a few of each VM of a
+	// failure domain that shuts down.
+	maxHanded = 256
+	// handedRetry is the time between two tries to carry a write out.
+	handedRetry = 400 * time.Millisecond
+)
+
+// errFull is returned when too many writes wait already.
+var errFull = merry.Sentinel("neighbours: too many writes that were handed over wait already")
+
+// Handed are writes of daemons that shut down while the store was away. A write
+// carries its own conditions, and inserts rows that are inserted once, so that it
+// may be carried out by anybody, and more than once.
+type Handed struct {
+	// Send sends a write to the store. It returns the status of the answer.
+	Send func(ctx context.Context, path string, body []byte) (int, error)
+	// Keep is how long a write is of use.
+	Keep time.Duration
+	// Logger says what became of the writes.
+	Logger *logrus.Logger
+
+	mu     sync.Mutex
+	writes []handedWrite
+}
+
+// handedWrite is a write that waits.
+type handedWrite struct {
+	path  string
+	body  []byte
+	until time.Time
+}
+
+// Add takes a write over. It returns an error if too many wait.
+func (h *Handed) Add(path string, body []byte, now time.Time) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.writes) >= maxHanded {
+		return errFull
+	}
+	h.writes = append(h.writes, handedWrite{path: path, body: body, until: now.Add(h.Keep)})
+	return nil
+}
+
+// Run carries the writes out until ctx ends.
+func (h *Handed) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep.For(ctx, handedRetry)
+		for h.one(ctx) {
+		}
+	}
+}
+
+// Flush tries to carry all out, at the end of the daemon.
+func (h *Handed) Flush(ctx context.Context) {
+	for h.one(ctx) {
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.writes) > 0 {
+		h.Logger.WithField("writes", len(h.writes)).Warn("writes that were handed over are lost with this process")
+	}
+}
+
+// one carries the first write out, and reports whether that was done.
+func (h *Handed) one(ctx context.Context) bool {
+	h.mu.Lock()
+	if len(h.writes) == 0 {
+		h.mu.Unlock()
+		return false
+	}
+	write := h.writes[0]
+	h.mu.Unlock()
+	status, err := h.Send(ctx, write.path, write.body)
+	entry := h.Logger.WithField("status", status)
+	switch {
+	case err == nil && status == http.StatusOK:
+		entry.Info("a write that was handed over is carried out")
+	case err == nil && status == http.StatusPreconditionFailed:
+		entry.Warn("a write that was handed over came too late, or was carried out before")
+	case time.Now().After(write.until):
+		entry.WithError(err).Warn("a write that was handed over is given up, its time is over")
+	default:
+		return false
+	}
+	h.mu.Lock()
+	h.writes = h.writes[1:]
+	h.mu.Unlock()
+	return true
+}
+
+// serve takes a write over from a neighbour.
+func (h *Handed) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRelayed))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if err := h.Add(r.URL.Query().Get("path"), body, time.Now()); err != nil {
+		h.Logger.WithError(err).Warn("a neighbour's write is not taken over")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	h.Logger.Info("a neighbour that shuts down handed a write over")
+	w.WriteHeader(http.StatusOK)
+}
+
+// errNobody is returned when no neighbour takes a write over.
+var errNobody = merry.Sentinel("neighbours: no neighbour takes the write over")
+
+// handOver gives a write to a neighbour, which carries it out later. The answer is
+// that of the store to a write that was done.
+func (t *Transport) handOver(r *http.Request) (*http.Response, error) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	all := t.chooser.Any(t.random)
+	t.mu.Unlock()
+	for _, to := range all[:min(len(all), handOverTries)] {
+		if err = t.handTo(r, to, body); err == nil {
+			t.Logger.WithField("neighbour", to).Info("a write was handed over to a neighbour")
+			return done(r), nil
+		}
+		t.Logger.WithError(err).WithField("neighbour", to).Info("a neighbour takes no write over")
+	}
+	return nil, errNobody
+}
+
+// handTo gives a write to one neighbour.
+func (t *Transport) handTo(r *http.Request, to string, body []byte) error {
+	ctx, cancel := context.WithTimeout(r.Context(), handTimeout)
+	defer cancel()
+	target := "http://" + to + pathHanded + "?path=" + url.QueryEscape(r.URL.Path)
+	out, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := t.Base.RoundTrip(out)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return merry.Wrap(errNobody, merry.AppendMessagef("status %d", response.StatusCode))
+	}
+	return nil
+}
+
+// handTimeout bounds the handing over to one neighbour: some round trips between
+// regions.
+const handTimeout = 400 * time.Millisecond
+
+// handOverTries is the number of neighbours that are asked to take a write over.
+const handOverTries = 3
+
+// done returns the store's answer to a write that was done.
+func done(r *http.Request) *http.Response {
+	return &http.Response{
+		StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header), Request: r,
+		Body: io.NopCloser(bytes.NewReader([]byte(`{}`))),
+	}
+}
--- a/acaciad/neighbours/neighbours_test.go
+++ b/acaciad/neighbours/neighbours_test.go
@@ -13,6 +13,7 @@
 
 	"acaciapath.example/acaciad/neighbours"
 	"acaciapath.example/core/detour"
+	"acaciapath.example/core/gen/table"
 	"acaciapath.example/platform"
 	"acaciapath.example/platform/standin"
 	"acaciapath.example/standin/relay"
@@ -178,10 +179,50 @@
 		p.Assert(time.Now().Before(end), qt.IsTrue)
 		one := found["vm-1"].Load()
 		if one != nil && len(*one) == 1 {
-			p.Assert((*one)[0], qt.Equals, detour.Neighbour{Address: "10.0.0.1:1-2", FailureDomain: "z"})
+			p.Assert((*one)[0], qt.Equals, detour.Neighbour{Address: "10.0.0.1:12", FailureDomain: "z"})
 			break
 		}
 	}
 	registries["vm-2"].Remove(p.Context())
 	p.Assert(p.store.Rows("acaciapath", "control"), qt.HasLen, 1)
 }
+
+// TestWritesAreHandedOver has a daemon shut down while the store is away: its last
+// write is taken over by a neighbour, and carried out once when the store is back.
+func TestWritesAreHandedOver(t *testing.T) {
+	p := newPair(t)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	own := platform.NewStore(p.store.Address(), timeout, platform.NewStoreTransport())
+	handed := &neighbours.Handed{Send: own.Post, Keep: 10 * time.Second, Logger: logger}
+	second := httptest.NewServer(&neighbours.Relay{
+		Store: p.store.Address(), Allowed: platform.IsStoreCall, Failing: func() bool { return true },
+		Base: platform.NewStoreTransport(), Handed: handed, Logger: logger,
+	})
+	p.Cleanup(second.Close)
+	p.one.SetNeighbours([]detour.Neighbour{{Address: strings.TrimPrefix(second.URL, "http://"), FailureDomain: "z"}})
+	p.store.SetFault(func(string, string) standin.Fault { return standin.Busy })
+	own1 := &platform.Table{Store: p.client}
+	write := &table.CommitPayload{
+		Conditions: []*table.Condition{{Key: "part"}},
+		Writes:     []*table.Write{{Key: "part", Value: []byte("x")}},
+	}
+	_, err := own1.Commit(p.Context(), write)
+	p.Assert(err, qt.IsNotNil)
+	p.one.HandOver()
+	for range 2 {
+		_, err = own1.Commit(p.Context(), write)
+		p.Assert(err, qt.IsNil)
+	}
+	p.Assert(p.store.Rows("acaciapath", "control"), qt.HasLen, 0)
+	ctx, cancel := context.WithCancel(p.Context())
+	p.Cleanup(cancel)
+	go handed.Run(ctx)
+	time.Sleep(timeout)
+	p.store.SetFault(nil)
+	for end := time.Now().Add(10 * time.Second); len(p.store.Rows("acaciapath", "control")) == 0; time.Sleep(10 * time.Millisecond) {
+		p.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+	time.Sleep(timeout)
+	p.Assert(p.store.Rows("acaciapath", "control")[0].Version, qt.Equals, uint64(2))
+}
--- a/acaciad/neighbours/relay.go
+++ b/acaciad/neighbours/relay.go
@@ -29,6 +29,8 @@
 	Failing func() bool
 	// Base sends calls directly.
 	Base http.RoundTripper
+	// Handed takes writes over of neighbours that shut down.
+	Handed *Handed
 	// Logger logs calls that failed.
 	Logger *logrus.Logger
 }
@@ -38,6 +40,9 @@
 // ServeHTTP passes a call on.
 func (p *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch {
+	case r.Method == http.MethodPost && r.URL.Path == pathHanded && p.Allowed(r.Method, r.URL.Query().Get("path")):
+		p.Handed.serve(w, r)
+		return
 	case !p.Allowed(r.Method, r.URL.Path):
 		w.WriteHeader(http.StatusNotFound)
 		return
--- a/acaciad/neighbours/transport.go
+++ b/acaciad/neighbours/transport.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"acaciapath.example/core/detour"
@@ -24,6 +25,9 @@
 	// Logger says when the direct way is lost and regained.
 	Logger *logrus.Logger
 
+	// handing says that writes are handed over to neighbours.
+	handing atomic.Bool
+
 	mu      sync.Mutex // guards the fields below
 	chooser detour.Chooser
 	random  *rand.Rand
@@ -57,6 +61,11 @@
 	return t.chooser.Failing()
 }
 
+// HandOver has neighbours carry writes out from now on, because this daemon ends
+// before the store is back. Only writes that may be carried out by anybody are sent
+// through a Transport.
+func (t *Transport) HandOver() { t.handing.Store(true) }
+
 // Direct returns a transport that takes no detours, and tells this one what comes
 // of its calls.
 func (t *Transport) Direct() http.RoundTripper { return directly{t} }
@@ -90,6 +99,9 @@
 // RoundTrip sends a call by the way that is chosen now. If nothing was done by it,
 // the call is sent once more through a neighbour.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Method == http.MethodPost && t.handing.Load() {
+		return t.handOver(r)
+	}
 	t.mu.Lock()
 	way := t.chooser.Choose(time.Now(), t.random)
 	t.mu.Unlock()
--- a/core/detour/detour.go
+++ b/core/detour/detour.go
@@ -91,6 +91,23 @@
 	return Direct
 }
 
+// Any returns the addresses of all neighbours in random order, those of the failure
+// domain first, also if they could not help: a daemon that does not reach the store
+// can still take something over.
+func (c *Chooser) Any(random *rand.Rand) []string {
+	shuffled := slices.Clone(c.neighbours)
+	random.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	var near, far []string
+	for _, n := range shuffled {
+		if n.FailureDomain == c.FailureDomain {
+			near = append(near, n.Address)
+		} else {
+			far = append(far, n.Address)
+		}
+	}
+	return append(near, far...)
+}
+
 // Succeeded notes that a call by a way was answered. It reports whether the direct
 // way has come back.
 func (c *Chooser) Succeeded(way string) bool {
