usage: a daemon that shuts down hands its parts over as soon as the store fails

The last 0.6 s are kept for it, and from the beginning of a shutdown parts that the store does not take go to a neighbour.

--- a/acaciad/control/usage.go
+++ b/acaciad/control/usage.go
@@ -56,6 +56,8 @@
 
 	// random spreads the reads of the candidates for the lease.
 	random *rand.Rand
+	// ending says that the daemon shuts down.
+	ending atomic.Bool
 	// failed is when the table last did not answer.
 	failed atomic.Int64
 }
@@ -78,37 +80,36 @@
 	return u.Billing.Window
 }
 
-// Finish writes what is left when the daemon shuts down, until ctx ends. If the
-// store does not answer, it is handed over to other daemons.
+// End says that the daemon has begun to shut down: what the store does not take
+// from now on is handed over to other daemons at once, since the store may be away
+// for longer than the shutdown takes.
+func (u *Usage) End() { u.ending.Store(true) }
+
+// Finish writes what is left when the daemon shuts down, until ctx ends.
 func (u *Usage) Finish(ctx context.Context) {
 	now := time.Now()
-	if u.flush(ctx, now, now.Add(finishTries)) {
-		return
-	}
-	u.HandOver()
 	u.flush(ctx, now, now.Add(u.Due))
 }
 
-// finishTries is how long the last part is tried to be written before it is handed
-// over.
-const finishTries = time.Second
-
 // flush writes what ran up to now as a part, and what is left of earlier ones.
-// It tries until limit, and reports whether nothing is left.
-func (u *Usage) flush(ctx context.Context, now, limit time.Time) bool {
+// It tries until limit.
+func (u *Usage) flush(ctx context.Context, now, limit time.Time) {
 	part := u.Meter.Close(now, u.Billing.Window)
 	part.Final = now.Add(time.Nanosecond).Equal(part.Window.Add(u.Billing.Window))
 	u.Writer.Add(part)
 	for {
 		err := u.Writer.Flush(ctx, now, u.Billing.Window)
 		if err == nil {
-			return true
+			return
 		}
 		u.failed.Store(time.Now().UnixNano())
 		u.Logger.WithError(err).WithField("window", usage.FormatStart(usage.WindowStart(now, u.Billing.Window))).
 			Warn("the part of a usage window is not written yet")
+		if u.ending.Load() {
+			u.HandOver()
+		}
 		if ctx.Err() != nil || time.Now().After(limit) {
-			return false
+			return
 		}
 		sleep.For(ctx, retryInterval)
 	}
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -53,6 +53,9 @@
 	leaveDelay = 2500 * time.Millisecond
 	// graceMargin is how long before the platform kills the process it ends.
 	graceMargin = 700 * time.Millisecond
+	// finishTime is what is left of the time to shut down for writing usage, or
+	// handing it over, once no request runs any more.
+	finishTime = 600 * time.Millisecond
 )
 
 // memoryShare is the share of the VM's memory that the garbage collector aims
@@ -375,8 +378,12 @@
 	began := time.Now()
 	d.logger.Info("shutting down")
 	d.setDrain()
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(d.settings.Grace-graceMargin))
+	d.usage.End()
+	end := began.Add(d.settings.Grace - graceMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	serving, stopServing := context.WithDeadline(ctx, end.Add(-finishTime))
+	defer stopServing()
 	released := make(chan struct{})
 	go func() {
 		defer close(released)
@@ -385,8 +392,8 @@
 			d.logger.WithError(err).Warn("the lease of the duties was not given back and expires by itself")
 		}
 	}()
-	sleep.For(ctx, leaveDelay)
-	if err := server.Shutdown(ctx); err != nil {
+	sleep.For(serving, leaveDelay)
+	if err := server.Shutdown(serving); err != nil {
 		d.logger.WithError(err).Warn("requests are cut off, the time to shut down is over")
 	}
 	work.stop()
