--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -139,7 +139,7 @@
 	}
 	d.usage.HandOver = d.detour.HandOver
 	d.usage.Reporter.Early = true
-	d.handed = &neighbours.Handed{Send: d.direct.Post, Keep: s.UsageDue, Logger: logger}
+	d.handed = &neighbours.Handed{Send: d.direct.Post, Keep: s.UsageDue, Leaving: func() bool { return d.drain.Err() != nil }, Logger: logger}
 	d.orders = &control.Orders{
 		Directory:      d.directory,
 		Scaler:         duties,
@@ -399,7 +399,7 @@
 	work.stop()
 	d.usage.Finish(ctx)
 	if d.settings.NeighboursAddress != "" {
-		d.handed.Flush(ctx)
+		d.handed.Flush(ctx, d.detour.Pass)
 		d.neighbours.Remove(ctx)
 	}
 	<-released
--- a/acaciad/neighbours/handed.go
+++ b/acaciad/neighbours/handed.go
@@ -38,6 +38,9 @@
 	Send func(ctx context.Context, path string, body []byte) (int, error)
 	// Keep is how long a write is of use.
 	Keep time.Duration
+	// Leaving reports whether the daemon shuts down itself; it takes no writes
+	// over then.
+	Leaving func() bool
 	// Logger says what became of the writes.
 	Logger *logrus.Logger
 
@@ -72,14 +75,18 @@
 	}
 }
 
-// Flush tries to carry all out, at the end of the daemon.
-func (h *Handed) Flush(ctx context.Context) {
+// Flush carries all out, or hands it on by pass, at the end of the daemon.
+func (h *Handed) Flush(ctx context.Context, pass func(ctx context.Context, path string, body []byte) error) {
 	for h.one(ctx) {
 	}
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	if len(h.writes) > 0 {
-		h.Logger.WithField("writes", len(h.writes)).Warn("writes that were handed over are lost with this process")
+	left := h.writes
+	h.writes = nil
+	h.mu.Unlock()
+	for _, write := range left {
+		if err := pass(ctx, write.path, write.body); err != nil {
+			h.Logger.WithError(err).Warn("a write that was handed over is lost with this process")
+		}
 	}
 }
 
@@ -117,6 +124,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if h.Leaving() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if err := h.Add(r.URL.Query().Get("path"), body, time.Now()); err != nil {
 		h.Logger.WithError(err).Warn("a neighbour's write is not taken over")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -136,24 +147,33 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := t.Pass(r.Context(), r.URL.Path, body); err != nil {
+		return nil, err
+	}
+	return done(r), nil
+}
+
+// Pass gives a write to a neighbour, which carries it out later.
+func (t *Transport) Pass(ctx context.Context, path string, body []byte) error {
 	t.mu.Lock()
 	all := t.chooser.Any(t.random)
 	t.mu.Unlock()
 	for _, to := range all[:min(len(all), handOverTries)] {
-		if err = t.handTo(r, to, body); err == nil {
+		err := t.handTo(ctx, to, path, body)
+		if err == nil {
 			t.Logger.WithField("neighbour", to).Info("a write was handed over to a neighbour")
-			return done(r), nil
+			return nil
 		}
 		t.Logger.WithError(err).WithField("neighbour", to).Info("a neighbour takes no write over")
 	}
-	return nil, errNobody
+	return errNobody
 }
 
 // handTo gives a write to one neighbour.
-func (t *Transport) handTo(r *http.Request, to string, body []byte) error {
-	ctx, cancel := context.WithTimeout(r.Context(), handTimeout)
+func (t *Transport) handTo(ctx context.Context, to, path string, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, handTimeout)
 	defer cancel()
-	target := "http://" + to + pathHanded + "?path=" + url.QueryEscape(r.URL.Path)
+	target := "http://" + to + pathHanded + "?path=" + url.QueryEscape(path)
 	out, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
 	if err != nil {
 		return err
@@ -174,7 +194,7 @@
 const handTimeout = 400 * time.Millisecond
 
 // handOverTries is the number of neighbours that are asked to take a write over.
-const handOverTries = 3
+const handOverTries = 6
 
 // done returns the store's answer to a write that was done.
 func done(r *http.Request) *http.Response {
--- a/acaciad/neighbours/neighbours_test.go
+++ b/acaciad/neighbours/neighbours_test.go
@@ -194,7 +194,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	own := platform.NewStore(p.store.Address(), timeout, platform.NewStoreTransport())
-	handed := &neighbours.Handed{Send: own.Post, Keep: 10 * time.Second, Logger: logger}
+	handed := &neighbours.Handed{Send: own.Post, Keep: 10 * time.Second, Leaving: func() bool { return false }, Logger: logger}
 	second := httptest.NewServer(&neighbours.Relay{
 		Store: p.store.Address(), Allowed: platform.IsStoreCall, Failing: func() bool { return true },
 		Base: platform.NewStoreTransport(), Handed: handed, Logger: logger,
@@ -226,3 +226,33 @@
 	time.Sleep(timeout)
 	p.Assert(p.store.Rows("acaciapath", "control")[0].Version, qt.Equals, uint64(2))
 }
+
+// TestWritesAreHandedOn: a daemon that shuts down takes nothing over any more, and
+// hands on what it took over before.
+func TestWritesAreHandedOn(t *testing.T) {
+	c := qt.New(t)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	away := func(context.Context, string, []byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+	var leaving atomic.Bool
+	h := &neighbours.Handed{Send: away, Keep: time.Minute, Leaving: leaving.Load, Logger: logger}
+	server := httptest.NewServer(&neighbours.Relay{
+		Allowed: platform.IsStoreCall, Failing: func() bool { return true }, Handed: h, Logger: logger,
+	})
+	c.Cleanup(server.Close)
+	give := func() int {
+		response, err := http.Post(server.URL+"/handed-over?path=/acaciapath/rows-tx", "", strings.NewReader("x"))
+		c.Assert(err, qt.IsNil)
+		defer response.Body.Close()
+		return response.StatusCode
+	}
+	c.Assert(give(), qt.Equals, http.StatusOK)
+	leaving.Store(true)
+	c.Assert(give(), qt.Equals, http.StatusServiceUnavailable)
+	var passed []string
+	h.Flush(c.Context(), func(_ context.Context, path string, body []byte) error {
+		passed = append(passed, path+" "+string(body))
+		return nil
+	})
+	c.Assert(passed, qt.DeepEquals, []string{"/acaciapath/rows-tx x"})
+}
