--- a/acaciad/control/usage.go
+++ b/acaciad/control/usage.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -62,13 +63,38 @@
 	failed atomic.Int64
 }
 
-// RunParts writes the daemon's parts until ctx ends, and what is left after it.
+// RunParts closes the daemon's parts at their times, and writes them, until ctx
+// ends.
 func (u *Usage) RunParts(ctx context.Context) {
+	closed := make(chan struct{}, 1)
+	var writing sync.WaitGroup
+	writing.Go(func() { u.writeParts(ctx, closed) })
 	for ctx.Err() == nil {
 		part := u.partLength()
 		edge := time.Now().Truncate(part).Add(part)
 		sleep.For(ctx, time.Until(edge))
-		u.flush(ctx, edge.Add(-time.Nanosecond), edge.Add(part-retryInterval))
+		u.close(edge.Add(-time.Nanosecond))
+		select {
+		case closed <- struct{}{}:
+		default: // the one before is not written yet
+		}
+	}
+	writing.Wait()
+}
+
+// writeParts writes what is closed until ctx ends. It does not delay the closing of
+// further parts, however long the store is away: what ran would be counted in a
+// later window.
+func (u *Usage) writeParts(ctx context.Context, closed <-chan struct{}) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-closed:
+		}
+		for !u.flush(ctx) && ctx.Err() == nil {
+			sleep.For(ctx, retryInterval)
+		}
 	}
 }
 
@@ -87,32 +113,33 @@
 
 // Finish writes what is left when the daemon shuts down, until ctx ends.
 func (u *Usage) Finish(ctx context.Context) {
-	now := time.Now()
-	u.flush(ctx, now, now.Add(u.Due))
+	u.close(time.Now())
+	for !u.flush(ctx) && ctx.Err() == nil {
+		sleep.For(ctx, retryInterval)
+	}
 }
 
-// flush writes what ran up to now as a part, and what is left of earlier ones.
-// It tries until limit.
-func (u *Usage) flush(ctx context.Context, now, limit time.Time) {
+// close takes over what ran up to now.
+func (u *Usage) close(now time.Time) {
 	part := u.Meter.Close(now, u.Billing.Window)
 	part.Final = now.Add(time.Nanosecond).Equal(part.Window.Add(u.Billing.Window))
 	u.Writer.Add(part)
-	for {
-		err := u.Writer.Flush(ctx, now, u.Billing.Window)
-		if err == nil {
-			return
-		}
-		u.failed.Store(time.Now().UnixNano())
-		u.Logger.WithError(err).WithField("window", usage.FormatStart(usage.WindowStart(now, u.Billing.Window))).
-			Warn("the part of a usage window is not written yet")
-		if u.ending.Load() {
-			u.HandOver()
-		}
-		if ctx.Err() != nil || time.Now().After(limit) {
-			return
-		}
-		sleep.For(ctx, retryInterval)
+}
+
+// flush writes what is closed, and reports whether nothing is left.
+func (u *Usage) flush(ctx context.Context) bool {
+	now := time.Now()
+	err := u.Writer.Flush(ctx, now, u.Billing.Window)
+	if err == nil {
+		return true
+	}
+	u.failed.Store(now.UnixNano())
+	u.Logger.WithError(err).WithField("window", usage.FormatStart(usage.WindowStart(now, u.Billing.Window))).
+		Warn("the part of a usage window is not written yet")
+	if u.ending.Load() {
+		u.HandOver()
 	}
+	return false
 }
 
 // RunSettle settles windows while the daemon holds the lease, until ctx ends.
