--- a/acaciad/control/usage_test.go
+++ b/acaciad/control/usage_test.go
@@ -19,7 +19,7 @@
 	"github.com/sirupsen/logrus"
 )
 
-// TestPartsStayInTheirWindows has the store away over the edges of several windows
+// TestPartsStayInTheirWindows has the store answer late and then not at all over the edges of several windows
 // while requests run: each is counted in the window in which it ran.
 func TestPartsStayInTheirWindows(t *testing.T) {
 	c := qt.New(t)
@@ -29,7 +29,8 @@
 	var away atomic.Bool
 	store.SetFault(func(string, string) standin.Fault {
 		if away.Load() {
-			return standin.Busy
+			time.Sleep(window * 7 / 10) // longer than it takes until the next part is closed
+			return standin.Reset
 		}
 		return standin.None
 	})
