--- a/acaciad/control/usage.go
+++ b/acaciad/control/usage.go
@@ -28,6 +28,9 @@
 	// fewer daemons, that of a whole window could be more than a window's figures
 	// may be off by.
 	smallFleet = 20
+	// pruneInterval is how often rows of old windows are deleted, some forty of
+	// them at a time; a minute has twelve windows.
+	pruneInterval = time.Minute
 	// returnDelay is how long after the store has come back windows are not
 	// closed, so that all daemons can write the parts that wait.
 	returnDelay = 1200 * time.Millisecond
@@ -145,8 +148,13 @@
 // RunSettle settles windows while the daemon holds the lease, until ctx ends.
 func (u *Usage) RunSettle(ctx context.Context) {
 	u.random = rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0))
+	pruned := time.Now()
 	for ctx.Err() == nil {
 		sleep.For(ctx, settleInterval)
+		if now := time.Now(); now.Sub(pruned) >= pruneInterval && u.Keeper.Held() != nil {
+			pruned = now
+			u.prune(ctx, now)
+		}
 		if n := u.Keeper.Row().Candidates; n > 0 {
 			u.Keeper.SetPoll(lease.PollInterval(u.Lease, n, u.random))
 		}
@@ -156,6 +164,17 @@
 	}
 }
 
+// prune deletes the rows of old windows.
+func (u *Usage) prune(ctx context.Context, now time.Time) {
+	n, err := u.Reporter.Prune(ctx, now)
+	switch {
+	case err != nil:
+		u.Logger.WithField("error", platform.Reason(err)).Info("rows of old usage windows are not deleted yet")
+	case n > 0:
+		u.Logger.WithField("windows", n).Info("rows of old usage windows deleted")
+	}
+}
+
 // billing returns the time that parts have now to come in: longer just after the
 // store was away, but not so long that the window is reported late.
 func (u *Usage) billing(now time.Time) config.Billing {
--- a/core/usage/writer.go
+++ b/core/usage/writer.go
@@ -135,7 +135,7 @@
 	if !part.Window.IsZero() {
 		part.Window = WindowStart(part.Window, length)
 	}
-	if part.Window.IsZero() || part.Window.Before(w.earliest) {
+	if part.Window.IsZero() || part.Window.Before(w.earliest) || now.Sub(part.Window) > max(maxPartAge, length) {
 		part.Window, part.Final = w.open(now, length), false
 	}
 	w.sequence++
