--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -223,6 +223,9 @@
 		"vm": d.settings.Name, "failure-domain": d.settings.FailureDomain,
 		"callers": d.settings.CallersAddress, "store": d.settings.StoreAddress,
 	}).Info("started")
+	if len(d.settings.Assumed) > 0 {
+		d.logger.WithField("settings", d.settings.Assumed).Warn("the settings file leaves figures out, and usual ones are assumed")
+	}
 	<-ctx.Done()
 	d.shutDown(server, work, duties)
 	return nil
