explain: tell from logs what became of a request

acaciapath explain REQUEST-ID LOG... shows the lines of a request with what they mean, and what its VM noted around that time of the backend servers that it was sent to and of the platform. Golden tests with a letter that broke off and a request that nobody took.

--- a/acaciapath/command/command.go
+++ b/acaciapath/command/command.go
@@ -84,7 +84,7 @@
 		[]string{string(output.Table), string(output.JSON)}, cobra.ShellCompDirectiveNoFileComp))
 	root.AddCommand(
 		p.check(), p.apply(), p.pull(), p.diff(), p.show(), p.history(),
-		p.status(), p.keys(), p.try(), p.version(),
+		p.status(), p.keys(), p.explain(), p.try(), p.version(),
 	)
 	return root
 }
--- /dev/null
+++ b/acaciapath/story/story_test.go
@@ -0,0 +1,49 @@
+package story_test
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"testing"
+
+	"acaciapath.example/acaciapath/story"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sebdah/goldie/v2"
+)
+
+// logs returns the logs of the tests: one of a VM of its own, and one of several.
+func logs() []story.Log {
+	var all []story.Log
+	for _, name := range []string{"edge-1", "all"} {
+		all = append(all, story.Log{
+			Name: name,
+			Open: func() (io.ReadCloser, error) { return os.Open("testdata/" + name + ".log") },
+		})
+	}
+	return all
+}
+
+// TestStories tells a letter that broke off, and a request that no backend server
+// took. Lines of other requests, other VMs and other backend servers are left out.
+func TestStories(t *testing.T) {
+	for _, id := range []string{"4c33e5b8", "77aa"} {
+		qt.New(t).Run(id, func(c *qt.C) {
+			found, err := story.Find(id, logs())
+			c.Assert(err, qt.IsNil)
+			var text bytes.Buffer
+			c.Assert(found.Text(&text), qt.IsNil)
+			goldie.New(t).Assert(t, id, text.Bytes())
+		})
+	}
+}
+
+func TestUnknownRequest(t *testing.T) {
+	_, err := story.Find("none", logs())
+	qt.Assert(t, err, qt.ErrorIs, story.ErrUnknown)
+}
+
+func TestLogThatCannotBeRead(t *testing.T) {
+	_, err := story.Find("77aa", []story.Log{{Name: "gone", Open: func() (io.ReadCloser, error) { return nil, os.ErrNotExist }}})
+	qt.Assert(t, err, qt.ErrorIs, os.ErrNotExist)
+}
--- a/core/telemetry/telemetry.go
+++ b/core/telemetry/telemetry.go
@@ -37,6 +37,10 @@
 // ErrFormat is returned for an unknown format of logs.
 var ErrFormat = merry.Sentinel("telemetry: log format must be json or text")
 
+// timestampFormat is RFC 3339 with milliseconds: several lines of one request fall
+// into a second.
+const timestampFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // NewLogger returns a logger that writes to w. It returns an error for an
 // unknown level or format.
 func NewLogger(level, format string, w io.Writer) (*logrus.Logger, error) {
@@ -49,7 +53,7 @@
 	logger.SetOutput(w)
 	switch format {
 	case FormatJSON:
-		logger.SetFormatter(&logrus.JSONFormatter{})
+		logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timestampFormat})
 	case FormatText:
 		logger.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
 	default:
