--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -113,7 +113,8 @@
 	d := &Daemon{settings: s, logger: logger, directory: directory.New(s.FailureDomain, s.ServerDrain, random)}
 	d.beliefs = newBeliefs(d.directory, logger)
 	d.drain, d.setDrain = context.WithCancel(context.Background())
-	d.detour = neighbours.NewTransport(adapter.NewStoreTransport(), s.FailureDomain, logger,
+	d.registry = prometheus.NewRegistry()
+	d.detour = neighbours.NewTransport(adapter.NewStoreTransport(), s.FailureDomain, neighbours.NewMetrics(d.registry), logger,
 		rand.New(rand.NewPCG(uint64(now.UnixNano()), 2)))
 	d.store = adapter.NewStore(s.StoreAddress, storeTimeout, d.detour)
 	d.direct = adapter.NewStore(s.StoreAddress, storeTimeout, d.detour.Direct())
@@ -148,7 +149,6 @@
 		FailureDomains: slices.Sorted(maps.Keys(s.Regions)),
 		Logger:         logger,
 	}
-	d.registry = prometheus.NewRegistry()
 	d.registry.MustRegister(d.directory)
 	client := relay.NewClient()
 	engines := &adapter.Engines{Transport: client.Transport()}
@@ -296,6 +296,8 @@
 		wait: wait, gap: gap, store: d.store, name: tableServers, logger: d.logger,
 		apply: d.applyServers, returned: d.storeReturned, failed: d.sentry.doubt,
 	}
+	registerAge(d.registry, catalogFeed)
+	registerAge(d.registry, serversFeed)
 	work.run(d.sentry.run)
 	work.run(d.watchPauses)
 	work.run(func(ctx context.Context) { d.detour.Run(ctx, d.direct.Ping) })
--- a/acaciad/daemon/feed.go
+++ b/acaciad/daemon/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"acaciapath.example/core/platform"
@@ -72,6 +73,16 @@
 	returned func(now time.Time)
 	// failed is called when the store does not answer, or has dropped changes.
 	failed func(now time.Time)
+	// answered is when the store last answered, in Unix nanoseconds.
+	answered atomic.Int64
+}
+
+// age returns the time since the store last answered, or 0 if it never did.
+func (f *feed) age(now time.Time) time.Duration {
+	if at := f.answered.Load(); at != 0 {
+		return now.Sub(time.Unix(0, at))
+	}
+	return 0
 }
 
 // run follows the table until ctx ends.
@@ -105,6 +116,7 @@
 			f.returned(time.Now())
 		}
 		version, known = rows.Version, true
+		f.answered.Store(time.Now().UnixNano())
 		if whole || len(rows.Rows) > 0 {
 			more := f.apply(rows.Rows, whole)
 			switch {
--- a/acaciad/neighbours/neighbours_test.go
+++ b/acaciad/neighbours/neighbours_test.go
@@ -19,6 +19,7 @@
 	"acaciapath.example/standin/relay"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 )
 
@@ -50,7 +51,7 @@
 	p.link = link
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	p.one = neighbours.NewTransport(platform.NewStoreTransport(), "z", logger, rand.New(rand.NewPCG(1, 2)))
+	p.one = neighbours.NewTransport(platform.NewStoreTransport(), "z", neighbours.NewMetrics(prometheus.NewRegistry()), logger, rand.New(rand.NewPCG(1, 2)))
 	p.client = platform.NewStore(link.Address(), timeout, p.one)
 	p.direct = platform.NewStore(link.Address(), timeout, p.one.Direct())
 	p.neighbor = httptest.NewServer(&neighbours.Relay{
--- a/acaciad/neighbours/transport.go
+++ b/acaciad/neighbours/transport.go
@@ -22,6 +22,8 @@
 	Base http.RoundTripper
 	// Lost is called when the direct way is lost.
 	Lost func(now time.Time)
+	// Metrics counts the calls.
+	Metrics *Metrics
 	// Logger says when the direct way is lost and regained.
 	Logger *logrus.Logger
 
@@ -39,9 +41,9 @@
 var _ http.RoundTripper = (*Transport)(nil)
 
 // NewTransport returns a transport of a daemon that knows no neighbours yet.
-func NewTransport(base http.RoundTripper, failureDomain string, logger *logrus.Logger, random *rand.Rand) *Transport {
+func NewTransport(base http.RoundTripper, failureDomain string, metrics *Metrics, logger *logrus.Logger, random *rand.Rand) *Transport {
 	return &Transport{
-		Base: base, Logger: logger, random: random, Lost: func(time.Time) {},
+		Base: base, Metrics: metrics, Logger: logger, random: random, Lost: func(time.Time) {},
 		chooser: detour.Chooser{FailureDomain: failureDomain},
 		direct:  make(map[*http.Request]context.CancelFunc),
 	}
@@ -199,6 +201,7 @@
 	if err != nil && context.Cause(r.Context()) == context.Canceled {
 		return
 	}
+	t.Metrics.count(way, response, err)
 	now := time.Now()
 	t.mu.Lock()
 	lost, back := false, false
--- a/acaciad/relay/handover.go
+++ b/acaciad/relay/handover.go
@@ -122,7 +122,7 @@
 	run := m.run(now)
 	link, leavesAt := m.link(now)
 	plan := handover.Decide(run, link, leavesAt, now)
-	if plan.Move && !m.handler.Moves.Spend(m.service, now) {
+	if plan.Move && !m.handler.Metrics.spent(budgetMove, m.handler.Moves.Spend(m.service, now)) {
 		plan.Move = false
 	}
 	result, to, err := handoverStays, "", error(nil)
--- a/acaciad/relay/metrics.go
+++ b/acaciad/relay/metrics.go
@@ -13,6 +13,7 @@
 	attempts  *prometheus.CounterVec
 	duration  *prometheus.HistogramVec
 	handovers *prometheus.CounterVec
+	budgets   *prometheus.CounterVec
 }
 
 // latencyBuckets are the bounds of latency histograms, in seconds.
@@ -35,11 +36,15 @@
 			Buckets: latencyBuckets,
 		}, []string{"route"}),
 	}
+	m.budgets = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "acaciapath_retry_budget_total",
+		Help: "Retries and moves of runs that were asked of their budget, by kind and whether it had one.",
+	}, []string{"kind", "result"})
 	m.handovers = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "acaciapath_handovers_total",
 		Help: "Running requests whose model engine was about to leave, by result.",
 	}, []string{"result"})
-	registry.MustRegister(m.requests, m.attempts, m.duration, m.handovers)
+	registry.MustRegister(m.requests, m.attempts, m.duration, m.handovers, m.budgets)
 	return m
 }
 
@@ -56,3 +61,21 @@
 }
 
 func (m *Metrics) handover(result string) { m.handovers.WithLabelValues(result).Inc() }
+
+// Kinds and results of what is asked of a budget.
+const (
+	budgetRetry  = "retry"
+	budgetMove   = "move"
+	budgetSpent  = "spent"
+	budgetDenied = "denied"
+)
+
+// spent counts what was asked of a budget, and returns whether it had one.
+func (m *Metrics) spent(kind string, had bool) bool {
+	result := budgetDenied
+	if had {
+		result = budgetSpent
+	}
+	m.budgets.WithLabelValues(kind, result).Inc()
+	return had
+}
--- a/acaciad/relay/run.go
+++ b/acaciad/relay/run.go
@@ -101,13 +101,18 @@
 	if place == nil {
 		return nil
 	}
-	if slices.Contains(x.wish.Tried, place.Spec.Name) || last != unreached && !x.handler.Budgets.Spend(x.service, now) {
+	if slices.Contains(x.wish.Tried, place.Spec.Name) || last != unreached && !x.mayRetry(now) {
 		place.Finish(directory.Neutral, now)
 		return nil
 	}
 	return place
 }
 
+// mayRetry takes one retry of the budget.
+func (x *exchange) mayRetry(now time.Time) bool {
+	return x.handler.Metrics.spent(budgetRetry, x.handler.Budgets.Spend(x.service, now))
+}
+
 // ended returns how a request ends whose caller has left or whose time is over,
 // or nil.
 func (x *exchange) ended(ctx context.Context) *refusal {
