store: net/http no longer repeats a write by itself

A write whose answer was lost was repeated, and its caller heard 412 for what it had done itself. Ruled out: late writes and the stand-in.

--- a/acaciad/neighbours/relay.go
+++ b/acaciad/neighbours/relay.go
@@ -56,7 +56,6 @@
 	out.URL = &url.URL{Scheme: "http", Host: p.Store, Path: r.URL.Path, RawQuery: r.URL.RawQuery}
 	out.Host, out.RequestURI = p.Store, ""
 	out.Body = http.MaxBytesReader(w, r.Body, maxRelayed)
-	out.Header["Idempotency-Key"] = nil // net/http must not send a call twice by itself
 	response, err := p.Base.RoundTrip(out)
 	if err != nil {
 		p.Logger.WithError(err).WithField("path", r.URL.Path).Info("a neighbour's call of the store was not answered")
