usage: VMs that wrote nothing of a window are not waited for until the end of the grace

A VM that wrote no part at all of a window is not waited for once the window has ended a window ago.

--- a/core/usage/reporter.go
+++ b/core/usage/reporter.go
@@ -72,7 +72,8 @@
 	}
 	start, due := NextDue(progress.Last, first, now, billing)
 	if !due && !start.IsZero() && r.Early && !now.Before(start.Add(billing.Window)) {
-		if due, err = r.complete(ctx, start); err != nil {
+		absent := now.Sub(start) >= absentWindows*billing.Window
+		if due, err = r.complete(ctx, start, absent); err != nil {
 			return nil, err
 		}
 	}
@@ -112,10 +113,15 @@
 	}
 }
 
+// absentWindows is the age of a window, in windows, from which VMs that wrote no part
+// of it at all are not waited for: they are gone, or nothing helps them to the
+// table. The end of the grace may fall into an outage of the table.
+const absentWindows = 2
+
 // complete reports whether all parts of a window that has ended are there: a
-// final one of each VM that wrote any lately. Until a window was settled it is
-// not known which those are.
-func (r *Reporter) complete(ctx context.Context, start time.Time) (bool, error) {
+// final one of each VM that wrote any lately, without those that wrote none of it
+// if absent is set. Until a window was settled it is not known which those are.
+func (r *Reporter) complete(ctx context.Context, start time.Time, absent bool) (bool, error) {
 	if len(r.wrote) == 0 {
 		return false, nil
 	}
@@ -136,7 +142,7 @@
 		final[name.VM] = final[name.VM] || part.Final
 	}
 	for vm := range r.wrote {
-		if !final[vm] {
+		if _, wrote := final[vm]; !final[vm] && (wrote || !absent) {
 			return false, nil
 		}
 	}
