--- a/core/usage/early_test.go
+++ b/core/usage/early_test.go
@@ -64,3 +64,40 @@
 		})
 	}
 }
+
+// TestEarlyReporterForgetsAbsentVM: once a window was reported without a VM, the next
+// ones do not wait for it until it writes again.
+func TestEarlyReporterForgetsAbsentVM(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	service, port := newFakeTable(), &receiver{}
+	r := usage.NewReporter(service, port, &holder{grant: succeed(service, "one")})
+	r.Early = true
+	one, two := usage.NewWriter(service, "vm-1", "a"), usage.NewWriter(service, "vm-2", "b")
+	windows := []struct {
+		two bool
+		// age is that at which the window is reported.
+		age time.Duration
+	}{
+		{two: true, age: short.Window + short.Grace},
+		{age: 2 * short.Window},
+		{age: short.Window},
+		{two: true, age: short.Window},
+		{age: 2 * short.Window},
+	}
+	for i, w := range windows {
+		at := start.Add(time.Duration(i) * short.Window)
+		one.Add(usage.Part{Window: at, Lines: partOf(1).Lines, Final: true})
+		c.Assert(one.Flush(ctx, at, short.Window), qt.IsNil)
+		if w.two {
+			two.Add(usage.Part{Window: at, Lines: partOf(1).Lines, Final: true})
+			c.Assert(two.Flush(ctx, at, short.Window), qt.IsNil)
+		}
+		early, err := r.Settle(ctx, at.Add(w.age-time.Second), short)
+		c.Assert(err, qt.IsNil)
+		c.Assert(early == nil, qt.IsTrue, qt.Commentf("window %d", i))
+		window, err := r.Settle(ctx, at.Add(w.age), short)
+		c.Assert(err, qt.IsNil)
+		c.Assert(window != nil, qt.IsTrue, qt.Commentf("window %d", i))
+	}
+}
--- a/core/usage/reporter.go
+++ b/core/usage/reporter.go
@@ -98,8 +98,9 @@
 }
 
 // expectWindows is the number of windows for which a VM that writes no parts is
-// waited for: it may be cut off from the table for a while.
-const expectWindows = 4
+// waited for. One that is cut off from the table writes them through its
+// neighbours.
+const expectWindows = 1
 
 // remember notes which VMs wrote parts of a window.
 func (r *Reporter) remember(window *Window, length time.Duration) {
