--- a/acaciad/control/usage.go
+++ b/acaciad/control/usage.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,8 @@
 
 	// random spreads the reads of the candidates for the lease.
 	random *rand.Rand
+	// reported are the VMs that wrote parts of the last window.
+	reported []string
 	// ending says that the daemon shuts down.
 	ending atomic.Bool
 	// failed is when the table last did not answer.
@@ -203,9 +206,13 @@
 	for _, line := range window.Lines {
 		requests += line.Requests
 	}
-	u.Keeper.SetCandidates(len(window.VMs()))
+	vms := window.VMs()
+	u.Keeper.SetCandidates(len(vms))
+	absent := slices.DeleteFunc(u.reported, func(vm string) bool { return slices.Contains(vms, vm) })
+	u.reported = vms
 	u.Logger.WithFields(logrus.Fields{
 		"window": usage.FormatStart(window.Start), "requests": requests, "parts": len(window.Parts),
+		"vms": len(vms), "absent": absent,
 		"late-ms": time.Since(window.Start.Add(u.Billing.Window)).Milliseconds(),
 	}).Info("usage window reported")
 	return true
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -333,6 +333,9 @@
 	last := time.Now().Round(0)
 	for ctx.Err() == nil {
 		sleep.For(ctx, pauseWatch)
+		if ctx.Err() != nil {
+			return
+		}
 		now := time.Now().Round(0) // the wall clock, since the monotonic one may stand still
 		if stood := now.Sub(last) - pauseWatch; stood > pauseNoted || stood < -pauseNoted {
 			d.logger.WithField("ms", stood.Milliseconds()).Warn("the process did not run for a while, or the clock was set")
