--- a/acaciad/soak/faults_test.go
+++ b/acaciad/soak/faults_test.go
@@ -46,6 +46,7 @@
 	for _, server := range s.world.servers {
 		server.SetManner(standin.Whole)
 		server.link.SetFaults(relay.Faults{})
+		server.SetLeaving(0)
 		s.world.register(server, "ready")
 	}
 }
@@ -150,7 +151,11 @@
 }
 
 func (s *storm) manner(ctx context.Context, b *server, span time.Duration) {
-	m := standin.Manner(1 + s.random.IntN(int(standin.Hangs)))
+	last := standin.Hangs
+	if b.service == "shop" {
+		last = standin.Nonsense
+	}
+	m := standin.Manner(1 + s.random.IntN(int(last)))
 	s.note(b.ID + " has a manner " + span.String())
 	b.SetManner(m)
 	s.group.Go(func() {
@@ -186,14 +191,18 @@
 	})
 }
 
-// leave has a backend server say that it leaves, and come back later.
+// leave has a backend server say that it leaves, cuts what runs there when it is
+// gone, and has it come back later.
 func (s *storm) leave(ctx context.Context, b *server, span time.Duration) {
 	s.note(b.ID + " leaves " + span.String())
+	b.SetLeaving(span)
 	s.world.register(b, "draining")
 	s.group.Go(func() {
 		sleep.For(ctx, span)
 		s.world.store.Remove("servers", b.ID)
+		b.link.Reset()
 		sleep.For(ctx, span)
+		b.SetLeaving(0)
 		s.world.register(b, "ready")
 	})
 }
--- a/acaciad/soak/world_test.go
+++ b/acaciad/soak/world_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -24,7 +25,10 @@
 	shopCount   = 3
 	engineCount = 4
 	callerCount = 12
-	eventCount  = 6
+	eventCount  = 12
+	// eventPause is the time before an event, so that a stream outlasts the notice
+	// of an engine that leaves.
+	eventPause = 60 * time.Millisecond
 	// grace is how long a daemon that is told to stop may take.
 	grace = 8 * time.Second
 )
@@ -96,6 +100,9 @@
 	s := &server{Server: standin.NewServer(id, events), service: service}
 	w.Cleanup(s.Close)
 	s.SetPause(10 * time.Millisecond)
+	if events > 0 {
+		s.SetPause(eventPause)
+	}
 	s.link = w.newRelay(s.Address())
 	w.servers = append(w.servers, s)
 	w.register(s, "ready")
@@ -130,7 +137,9 @@
 		},
 		"services": []any{
 			map[string]any{"name": "shop"},
-			map[string]any{"name": "llm", "runtime": map[string]any{"slots": 8, "stride": 3}},
+			map[string]any{"name": "llm", "runtime": map[string]any{
+				"slots": 8, "stride": 3, "moves": true, "kvTokenBytes": 1000, "linkMbps": 100_000,
+			}},
 		},
 		"limits":  map[string]any{"maxBodyBytes": 1000},
 		"tenants": accounts,
@@ -146,11 +155,15 @@
 
 func (w *world) addVM(name, dir string) {
 	v := &vm{name: name, callers: freeAddress(w.C), config: filepath.Join(dir, name+".json"), store: w.newRelay(w.store.Address())}
+	neighbours, err := netip.ParseAddrPort(freeAddress(w.C))
+	w.Assert(err, qt.IsNil)
+	port := int(neighbours.Port())
 	settings, err := json.Marshal(map[string]any{
 		"nodeName": name, "zone": "z", "ip": "127.0.0.1", "zones": map[string]string{"z": "r"},
 		"listen":      map[string]string{"frontend": v.callers, "ready": freeAddress(w.C)},
 		"limits":      map[string]any{"memoryMb": 500, "maxFds": 4000},
 		"heartbeatMs": 1000,
+		"portRange":   []int{port, port},
 		"bounds": map[string]any{
 			"contactMs": 1000, "graceS": grace.Seconds(), "leaseMs": 1000, "usageWindowS": 1, "usageLateS": 4,
 			"retryBudgetRatio": 0.2, "retryBudgetExtra": 20, "retryWindowS": 10, "drainMs": 2500,
