--- a/acaciad/relay/run.go
+++ b/acaciad/relay/run.go
@@ -70,6 +70,10 @@
 			panic(http.ErrAbortHandler) // the answer must not look complete
 		}
 		if ended := x.ended(ctx); ended != nil {
+			if x.failure != nil {
+				x.write(x.failure)
+				return nil
+			}
 			return ended
 		}
 		if last == broken {
--- a/acaciad/relay/strange_test.go
+++ b/acaciad/relay/strange_test.go
@@ -85,3 +85,26 @@
 	w.Assert(runs, qt.HasLen, 1)
 	w.Assert(runs[0].PrefilledTokens, qt.Equals, 0)
 }
+
+// TestFailureIsPassedOnAtTheTimeout: a backend server failed a request, and another
+// one that is tried does not answer in time. The caller gets the failure of the first.
+func TestFailureIsPassedOnAtTheTimeout(t *testing.T) {
+	w := newWorld(t, 2)
+	w.ready()
+	one, two := w.server("i-1", "shop", 0), w.server("i-2", "shop", 0)
+	one.SetManner(standin.Fails)
+	two.SetManner(standin.Fails)
+	w.eventually(func() bool {
+		r := w.request(w.Context(), http.MethodGet, "/look/", "")
+		r.Header.Set("X-Deadline-Ms", "400")
+		two.SetManner(standin.Hangs)
+		before := arrived(one)
+		a := w.do(r)
+		if arrived(one) == before {
+			return false // the one that hangs was tried first
+		}
+		w.Assert(a.status, qt.Equals, http.StatusInternalServerError)
+		w.Assert(a.header.Get("X-Replica-Signature"), qt.Equals, standin.Signature)
+		return true
+	})
+}
