feed, neighbours: fewer calls of the store

Rows are read once a minute, and only cheap servers, which leave together, have the feed asked again at once.

--- a/acaciad/daemon/beliefs.go
+++ b/acaciad/daemon/beliefs.go
@@ -60,10 +60,10 @@
 }
 
 // applyServers takes over entries of backend servers. It reports whether any of
-// them began to leave.
+// them that the platform may take away together began to leave.
 func (b *beliefs) applyServers(rows []adapter.Row, whole bool) bool {
 	now := time.Now()
-	leaving := false
+	evicted := false
 	seen := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		seen[row.Key] = true
@@ -78,7 +78,7 @@
 			continue
 		}
 		delete(b.lapsed, row.Key)
-		leaving = leaving || spec.Leaving && !b.servers[row.Key].Leaving
+		evicted = evicted || spec.Kind == config.KindCheap && spec.Leaving && !b.servers[row.Key].Leaving
 		b.servers[row.Key] = spec
 	}
 	if whole {
@@ -89,7 +89,7 @@
 		}
 	}
 	b.publish(now)
-	return leaving
+	return evicted
 }
 
 // remove forgets a backend server, at once unless its entry may have lapsed
--- a/acaciad/daemon/feed.go
+++ b/acaciad/daemon/feed.go
@@ -37,8 +37,8 @@
 	// meanwhile are read together. Every daemon calls once for each change
 	// otherwise.
 	feedGapShare = 0.3
-	// burstGap is the time to the next call after a backend server began to
-	// leave: the platform takes all cheap ones of a failure domain away
+	// burstGap is the time to the next call after a cheap backend server began
+	// to leave: the platform takes all cheap ones of a failure domain away
 	// together, and some tens of entries are written within it.
 	burstGap = 60 * time.Millisecond
 )
--- a/acaciad/neighbours/registry.go
+++ b/acaciad/neighbours/registry.go
@@ -21,8 +21,9 @@
 	writeInterval = time.Minute
 	// keepTime is how long a row is believed that is not written anew.
 	keepTime = 5 * time.Minute
-	// readInterval is how often the rows of others are read.
-	readInterval = 20 * time.Second
+	// readInterval is how often the rows of others are read: each daemon needs to
+	// know some that live, and a few of them are replaced in an hour.
+	readInterval = time.Minute
 	// retryInterval is the time between two tries while the store does not
 	// answer.
 	retryInterval = time.Second
