--- a/acaciad/main.go
+++ b/acaciad/main.go
@@ -21,10 +21,15 @@
 // version is set by the linker.
 var version = "development"
 
-func main() { program.Main(newCommand()) }
+func main() {
+	// Without a handler a hangup ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	program.Main(newCommand(hangups))
+}
 
 // newCommand returns the program's command.
-func newCommand() *cobra.Command {
+func newCommand(hangups <-chan os.Signal) *cobra.Command {
 	command := &cobra.Command{
 		Use:           "acaciad",
 		Short:         "Serves callers on an entry VM of the platform",
@@ -35,12 +40,12 @@
 		SilenceErrors: true,
 	}
 	level := command.Flags().String("log-level", "info", "least severity that is logged: error, warning, info or debug")
-	command.RunE = func(command *cobra.Command, _ []string) error { return run(command.Context(), *level) }
+	command.RunE = func(command *cobra.Command, _ []string) error { return run(command.Context(), *level, hangups) }
 	return command
 }
 
 // run runs the daemon until ctx ends.
-func run(ctx context.Context, level string) error {
+func run(ctx context.Context, level string, hangups <-chan os.Signal) error {
 	output := telemetry.NewBounded(os.Stdout)
 	defer output.Close()
 	logger, err := telemetry.NewLogger(level, telemetry.FormatJSON, output)
@@ -52,14 +57,12 @@
 	if err != nil {
 		return err
 	}
-	watchSettings(ctx, path, settings, logger)
+	watchSettings(ctx, hangups, path, settings, logger)
 	return daemon.New(settings, logger, time.Now()).Run(ctx)
 }
 
 // watchSettings reads the settings file anew on SIGHUP and says what changed.
-func watchSettings(ctx context.Context, path string, running platform.Settings, logger *logrus.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func watchSettings(ctx context.Context, hangups <-chan os.Signal, path string, running platform.Settings, logger *logrus.Logger) {
 	go func() {
 		for {
 			select {
--- a/acaciad/soak/faults_test.go
+++ b/acaciad/soak/faults_test.go
@@ -72,8 +72,7 @@
 	case 2:
 		s.freeze(ctx, v, span)
 	case 3:
-		s.note("hangup " + v.name)
-		v.signal(syscall.SIGHUP)
+		s.hangUp(v)
 	case 4, 5:
 		s.link(ctx, v.name+" to the store", v.store, span)
 	case 6:
@@ -91,6 +90,32 @@
 	}
 }
 
+// hangUp tells a daemon to read its settings anew. One that has no handler yet, within
+// its first milliseconds, ends by it and is started again, as the platform does.
+func (s *storm) hangUp(v *vm) {
+	s.note("hangup " + v.name)
+	v.signal(syscall.SIGHUP)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down[v] {
+		return
+	}
+	s.down[v] = true
+	s.group.Go(func() {
+		select {
+		case <-v.exited:
+			_ = v.start(s.world.binary) // a daemon that does not start shows in the checks
+		case <-time.After(hangUpWatch):
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.down[v] = false
+	})
+}
+
+// hangUpWatch is how long after a hangup a daemon that has no handler has ended.
+const hangUpWatch = 100 * time.Millisecond
+
 // restart ends a daemon and starts it again, unless it is down already.
 func (s *storm) restart(v *vm, signal syscall.Signal) {
 	s.mu.Lock()
