relay: a backend server that fails requests is avoided also where they may run once

Cause: an answer 500 of a request that may run once counted as a success of its server, so that a server that fails half of its requests got as many as the others (renewals). TestServersThatFailRequestsAreAvoided failed before.

--- a/acaciad/relay/run.go
+++ b/acaciad/relay/run.go
@@ -187,6 +187,8 @@
 	r = x.answer(ctx, place, response)
 	a.result = r.String()
 	switch {
+	case r == answered && response.StatusCode >= http.StatusInternalServerError:
+		place.Finish(directory.Failed, time.Now())
 	case r == answered:
 		place.Finish(directory.Succeeded, time.Now())
 	case r == moved:
--- a/acaciad/relay/strange_test.go
+++ b/acaciad/relay/strange_test.go
@@ -108,3 +108,22 @@
 		return true
 	})
 }
+
+// TestServersThatFailRequestsAreAvoided replays a backend server that fails the
+// requests that it runs while its status check is good: requests that may run once
+// go to the others.
+func TestServersThatFailRequestsAreAvoided(t *testing.T) {
+	w := newWorld(t, 2)
+	w.ready()
+	bad := w.server("i-1", "shop", 0)
+	bad.SetManner(standin.Fails)
+	w.server("i-2", "shop", 0)
+	failed := 0
+	for range 20 {
+		if w.get(http.MethodPost, "/order/", "x").status != http.StatusOK {
+			failed++
+		}
+	}
+	w.Assert(failed <= 2, qt.IsTrue, qt.Commentf("%d of 20 failed", failed))
+	w.Assert(arrived(bad) <= 2, qt.IsTrue)
+}
