--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -21,9 +21,6 @@
 	"acaciapath.example/core/config"
 	"acaciapath.example/core/lease"
 	"acaciapath.example/core/replica"
-	"acaciapath.example/core/retry"
-	"acaciapath.example/core/sleep"
-	"acaciapath.example/core/telemetry"
 	"acaciapath.example/core/usage"
 	adapter "acaciapath.example/platform"
 
@@ -46,41 +43,10 @@
 	leasePoll = 2 * time.Second
 )
 
-// Times of the shutdown, from its beginning.
-const (
-	// leaveDelay is how long connections are accepted after the daemon has said
-	// that it is not ready: two questions of the platform and their answers.
-	leaveDelay = 2500 * time.Millisecond
-	// graceMargin is how long before the platform kills the process it ends.
-	graceMargin = 700 * time.Millisecond
-	// finishTime is what is left of the time to shut down for writing usage, or
-	// handing it over, once no request runs any more.
-	finishTime = 600 * time.Millisecond
-)
-
 // memoryShare is the share of the VM's memory that the garbage collector aims
 // to stay below.
 const memoryShare = 0.6
 
-// retryBurst is the number of retries of one daemon that need not be earned.
-// Together the daemons of a deployment stay within what the platform allows.
-const retryBurst = 2
-
-// retryPart is the share of the retries allowed for each request that a daemon
-// uses, because requests and retries are not counted in the same window.
-const retryPart = 0.6
-
-// movePart is the share of the retries allowed for each request that a daemon
-// uses to move runs.
-const movePart = 0.2
-
-// maxMoveBurst bounds the moves of one daemon that need not be earned: about the
-// long answers that it has on the cheap engines of one failure domain.
-const maxMoveBurst = 6
-
-// MetricsPort is where metrics are served.
-const MetricsPort = 9464
-
 // Daemon is the daemon of an entry VM.
 type Daemon struct {
 	settings  adapter.Settings
@@ -170,29 +136,6 @@
 	return d
 }
 
-// retryBudget returns this daemon's part of the retries that the platform allows
-// to all of them.
-func retryBudget(s adapter.Settings, now time.Time) retry.Budget {
-	share := int(s.RetryShare * retryPart * 100)
-	burst := float64(min(retryBurst, s.RetryExtra))
-	return retry.Budget{Percent: share, Burst: burst, Saved: burst, Updated: now}
-}
-
-// moveBudget returns this daemon's part of the retries allowed for moving runs,
-// while it does not know how many daemons there are.
-func moveBudget(s adapter.Settings, now time.Time) retry.Budget {
-	return retry.Budget{Percent: int(s.RetryShare * movePart * 100), Burst: 1, Updated: now}
-}
-
-// moveBurst returns the number of moves that need not be earned by one of so many
-// daemons: its part of what the retries leave.
-func moveBurst(extra, daemons int) float64 {
-	if daemons <= 0 {
-		return 1
-	}
-	return min(max(float64(extra)/float64(daemons)-retryBurst, 1), maxMoveBurst)
-}
-
 // newClock returns a clock that begins at start.
 func newClock(start time.Time) lease.Clock {
 	return func() lease.Instant {
@@ -231,58 +174,6 @@
 	return nil
 }
 
-// Limits of callers' connections.
-const (
-	// headerTimeout bounds how long a caller takes to send a request's headers.
-	headerTimeout = 10 * time.Second
-	// callerIdleTimeout is how long a connection may be idle. Callers give up
-	// theirs before.
-	callerIdleTimeout = 60 * time.Second
-)
-
-func (d *Daemon) serve(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
-		d.logger.WithError(err).Error("a listener failed")
-	}
-}
-
-// serveReady answers whether the daemon takes new callers.
-func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if d.drain.Err() != nil || !d.directory.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
-func (d *Daemon) serveMetrics() {
-	listener, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", d.settings.IP, MetricsPort))
-	if err != nil {
-		d.logger.WithError(err).Warn("metrics are not served")
-		return
-	}
-	ready := func() error { return d.drain.Err() }
-	go d.serve(&http.Server{Handler: telemetry.OpsHandler(d.registry, ready), ReadHeaderTimeout: headerTimeout}, listener)
-}
-
-// serveNeighbours passes calls of the store on for other daemons.
-func (d *Daemon) serveNeighbours() {
-	if d.settings.NeighboursAddress == "" {
-		d.logger.Info("the settings have no port for calls between daemons")
-		return
-	}
-	listener, err := net.Listen("tcp4", d.settings.NeighboursAddress)
-	if err != nil {
-		d.logger.WithError(err).Warn("neighbours are not served")
-		return
-	}
-	relay := &neighbours.Relay{
-		Store: d.settings.StoreAddress, Allowed: adapter.IsStoreCall, Failing: d.detour.Failing,
-		Base: d.detour.Direct(), Handed: d.handed, Logger: d.logger,
-	}
-	go d.serve(&http.Server{Handler: relay, ReadHeaderTimeout: headerTimeout}, listener)
-}
-
 // start starts the daemon's regular work, and its part in the duties.
 func (d *Daemon) start(work, duties *work) {
 	wait, gap := feedWait(d.settings), feedGap(d.settings)
@@ -300,6 +191,7 @@
 	registerAge(d.registry, serversFeed)
 	work.run(d.sentry.run)
 	work.run(d.watchPauses)
+	work.run(d.followCandidates)
 	work.run(func(ctx context.Context) { d.detour.Run(ctx, d.direct.Ping) })
 	if d.settings.NeighboursAddress != "" {
 		work.run(d.neighbours.Run)
@@ -319,32 +211,6 @@
 	}
 }
 
-// Times of the watch for pauses.
-const (
-	// pauseWatch is how often the daemon looks whether it runs.
-	pauseWatch = time.Second
-	// pauseNoted is the pause beyond which it says that it did not run.
-	pauseNoted = 500 * time.Millisecond
-)
-
-// watchPauses says when the process did not run for a while, because its VM stood
-// still or had no processor time: requests are late then for no other reason.
-func (d *Daemon) watchPauses(ctx context.Context) {
-	last := time.Now().Round(0)
-	for ctx.Err() == nil {
-		sleep.For(ctx, pauseWatch)
-		if ctx.Err() != nil {
-			return
-		}
-		now := time.Now().Round(0) // the wall clock, since the monotonic one may stand still
-		if stood := now.Sub(last) - pauseWatch; stood > pauseNoted || stood < -pauseNoted {
-			d.logger.WithField("ms", stood.Milliseconds()).Warn("the process did not run for a while, or the clock was set")
-		}
-		last = now
-		d.handler.Moves.SetBurst(moveBurst(d.settings.RetryExtra, d.keeper.Row().Candidates))
-	}
-}
-
 func (d *Daemon) leaseFailed(err error) {
 	d.logger.WithError(err).Warn("a call for the lease of the duties failed")
 }
@@ -379,37 +245,3 @@
 		d.beliefs.expire(time.Now())
 	})
 }
-
-// shutDown says that the daemon is not ready, finishes what it has, and ends
-// before the platform kills the process.
-func (d *Daemon) shutDown(server *http.Server, work, duties *work) {
-	began := time.Now()
-	d.logger.Info("shutting down")
-	d.setDrain()
-	d.usage.End()
-	end := began.Add(d.settings.Grace - graceMargin)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	serving, stopServing := context.WithDeadline(ctx, end.Add(-finishTime))
-	defer stopServing()
-	released := make(chan struct{})
-	go func() {
-		defer close(released)
-		duties.stop()
-		if err := d.keeper.Release(ctx); err != nil {
-			d.logger.WithError(err).Warn("the lease of the duties was not given back and expires by itself")
-		}
-	}()
-	sleep.For(serving, leaveDelay)
-	if err := server.Shutdown(serving); err != nil {
-		d.logger.WithError(err).Warn("requests are cut off, the time to shut down is over")
-	}
-	work.stop()
-	d.usage.Finish(ctx)
-	if d.settings.NeighboursAddress != "" {
-		d.handed.Flush(ctx, d.detour.Pass)
-		d.neighbours.Remove(ctx)
-	}
-	<-released
-	d.logger.WithField("took-ms", time.Since(began).Milliseconds()).Info("stopped")
-}
