platform: the store's names of tables stand in the adapter

Found in reading the diff: acaciad named the tables of the operator and of the backend servers itself. Behaviour is as before.

--- a/acaciad/daemon/beliefs.go
+++ b/acaciad/daemon/beliefs.go
@@ -39,7 +39,7 @@
 // applyCatalog takes over the configuration that the operator wrote.
 func (b *beliefs) applyCatalog(rows []adapter.Row, _ bool) bool {
 	for _, row := range rows {
-		if row.Key != keyCatalog || row.Deleted {
+		if row.Key != adapter.KeyCatalog || row.Deleted {
 			continue
 		}
 		c, skipped, err := adapter.ParseDesired(row.Data)
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -178,13 +178,13 @@
 func (d *Daemon) start(work, duties *work) {
 	wait, gap := feedWait(d.settings), feedGap(d.settings)
 	catalogFeed := &feed{
-		wait: wait, gap: gap, store: d.store, name: tableOperator, logger: d.logger,
+		wait: wait, gap: gap, store: d.store, name: adapter.TableCatalog, logger: d.logger,
 		apply:    d.beliefs.applyCatalog,
 		returned: func(time.Time) {},
 		failed:   func(time.Time) {},
 	}
 	serversFeed := &feed{
-		wait: wait, gap: gap, store: d.store, name: tableServers, logger: d.logger,
+		wait: wait, gap: gap, store: d.store, name: adapter.TableServers, logger: d.logger,
 		apply: d.applyServers, returned: d.storeReturned, failed: d.sentry.doubt,
 	}
 	registerAge(d.registry, catalogFeed)
--- a/acaciad/daemon/feed.go
+++ b/acaciad/daemon/feed.go
@@ -13,14 +13,6 @@
 	"github.com/sirupsen/logrus"
 )
 
-// Names of what the operator and the backend servers write. They are tables of
-// the store.
-const (
-	tableOperator = "op"
-	tableServers  = "servers"
-	keyCatalog    = "config"
-)
-
 // Times of the feeds.
 const (
 	// minFeedWait and maxFeedWait bound how long the store holds a call while
--- a/acaciad/daemon/feed_test.go
+++ b/acaciad/daemon/feed_test.go
@@ -22,12 +22,12 @@
 	const pause, rows, pages = 2 * time.Second, 1600, 4
 	store := standin.NewStore()
 	c.Cleanup(store.Close)
-	store.Write(tableServers, "first", nil)
+	store.Write(adapter.TableServers, "first", nil)
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	applied := make(chan int, rows)
 	f := &feed{
-		wait: pause, gap: pause, store: adapter.NewStore(store.Address(), pause, adapter.NewStoreTransport()), name: tableServers, logger: logger,
+		wait: pause, gap: pause, store: adapter.NewStore(store.Address(), pause, adapter.NewStoreTransport()), name: adapter.TableServers, logger: logger,
 		apply:    func(rows []adapter.Row, _ bool) bool { applied <- len(rows); return false },
 		returned: func(time.Time) {},
 		failed:   func(time.Time) {},
@@ -37,7 +37,7 @@
 	go f.run(ctx)
 	c.Assert(<-applied, qt.Equals, 1)
 	for i := range rows {
-		store.Write(tableServers, fmt.Sprint(i), nil)
+		store.Write(adapter.TableServers, fmt.Sprint(i), nil)
 	}
 	began := time.Now()
 	for known := 0; known < rows; {
