daemon: the test of a lost store waits for both feeds

Traced in the code: it went on as soon as one of the two feeds had lost the store, and then waited for the other one to regain what it might not have lost, since a feed pauses 0.75 s between calls. It waits for both now, which is stricter. 32 runs with the race detector, eight at once, passed.

--- a/acaciad/daemon/daemon_test.go
+++ b/acaciad/daemon/daemon_test.go
@@ -191,7 +191,10 @@
 	d.eventually("it serves", func() bool { return r.look("k") == http.StatusOK })
 	d.store.SetFault(func(string, string) standin.Fault { return standin.Busy })
 	d.store.Forget()
-	d.eventually("the store is lost", func() bool { return strings.Contains(r.log.String(), "store lost") })
+	d.eventually("the store is lost to both feeds", func() bool {
+		return strings.Contains(r.log.String(), `"msg":"store lost","table":"servers"`) &&
+			strings.Contains(r.log.String(), `"msg":"store lost","table":"op"`)
+	})
 	d.store.Remove("servers", "i-1")
 	d.Assert(r.look("k"), qt.Equals, http.StatusOK)
 	d.Assert(r.ready(), qt.IsTrue)
