--- a/acaciad/daemon/beliefs.go
+++ b/acaciad/daemon/beliefs.go
@@ -42,7 +42,7 @@
 		if row.Key != adapter.KeyCatalog || row.Deleted {
 			continue
 		}
-		c, skipped, err := adapter.ParseDesired(row.Data)
+		c, skipped, err := adapter.ParseConfiguration(row.Data)
 		if err != nil {
 			b.logger.WithError(err).WithField("version", row.Version).Error("catalog not taken over")
 			continue
--- a/acaciad/relay/strange_test.go
+++ b/acaciad/relay/strange_test.go
@@ -110,7 +110,7 @@
 }
 
 // TestServersThatFailRequestsAreAvoided replays a backend server that fails the
-// requests that it runs while its status check is good: requests that may run once
+// requests that it runs while its health check is good: requests that may run once
 // go to the others.
 func TestServersThatFailRequestsAreAvoided(t *testing.T) {
 	w := newWorld(t, 2)
