core/usage, acaciad/neighbours: usage handed over too late is counted in a later window

Change: the neighbour adopts a rejected part. It reads whether the part was counted after all, and otherwise writes its usage into an open window, together with a row that marks the part as adopted, which can be inserted once. So a part that several neighbours accepted is counted once. Marks are pruned with the rows of settled windows.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -106,7 +106,10 @@
 	}
 	d.usage.StartHandOver = d.storeTransport.StartHandOver
 	d.usage.Reporter.SettleWhenComplete = true
-	d.writeQueue = &neighbours.WriteQueue{Send: d.directStore.Post, TTL: s.UsageDeadline, ShuttingDown: func() bool { return d.draining.Err() != nil }, Logger: logger}
+	d.writeQueue = &neighbours.WriteQueue{
+		Send: d.directStore.Post, Adopt: d.adoptWrite, TTL: s.UsageDeadline,
+		ShuttingDown: func() bool { return d.draining.Err() != nil }, Logger: logger,
+	}
 	d.autoscaler = &control.Autoscaler{
 		Directory:      d.directory,
 		Scaler:         cloud,
@@ -136,6 +139,16 @@
 	return d
 }
 
+// adoptWrite takes over the usage in a write that another daemon handed over and that
+// the store rejected.
+func (d *Daemon) adoptWrite(_ string, body []byte) error {
+	commit, err := platform.ParseTransaction(body)
+	if err != nil {
+		return err
+	}
+	return d.usage.Writer.Adopt(commit)
+}
+
 // newClock returns a clock whose monotonic time is 0 at start.
 func newClock(start time.Time) lease.Clock {
 	return func() lease.Instant {
--- a/acaciad/neighbours/neighbours_test.go
+++ b/acaciad/neighbours/neighbours_test.go
@@ -200,7 +200,17 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	secondStore := platform.NewStore(p.store.Address(), timeout, platform.NewStoreTransport())
-	queue := &neighbours.WriteQueue{Send: secondStore.Post, TTL: 10 * time.Second, ShuttingDown: func() bool { return false }, Logger: logger}
+	adopted := make(chan string, 4)
+	queue := &neighbours.WriteQueue{
+		Send: secondStore.Post, TTL: 10 * time.Second, ShuttingDown: func() bool { return false }, Logger: logger,
+		Adopt: func(_ string, body []byte) error {
+			commit, err := platform.ParseTransaction(body)
+			if err == nil {
+				adopted <- commit.Writes[0].Key
+			}
+			return err
+		},
+	}
 	second := httptest.NewServer(&neighbours.Relay{
 		StoreAddress: p.store.Address(), Allowed: platform.IsStoreCall, StoreUnreachable: func() bool { return true },
 		Base: platform.NewStoreTransport(), Queue: queue, Logger: logger,
@@ -231,6 +241,12 @@
 	}
 	time.Sleep(timeout)
 	p.Assert(p.store.Rows("acaciapath", "control")[0].Version, qt.Equals, uint64(2))
+	select {
+	case key := <-adopted: // the second copy, whose condition did not hold
+		p.Assert(key, qt.Equals, "part")
+	case <-time.After(10 * time.Second):
+		p.Fatal("the rejected write was dropped")
+	}
 }
 
 // TestQueuedWritesAreHandedOn checks that a daemon which shuts down accepts no more
--- a/acaciad/neighbours/write_queue.go
+++ b/acaciad/neighbours/write_queue.go
@@ -38,6 +38,9 @@
 type WriteQueue struct {
 	// Send sends a write to the store and returns the HTTP status of the answer.
 	Send func(ctx context.Context, path string, body []byte) (int, error)
+	// Adopt takes over a write whose conditions do not hold, so that what it was to
+	// write is not lost. It returns an error if it cannot.
+	Adopt func(path string, body []byte) error
 	// TTL is how long a write is kept in the queue.
 	TTL time.Duration
 	// ShuttingDown reports whether the daemon itself is shutting down. It then
@@ -110,7 +113,11 @@
 	case err == nil && status == http.StatusOK:
 		entry.Info("write for a neighbour committed")
 	case err == nil && status == http.StatusPreconditionFailed:
-		entry.Warn("write for a neighbour dropped: its conditions do not hold, or it was committed before")
+		if err := q.Adopt(queued.path, queued.body); err != nil {
+			entry.WithError(err).Warn("write for a neighbour dropped: its conditions do not hold, or it was committed before")
+			break
+		}
+		entry.Info("write for a neighbour came too late or was committed before, its usage is counted in a later window if it is missing")
 	case time.Now().After(queued.expiresAt):
 		entry.WithError(err).Warn("write for a neighbour dropped: expired")
 	default:
--- a/core/usage/prune.go
+++ b/core/usage/prune.go
@@ -21,28 +21,31 @@
 	settledRetention = maxEmptyAge + 2*maxPartAge
 	// maxPrunedWindows is the maximum number of windows pruned in one transaction.
 	// Each has two rows.
-	maxPrunedWindows = maxDeletedRows / 2
+	maxPrunedWindows = maxDeletedRows / 3
+	// maxPrunedMarks is the maximum number of marks of adopted parts pruned in one
+	// transaction.
+	maxPrunedMarks = maxDeletedRows / 3
 )
 
-// Prune deletes the rows of settled windows that are no longer needed, under the
-// lease. It returns the number of windows pruned by this call; there may be more to
-// prune. It returns ErrSuperseded if the lease has changed hands.
+// Prune deletes the rows of settled windows and the marks of adopted parts that are no
+// longer needed, under the lease. It returns the number of windows pruned by this call;
+// there may be more to prune. It returns ErrSuperseded if the lease has changed hands.
 func (r *Reporter) Prune(ctx context.Context, now time.Time) (int, error) {
-	rows, err := r.table.List(ctx, &table.ListPayload{Prefix: closedPrefix, Limit: maxPrunedWindows})
+	closed, err := r.expiredKeys(ctx, closedPrefix, maxPrunedWindows, now)
 	if err != nil {
 		return 0, merry.Prepend(err, "usage: list closed windows")
 	}
+	marks, err := r.expiredKeys(ctx, adoptedPrefix, maxPrunedMarks, now)
+	if err != nil {
+		return 0, merry.Prepend(err, "usage: list marks of adopted parts")
+	}
 	var writes []*table.Write
-	for _, row := range rows {
-		start, err := time.Parse(time.RFC3339, strings.TrimPrefix(row.Key, closedPrefix))
-		if err != nil {
-			return 0, merry.Wrap(ErrMalformedRow, merry.WithValue("key", row.Key), merry.WithCause(err))
-		}
-		if now.Sub(start) <= settledRetention {
-			break // rows are sorted by the start of their window
-		}
-		writes = append(writes,
-			&table.Write{Key: ClosedKey(start), Delete: true}, &table.Write{Key: WindowKey(start), Delete: true})
+	for _, key := range closed {
+		writes = append(writes, &table.Write{Key: key, Delete: true},
+			&table.Write{Key: windowPrefix + strings.TrimPrefix(key, closedPrefix), Delete: true})
+	}
+	for _, key := range marks {
+		writes = append(writes, &table.Write{Key: key, Delete: true})
 	}
 	if len(writes) == 0 {
 		return 0, nil
@@ -51,5 +54,27 @@
 		_, err := r.table.Commit(ctx, &table.CommitPayload{Conditions: []*table.Condition{grant.Condition()}, Writes: writes})
 		return asSuperseded(err)
 	})
-	return len(writes) / 2, err
+	return len(closed), err
+}
+
+// expiredKeys returns at most limit keys with a prefix, which the start of a window
+// follows, whose window started more than settledRetention before now.
+func (r *Reporter) expiredKeys(ctx context.Context, prefix string, limit int, now time.Time) ([]string, error) {
+	rows, err := r.table.List(ctx, &table.ListPayload{Prefix: prefix, Limit: limit})
+	if err != nil {
+		return nil, err
+	}
+	var keys []string
+	for _, row := range rows {
+		window, _, _ := strings.Cut(strings.TrimPrefix(row.Key, prefix), "/")
+		start, err := time.Parse(time.RFC3339, window)
+		if err != nil {
+			return nil, merry.Wrap(ErrMalformedRow, merry.WithValue("key", row.Key), merry.WithCause(err))
+		}
+		if now.Sub(start) <= settledRetention {
+			break // rows are sorted by the start of their window
+		}
+		keys = append(keys, row.Key)
+	}
+	return keys, nil
 }
--- a/core/usage/writer.go
+++ b/core/usage/writer.go
@@ -40,6 +40,8 @@
 	// window.
 	waiting  []Part
 	inFlight *sentPart
+	// adopted are parts of processes that have ended.
+	adopted  []adoptedPart
 	sequence uint64
 	// earliestOpen is the start of the earliest window that is not known to be
 	// closed.
@@ -100,7 +102,7 @@
 	return Sum(lists...)
 }
 
-// Flush writes all parts that were added. length is the length of windows, and now
+// Flush writes all parts that were added or adopted. length is the length of windows, and now
 // determines the open window. It returns nil once nothing is pending. After an error,
 // the usage is kept and the next Flush continues. It returns ErrWindowClosed if parts
 // are still pending after maxFlushAttempts attempts.
@@ -110,7 +112,7 @@
 	for range maxFlushAttempts {
 		sent := w.nextPart(now, length)
 		if sent == nil {
-			return nil
+			return w.flushAdopted(ctx, now, length)
 		}
 		if err := w.send(ctx, sent, length); err != nil {
 			return err
@@ -212,7 +214,13 @@
 	if len(sent.part.Lines) > 0 {
 		w.merge(sent.part)
 	}
-	if next := WindowStart(sent.part.Window.Add(max(length, MinWindow)), length); next.After(w.earliestOpen) {
+	w.markClosed(sent.part.Window, length)
+}
+
+// markClosed records that the window that starts at window is closed. The caller holds
+// w.mu.
+func (w *Writer) markClosed(window time.Time, length time.Duration) {
+	if next := WindowStart(window.Add(max(length, MinWindow)), length); next.After(w.earliestOpen) {
 		w.earliestOpen = next
 	}
 }
