core/follow, acaciad/reader: one daemon of a failure domain reads the tables for the others

Change: in a failure domain of 8 daemons or more, the first one of a ranking by cores and rendezvous hashing reads a table, and the others follow it over the neighbours' port. Versions never go back. Domains with fewer daemons work as before. The list of members is that of the neighbour rows, which now carry the VM's cores and are renewed less often.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"acaciapath.example/acaciad/neighbours"
 	"acaciapath.example/acaciad/proxy"
 	"acaciapath.example/core/config"
+	"acaciapath.example/core/follow"
 	"acaciapath.example/core/lease"
 	"acaciapath.example/core/replica"
 	"acaciapath.example/core/usage"
@@ -58,6 +59,8 @@
 	directStore    *platform.Store
 	storeTransport *neighbours.Transport
 	neighbours     *neighbours.Registry
+	catalogFeed    *feed
+	serversFeed    *feed
 	writeQueue     *neighbours.WriteQueue
 	usage          *control.Usage
 	autoscaler     *control.Autoscaler
@@ -87,8 +90,8 @@
 	relayableTable := &platform.Table{Store: d.store}
 	directTable := &platform.Table{Store: d.directStore}
 	d.neighbours = &neighbours.Registry{
-		VM: s.Name, FailureDomain: s.FailureDomain, Address: s.NeighboursAddress,
-		Table: relayableTable, OnUpdate: d.storeTransport.SetNeighbours, Logger: logger,
+		VM: s.Name, FailureDomain: s.FailureDomain, Address: s.NeighboursAddress, Cores: s.Cores, ColdStart: s.ColdStart,
+		Table: relayableTable, OnUpdate: d.storeTransport.SetNeighbours, OnMembers: d.setMembers, Logger: logger,
 		Random: rand.New(rand.NewPCG(uint64(now.UnixNano()), 3)),
 	}
 	cloud := platform.NewCloudClient(s.CloudAddress, s.Name, s.UsageWindow, cloudTimeout)
@@ -119,12 +122,17 @@
 		Logger:         logger,
 	}
 	d.registry.MustRegister(d.directory)
+	d.catalogFeed = d.newFeed(platform.TableCatalog)
+	d.catalogFeed.apply = d.updater.applyCatalog
+	d.serversFeed = d.newFeed(platform.TableServers)
+	d.serversFeed.apply, d.serversFeed.storeRestored = d.applyServers, d.handleStoreRestored
 	client := proxy.NewClient()
 	engines := &platform.EngineClient{Transport: client.Transport()}
 	d.drainPoller = &drainPoller{
 		engines: engines, groups: d.stayingCheapEngines, markDraining: d.markEnginesDraining, logger: logger,
 		random: rand.New(rand.NewPCG(uint64(now.UnixNano()), 1)),
 	}
+	d.serversFeed.storeFailed = d.drainPoller.suspectStore
 	d.handler = &proxy.Handler{
 		Directory:    d.directory,
 		Client:       client,
@@ -139,6 +147,21 @@
 	return d
 }
 
+// newFeed returns a feed of a table, which still lacks its function apply.
+func (d *Daemon) newFeed(table string) *feed {
+	f := newFeed(d.settings.Name, table, d.settings, d.store, d.logger)
+	f.awaitMembers = d.settings.NeighboursAddress != ""
+	f.membersOutdated = d.neighbours.Refresh
+	registerFeedMetrics(d.registry, f)
+	return f
+}
+
+// setMembers passes the daemons of the failure domain to the feeds.
+func (d *Daemon) setMembers(members []follow.Member) {
+	d.catalogFeed.setMembers(members)
+	d.serversFeed.setMembers(members)
+}
+
 // adoptWrite takes over the usage in a write that another daemon handed over and that
 // the store rejected.
 func (d *Daemon) adoptWrite(_ string, body []byte) error {
@@ -191,19 +214,6 @@
 // start starts the background tasks, which run until all requests have ended, and the
 // control tasks, which depend on their lease and end at once on shutdown.
 func (d *Daemon) start(background, controlTasks *taskGroup) {
-	holdTime, gap := feedHoldTime(d.settings), feedGap(d.settings)
-	catalogFeed := &feed{
-		holdTime: holdTime, gap: gap, store: d.store, table: platform.TableCatalog, logger: d.logger,
-		apply:         d.updater.applyCatalog,
-		storeRestored: func(time.Time) {},
-		storeFailed:   func(time.Time) {},
-	}
-	serversFeed := &feed{
-		holdTime: holdTime, gap: gap, store: d.store, table: platform.TableServers, logger: d.logger,
-		apply: d.applyServers, storeRestored: d.handleStoreRestored, storeFailed: d.drainPoller.suspectStore,
-	}
-	registerFeedAge(d.registry, catalogFeed)
-	registerFeedAge(d.registry, serversFeed)
 	background.run(d.drainPoller.run)
 	background.run(d.logProcessPauses)
 	background.run(d.updateMoveBurst)
@@ -212,8 +222,8 @@
 		background.run(d.neighbours.Run)
 		background.run(d.writeQueue.Run)
 	}
-	background.run(catalogFeed.run)
-	background.run(serversFeed.run)
+	background.run(d.catalogFeed.run)
+	background.run(d.serversFeed.run)
 	if d.settings.ReportsUsage || d.settings.OrdersServers {
 		controlTasks.run(func(ctx context.Context) { d.keeper.Run(ctx, d.logLeaseFailure) })
 	}
--- a/acaciad/daemon/feed.go
+++ b/acaciad/daemon/feed.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
+	"sync"
 	"time"
 
+	"acaciapath.example/acaciad/reader"
+	"acaciapath.example/core/follow"
 	"acaciapath.example/core/platformapi"
 	"acaciapath.example/core/sleep"
 	"acaciapath.example/platform"
@@ -24,6 +26,9 @@
 	feedMargin = 500 * time.Millisecond
 	// feedRetryInterval is the time between two attempts while the store fails.
 	feedRetryInterval = 300 * time.Millisecond
+	// followerRetryInterval is the same for a daemon that usually follows a reader.
+	// There may be hundreds of these.
+	followerRetryInterval = time.Second
 	// feedGapRatio is the time from a change to the next call, as a share of the time
 	// within which the daemon must follow a draining backend server. Changes in the
 	// meantime are read together. Without the gap, every daemon would call the store
@@ -33,6 +38,11 @@
 	// drain. The platform evicts all cheap servers of a failure domain together, and
 	// tens of entries are written within this time.
 	evictionGap = 60 * time.Millisecond
+	// membersTimeout bounds the wait for the list of members when the daemon starts.
+	membersTimeout = 1500 * time.Millisecond
+	// trustTime is how long a reader must have sent news to be trusted again after
+	// failures.
+	trustTime = 5 * time.Second
 )
 
 // feedHoldTime returns how long the store holds a call while nothing changes. If the
@@ -49,12 +59,14 @@
 	return time.Duration(feedGapRatio * float64(s.ServerDrain))
 }
 
-// feed follows one table of the store by long polling.
+// feed follows one table of the store, by long polling or through a reader.
 type feed struct {
 	// holdTime is how long the store holds a call while nothing changes.
 	holdTime time.Duration
 	// gap is the time from a change to the next call.
-	gap    time.Duration
+	gap time.Duration
+	// times are the intervals of a reader and its followers.
+	times  follow.Times
 	store  *platform.Store
 	table  string
 	logger *logrus.Logger
@@ -65,70 +77,252 @@
 	storeRestored func(now time.Time)
 	// storeFailed is called when the store does not answer, or has dropped changes.
 	storeFailed func(now time.Time)
-	// lastAnswer is when the store last answered, in Unix nanoseconds, or 0.
-	lastAnswer atomic.Int64
+	// readers follows other daemons, and publisher passes the news on to followers.
+	readers   *reader.Client
+	publisher *reader.Publisher
+	// awaitMembers states that the list of members will be set soon after the start.
+	awaitMembers bool
+	// membersOutdated is called when no reader in the list of members can be used.
+	membersOutdated func()
+
+	mu         sync.Mutex // guards selector, role and lastNews
+	selector   follow.Selector
+	role       follow.Role
+	lastNews   time.Time
+	membersSet chan struct{}
+
+	// restoredAt is when the store was last restored.
+	restoredAt time.Time
+	// version is the version of the store up to which the rows are applied, if
+	// versionKnown is set. They and failing are used only by run.
+	version               uint64
+	versionKnown, failing bool
+}
+
+// newFeed returns a feed of a table with the given intervals, which still lacks its
+// functions.
+func newFeed(vm, table string, s platform.Settings, store *platform.Store, logger *logrus.Logger) *feed {
+	return &feed{
+		holdTime: feedHoldTime(s), gap: feedGap(s), times: follow.NewTimes(s.ServerDrain), store: store, table: table, logger: logger,
+		storeRestored: func(time.Time) {}, storeFailed: func(time.Time) {},
+		readers: reader.NewClient(), publisher: reader.NewPublisher(), membersOutdated: func() {},
+		selector: follow.Selector{VM: vm, Table: table}, membersSet: make(chan struct{}),
+	}
 }
 
-// age returns the time since the store last answered, or 0 if it never did.
+// age returns the time since the latest news, or 0 if there never were any.
 func (f *feed) age(now time.Time) time.Duration {
-	if at := f.lastAnswer.Load(); at != 0 {
-		return now.Sub(time.Unix(0, at))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lastNews.IsZero() {
+		return 0
+	}
+	return now.Sub(f.lastNews)
+}
+
+// currentRole returns how the daemon learns the changes of the table.
+func (f *feed) currentRole() follow.Role {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.role
+}
+
+// setMembers replaces the members of the failure domain.
+func (f *feed) setMembers(members []follow.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.selector.SetMembers(members)
+	select {
+	case <-f.membersSet:
+	default:
+		close(f.membersSet)
 	}
-	return 0
 }
 
 // run follows the table until ctx is done.
 func (f *feed) run(ctx context.Context) {
-	version, versionKnown, failing := uint64(0), false, false
+	defer f.publisher.Stop()
+	if f.awaitMembers {
+		select {
+		case <-f.membersSet:
+		case <-time.After(membersTimeout):
+		case <-ctx.Done():
+		}
+	}
 	for ctx.Err() == nil {
-		rows, snapshot, err := f.read(ctx, version, versionKnown)
-		switch {
-		case errors.Is(err, platform.ErrHistoryDropped):
-			f.logger.WithFields(logrus.Fields{"table": f.table, "version": version}).
-				Warn("store dropped its history, reading the whole table again")
-			versionKnown = false
-			f.storeFailed(time.Now())
+		role, address := f.choose(time.Now())
+		if role != follow.Follows {
+			f.readStore(ctx, role)
 			continue
-		case err != nil:
-			if ctx.Err() != nil {
-				return
-			}
-			if !failing {
-				f.logger.WithFields(logrus.Fields{"table": f.table, "version": version, "error": platformapi.Reason(err)}).
-					Warn("store feed failed, retrying")
-			}
-			failing = true
-			f.storeFailed(time.Now())
-			sleep.For(ctx, feedRetryInterval)
+		}
+		// After a reader was silent, the store is read once before another reader is
+		// tried, since the news may already be old.
+		if f.versionKnown && f.age(time.Now()) > f.times.Gap+f.times.Hold && !f.readStore(ctx, role) {
 			continue
 		}
-		if failing {
-			f.logger.WithFields(logrus.Fields{"table": f.table, "version": rows.Version}).Info("store feed restored")
-			failing = false
-			f.storeRestored(time.Now())
+		f.followReader(ctx, address)
+	}
+}
+
+// choose returns the role of the daemon and the reader to follow, and logs a change of
+// the role.
+func (f *feed) choose(now time.Time) (follow.Role, string) {
+	f.mu.Lock()
+	role, address := f.selector.Choose(now)
+	exhausted, changed := f.selector.Exhausted(now), role != f.role
+	f.role = role
+	f.mu.Unlock()
+	if changed {
+		f.logger.WithFields(logrus.Fields{"table": f.table, "role": role.String(), "reader": address, "version": f.version}).
+			Info("source of a table changed")
+	}
+	if exhausted {
+		f.membersOutdated()
+	}
+	return role, address
+}
+
+// followReader follows a reader until that fails.
+func (f *feed) followReader(ctx context.Context, address string) {
+	began := time.Now()
+	after := f.version
+	if !f.versionKnown {
+		after = 0
+	}
+	count := 0
+	err := f.readers.Follow(ctx, address, f.table, after, f.times.Silence, func(news follow.News) {
+		now := time.Now()
+		if count++; count == 1 {
+			f.publisher.Stop()
 		}
-		version, versionKnown = rows.Version, true
-		f.lastAnswer.Store(time.Now().UnixNano())
-		if snapshot || len(rows.Rows) > 0 {
-			moreExpected := f.apply(rows.Rows, snapshot)
-			switch {
-			case !snapshot && rows.IsFullPage():
-			case moreExpected:
-				sleep.For(ctx, min(evictionGap, f.gap))
-			default:
-				sleep.For(ctx, f.gap)
-			}
+		if f.failing || news.Restored && !f.justRestored(now) {
+			f.noteRestored(news.Version, now)
 		}
+		f.accept(news, false, now)
+		if now.Sub(began) >= trustTime {
+			f.mu.Lock()
+			f.selector.Succeeded(address)
+			f.mu.Unlock()
+		}
+	})
+	if ctx.Err() != nil {
+		return
 	}
+	now := time.Now()
+	f.mu.Lock()
+	f.selector.Failed(address, now)
+	f.mu.Unlock()
+	f.logger.WithFields(logrus.Fields{
+		"table": f.table, "reader": address, "error": err.Error(), "messages": count, "version": f.version,
+		"followed-ms": now.Sub(began).Milliseconds(),
+	}).Info("reader of a table can no longer be followed")
 }
 
-// read returns all rows of the table and true or, if versionKnown is set, the rows
-// changed since version and false.
-func (f *feed) read(ctx context.Context, version uint64, versionKnown bool) (platform.Rows, bool, error) {
-	if !versionKnown {
+// noteRestored records that the store answers again.
+func (f *feed) noteRestored(version uint64, now time.Time) {
+	f.logger.WithFields(logrus.Fields{"table": f.table, "version": version}).Info("store feed restored")
+	f.failing, f.restoredAt = false, now
+	f.storeRestored(now)
+}
+
+// justRestored reports whether rows that the store removed during an outage may still be
+// written again.
+func (f *feed) justRestored(now time.Time) bool {
+	return !f.restoredAt.IsZero() && now.Sub(f.restoredAt) < missingEntryHold
+}
+
+// accept applies news that arrived at now and records them for followers. It reports
+// whether more changes are likely to follow at once.
+func (f *feed) accept(news follow.News, reading bool, now time.Time) bool {
+	f.publisher.Record(news, reading, now)
+	f.version, f.versionKnown = news.Version, true
+	f.mu.Lock()
+	f.lastNews = now
+	f.mu.Unlock()
+	if !news.Snapshot && len(news.Entries) == 0 {
+		return false
+	}
+	rows := make([]platform.Row, len(news.Entries))
+	for i, e := range news.Entries {
+		rows[i] = platform.Row(e)
+	}
+	return f.apply(rows, news.Snapshot)
+}
+
+// readStore calls the store once, waits for the time until the next call, and reports
+// whether the store answered.
+func (f *feed) readStore(ctx context.Context, role follow.Role) bool {
+	hold, gap := f.holdTime, f.gap
+	switch role {
+	case follow.Reads:
+		hold, gap = f.times.Hold, f.times.Gap
+	case follow.Follows:
+		hold, gap = 0, 0
+	}
+	rows, snapshot, err := f.callStore(ctx, hold)
+	if err != nil {
+		f.handleStoreFailure(ctx, err)
+		return false
+	}
+	now := time.Now()
+	if f.failing {
+		f.noteRestored(rows.Version, now)
+	}
+	news := follow.News{Snapshot: snapshot, Version: rows.Version, Restored: f.justRestored(now)}
+	for _, row := range rows.Rows {
+		news.Entries = append(news.Entries, follow.Entry(row))
+	}
+	moreExpected := f.accept(news, role == follow.Reads, now)
+	switch {
+	case !snapshot && (len(rows.Rows) == 0 || rows.IsFullPage()):
+	case moreExpected:
+		sleep.For(ctx, min(evictionGap, gap))
+	default:
+		sleep.For(ctx, gap)
+	}
+	return true
+}
+
+// callStore returns all rows of the table and true or, if a version is known, the rows
+// changed since then and false.
+func (f *feed) callStore(ctx context.Context, hold time.Duration) (platform.Rows, bool, error) {
+	if !f.versionKnown {
 		rows, err := f.store.Snapshot(ctx, f.table)
 		return rows, true, err
 	}
-	rows, err := f.store.Changes(ctx, f.table, version, f.holdTime)
+	rows, err := f.store.Changes(ctx, f.table, f.version, hold)
 	return rows, false, err
 }
+
+// handleStoreFailure handles a failed call of the store, and waits until the next
+// attempt.
+func (f *feed) handleStoreFailure(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.storeFailed(time.Now())
+	if errors.Is(err, platform.ErrHistoryDropped) {
+		f.logger.WithFields(logrus.Fields{"table": f.table, "version": f.version}).
+			Warn("store dropped its history, reading the whole table again")
+		f.versionKnown = false
+		return
+	}
+	f.publisher.Stop()
+	if !f.failing {
+		f.logger.WithFields(logrus.Fields{"table": f.table, "version": f.version, "error": platformapi.Reason(err)}).
+			Warn("store feed failed, retrying")
+	}
+	f.failing = true
+	interval := feedRetryInterval
+	if f.isFollower() {
+		interval = followerRetryInterval
+	}
+	sleep.For(ctx, interval)
+}
+
+// isFollower reports whether the daemon is not one of the readers of its failure domain.
+func (f *feed) isFollower() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.selector.HasReaders() && !f.selector.IsReader()
+}
--- a/acaciad/daemon/feed_test.go
+++ b/acaciad/daemon/feed_test.go
@@ -26,12 +26,9 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	applied := make(chan int, rows)
-	f := &feed{
-		holdTime: pause, gap: pause, store: platform.NewStore(store.Address(), pause, platform.NewStoreTransport()), table: platform.TableServers, logger: logger,
-		apply:         func(rows []platform.Row, _ bool) bool { applied <- len(rows); return false },
-		storeRestored: func(time.Time) {},
-		storeFailed:   func(time.Time) {},
-	}
+	f := newFeed("vm-1", platform.TableServers, platform.Settings{}, platform.NewStore(store.Address(), pause, platform.NewStoreTransport()), logger)
+	f.holdTime, f.gap = pause, pause
+	f.apply = func(rows []platform.Row, _ bool) bool { applied <- len(rows); return false }
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Cleanup(cancel)
 	go f.run(ctx)
--- a/acaciad/daemon/listeners.go
+++ b/acaciad/daemon/listeners.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"acaciapath.example/acaciad/neighbours"
+	"acaciapath.example/acaciad/reader"
 	"acaciapath.example/core/telemetry"
 	"acaciapath.example/platform"
 )
@@ -65,5 +66,11 @@
 		StoreAddress: d.settings.StoreAddress, Allowed: platform.IsStoreCall, StoreUnreachable: d.storeTransport.DirectFailing,
 		Base: d.storeTransport.Direct(), Queue: d.writeQueue, Logger: d.logger,
 	}
-	go d.serve(&http.Server{Handler: relay, ReadHeaderTimeout: headerTimeout}, listener)
+	mux := http.NewServeMux()
+	mux.Handle("GET "+reader.Path, &reader.Handler{
+		Publishers: map[string]*reader.Publisher{platform.TableCatalog: d.catalogFeed.publisher, platform.TableServers: d.serversFeed.publisher},
+		Logger:     d.logger,
+	})
+	mux.Handle("/", relay)
+	go d.serve(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, listener)
 }
--- a/acaciad/neighbours/neighbours_test.go
+++ b/acaciad/neighbours/neighbours_test.go
@@ -13,6 +13,7 @@
 
 	"acaciapath.example/acaciad/neighbours"
 	"acaciapath.example/core/detour"
+	"acaciapath.example/core/follow"
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/platform"
 	"acaciapath.example/platform/platformtest"
@@ -173,8 +174,8 @@
 		found[vm] = known
 		registries[vm] = &neighbours.Registry{
 			VM: vm, FailureDomain: "z", Address: "10.0.0.1:1" + vm[3:], Table: &platform.Table{Store: p.client},
-			OnUpdate: func(n []detour.Neighbour) { known.Store(&n) },
-			Logger:   logger, Random: rand.New(rand.NewPCG(1, 2)),
+			OnUpdate: func(n []detour.Neighbour) { known.Store(&n) }, OnMembers: func([]follow.Member) {},
+			Logger: logger, Random: rand.New(rand.NewPCG(1, 2)),
 		}
 		ctx, cancel := context.WithCancel(p.Context())
 		p.Cleanup(cancel)
--- a/acaciad/neighbours/registry.go
+++ b/acaciad/neighbours/registry.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"acaciapath.example/core/detour"
+	"acaciapath.example/core/follow"
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/core/platformapi"
 	"acaciapath.example/core/sleep"
@@ -18,27 +20,33 @@
 // Intervals of the registry.
 const (
 	// heartbeatInterval is how often a daemon renews its row.
-	heartbeatInterval = time.Minute
+	heartbeatInterval = 4 * time.Minute
 	// entryTTL is the time after which a row that is not renewed expires.
-	entryTTL = 5 * time.Minute
+	entryTTL = 15 * time.Minute
 	// readInterval is how often the rows of other daemons are read. A daemon needs to
 	// know some neighbours that are alive, and only a few are replaced per hour.
-	readInterval = time.Minute
+	readInterval = 4 * time.Minute
+	// minReadInterval is the least time between two reads that Refresh asks for.
+	minReadInterval = 8 * time.Second
 	// retryInterval is how often the registry checks whether a write or a read is due.
 	// While the store does not answer, it is the time between two attempts.
 	retryInterval = time.Second
 )
 
-// maxNeighbours is the maximum number of rows that are read, since a few neighbours
-// are enough.
+// maxNeighbours is the maximum number of neighbours that calls are sent through, since
+// a few are enough.
 const maxNeighbours = 16
 
+// maxRows is the maximum number of rows that are read.
+const maxRows = 500
+
 // keyPrefix is the prefix of the keys of rows. The failure domain and the VM follow.
 const keyPrefix = "neighbour/"
 
 // entry is the stored value of a row.
 type entry struct {
 	Address       string    `json:"address"`
+	Cores         float64   `json:"cores,omitempty"`
 	FailureDomain string    `json:"failure-domain"`
 	Written       time.Time `json:"written"`
 }
@@ -49,49 +57,67 @@
 	// VM and FailureDomain are those of the daemon, and Address is where it relays
 	// calls of the store.
 	VM, FailureDomain, Address string
+	// Cores is the share of a processor core that the VM has.
+	Cores float64
+	// ColdStart states that all daemons start now, so that most rows are written only
+	// a moment after this daemon starts.
+	ColdStart bool
 	// Table stores the rows.
 	Table table.Service
 	// OnUpdate is called with the neighbours after each read.
 	OnUpdate func([]detour.Neighbour)
+	// OnMembers is called with the daemons of the failure domain, including this one,
+	// after each read.
+	OnMembers func([]follow.Member)
 	// Logger logs the number of neighbours and failures.
 	Logger *logrus.Logger
 	// Random spreads the reads of the daemons over time.
 	Random *rand.Rand
 
 	knownCount int
+	refresh    atomic.Bool
 }
 
+// Refresh asks for another read of the rows, because the list of members is outdated.
+func (r *Registry) Refresh() { r.refresh.Store(true) }
+
 // rowKey returns the key of the daemon's row.
 func (r *Registry) rowKey() string { return keyPrefix + r.FailureDomain + "/" + r.VM }
 
 // Run renews the daemon's row and reads those of other daemons until ctx is done.
 func (r *Registry) Run(ctx context.Context) {
-	var lastWrite, lastRead time.Time
+	var nextWrite, nextRead, lastRead time.Time
 	for ctx.Err() == nil {
-		now := time.Now()
-		pollDelay := retryInterval
-		if now.Sub(lastWrite) >= heartbeatInterval && r.write(ctx, now) {
-			lastWrite = now
+		if now := time.Now(); !now.Before(nextWrite) && r.write(ctx, now) {
+			if nextWrite.IsZero() && r.ColdStart {
+				sleep.For(ctx, coldStartDelay)
+			}
+			nextWrite = now.Add(heartbeatInterval)
 		}
-		if now.Sub(lastRead) >= readInterval && r.read(ctx, now) {
-			// The first reads may happen before the other daemons have started.
-			if lastRead.IsZero() || r.knownCount == 0 {
-				lastRead = now.Add(firstReadInterval - readInterval)
-			} else {
-				lastRead = now.Add(time.Duration(r.Random.Int64N(int64(readInterval / 2))))
+		now := time.Now()
+		refresh := r.refresh.Load() && now.Sub(lastRead) >= minReadInterval
+		if (refresh || !now.Before(nextRead)) && r.read(ctx, now) {
+			r.refresh.Store(false)
+			lastRead, nextRead = now, now.Add(readInterval+time.Duration(r.Random.Int64N(int64(readInterval/2))))
+			if r.knownCount == 0 {
+				nextRead = now.Add(firstReadInterval)
 			}
 		}
-		sleep.For(ctx, pollDelay)
+		sleep.For(ctx, retryInterval)
 	}
 }
 
-// firstReadInterval is the time between reads at the start and while no neighbours are
-// known. If all daemons start together, the others have written their rows by then.
-const firstReadInterval = 3 * time.Second
+const (
+	// coldStartDelay is the time from the write of the daemon's row to the first read if
+	// all daemons start together. The others have written their rows by then.
+	coldStartDelay = 900 * time.Millisecond
+	// firstReadInterval is the time between reads while no neighbours are known.
+	firstReadInterval = 3 * time.Second
+)
 
 // write writes the daemon's row and reports whether that succeeded.
 func (r *Registry) write(ctx context.Context, now time.Time) bool {
-	value, err := json.Marshal(entry{Address: r.Address, FailureDomain: r.FailureDomain, Written: now})
+	value, err := json.Marshal(entry{Address: r.Address, Cores: r.Cores, FailureDomain: r.FailureDomain, Written: now})
 	if err == nil {
 		_, err = r.Table.Commit(ctx, &table.CommitPayload{Writes: []*table.Write{{Key: r.rowKey(), Value: value}}})
 	}
@@ -112,16 +138,23 @@
 // reports whether that succeeded.
 func (r *Registry) read(ctx context.Context, now time.Time) bool {
 	var neighbours []detour.Neighbour
-	for _, rowPrefix := range []string{keyPrefix + r.FailureDomain + "/", keyPrefix} {
-		rows, err := r.Table.List(ctx, &table.ListPayload{Prefix: rowPrefix, Limit: maxNeighbours})
+	for i, rowPrefix := range []string{keyPrefix + r.FailureDomain + "/", keyPrefix} {
+		rows, err := r.Table.List(ctx, &table.ListPayload{Prefix: rowPrefix, Limit: maxRows})
 		if err != nil {
 			r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot read neighbour rows, will retry")
 			return false
 		}
-		if neighbours = r.parseNeighbours(rows, now); len(neighbours) > 0 {
+		var members []follow.Member
+		neighbours, members = r.parseRows(rows, now)
+		if i == 0 {
+			r.OnMembers(members)
+		}
+		if len(neighbours) > 0 {
 			break
 		}
 	}
+	r.Random.Shuffle(len(neighbours), func(i, j int) { neighbours[i], neighbours[j] = neighbours[j], neighbours[i] })
+	neighbours = neighbours[:min(len(neighbours), maxNeighbours)]
 	if len(neighbours) != r.knownCount {
 		r.knownCount = len(neighbours)
 		r.Logger.WithField("neighbours", len(neighbours)).Info("number of known neighbours changed")
@@ -130,22 +163,23 @@
 	return true
 }
 
-// parseNeighbours returns the neighbours in rows that have not expired, without the
-// daemon itself.
-func (r *Registry) parseNeighbours(rows []*table.Row, now time.Time) []detour.Neighbour {
-	var neighbours []detour.Neighbour
+// parseRows returns the daemons in rows that have not expired: as neighbours, without
+// this daemon itself, and as members.
+func (r *Registry) parseRows(rows []*table.Row, now time.Time) (neighbours []detour.Neighbour, members []follow.Member) {
 	for _, row := range rows {
-		if strings.HasSuffix(row.Key, "/"+r.VM) {
-			continue
-		}
 		var e entry
 		if err := json.Unmarshal(row.Value, &e); err != nil {
 			r.Logger.WithError(err).WithField("row", row.Key).Warn("invalid neighbour row ignored")
 			continue
 		}
-		if now.Sub(e.Written) < entryTTL {
+		if now.Sub(e.Written) >= entryTTL {
+			continue
+		}
+		vm := row.Key[strings.LastIndex(row.Key, "/")+1:]
+		members = append(members, follow.Member{VM: vm, Address: e.Address, Cores: e.Cores})
+		if vm != r.VM {
 			neighbours = append(neighbours, detour.Neighbour{Address: e.Address, FailureDomain: e.FailureDomain})
 		}
 	}
-	return neighbours
+	return neighbours, members
 }
