core/catalog: the tier of the route orders requests of equal client accounts at engines

All requests of an account had one priority, so that a full engine preempted the newest: buyer-replies (route tier 0) of a burst, while older sheet-tags (1) and drafts (2) of equal accounts ran on.

Change: the priority sent to engines orders by the account's tier first and by the route's among equal ones. The log line of a request has its tier.

--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -308,6 +308,7 @@
 	if x.route != nil {
 		f["route"] = x.route.Name
 		f["wait-ms"] = x.metadata.Timeout.Milliseconds()
+		f["tier"] = catalog.Tier(x.route, x.account)
 	}
 	if x.account != nil {
 		f["client-account"] = x.account.Name
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -236,7 +236,7 @@
 	forwarding := platform.Forwarding{
 		Server:    reservation.Spec.Name,
 		Timeout:   time.Until(deadline),
-		Tier:      catalog.Tier(x.route, x.account),
+		Priority:  x.view.Index.Priority(x.route, x.account),
 		Generates: x.route.Generates,
 	}
 	if x.account != nil {
--- a/core/catalog/index.go
+++ b/core/catalog/index.go
@@ -16,6 +16,7 @@
 	routesByHost  map[string][]*Route // with the longest prefix first
 	services      map[string]*Service
 	accountsByKey map[string]*Account
+	priorities    map[urgency]int
 }
 
 // NewIndex returns an index of c. The contents of c must not be modified
@@ -27,6 +28,7 @@
 		services:      make(map[string]*Service),
 		accountsByKey: make(map[string]*Account),
 	}
+	x.priorities = priorities(&x.Catalog)
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		x.routesByHost[r.Host] = append(x.routesByHost[r.Host], r)
