core/lease, core/usage: hundreds of candidates take over fast, and read less

After the death of the holder nobody took over for up to 40 s.

Change: a slow candidate reads twice, a lease duration apart, at the same mean rate; so whoever polls first after the death takes over a duration later. The rate for all candidates falls from ten to some three reads a second. At a start the first read is spread over 3 s, and until the number of candidates is known each polls every 20 s instead of 2. The holder does not look for a window to settle before one can have ended.

--- a/acaciad/control/usage.go
+++ b/acaciad/control/usage.go
@@ -156,14 +156,15 @@
 // RunSettlement settles windows while the daemon holds the lease, until ctx is done.
 func (u *Usage) RunSettlement(ctx context.Context) {
 	u.random = rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0))
-	lastPrune := time.Now()
+	lastPrune, candidates := time.Now(), 0
 	for ctx.Err() == nil {
 		sleep.For(ctx, settleInterval)
 		if now := time.Now(); now.Sub(lastPrune) >= pruneInterval && u.Keeper.Held() != nil {
 			lastPrune = now
 			u.prune(ctx, now)
 		}
-		if n := u.Keeper.Row().Candidates; n > 0 {
+		if n := u.Keeper.Row().Candidates; n > 0 && n != candidates {
+			candidates = n
 			u.Keeper.SetPollInterval(lease.PollInterval(u.LeaseDuration, n, u.random))
 		}
 		for more := true; more && u.Keeper.Held() != nil; {
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"acaciapath.example/core/follow"
 	"acaciapath.example/core/lease"
 	"acaciapath.example/core/replica"
+	"acaciapath.example/core/sleep"
 	"acaciapath.example/core/usage"
 	"acaciapath.example/platform"
 
@@ -38,8 +39,11 @@
 	// if parts are missing. It leaves time for a few attempts at each call.
 	settleMargin = 2 * time.Second
 	// initialLeasePoll is how often a daemon checks whether the lease is free, until
-	// it knows how many other daemons do so.
-	initialLeasePoll = 2 * time.Second
+	// it knows how many other daemons do so. It allows for hundreds.
+	initialLeasePoll = 20 * time.Second
+	// leaseStartSpread bounds the random delay before the first check, since all daemons
+	// may start together.
+	leaseStartSpread = 3 * time.Second
 )
 
 // memoryLimitRatio is the soft memory limit of the Go runtime, as a share of the VM's
@@ -225,7 +229,10 @@
 	background.run(d.catalogFeed.run)
 	background.run(d.serversFeed.run)
 	if d.settings.ReportsUsage || d.settings.OrdersServers {
-		controlTasks.run(func(ctx context.Context) { d.keeper.Run(ctx, d.logLeaseFailure) })
+		controlTasks.run(func(ctx context.Context) {
+			sleep.For(ctx, rand.N(leaseStartSpread))
+			d.keeper.Run(ctx, d.logLeaseFailure)
+		})
 	}
 	if d.settings.ReportsUsage {
 		background.run(d.usage.RunParts)
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -55,6 +55,9 @@
 	requestedAt Instant
 	// lastReadAt is when the last successful read was requested.
 	lastReadAt Instant
+	// confirming states that the last read of a slow poller found a changed row. The
+	// next read, once the lease could have expired, shows whether its holder is alive.
+	confirming bool
 	// candidates is the number of processes that poll the row, or 0 if unknown.
 	candidates int
 	// lastFailed reports whether the last request failed, other than by a
@@ -72,7 +75,9 @@
 }
 
 // New returns a Lease that has not read its row yet. It reads the row every
-// pollInterval while another process holds the lease.
+// pollInterval while another process holds the lease. If that is at least the duration
+// of the lease, it makes two reads at a time, a duration apart, at the same mean rate:
+// the later one of a pair shows whether the lease is still renewed.
 func New(terms Terms, pollInterval time.Duration) *Lease {
 	return &Lease{terms: terms, pollInterval: pollInterval, sentAt: make(map[uint64]Instant)}
 }
@@ -131,15 +136,18 @@
 	case l.heldByUs():
 		return l.renewWait(now)
 	}
-	wait := l.pollInterval - since
 	switch {
 	case l.releasing:
+		return l.pollInterval - since
 	case l.mayAcquire(now):
 		return 0
 	case l.pollInterval < l.terms.Duration:
-		wait = min(wait, l.acquireWait(now))
+		return min(l.pollInterval-since, l.acquireWait(now))
+	case l.confirming:
+		return l.acquireWait(now)
 	}
-	return wait
+	// The two reads of a pair count as two polls.
+	return 2*l.pollInterval - l.terms.Duration - since
 }
 
 // Next returns the request to make to the table now, or a request of kind Wait if
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -12,7 +12,7 @@
 	pollDivisor = 2
 	// minReadSpacing is the minimum mean time between reads of the row by any
 	// candidate.
-	minReadSpacing = 100 * time.Millisecond
+	minReadSpacing = 300 * time.Millisecond
 	// pollJitter is the maximum deviation from the interval, as a share of it.
 	pollJitter = 0.25
 )
@@ -20,7 +20,7 @@
 // PollInterval returns the time between two reads of a lease row by one of the
 // given number of candidates. Each candidate reads the row twice in the duration of
 // the lease, or less often, so that all candidates together read it at most about
-// ten times a second. The interval is jittered with random to spread the reads.
+// three times a second. The interval is jittered with random to spread the reads.
 func PollInterval(duration time.Duration, candidates int, random *rand.Rand) time.Duration {
 	interval := max(duration/pollDivisor, time.Duration(candidates)*minReadSpacing)
 	deviation := (2*random.Float64() - 1) * pollJitter
--- a/core/lease/request.go
+++ b/core/lease/request.go
@@ -45,6 +45,9 @@
 	}
 	l.writeUncertain = false
 	l.lastReadAt = l.requestedAt
+	if changed := !l.rowKnown || leaseRow.Version != l.version; changed {
+		l.confirming = !l.confirming
+	}
 	l.fenceVersion = fenceRow.Version
 	l.setRow(leaseRow.Version, row, now)
 	return nil
--- a/core/usage/reporter.go
+++ b/core/usage/reporter.go
@@ -53,6 +53,9 @@
 	// lastWritten is the start of the last settled window that each VM wrote parts
 	// of. VMs that stopped writing are removed.
 	lastWritten map[string]time.Time
+	// notBefore is the end of the window after the last one that was settled. Until
+	// then, no window can be due, and the table is not read.
+	notBefore time.Time
 }
 
 // NewReporter returns a Reporter that reads and writes rows and sends reports to
@@ -66,6 +69,9 @@
 // again; a repeated report has the same totals. It returns lease.ErrNotHeld or
 // ErrSuperseded if the process does not hold the lease.
 func (r *Reporter) Settle(ctx context.Context, now time.Time, billing config.Billing) (*Window, error) {
+	if now.Before(r.notBefore) {
+		return nil, nil
+	}
 	progress, version, err := r.progress(ctx)
 	if err != nil {
 		return nil, err
@@ -98,7 +104,11 @@
 		return nil, merry.Prepend(err, "usage: report window")
 	}
 	r.recordWriters(window, billing.Window)
-	return window, r.finish(ctx, window, progress, version)
+	if err := r.finish(ctx, window, progress, version); err != nil {
+		return window, err
+	}
+	r.notBefore = window.Start.Add(2 * max(billing.Window, MinWindow))
+	return window, nil
 }
 
 // expectedWindows is the number of windows after its last part for which a VM is
