core/batch, acaciad/neighbours: parts of a usage window are written together

Change: in a failure domain of 8 daemons or more one of them, chosen by the same ranking as readers, collects the writes of the others for 150 ms and commits them in one transaction. Conditions and rows are unchanged; a rejected transaction is committed part by part, so that each writer gets its own result. A writer whose collector fails sends its writes to the store itself for 10 s.

Tests: core/batch (rapid: a transaction takes effect exactly if each commit in it would); TestWritesAreCollected, TestCollectedWritesAreRejectedAlone, TestCollectorFails.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -66,6 +66,7 @@
 	catalogFeed    *feed
 	serversFeed    *feed
 	writeQueue     *neighbours.WriteQueue
+	collector      *neighbours.Collector
 	usage          *control.Usage
 	autoscaler     *control.Autoscaler
 	keeper         *lease.Keeper
@@ -117,6 +118,9 @@
 		Send: d.directStore.Post, Adopt: d.adoptWrite, TTL: s.UsageDeadline,
 		ShuttingDown: func() bool { return d.draining.Err() != nil }, Logger: logger,
 	}
+	d.collector = neighbours.NewCollector()
+	d.collector.Table, d.collector.Logger = directTable, logger
+	d.collector.Parse, d.collector.Conflict = platform.ParseTransaction, platform.EncodeConflict
 	d.autoscaler = &control.Autoscaler{
 		Directory:      d.directory,
 		Scaler:         cloud,
@@ -164,6 +168,7 @@
 func (d *Daemon) setMembers(members []follow.Member) {
 	d.catalogFeed.setMembers(members)
 	d.serversFeed.setMembers(members)
+	d.storeTransport.SetMembers(d.settings.Name, members)
 }
 
 // adoptWrite takes over the usage in a write that another daemon handed over and that
@@ -225,6 +230,7 @@
 	if d.settings.NeighboursAddress != "" {
 		background.run(d.neighbours.Run)
 		background.run(d.writeQueue.Run)
+		background.run(d.collector.Run)
 	}
 	background.run(d.catalogFeed.run)
 	background.run(d.serversFeed.run)
--- a/acaciad/daemon/listeners.go
+++ b/acaciad/daemon/listeners.go
@@ -64,7 +64,7 @@
 	}
 	relay := &neighbours.Relay{
 		StoreAddress: d.settings.StoreAddress, Allowed: platform.IsStoreCall, StoreUnreachable: d.storeTransport.DirectFailing,
-		Base: d.storeTransport.Direct(), Queue: d.writeQueue, Logger: d.logger,
+		Base: d.storeTransport.Direct(), Queue: d.writeQueue, Collector: d.collector, Logger: d.logger,
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+reader.Path, &reader.Handler{
--- /dev/null
+++ b/acaciad/neighbours/collector.go
@@ -0,0 +1,149 @@
+package neighbours
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"acaciapath.example/core/batch"
+	"acaciapath.example/core/gen/table"
+	"acaciapath.example/core/platformapi"
+
+	"github.com/sirupsen/logrus"
+)
+
+// collectedPath is the path at which a daemon accepts writes of its neighbours, to commit
+// them together.
+const collectedPath = "/collected"
+
+// Limits of a collector.
+const (
+	// collectDelay is how long a write waits for others to be committed with it. Parts of
+	// a usage window are written by all daemons within about this time.
+	collectDelay = 150 * time.Millisecond
+	// maxCollected is the maximum number of writes that wait.
+	maxCollected = 1024
+)
+
+// Collector commits writes of neighbours together.
+type Collector struct {
+	// Table commits the writes. It must reach the store directly, so that writes are
+	// not passed on in a circle.
+	Table table.Service
+	// Parse decodes a write, and Conflict encodes a rejection.
+	Parse    func(body []byte) (*table.CommitPayload, error)
+	Conflict func(conflict *table.Conflict) ([]byte, error)
+	// Logger logs rejected batches.
+	Logger *logrus.Logger
+
+	queue chan *collected
+}
+
+// collected is a write that waits for its result.
+type collected struct {
+	commit *table.CommitPayload
+	// result receives one value: nil if the write was committed.
+	result chan error
+}
+
+// NewCollector returns a collector, whose exported fields must be set before Run.
+func NewCollector() *Collector { return &Collector{queue: make(chan *collected, maxCollected)} }
+
+// Run commits writes until ctx is done.
+func (c *Collector) Run(ctx context.Context) {
+	for {
+		var waiting []*collected
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-c.queue:
+			waiting = append(waiting, first)
+		}
+		for timer := time.After(collectDelay); timer != nil; {
+			select {
+			case next := <-c.queue:
+				waiting = append(waiting, next)
+			case <-timer:
+				timer = nil
+			}
+		}
+		for len(waiting) > 0 {
+			waiting = waiting[c.commitFirst(ctx, waiting):]
+		}
+	}
+}
+
+// commitFirst commits as many of the first writes as one transaction holds, and returns
+// their number. If the store rejects the transaction, each of them is committed alone,
+// so that it gets its own result.
+func (c *Collector) commitFirst(ctx context.Context, waiting []*collected) int {
+	commits := make([]*table.CommitPayload, len(waiting))
+	for i, w := range waiting {
+		commits[i] = w.commit
+	}
+	merged, n := batch.Merge(commits)
+	_, err := c.Table.Commit(ctx, merged)
+	if n == 1 || platformapi.AsConflict(err) == nil {
+		for _, w := range waiting[:n] {
+			w.result <- err
+		}
+		return n
+	}
+	c.Logger.WithFields(logrus.Fields{"writes": n, "error": platformapi.Reason(err)}).Info("writes of neighbours rejected together, committing each alone")
+	for _, w := range waiting[:n] {
+		_, err := c.Table.Commit(ctx, w.commit)
+		w.result <- err
+	}
+	return n
+}
+
+var _ http.Handler = (*Collector)(nil)
+
+// ServeHTTP accepts a write and answers like the store. If the outcome is unknown, it
+// closes the connection without an answer.
+func (c *Collector) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRelayedBytes))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	commit, err := c.Parse(body)
+	if err != nil {
+		c.Logger.WithError(err).Warn("invalid write of a neighbour refused")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	write := &collected{commit: commit, result: make(chan error, 1)}
+	select {
+	case c.queue <- write:
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case err = <-write.result:
+	case <-r.Context().Done():
+		return
+	}
+	switch conflict := platformapi.AsConflict(err); {
+	case err == nil:
+		_, _ = io.WriteString(w, "{}") // the neighbour asks the store if the answer is lost
+	case conflict != nil:
+		c.reject(w, conflict)
+	case platformapi.HadNoEffect(err):
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		panic(http.ErrAbortHandler) // the write may have been committed
+	}
+}
+
+// reject answers that a condition of the write does not hold.
+func (c *Collector) reject(w http.ResponseWriter, conflict *table.Conflict) {
+	body, err := c.Conflict(conflict)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(http.StatusPreconditionFailed)
+	_, _ = w.Write(body) // the neighbour sends the write again if the answer is lost
+}
--- a/acaciad/neighbours/relay.go
+++ b/acaciad/neighbours/relay.go
@@ -31,6 +31,8 @@
 	Base http.RoundTripper
 	// Queue accepts writes of neighbours that shut down.
 	Queue *WriteQueue
+	// Collector commits writes of neighbours together.
+	Collector *Collector
 	// Logger logs failed calls.
 	Logger *logrus.Logger
 }
@@ -43,6 +45,13 @@
 	case r.Method == http.MethodPost && r.URL.Path == handOverPath && l.Allowed(r.Method, r.URL.Query().Get("path")):
 		l.Queue.serve(w, r)
 		return
+	case r.Method == http.MethodPost && r.URL.Path == collectedPath && l.Allowed(r.Method, r.URL.Query().Get("path")):
+		if l.StoreUnreachable() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		l.Collector.ServeHTTP(w, r)
+		return
 	case !l.Allowed(r.Method, r.URL.Path):
 		w.WriteHeader(http.StatusNotFound)
 		return
--- a/acaciad/neighbours/transport.go
+++ b/acaciad/neighbours/transport.go
@@ -33,6 +33,8 @@
 	mu       sync.Mutex // guards the fields below
 	selector detour.Selector
 	random   *rand.Rand
+	// collector selects the daemon that commits the writes of this one.
+	collector collectorChoice
 	// directReads holds the pending reads on the direct path, which are canceled
 	// when that path starts to fail.
 	directReads map[*http.Request]context.CancelFunc
@@ -102,8 +104,13 @@
 // RoundTrip sends a call on the selected path. If it fails and may be sent again, it
 // is sent once more through a neighbour.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	if r.Method == http.MethodPost && t.handingOver.Load() {
-		return t.answerByHandOver(r)
+	if r.Method == http.MethodPost {
+		if t.handingOver.Load() {
+			return t.answerByHandOver(r)
+		}
+		if response, handled, err := t.collect(r); handled {
+			return response, err
+		}
 	}
 	t.mu.Lock()
 	via := t.selector.Choose(time.Now(), t.random)
