--- a/acaciad/reader/client.go
+++ b/acaciad/reader/client.go
@@ -75,7 +75,7 @@
 	}
 	lines := bufio.NewScanner(response.Body)
 	lines.Buffer(make([]byte, 0, initialBufferBytes), maxMessageBytes)
-	for lines.Scan() {
+	for lines.Scan() && ctx.Err() == nil {
 		var m message
 		if err := json.Unmarshal(lines.Bytes(), &m); err != nil {
 			return merry.Wrap(ErrInvalid, merry.WithCause(err))
