acaciad/proxy: bytes without end from a server cost bounded memory

Tests: TestEndlessAnswers (12 places, fast and slowly, 200 requests at once), TestEndlessEvents, TestServerWithEndlessAnswersIsAvoided.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -50,6 +50,19 @@
 // memory.
 const memoryLimitRatio = 0.6
 
+// Memory for large answers that are being received.
+const (
+	// bufferRatio is its share of the VM's memory.
+	bufferRatio = 0.1
+	// minBufferBytes applies if the settings do not state the VM's memory.
+	minBufferBytes = 8 << 20
+)
+
+// bufferBytes returns the memory for large answers on a VM.
+func bufferBytes(memoryBytes int64) int64 {
+	return max(int64(bufferRatio*float64(memoryBytes)), minBufferBytes)
+}
+
 // Daemon serves callers on an entry VM and takes part in the control tasks.
 type Daemon struct {
 	settings    platform.Settings
@@ -148,6 +161,7 @@
 		Meter:        d.usage.Meter,
 		Metrics:      proxy.NewMetrics(d.registry),
 		Logger:       logger,
+		Buffers:      proxy.NewBufferBudget(bufferBytes(s.MemoryBytes)),
 		RetryBudgets: proxy.NewBudgets(retryBudget(s, now)),
 		MoveBudgets:  proxy.NewBudgets(moveBudget(s, now)),
 		Draining:     d.draining,
--- a/acaciad/proxy/client.go
+++ b/acaciad/proxy/client.go
@@ -23,6 +23,9 @@
 	// maxIdleConnsPerServer is the maximum number of idle connections kept open
 	// to one backend server.
 	maxIdleConnsPerServer = 8
+	// maxResponseHeaderBytes is the maximum size of the status line and the headers of
+	// a response. Those of backend servers have a few hundred bytes.
+	maxResponseHeaderBytes = 64 << 10
 	// keepAliveInterval is the interval of the TCP keep-alive probes that detect
 	// unresponsive backend servers, and keepAliveProbes is the number of probes
 	// that may go unanswered.
@@ -59,11 +62,12 @@
 		},
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerServer,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-		DisableKeepAlives:   disableKeepAlives,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		DisableCompression:     true,
+		DisableKeepAlives:      disableKeepAlives,
 	}
 }
 
--- a/acaciad/proxy/events.go
+++ b/acaciad/proxy/events.go
@@ -15,15 +15,11 @@
 // maxEventBytes is the maximum size of one event of a stream.
 const maxEventBytes = 1 << 20
 
-// readChunkBytes is the initial size of the read buffer of a stream.
-const readChunkBytes = 4 << 10
-
 // Errors that end the forwarding of a stream.
 var (
 	// errCallerLeft is returned when a write to the caller fails.
 	errCallerLeft = merry.Sentinel("proxy: the caller disconnected from the stream")
-	// errIncompleteEvent is returned when a stream ends within an event, or when
-	// an event exceeds maxEventBytes.
+	// errIncompleteEvent is returned when a stream ends within an event.
 	errIncompleteEvent = merry.Sentinel("proxy: the stream contains an incomplete event")
 )
 
@@ -31,24 +27,18 @@
 // nil if the stream ended after a complete event.
 func (x *exchange) forwardEvents(ctx context.Context, reservation *directory.Reservation, response *http.Response) error {
 	controller := http.NewResponseController(x.writer)
-	buffer := make([]byte, 0, readChunkBytes)
+	events := newBuffer(x.handler.Buffers, maxEventBytes)
+	defer events.release()
 	for {
-		if len(buffer) == cap(buffer) {
-			if len(buffer) > maxEventBytes {
-				return errIncompleteEvent
-			}
-			buffer = append(buffer, 0)[:len(buffer)]
-		}
-		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if end := lastEventEnd(buffer); end > 0 {
-			if writeErr := x.writeEvents(ctx, controller, reservation, response, buffer[:end]); writeErr != nil {
+		err := events.readFrom(response.Body)
+		if end := lastEventEnd(events.data); end > 0 {
+			if writeErr := x.writeEvents(ctx, controller, reservation, response, events.data[:end]); writeErr != nil {
 				return writeErr
 			}
-			buffer = buffer[:copy(buffer, buffer[end:])]
+			events.discard(end)
 		}
 		switch {
-		case err == io.EOF && len(buffer) == 0:
+		case err == io.EOF && len(events.data) == 0:
 			x.startStream(ctx, reservation, response)
 			return nil
 		case err == io.EOF:
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -57,6 +57,8 @@
 	Metrics *Metrics
 	// Logger logs the outcomes of requests.
 	Logger *logrus.Logger
+	// Buffers limits the memory of large answers.
+	Buffers *BufferBudget
 	// RetryBudgets limit retries, by service.
 	RetryBudgets *Budgets
 	// MoveBudgets limit moves of runs to other engines, by service. The platform
--- a/acaciad/proxy/harness_test.go
+++ b/acaciad/proxy/harness_test.go
@@ -64,6 +64,9 @@
 	}
 }
 
+// testBufferBytes is the budget for large answers in these tests.
+const testBufferBytes = 8 << 20
+
 // newFixture starts a handler that has burst retries, and as many moves, in its
 // budgets.
 func newFixture(t *testing.T, burst float64) *fixture {
@@ -79,6 +82,7 @@
 		Meter:        usage.NewMeter(),
 		Metrics:      proxy.NewMetrics(prometheus.NewRegistry()),
 		Logger:       logger,
+		Buffers:      proxy.NewBufferBudget(testBufferBytes),
 		RetryBudgets: proxy.NewBudgets(retry.Budget{Burst: burst, Available: burst}),
 		MoveBudgets:  proxy.NewBudgets(retry.Budget{Burst: burst, Available: burst}),
 		Draining:     draining,
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -28,7 +28,7 @@
 
 // maxBufferedBytes is the maximum number of bytes of an answer that are buffered. An
 // answer of up to this size is known to be complete before any of it is sent to
-// the caller.
+// the caller, unless the budget for buffers is used up.
 const maxBufferedBytes = 1 << 20
 
 // result is how one attempt ended.
@@ -297,15 +297,23 @@
 // forwardWhole forwards an answer once it was received completely, or as it arrives
 // if it exceeds maxBufferedBytes.
 func (x *exchange) forwardWhole(response *http.Response) result {
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
-	if err != nil {
-		return broken
+	whole := newBuffer(x.handler.Buffers, maxBufferedBytes)
+	defer whole.release()
+	var err error
+	for err == nil {
+		err = whole.readFrom(response.Body)
 	}
-	x.recordUsage()
-	if len(data) > maxBufferedBytes {
-		return x.forwardLong(response, data)
+	success := response.StatusCode < http.StatusBadRequest
+	switch {
+	case err == io.EOF:
+	case err == errBufferFull && success:
+		x.recordUsage()
+		return x.forwardLong(response, whole.data)
+	default:
+		return broken // a failure of that size is no answer
 	}
-	buffered := &bufferedAnswer{status: response.StatusCode, header: response.Header, data: data}
+	x.recordUsage()
+	buffered := &bufferedAnswer{status: response.StatusCode, header: response.Header, data: whole.data}
 	if x.shouldRetryFailure(response.StatusCode) {
 		x.lastFailure = buffered
 		return broken
