acaciad/daemon: a restart reads the store at once, a store outage keeps followers together

Change: except at the first start of a deployment, a daemon first reads the tables from the store. A reader whose store fails tells its followers so and keeps them; once they are silent for too long, each calls the store every 4 s and tries readers in between. A refusal does not double a reader's cooldown.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -172,6 +172,7 @@
 // newFeed returns a feed of a table, which still lacks its function apply.
 func (d *Daemon) newFeed(table string) *feed {
 	f := newFeed(d.settings.Name, table, d.settings, d.store, d.logger)
+	f.coldStart = d.settings.ColdStart
 	f.awaitMembers = d.settings.NeighboursAddress != ""
 	f.membersOutdated = d.neighbours.Refresh
 	registerFeedMetrics(d.registry, f)
--- a/acaciad/daemon/feed.go
+++ b/acaciad/daemon/feed.go
@@ -29,6 +29,10 @@
 	// followerRetryInterval is the same for a daemon that usually follows a reader.
 	// There may be hundreds of these.
 	followerRetryInterval = time.Second
+	// followerStorePause is how long a daemon that usually follows a reader does not call
+	// a store that failed. In the meantime it tries to follow readers, which call more
+	// often.
+	followerStorePause = 4 * time.Second
 	// feedGapRatio is the time from a change to the next call, as a share of the time
 	// within which the daemon must follow a draining backend server. Changes in the
 	// meantime are read together. Without the gap, every daemon would call the store
@@ -80,6 +84,10 @@
 	// readers follows other daemons, and publisher passes the news on to followers.
 	readers   *reader.Client
 	publisher *reader.Publisher
+	// coldStart states that all daemons of the deployment start for the first time, long
+	// before there are callers. Otherwise the table is first read from the store, since
+	// readers may be starting as well, and callers wait.
+	coldStart bool
 	// awaitMembers states that the list of members will be set soon after the start.
 	awaitMembers bool
 	// membersOutdated is called when no reader in the list of members can be used.
@@ -91,8 +99,8 @@
 	lastNews   time.Time
 	membersSet chan struct{}
 
-	// restoredAt is when the store was last restored.
-	restoredAt time.Time
+	// failedAt is when the store last failed, and restoredAt when it was last restored.
+	failedAt, restoredAt time.Time
 	// version is the version of the store up to which the rows are applied, if
 	// versionKnown is set. They and failing are used only by run.
 	version               uint64
@@ -142,6 +150,9 @@
 // run follows the table until ctx is done.
 func (f *feed) run(ctx context.Context) {
 	defer f.publisher.Stop()
+	for !f.coldStart && !f.versionKnown && ctx.Err() == nil {
+		f.readStore(ctx, follow.Follows)
+	}
 	if f.awaitMembers {
 		select {
 		case <-f.membersSet:
@@ -150,15 +161,19 @@
 		}
 	}
 	for ctx.Err() == nil {
-		role, address := f.choose(time.Now())
-		if role != follow.Follows {
-			f.readStore(ctx, role)
+		now := time.Now()
+		role, address := f.choose(now)
+		pausing := f.isFollower() && f.failing && now.Sub(f.failedAt) < followerStorePause
+		switch {
+		case role != follow.Follows && pausing:
+			sleep.For(ctx, feedRetryInterval)
 			continue
-		}
-		// After a reader was silent, the store is read once before another reader is
-		// tried, since the news may already be old.
-		if f.versionKnown && f.age(time.Now()) > f.times.Gap+f.times.Hold && !f.readStore(ctx, role) {
+		case role != follow.Follows:
+			f.readStore(ctx, role)
 			continue
+		case f.versionKnown && !pausing && f.age(now) > f.times.Gap+f.times.Hold:
+			// After a reader was silent, the news may already be old.
+			f.readStore(ctx, role)
 		}
 		f.followReader(ctx, address)
 	}
@@ -195,6 +210,10 @@
 		if count++; count == 1 {
 			f.publisher.Stop()
 		}
+		if news.Failing {
+			f.noteFailing("the store does not answer the reader", now)
+			return
+		}
 		if f.failing || news.Restored && !f.justRestored(now) {
 			f.noteRestored(news.Version, now)
 		}
@@ -210,7 +229,11 @@
 	}
 	now := time.Now()
 	f.mu.Lock()
-	f.selector.Failed(address, now)
+	if errors.Is(err, reader.ErrRefused) {
+		f.selector.Refused(address, now)
+	} else {
+		f.selector.Failed(address, now)
+	}
 	f.mu.Unlock()
 	f.logger.WithFields(logrus.Fields{
 		"table": f.table, "reader": address, "error": err.Error(), "messages": count, "version": f.version,
@@ -218,6 +241,15 @@
 	}).Info("reader of a table can no longer be followed")
 }
 
+// noteFailing records that the store does not answer, for the given reason.
+func (f *feed) noteFailing(reason string, now time.Time) {
+	if !f.failing {
+		f.logger.WithFields(logrus.Fields{"table": f.table, "version": f.version, "error": reason}).Warn("store feed failed, retrying")
+	}
+	f.failing = true
+	f.storeFailed(now)
+}
+
 // noteRestored records that the store answers again.
 func (f *feed) noteRestored(version uint64, now time.Time) {
 	f.logger.WithFields(logrus.Fields{"table": f.table, "version": version}).Info("store feed restored")
@@ -256,6 +288,9 @@
 	switch role {
 	case follow.Reads:
 		hold, gap = f.times.Hold, f.times.Gap
+		if !f.publisher.Reading() {
+			hold = 0 // followers are waiting
+		}
 	case follow.Follows:
 		hold, gap = 0, 0
 	}
@@ -300,19 +335,16 @@
 	if ctx.Err() != nil {
 		return
 	}
-	f.storeFailed(time.Now())
 	if errors.Is(err, platform.ErrHistoryDropped) {
+		f.storeFailed(time.Now())
 		f.logger.WithFields(logrus.Fields{"table": f.table, "version": f.version}).
 			Warn("store dropped its history, reading the whole table again")
 		f.versionKnown = false
 		return
 	}
-	f.publisher.Stop()
-	if !f.failing {
-		f.logger.WithFields(logrus.Fields{"table": f.table, "version": f.version, "error": platformapi.Reason(err)}).
-			Warn("store feed failed, retrying")
-	}
-	f.failing = true
+	f.publisher.MarkFailing()
+	f.failedAt = time.Now()
+	f.noteFailing(platformapi.Reason(err), f.failedAt)
 	interval := feedRetryInterval
 	if f.isFollower() {
 		interval = followerRetryInterval
--- a/acaciad/reader/doc.go
+++ b/acaciad/reader/doc.go
@@ -6,5 +6,6 @@
 // JSON documents, one a line: at first the news after version V, and then one document
 // for each answer of the store, also if nothing has changed. A reader that does not
 // read the table, or whose own version is older than V, refuses with status 503. The
-// stream ends when the daemon stops reading the table or the store fails.
+// stream ends when the daemon stops reading the table. While the store does not answer
+// the reader, it says so once and is silent then.
 package reader
--- a/acaciad/reader/message.go
+++ b/acaciad/reader/message.go
@@ -17,6 +17,8 @@
 	Rows []row `json:"rows,omitempty"`
 	// Restored states that the store has answered again only since a moment ago.
 	Restored bool `json:"restored,omitempty"`
+	// Failing states that the store does not answer the reader at present.
+	Failing bool `json:"failing,omitempty"`
 	// AgeMS is the time since the store's answer, in milliseconds.
 	AgeMS int64 `json:"age-ms,omitempty"`
 }
@@ -31,7 +33,7 @@
 
 // encode returns the line for news of the given age.
 func encode(news follow.News, age time.Duration) ([]byte, error) {
-	m := message{Version: news.Version, Snapshot: news.Snapshot, Restored: news.Restored, AgeMS: age.Milliseconds()}
+	m := message{Version: news.Version, Snapshot: news.Snapshot, Restored: news.Restored, Failing: news.Failing, AgeMS: age.Milliseconds()}
 	for _, e := range news.Entries {
 		m.Rows = append(m.Rows, row(e))
 	}
@@ -41,7 +43,7 @@
 
 // news returns the news in a message.
 func (m *message) news() follow.News {
-	news := follow.News{Version: m.Version, Snapshot: m.Snapshot, Restored: m.Restored}
+	news := follow.News{Version: m.Version, Snapshot: m.Snapshot, Restored: m.Restored, Failing: m.Failing}
 	for _, r := range m.Rows {
 		news.Entries = append(news.Entries, follow.Entry(r))
 	}
--- a/acaciad/reader/publisher.go
+++ b/acaciad/reader/publisher.go
@@ -40,6 +40,8 @@
 	// updatedAt is when the latest news arrived, and restored their field Restored.
 	updatedAt time.Time
 	restored  bool
+	// failing states that the store has not answered since.
+	failing bool
 	// shared is the message that was encoded last, for followers of version
 	// sharedAfter. It is nil after an update.
 	shared      []byte
@@ -58,12 +60,23 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.log.Apply(news)
-	p.reading, p.updatedAt, p.restored, p.shared = reading, now, news.Restored, nil
+	p.reading, p.updatedAt, p.restored, p.failing, p.shared = reading, now, news.Restored, false, nil
 	p.notify()
 }
 
+// MarkFailing tells followers that the store does not answer. They stay until the news
+// are too old for them.
+func (p *Publisher) MarkFailing() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reading && !p.failing {
+		p.failing, p.shared = true, nil
+		p.notify()
+	}
+}
+
 // Stop ends the streams of all followers, because the daemon does not read the table
-// any more or because the store fails.
+// any more.
 func (p *Publisher) Stop() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -73,6 +86,13 @@
 	}
 }
 
+// Reading reports whether the publisher serves followers.
+func (p *Publisher) Reading() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reading
+}
+
 // Followers returns the number of followers.
 func (p *Publisher) Followers() int {
 	p.mu.Lock()
@@ -136,7 +156,7 @@
 	if !p.reading || !known {
 		return nil, after, nil, false
 	}
-	news.Restored = p.restored
+	news.Restored, news.Failing = p.restored, p.failing
 	line, err := encode(news, newsAge)
 	if err != nil {
 		return nil, after, nil, false // cannot happen: a message has only texts, bytes and numbers
--- a/core/follow/log.go
+++ b/core/follow/log.go
@@ -32,6 +32,9 @@
 	// Restored states that the store has answered again only since a moment ago. Rows
 	// that it removed during the outage may be written again.
 	Restored bool
+	// Failing states that the store does not answer the reader at present. Version and
+	// the rows are then those of its last answer.
+	Failing bool
 }
 
 // Log holds the rows of a table and its latest changes. The zero value is empty and
--- a/core/follow/selector.go
+++ b/core/follow/selector.go
@@ -14,8 +14,8 @@
 	// maxReaders is the number of members, in the order of Rank, that may be readers.
 	// If none of them can be used, every daemon reads for itself.
 	maxReaders = 3
-	// minCooldown and maxCooldown bound the time for which a reader that failed is not
-	// used. It doubles with each failure in a row.
+	// minCooldown and maxCooldown bound the time for which a reader is not used after a
+	// failure. It doubles with each failure in a row, but not when the reader refuses.
 	minCooldown = 2 * time.Second
 	maxCooldown = 5 * time.Minute
 )
@@ -101,8 +101,19 @@
 	return role == Alone && s.HasReaders()
 }
 
-// Failed records that a reader refused to be followed, was silent for too long or was
-// found to be behind.
+// Refused records that a reader answered that it cannot be followed at present, for
+// example because the store does not answer it.
+func (s *Selector) Refused(address string, now time.Time) {
+	if s.cooldowns == nil {
+		s.cooldowns = make(map[string]cooldown)
+	}
+	c := s.cooldowns[address]
+	c.until = now.Add(minCooldown)
+	s.cooldowns[address] = c
+}
+
+// Failed records that a reader could not be reached, was silent for too long or sent no
+// news.
 func (s *Selector) Failed(address string, now time.Time) {
 	if s.cooldowns == nil {
 		s.cooldowns = make(map[string]cooldown)
