core/connections: a planned stop answers requests on connections that were just accepted

Cause: http.Server.Shutdown drops a request that it reads after it was called, also on a connection accepted before.

Change: the listeners are closed first; http.Server.Shutdown is called only once no connection has a request and new ones had a second to send theirs.

--- a/acaciad/control/usage.go
+++ b/acaciad/control/usage.go
@@ -23,8 +23,11 @@
 	// settleInterval is how often the holder of the lease checks for a window to
 	// settle.
 	settleInterval = time.Second
-	// flushRetryInterval is the time between two attempts to write parts.
-	flushRetryInterval = 400 * time.Millisecond
+	// minFlushRetry and maxFlushRetry bound the time between two attempts to write parts,
+	// which doubles with each failure. After an outage, all parts must be written within
+	// storeReturnGrace.
+	minFlushRetry = 400 * time.Millisecond
+	maxFlushRetry = 1100 * time.Millisecond
 	// smallDeployment is the number of daemons below which each writes two parts
 	// per window. If a process is killed, its usage since the last part is lost.
 	// With fewer daemons, the usage of one daemon in a whole window could exceed
@@ -102,9 +105,14 @@
 			return
 		case <-closed:
 		}
-		for !u.flush(ctx) && ctx.Err() == nil {
-			sleep.For(ctx, flushRetryInterval)
-		}
+		u.flushAll(ctx)
+	}
+}
+
+// flushAll tries to write all closed parts until that has succeeded or ctx is done.
+func (u *Usage) flushAll(ctx context.Context) {
+	for retry := minFlushRetry; !u.flush(ctx) && ctx.Err() == nil; retry = min(2*retry, maxFlushRetry) {
+		sleep.For(ctx, retry)
 	}
 }
 
@@ -125,9 +133,7 @@
 // is written or ctx is done.
 func (u *Usage) Finish(ctx context.Context) {
 	u.closePart(time.Now())
-	for !u.flush(ctx) && ctx.Err() == nil {
-		sleep.For(ctx, flushRetryInterval)
-	}
+	u.flushAll(ctx)
 }
 
 // closePart closes the current part at now and queues it for writing.
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"acaciapath.example/acaciad/neighbours"
 	"acaciapath.example/acaciad/proxy"
 	"acaciapath.example/core/config"
+	"acaciapath.example/core/connections"
 	"acaciapath.example/core/follow"
 	"acaciapath.example/core/lease"
 	"acaciapath.example/core/replica"
@@ -216,7 +217,8 @@
 		return err
 	}
 	server := &http.Server{Handler: d.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: nil}
-	go d.serve(server, callers)
+	connections := connections.Track(server)
+	go d.logServeError(func() error { return connections.Serve(callers) })
 	go d.serve(&http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout}, ready)
 	d.serveMetrics()
 	d.serveNeighbours()
@@ -231,7 +233,7 @@
 		d.logger.WithField("settings", d.settings.DefaultedKeys).Warn("keys missing in the settings file, using defaults")
 	}
 	<-ctx.Done()
-	d.shutDown(server, background, controlTasks)
+	d.shutDown(connections, background, controlTasks)
 	return nil
 }
 
--- a/acaciad/daemon/listeners.go
+++ b/acaciad/daemon/listeners.go
@@ -24,9 +24,14 @@
 	callerIdleTimeout = 60 * time.Second
 )
 
-// serve serves connections of listener until server is shut down.
+// serve serves connections of listener until the process ends.
 func (d *Daemon) serve(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
+	d.logServeError(func() error { return server.Serve(listener) })
+}
+
+// logServeError calls serve and logs its error, if any.
+func (d *Daemon) logServeError(serve func() error) {
+	if err := serve(); err != nil {
 		d.logger.WithError(err).Error("listener failed, no longer accepting connections on it")
 	}
 }
--- a/acaciad/daemon/shutdown.go
+++ b/acaciad/daemon/shutdown.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
+	"acaciapath.example/core/connections"
 	"acaciapath.example/core/sleep"
 )
 
@@ -23,7 +23,7 @@
 
 // shutDown makes the daemon not ready, waits for running requests, writes the remaining
 // usage, and returns before the platform would kill the process.
-func (d *Daemon) shutDown(server *http.Server, background, controlTasks *taskGroup) {
+func (d *Daemon) shutDown(callers *connections.Tracker, background, controlTasks *taskGroup) {
 	began := time.Now()
 	d.logger.Info("shutting down")
 	d.startDraining()
@@ -42,7 +42,7 @@
 		}
 	}()
 	sleep.For(servingCtx, stopAcceptingDelay)
-	if err := server.Shutdown(servingCtx); err != nil {
+	if err := callers.Shutdown(servingCtx); err != nil {
 		d.logger.WithError(err).Warn("shutdown deadline reached, aborting running requests")
 	}
 	background.stop()
--- a/acaciad/neighbours/registry.go
+++ b/acaciad/neighbours/registry.go
@@ -28,9 +28,10 @@
 	readInterval = 4 * time.Minute
 	// minReadInterval is the least time between two reads that Refresh asks for.
 	minReadInterval = 8 * time.Second
-	// retryInterval is how often the registry checks whether a write or a read is due.
-	// While the store does not answer, it is the time between two attempts.
-	retryInterval = time.Second
+	// checkInterval is how often the registry checks whether a write or a read is due.
+	checkInterval = time.Second
+	// retryInterval is the time between two attempts while the store does not answer.
+	retryInterval = 5 * time.Second
 )
 
 // maxNeighbours is the maximum number of neighbours that calls are sent through, since
@@ -88,22 +89,21 @@
 func (r *Registry) Run(ctx context.Context) {
 	var nextWrite, nextRead, lastRead time.Time
 	for ctx.Err() == nil {
-		if now := time.Now(); !now.Before(nextWrite) && r.write(ctx, now) {
-			if nextWrite.IsZero() && r.ColdStart {
+		if now := time.Now(); !now.Before(nextWrite) {
+			first := nextWrite.IsZero()
+			nextWrite = now.Add(retryInterval)
+			if r.write(ctx, now) {
+				nextWrite = now.Add(heartbeatInterval)
+			}
+			if first && r.ColdStart {
 				sleep.For(ctx, coldStartDelay)
 			}
-			nextWrite = now.Add(heartbeatInterval)
 		}
 		now := time.Now()
-		refresh := r.refresh.Load() && now.Sub(lastRead) >= minReadInterval
-		if (refresh || !now.Before(nextRead)) && r.read(ctx, now) {
-			r.refresh.Store(false)
-			lastRead, nextRead = now, now.Add(readInterval+time.Duration(r.Random.Int64N(int64(readInterval/2))))
-			if r.knownCount == 0 {
-				nextRead = now.Add(firstReadInterval)
-			}
+		if refresh := r.refresh.Load() && now.Sub(lastRead) >= minReadInterval; refresh || !now.Before(nextRead) {
+			lastRead, nextRead = now, now.Add(r.read(ctx, now))
 		}
-		sleep.For(ctx, retryInterval)
+		sleep.For(ctx, checkInterval)
 	}
 }
 
@@ -135,14 +135,14 @@
 }
 
 // read reads the rows of the daemon's failure domain, or of all if there are none, and
-// reports whether that succeeded.
-func (r *Registry) read(ctx context.Context, now time.Time) bool {
+// returns the time until the next read.
+func (r *Registry) read(ctx context.Context, now time.Time) time.Duration {
 	var neighbours []detour.Neighbour
 	for i, rowPrefix := range []string{keyPrefix + r.FailureDomain + "/", keyPrefix} {
 		rows, err := r.Table.List(ctx, &table.ListPayload{Prefix: rowPrefix, Limit: maxRows})
 		if err != nil {
 			r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot read neighbour rows, will retry")
-			return false
+			return retryInterval
 		}
 		var members []follow.Member
 		neighbours, members = r.parseRows(rows, now)
@@ -160,7 +160,11 @@
 		r.Logger.WithField("neighbours", len(neighbours)).Info("number of known neighbours changed")
 	}
 	r.OnUpdate(neighbours)
-	return true
+	r.refresh.Store(false)
+	if r.knownCount == 0 {
+		return firstReadInterval
+	}
+	return readInterval + time.Duration(r.Random.Int64N(int64(readInterval/2)))
 }
 
 // parseRows returns the daemons in rows that have not expired: as neighbours, without
