--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"acaciapath.example/acaciad/neighbours"
 	"acaciapath.example/acaciad/proxy"
 	"acaciapath.example/core/config"
+	"acaciapath.example/core/connections"
 	"acaciapath.example/core/follow"
 	"acaciapath.example/core/lease"
 	"acaciapath.example/core/replica"
@@ -50,6 +51,19 @@
 // memory.
 const memoryLimitRatio = 0.6
 
+// Memory for large answers that are being received.
+const (
+	// bufferRatio is its share of the VM's memory.
+	bufferRatio = 0.1
+	// minBufferBytes applies if the settings do not state the VM's memory.
+	minBufferBytes = 8 << 20
+)
+
+// bufferBytes returns the memory for large answers on a VM.
+func bufferBytes(memoryBytes int64) int64 {
+	return max(int64(bufferRatio*float64(memoryBytes)), minBufferBytes)
+}
+
 // Daemon serves callers on an entry VM and takes part in the control tasks.
 type Daemon struct {
 	settings    platform.Settings
@@ -66,6 +80,7 @@
 	catalogFeed    *feed
 	serversFeed    *feed
 	writeQueue     *neighbours.WriteQueue
+	collector      *neighbours.Collector
 	usage          *control.Usage
 	autoscaler     *control.Autoscaler
 	keeper         *lease.Keeper
@@ -117,6 +132,9 @@
 		Send: d.directStore.Post, Adopt: d.adoptWrite, TTL: s.UsageDeadline,
 		ShuttingDown: func() bool { return d.draining.Err() != nil }, Logger: logger,
 	}
+	d.collector = neighbours.NewCollector()
+	d.collector.Table, d.collector.Logger = directTable, logger
+	d.collector.Parse, d.collector.Conflict = platform.ParseTransaction, platform.EncodeConflict
 	d.autoscaler = &control.Autoscaler{
 		Directory:      d.directory,
 		Scaler:         cloud,
@@ -144,6 +162,7 @@
 		Meter:        d.usage.Meter,
 		Metrics:      proxy.NewMetrics(d.registry),
 		Logger:       logger,
+		Buffers:      proxy.NewBufferBudget(bufferBytes(s.MemoryBytes)),
 		RetryBudgets: proxy.NewBudgets(retryBudget(s, now)),
 		MoveBudgets:  proxy.NewBudgets(moveBudget(s, now)),
 		Draining:     d.draining,
@@ -154,6 +173,7 @@
 // newFeed returns a feed of a table, which still lacks its function apply.
 func (d *Daemon) newFeed(table string) *feed {
 	f := newFeed(d.settings.Name, table, d.settings, d.store, d.logger)
+	f.coldStart = d.settings.ColdStart
 	f.awaitMembers = d.settings.NeighboursAddress != ""
 	f.membersOutdated = d.neighbours.Refresh
 	registerFeedMetrics(d.registry, f)
@@ -164,6 +184,7 @@
 func (d *Daemon) setMembers(members []follow.Member) {
 	d.catalogFeed.setMembers(members)
 	d.serversFeed.setMembers(members)
+	d.storeTransport.SetMembers(d.settings.Name, members)
 }
 
 // adoptWrite takes over the usage in a write that another daemon handed over and that
@@ -196,7 +217,8 @@
 		return err
 	}
 	server := &http.Server{Handler: d.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: nil}
-	go d.serve(server, callers)
+	connections := connections.Track(server)
+	go d.logServeError(func() error { return connections.Serve(callers) })
 	go d.serve(&http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout}, ready)
 	d.serveMetrics()
 	d.serveNeighbours()
@@ -211,7 +233,7 @@
 		d.logger.WithField("settings", d.settings.DefaultedKeys).Warn("keys missing in the settings file, using defaults")
 	}
 	<-ctx.Done()
-	d.shutDown(server, background, controlTasks)
+	d.shutDown(connections, background, controlTasks)
 	return nil
 }
 
@@ -225,6 +247,7 @@
 	if d.settings.NeighboursAddress != "" {
 		background.run(d.neighbours.Run)
 		background.run(d.writeQueue.Run)
+		background.run(d.collector.Run)
 	}
 	background.run(d.catalogFeed.run)
 	background.run(d.serversFeed.run)
