--- a/entryd/caller/server.go
+++ b/entryd/caller/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"acaciapath.example/core/config"
+	"acaciapath.example/core/connections"
 )
 
 // Limits of connections before and between requests.
@@ -41,6 +42,7 @@
 // net/http cannot change it.
 type generation struct {
 	server        *http.Server
+	tracker       *connections.Tracker
 	connections   *channelListener
 	headerTimeout time.Duration
 }
@@ -89,8 +91,9 @@
 		connections:   newChannelListener(s.listener.Addr()),
 		headerTimeout: headerTimeout,
 	}
+	g.tracker = connections.Track(g.server)
 	s.generations = append(s.generations, g)
-	go func() { _ = g.server.Serve(g.connections) }()
+	go func() { _ = g.tracker.Serve(g.connections) }()
 }
 
 func (s *Server) current() *generation { return s.generations[len(s.generations)-1] }
@@ -120,7 +123,7 @@
 // ended, or with the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
 	for _, g := range s.close() {
-		if err := g.server.Shutdown(ctx); err != nil {
+		if err := g.tracker.Shutdown(ctx); err != nil {
 			return err
 		}
 	}
