--- a/acaciad/proxy/endless_test.go
+++ b/acaciad/proxy/endless_test.go
@@ -164,6 +164,36 @@
 	f.Check(peak() < smallestMemory, qt.IsTrue, qt.Commentf("%d MB of heap", peak()>>20))
 }
 
+// TestSlowAndStalledStreams has one engine send an event now and then, and another one
+// byte of an event now and then. The former stream must complete, and the latter must
+// break off when the caller's time is over, but not look complete.
+func TestSlowAndStalledStreams(t *testing.T) {
+	const events = 5
+	f := newFixture(t, 0)
+	patient := testCatalog()
+	for i := range patient.Routes {
+		patient.Routes[i].Timeout = 20 * time.Second
+	}
+	f.directory.SetCatalog(patient, time.Now())
+	slow := f.startServer("i-1", "llm", events)
+	slow.SetPause(700 * time.Millisecond)
+	r := f.request(f.Context(), http.MethodPost, "/quote/", "x")
+	r.Header.Set("X-Deadline-Ms", "20000")
+	a := f.do(r)
+	f.Assert(a.err, qt.IsNil)
+	f.Assert(strings.Count(a.body, "\n\n"), qt.Equals, events)
+
+	f = newFixture(t, 0)
+	f.loadCatalog()
+	stalled := startEndlessServer(f.C, okHead+"Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: ", "x", 100*time.Millisecond)
+	f.registerServer("i-1", "llm", stalled.listener.Addr().String())
+	began := time.Now()
+	a = f.do(f.request(f.Context(), http.MethodPost, "/quote/", "x"))
+	f.Assert(a.err, qt.IsNotNil)
+	f.Assert(time.Since(began) < 4*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+	f.eventually(func() bool { return stalled.open.Load() == 0 })
+}
+
 // TestServerWithEndlessAnswersIsAvoided checks that a server that answers without end is
 // not chosen for a while, and that requests which may be repeated are answered by another.
 func TestServerWithEndlessAnswersIsAvoided(t *testing.T) {
