acaciad/soak: seeds with nine daemons, where one reads the store for the others

The first lease polls of a new deployment are 10 s apart instead of 20, so that a holder that dies in its first seconds is replaced sooner.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -41,7 +41,7 @@
 	settleMargin = 2 * time.Second
 	// initialLeasePoll is how often a daemon checks whether the lease is free, until
 	// it knows how many other daemons do so. It allows for hundreds.
-	initialLeasePoll = 20 * time.Second
+	initialLeasePoll = 10 * time.Second
 	// leaseStartSpread bounds the random delay before the first check, since all daemons
 	// may start together.
 	leaseStartSpread = 3 * time.Second
--- a/acaciad/soak/cluster_test.go
+++ b/acaciad/soak/cluster_test.go
@@ -22,10 +22,12 @@
 // Parameters of a run.
 const (
 	daemonCount = 3
-	shopCount   = 3
-	engineCount = 4
-	callerCount = 12
-	eventCount  = 12
+	// largeDaemonCount is enough for one daemon to read the store for the others.
+	largeDaemonCount = 9
+	shopCount        = 3
+	engineCount      = 4
+	callerCount      = 12
+	eventCount       = 12
 	// eventPause is the time before each event. It is long enough for a stream to
 	// outlast the notice of a draining engine.
 	eventPause = 60 * time.Millisecond
@@ -70,8 +72,8 @@
 	version int
 }
 
-// newCluster starts the stand-ins and the daemons. The daemons log to files in dir.
-func newCluster(c *qt.C, binary, dir string) *cluster {
+// newCluster starts the stand-ins and a number of daemons, which log to files in dir.
+func newCluster(c *qt.C, binary, dir string, daemons int) *cluster {
 	cl := &cluster{C: c, binary: binary, store: platformtest.NewStore(), cloud: platformtest.NewCloudAPI()}
 	c.Cleanup(cl.store.Close)
 	c.Cleanup(cl.cloud.Close)
@@ -82,7 +84,7 @@
 		cl.addServer(fmt.Sprintf("engine-%d", i), "llm", eventCount)
 	}
 	cl.writeConfig(true)
-	for i := range daemonCount {
+	for i := range daemons {
 		cl.addVM(fmt.Sprintf("vm-%d", i), dir)
 	}
 	return cl
--- a/acaciad/soak/soak_test.go
+++ b/acaciad/soak/soak_test.go
@@ -17,9 +17,10 @@
 )
 
 var (
-	firstSeed  = flag.Uint64("first", 1, "first seed of the soak")
-	seedCount  = flag.Int("seeds", 2, "number of seeds of the soak")
-	soakLength = flag.Duration("length", 8*time.Second, "how long a seed's faults last")
+	firstSeed       = flag.Uint64("first", 1, "first seed of the soak")
+	seedCount       = flag.Int("seeds", 2, "number of seeds of the soak")
+	readerSeedCount = flag.Int("reader-seeds", 1, "number of seeds of the soak with readers")
+	soakLength      = flag.Duration("length", 8*time.Second, "how long a seed's faults last")
 )
 
 // regressions lists seeds that once failed, each with the cause.
@@ -44,23 +45,33 @@
 		seeds = append(seeds, *firstSeed+uint64(i))
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(qt.New(t), binary, seed) })
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(qt.New(t), binary, seed, daemonCount) })
 	}
 }
 
-// runSeed runs the test with one seed.
-func runSeed(c *qt.C, binary string, seed uint64) {
+// TestSoakWithReaders runs seeds in a failure domain that is large enough for one daemon to
+// read the store for the others.
+func TestSoakWithReaders(t *testing.T) {
+	binary := build(t, t.TempDir())
+	for i := range *readerSeedCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(qt.New(t), binary, seed, largeDaemonCount) })
+	}
+}
+
+// runSeed runs the test with one seed and a number of daemons.
+func runSeed(c *qt.C, binary string, seed uint64, daemons int) {
 	dir, err := os.MkdirTemp("", "acaciapath-soak-")
 	c.Assert(err, qt.IsNil)
-	cl := newCluster(c, binary, dir)
+	cl := newCluster(c, binary, dir, daemons)
 	injector := newFaultInjector(cl, seed)
 	c.Cleanup(func() {
 		if !c.Failed() {
 			_ = os.RemoveAll(dir)
 			return
 		}
-		c.Logf("logs: %s\ncommand: go test ./soak -args -first %d -seeds 1 -length %s\n%s",
-			dir, seed, *soakLength, strings.Join(injector.history, "\n"))
+		c.Logf("logs: %s\ncommand: go test ./soak -run %s -args -first %d -seeds 1 -length %s\n%s",
+			dir, strings.SplitN(c.Name(), "/", 2)[0], seed, *soakLength, strings.Join(injector.history, "\n"))
 	})
 	cl.waitUntilServing()
 	ctx, stop := context.WithTimeout(context.Background(), *soakLength)
