core/connections: idle connections are closed at once by a planned stop

Change: idle connections get a read deadline when the listeners are closed, so that one that already has a request still answers it. A stream that is asked for later than 2.8 s after the beginning of a stop is refused as not run.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -90,7 +90,10 @@
 	// draining is done when the shutdown begins.
 	draining      context.Context
 	startDraining context.CancelFunc
-	mu            sync.Mutex // guards updater
+	// streamsEnd is done when it is too late for another stream before the shutdown ends.
+	streamsEnd context.Context
+	endStreams context.CancelFunc
+	mu         sync.Mutex // guards updater
 }
 
 // New returns a daemon that starts when Run is called.
@@ -101,6 +104,7 @@
 	d := &Daemon{settings: s, logger: logger, directory: directory.New(s.FailureDomain, s.ServerDrain, random)}
 	d.updater = newDirectoryUpdater(d.directory, logger)
 	d.draining, d.startDraining = context.WithCancel(context.Background())
+	d.streamsEnd, d.endStreams = context.WithCancel(context.Background())
 	d.registry = prometheus.NewRegistry()
 	d.storeTransport = neighbours.NewTransport(platform.NewStoreTransport(), s.FailureDomain, neighbours.NewMetrics(d.registry), logger,
 		rand.New(rand.NewPCG(uint64(now.UnixNano()), 2)))
@@ -166,6 +170,7 @@
 		RetryBudgets: proxy.NewBudgets(retryBudget(s, now)),
 		MoveBudgets:  proxy.NewBudgets(moveBudget(s, now)),
 		Draining:     d.draining,
+		StreamsEnd:   d.streamsEnd,
 	}
 	return d
 }
--- a/acaciad/daemon/shutdown.go
+++ b/acaciad/daemon/shutdown.go
@@ -13,6 +13,9 @@
 	// stopAcceptingDelay is how long connections are still accepted once the daemon
 	// is no longer ready. The platform checks readiness twice in this time.
 	stopAcceptingDelay = 2500 * time.Millisecond
+	// lateStreamDelay is how long after that requests for streams are still accepted, on
+	// connections that were opened before. A later stream would often be cut.
+	lateStreamDelay = 300 * time.Millisecond
 	// killMargin is the time between the exit of the process and the time at which the
 	// platform would kill it.
 	killMargin = 700 * time.Millisecond
@@ -42,6 +45,7 @@
 		}
 	}()
 	sleep.For(servingCtx, stopAcceptingDelay)
+	time.AfterFunc(lateStreamDelay, d.endStreams)
 	if err := callers.Shutdown(servingCtx); err != nil {
 		d.logger.WithError(err).Warn("shutdown deadline reached, aborting running requests")
 	}
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -66,6 +66,8 @@
 	MoveBudgets *Budgets
 	// Draining is done when the daemon begins to shut down.
 	Draining context.Context
+	// StreamsEnd is done once the daemon will stop too soon for another stream.
+	StreamsEnd context.Context
 }
 
 var _ http.Handler = (*Handler)(nil)
@@ -100,6 +102,7 @@
 // Refusals that do not depend on the request.
 var (
 	unknownCatalog    = &refusal{status: http.StatusServiceUnavailable, reason: "catalog-unknown", retryAfter: retryAfterNoCatalog}
+	shuttingDown      = &refusal{status: http.StatusServiceUnavailable, reason: "shutting-down", retryAfter: retryAfterFailure}
 	unknownRoute      = &refusal{status: http.StatusNotFound, reason: "route-unknown"}
 	unknownKey        = &refusal{status: http.StatusUnauthorized, reason: "key-unknown"}
 	bodyTooLarge      = &refusal{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
@@ -185,6 +188,9 @@
 	if index.RequiresKey(x.route) && x.account == nil {
 		return unknownKey
 	}
+	if x.route.Kind == catalog.Stream && h.StreamsEnd.Err() != nil {
+		return shuttingDown
+	}
 	if refused := x.readBody(index.Catalog.Limits.BodyBytes); refused != nil {
 		return refused
 	}
--- a/acaciad/proxy/handler_test.go
+++ b/acaciad/proxy/handler_test.go
@@ -339,6 +339,24 @@
 	f.Assert(took > 1900*time.Millisecond && took < 2400*time.Millisecond, qt.IsTrue, qt.Commentf("%s", took))
 }
 
+// TestLateStreamsAreRefused checks that a daemon which is about to stop refuses streams as
+// not run, and still answers short requests.
+func TestLateStreamsAreRefused(t *testing.T) {
+	f := newFixture(t, 2)
+	f.loadCatalog()
+	engine, shop := f.startServer("i-1", "llm", 6), f.startServer("i-2", "shop", 0)
+	f.startDrain()
+	f.Assert(f.send(http.MethodPost, "/quote/", "x").status, qt.Equals, http.StatusOK)
+	f.endStreams()
+	a := f.send(http.MethodPost, "/quote/", "x")
+	f.Assert(a.status, qt.Equals, http.StatusServiceUnavailable)
+	f.Assert(a.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	f.Assert(a.close, qt.IsTrue)
+	f.Assert(receivedCount(engine), qt.Equals, 1)
+	f.Assert(f.send(http.MethodPost, "/order/", "x").status, qt.Equals, http.StatusOK)
+	f.Assert(receivedCount(shop), qt.Equals, 1)
+}
+
 // TestDraining checks that a draining daemon keeps serving and asks callers to close
 // their connections.
 func TestDraining(t *testing.T) {
--- a/acaciad/proxy/harness_test.go
+++ b/acaciad/proxy/harness_test.go
@@ -34,6 +34,7 @@
 	handler    *proxy.Handler
 	frontend   *httptest.Server
 	startDrain context.CancelFunc
+	endStreams context.CancelFunc
 	specs      []replica.Spec
 }
 
@@ -76,6 +77,8 @@
 	logger.SetOutput(io.Discard)
 	draining, startDrain := context.WithCancel(context.Background())
 	f.startDrain = startDrain
+	streamsEnd, endStreams := context.WithCancel(context.Background())
+	f.endStreams = endStreams
 	f.handler = &proxy.Handler{
 		Directory:    f.directory,
 		Client:       proxy.NewClient(),
@@ -86,11 +89,13 @@
 		RetryBudgets: proxy.NewBudgets(retry.Budget{Burst: burst, Available: burst}),
 		MoveBudgets:  proxy.NewBudgets(retry.Budget{Burst: burst, Available: burst}),
 		Draining:     draining,
+		StreamsEnd:   streamsEnd,
 	}
 	f.frontend = httptest.NewServer(f.handler)
 	c.Cleanup(func() {
 		f.frontend.Close()
 		startDrain()
+		endStreams()
 	})
 	return f
 }
--- a/acaciapath/explain/cause.go
+++ b/acaciapath/explain/cause.go
@@ -12,6 +12,7 @@
 	"no-backend-server": "the VM knew no backend server of the service",
 	"timeout":           "the time limit of the caller or of the route expired before an answer arrived",
 	"timeout-not-run":   "the time limit of the caller or of the route expired before a backend server accepted the request",
+	"shutting-down":     "the VM was about to stop, too soon for another stream",
 	"catalog-unknown":   "the VM had not read the configuration yet",
 	"route-unknown":     "no route of the configuration in force matches the host and the path",
 	"key-unknown":       "the key is not in the configuration in force",
--- a/core/connections/tracker.go
+++ b/core/connections/tracker.go
@@ -61,11 +61,13 @@
 	return err
 }
 
-// Shutdown closes the listeners, and waits until no connection has a request and new
-// connections had time to send theirs. It then closes the remaining connections and
-// returns nil. If ctx ends first, it returns its error and leaves connections open.
+// Shutdown closes the listeners and idle connections, and waits until no connection has a
+// request and new connections had time to send theirs. It then closes the remaining
+// connections and returns nil. If ctx ends first, it returns its error and leaves
+// connections open. Answers should ask callers to close their connections meanwhile.
 func (t *Tracker) Shutdown(ctx context.Context) error {
 	t.closeListeners()
+	t.closeIdle()
 	closedAt := time.Now()
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
@@ -89,6 +91,19 @@
 	}
 }
 
+// closeIdle makes the server close connections that wait for their next request. They are
+// not closed here: the server may just have read a request whose state it has not reported
+// yet, and that request must be answered.
+func (t *Tracker) closeIdle() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c, state := range t.states {
+		if state == http.StateIdle {
+			_ = c.SetReadDeadline(time.Unix(1, 0)) // an error means that it is closed already
+		}
+	}
+}
+
 // busy reports whether a connection has a request or, if withNew is set, may send its
 // first one.
 func (t *Tracker) busy(withNew bool) bool {
