--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -30,9 +30,8 @@
 	PromptTokens int
 	// CopiedKVTokens is the number of tokens whose KV cache is copied to the
 	// server from the engine that has run the request so far, or 0. In that
-	// case FailureDomain is the failure domain of that engine. The prompt is
-	// not processed again, so the request does not delay requests of other
-	// lanes.
+	// case FailureDomain is the failure domain of that engine. Engines do not
+	// preempt such a request, so it is placed only on servers of its own lane.
 	CopiedKVTokens int
 	// FirstEventTarget is the latency objective of the first event, or 0 if the
 	// first event has arrived.
@@ -213,13 +212,14 @@
 
 // Choose returns the server on which to run a request, or nil if all servers
 // are excluded. A server that is full, in cooldown or reserved for another lane
-// is chosen if no better one is left.
+// is chosen if no better one is left. A run that is moved with a copy of its KV cache
+// stays in its lane.
 func (p *Pool) Choose(requirements Requirements, now time.Time, random *rand.Rand) *Server {
 	prefixServer := p.prefixServer(requirements)
 	var best *Server
 	bestCost := 0.0
 	for _, s := range p.Servers {
-		if s.isExcluded() {
+		if s.isExcluded() || !p.accepts(s, requirements) {
 			continue
 		}
 		c := cost(s, requirements, prefixServer, now) + jitterTokens*random.Float64()
@@ -230,6 +230,14 @@
 	return best
 }
 
+// accepts reports whether a server may run a request. When a failure domain loses its
+// cheap servers in a burst, the servers that remain are those of the more urgent lanes.
+// Runs that are moved there are not preempted, so that the engine would preempt
+// urgent requests instead.
+func (p *Pool) accepts(s *Server, requirements Requirements) bool {
+	return requirements.CopiedKVTokens == 0 || p.Shares == (Shares{}) || s.Lane == requirements.Lane
+}
+
 // prefixServer returns the server that should cache the shared prefix of a
 // prompt, by rendezvous hashing, or nil if the prompt has no shared prefix or
 // the lane has no server. Requests with short pauses have none.
@@ -260,7 +268,7 @@
 	if s.Spec.FailureDomain != requirements.FailureDomain {
 		c += otherDomainCost(requirements)
 	}
-	if requirements.Generates && s.Lane != requirements.Lane && requirements.CopiedKVTokens == 0 {
+	if requirements.Generates && s.Lane != requirements.Lane {
 		c += otherLaneTokens
 	}
 	if s != prefixServer && !s.Cached(requirements.SharedPrefixKey) {
--- a/core/placement/pool_test.go
+++ b/core/placement/pool_test.go
@@ -82,6 +82,40 @@
 	}
 }
 
+// TestMovedRunsStayInTheirLane has a failure domain lose its cheap servers, so that only
+// servers for short pauses are left there. Letters that are moved must go to patient
+// servers of other failure domains, and stay where they are if there are none.
+func TestMovedRunsStayInTheirLane(t *testing.T) {
+	c := qt.New(t)
+	specs := append(fleet(2, config.KindStandard), fleet(10, config.KindCheap)...)
+	for i := range specs {
+		specs[i].Draining = specs[i].Kind == config.KindCheap && specs[i].FailureDomain == "a"
+	}
+	p := newPool(0.2, specs...)
+	random := newRandom()
+	letter := placement.Requirements{FailureDomain: "a", Generates: true, CopiedKVTokens: 17000}
+	for range 500 {
+		s := p.Choose(letter, start, random)
+		c.Assert(s.Lane, qt.Equals, placement.Patient)
+		s.BeginRequest(letter, start)
+	}
+	for i := range specs {
+		specs[i].Draining = specs[i].Kind == config.KindCheap
+	}
+	p.Update(specs)
+	for _, s := range p.Servers {
+		if s.Spec.Kind == config.KindStandard {
+			s.Lane = placement.ShortPauses
+		}
+	}
+	c.Assert(p.Choose(letter, start, random), qt.IsNil)
+	letter.CopiedKVTokens = 0
+	c.Assert(p.Choose(letter, start, random), qt.IsNotNil)
+	p.SetShares(placement.Shares{})
+	letter.CopiedKVTokens, letter.Lane = 17000, placement.ShortPauses
+	c.Assert(p.Choose(letter, start, random), qt.IsNotNil)
+}
+
 // TestOnlyServerServesAllLanes checks that requests of every lane are served if
 // only one server is left.
 func TestOnlyServerServesAllLanes(t *testing.T) {
