acaciad/daemon: rows of a reader whose store fails are applied

Found in review: the news with which a reader says that its store does not answer also carry its rows for a daemon that starts to follow it then. They were dropped, and the next news continued after them, so that the daemon would have lacked these rows for good. TestReaderWithoutStoreTellsItsRows fails on the code before.

--- a/acaciad/daemon/feed.go
+++ b/acaciad/daemon/feed.go
@@ -210,11 +210,10 @@
 		if count++; count == 1 {
 			f.publisher.Stop()
 		}
-		if news.Failing {
+		switch {
+		case news.Failing:
 			f.noteFailing("the store does not answer the reader", now)
-			return
-		}
-		if f.failing || news.Restored && !f.justRestored(now) {
+		case f.failing, news.Restored && !f.justRestored(now):
 			f.noteRestored(news.Version, now)
 		}
 		f.accept(news, false, now)
@@ -268,9 +267,11 @@
 func (f *feed) accept(news follow.News, reading bool, now time.Time) bool {
 	f.publisher.Record(news, reading, now)
 	f.version, f.versionKnown = news.Version, true
-	f.mu.Lock()
-	f.lastNews = now
-	f.mu.Unlock()
+	if !news.Failing {
+		f.mu.Lock()
+		f.lastNews = now
+		f.mu.Unlock()
+	}
 	if !news.Snapshot && len(news.Entries) == 0 {
 		return false
 	}
--- a/acaciad/daemon/follow_test.go
+++ b/acaciad/daemon/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -311,6 +312,46 @@
 	d.checkVersions()
 }
 
+// TestReaderWithoutStoreTellsItsRows has a daemon start to follow a reader whose store
+// does not answer. It must notice that, and still apply the rows that the reader has.
+func TestReaderWithoutStoreTellsItsRows(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, `{"version":5,"snapshot":true,"failing":true,"rows":[{"key":"a","version":4}]}`+"\n")
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	c.Cleanup(server.Close)
+	c.Cleanup(server.CloseClientConnections)
+	members := []follow.Member{{VM: "reader", Address: strings.TrimPrefix(server.URL, "http://"), Cores: 4}}
+	for i := range follow.MinMembers {
+		members = append(members, follow.Member{VM: fmt.Sprintf("vm-%d", i), Address: "127.0.0.1:1", Cores: 1})
+	}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	store := platform.NewStore("127.0.0.1:1", time.Second, platform.NewStoreTransport())
+	f := newFeed("vm-0", platform.TableServers, platform.Settings{ServerDrain: followBound}, store, logger)
+	f.coldStart = true
+	f.setMembers(members)
+	applied, failed := make(chan string, 10), make(chan bool, 100)
+	f.apply = func(rows []platform.Row, snapshot bool) bool {
+		applied <- fmt.Sprint(rows[0].Key, snapshot)
+		return false
+	}
+	f.storeFailed = func(time.Time) { failed <- true }
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); f.run(ctx) }()
+	c.Cleanup(func() { cancel(); <-ended })
+	select {
+	case got := <-applied:
+		c.Assert(got, qt.Equals, "atrue")
+	case <-time.After(10 * time.Second):
+		c.Fatal("the rows were not applied")
+	}
+	c.Assert(<-failed, qt.IsTrue)
+}
+
 // TestMembersChange adds a daemon that some do not know yet, and removes others.
 func TestMembersChange(t *testing.T) {
 	d := newDomain(t)
--- a/standin/engine/step_test.go
+++ b/standin/engine/step_test.go
@@ -118,6 +118,7 @@
 		logged := make(chan bool)
 		go func() {
 			for r.generated.Load() == 0 {
+				continue // polls without a pause, to see the token as soon as possible
 			}
 			logged <- len(e.Runs().Entries()) == i+1
 		}()
