acaciad/neighbours: daemons that start together know each other before they stop

Change: small failure domains read twice at the start and once a minute, a daemon without neighbours tries every second. A write that no neighbour can have accepted is sent to the store directly.

--- a/acaciad/neighbours/collecting.go
+++ b/acaciad/neighbours/collecting.go
@@ -76,9 +76,14 @@
 	}
 	cancel()
 	t.recordCollectorFailure(address, response, err)
-	var dial *net.OpError
-	sent := err != nil && !(errors.As(err, &dial) && dial.Op == "dial")
-	return nil, sent, err
+	return nil, err != nil && !isDialError(err), err
+}
+
+// isDialError reports whether a call failed because there was no connection, so that it
+// was certainly not received.
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
 }
 
 // recordCollectorFailure makes writes go to the store directly for a while.
--- a/acaciad/neighbours/registry.go
+++ b/acaciad/neighbours/registry.go
@@ -23,14 +23,18 @@
 	heartbeatInterval = 4 * time.Minute
 	// entryTTL is the time after which a row that is not renewed expires.
 	entryTTL = 15 * time.Minute
-	// readInterval is how often the rows of other daemons are read. A daemon needs to
-	// know some neighbours that are alive, and only a few are replaced per hour.
-	readInterval = 4 * time.Minute
+	// readInterval and smallReadInterval are how often the rows of other daemons are read
+	// in failure domains of at least follow.MinMembers daemons and in smaller ones. A
+	// daemon needs to know some neighbours that are alive, and only a few are replaced per
+	// hour.
+	readInterval      = 4 * time.Minute
+	smallReadInterval = time.Minute
 	// minReadInterval is the least time between two reads that Refresh asks for.
 	minReadInterval = 8 * time.Second
 	// checkInterval is how often the registry checks whether a write or a read is due.
 	checkInterval = time.Second
-	// retryInterval is the time between two attempts while the store does not answer.
+	// retryInterval is the time between two attempts while the store does not answer. A
+	// daemon that knows no neighbours tries every checkInterval.
 	retryInterval = 5 * time.Second
 )
 
@@ -75,8 +79,10 @@
 	// Random spreads the reads of the daemons over time.
 	Random *rand.Rand
 
-	knownCount int
-	refresh    atomic.Bool
+	// knownCount is the number of known neighbours, and readCount that of reads so far.
+	knownCount, readCount int
+
+	refresh atomic.Bool
 }
 
 // Refresh asks for another read of the rows, because the list of members is outdated.
@@ -91,7 +97,10 @@
 	for ctx.Err() == nil {
 		if now := time.Now(); !now.Before(nextWrite) {
 			first := nextWrite.IsZero()
-			nextWrite = now.Add(retryInterval)
+			nextWrite = now.Add(checkInterval)
+			if !first {
+				nextWrite = now.Add(retryInterval)
+			}
 			if r.write(ctx, now) {
 				nextWrite = now.Add(heartbeatInterval)
 			}
@@ -111,7 +120,8 @@
 	// coldStartDelay is the time from the write of the daemon's row to the first read if
 	// all daemons start together. The others have written their rows by then.
 	coldStartDelay = 900 * time.Millisecond
-	// firstReadInterval is the time between reads while no neighbours are known.
+	// firstReadInterval is the time between reads while no neighbours are known, and between
+	// the first two reads of a small failure domain, whose daemons may start together.
 	firstReadInterval = 3 * time.Second
 )
 
@@ -142,6 +152,9 @@
 		rows, err := r.Table.List(ctx, &table.ListPayload{Prefix: rowPrefix, Limit: maxRows})
 		if err != nil {
 			r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot read neighbour rows, will retry")
+			if r.knownCount == 0 {
+				return checkInterval
+			}
 			return retryInterval
 		}
 		var members []follow.Member
@@ -161,10 +174,15 @@
 	}
 	r.OnUpdate(neighbours)
 	r.refresh.Store(false)
-	if r.knownCount == 0 {
+	r.readCount++
+	interval := readInterval
+	switch few := r.knownCount < follow.MinMembers; {
+	case r.knownCount == 0, few && r.readCount == 1:
 		return firstReadInterval
+	case few:
+		interval = smallReadInterval
 	}
-	return readInterval + time.Duration(r.Random.Int64N(int64(readInterval/2)))
+	return interval + time.Duration(r.Random.Int64N(int64(interval/2)))
 }
 
 // parseRows returns the daemons in rows that have not expired: as neighbours, without
--- a/acaciad/neighbours/transport.go
+++ b/acaciad/neighbours/transport.go
@@ -29,6 +29,9 @@
 
 	// handingOver states that writes are handed over to neighbours.
 	handingOver atomic.Bool
+	// handOverUncertain states that a neighbour may have accepted a write without the
+	// answer having arrived. Its usage must then not be written in another way as well.
+	handOverUncertain atomic.Bool
 
 	mu       sync.Mutex // guards the fields below
 	selector detour.Selector
--- a/acaciad/neighbours/write_queue.go
+++ b/acaciad/neighbours/write_queue.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
 	"sync"
 	"time"
 
+	"acaciapath.example/core/detour"
 	"acaciapath.example/core/sleep"
 
 	"github.com/ansel1/merry/v2"
@@ -154,16 +156,23 @@
 var errNotAccepted = merry.Sentinel("neighbours: write not accepted")
 
 // answerByHandOver hands over a write to a neighbour, which sends it to the store
-// later. The response is the one that the store gives to a committed write.
+// later. The response is the one that the store gives to a committed write. If no
+// neighbour can have accepted a write so far, it is sent to the store directly.
 func (t *Transport) answerByHandOver(r *http.Request) (*http.Response, error) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return nil, err
 	}
-	if err := t.HandOverWrite(r.Context(), r.URL.Path, body); err != nil {
+	err = t.HandOverWrite(r.Context(), r.URL.Path, body)
+	switch {
+	case err == nil:
+		return committedResponse(r), nil
+	case t.handOverUncertain.Load():
 		return nil, err
 	}
-	return committedResponse(r), nil
+	direct := r.Clone(r.Context())
+	direct.Body = io.NopCloser(bytes.NewReader(body))
+	return t.send(direct, detour.Direct)
 }
 
 // HandOverWrite hands over a write to a neighbour, which sends it to the store later. It
@@ -178,6 +187,9 @@
 			t.Logger.WithField("neighbour", to).Info("write handed over to a neighbour")
 			return nil
 		}
+		if !errors.Is(err, errNotAccepted) && !isDialError(err) {
+			t.handOverUncertain.Store(true)
+		}
 		t.Logger.WithError(err).WithField("neighbour", to).Info("neighbour did not accept a write, asking the next one if there is one")
 	}
 	return errNotAccepted
