--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -222,8 +222,8 @@
 		return err
 	}
 	server := &http.Server{Handler: d.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: nil}
-	connections := connections.Track(server)
-	go d.logServeError(func() error { return connections.Serve(callers) })
+	callerConnections := connections.Track(server)
+	go d.logServeError(func() error { return callerConnections.Serve(callers) })
 	go d.serve(&http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout}, ready)
 	d.serveMetrics()
 	d.serveNeighbours()
@@ -238,7 +238,7 @@
 		d.logger.WithField("settings", d.settings.DefaultedKeys).Warn("keys missing in the settings file, using defaults")
 	}
 	<-ctx.Done()
-	d.shutDown(connections, background, controlTasks)
+	d.shutDown(callerConnections, background, controlTasks)
 	return nil
 }
 
