core/rendezvous: one hash for placement and for readers

The same finalizer stood in core/placement and core/follow. No change of behaviour: the hashes are the same. The tests of endless answers share their checks, and the wait for new connections of a stop needs no clock.

--- a/acaciad/proxy/endless_test.go
+++ b/acaciad/proxy/endless_test.go
@@ -103,6 +103,33 @@
 	{"error chunks", errorHead + chunked, "5\r\nhello\r\n"},
 }
 
+// sendToEndlessServer sends endlessRequests requests at once, each with a deadline after
+// wait. It checks that each caller gets a failure or an answer that breaks off in time,
+// that only requests which the server did not receive are said not to have run, that the
+// server is rid of its connections, and that memory is bounded.
+func (f *fixture) sendToEndlessServer(s *endlessServer, path string, wait time.Duration) {
+	f.Helper()
+	peak := watchHeap(f.C)
+	var group sync.WaitGroup
+	for i := range endlessRequests {
+		group.Go(func() {
+			r := f.request(f.Context(), http.MethodPost, path, "x")
+			r.Header.Set("X-Deadline-Ms", fmt.Sprint(wait.Milliseconds()))
+			r.Header.Set("X-Attempt-Id", fmt.Sprint("id-", i))
+			began := time.Now()
+			a := f.discard(r)
+			f.Check(time.Since(began) < wait+2*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+			f.Check(a.err != nil || a.status >= 500, qt.IsTrue, qt.Commentf("%d", a.status))
+			if _, received := s.received.Load(r.Header.Get("X-Attempt-Id")); received {
+				f.Check(a.status != http.StatusServiceUnavailable, qt.IsTrue) // it may have run
+			}
+		})
+	}
+	group.Wait()
+	f.eventually(func() bool { return s.open.Load() == 0 })
+	f.Check(peak() < smallestMemory, qt.IsTrue, qt.Commentf("%d MB of heap", peak()>>20))
+}
+
 // TestEndlessAnswers has a backend server send bytes without end, fast and slowly, to many
 // requests at once. Each caller must get a failure within its time, nothing that looks
 // like a complete answer, and the server must be rid of its connections.
@@ -119,25 +146,7 @@
 				}
 				s := startEndlessServer(f.C, test.prefix, repeat, pause)
 				f.registerServer("i-1", "shop", s.listener.Addr().String())
-				peak := watchHeap(f.C)
-				var group sync.WaitGroup
-				for i := range endlessRequests {
-					group.Go(func() {
-						r := f.request(f.Context(), http.MethodPost, "/order/", "x")
-						r.Header.Set("X-Deadline-Ms", fmt.Sprint(wait.Milliseconds()))
-						r.Header.Set("X-Attempt-Id", fmt.Sprint("id-", i))
-						began := time.Now()
-						a := f.discard(r)
-						f.Check(time.Since(began) < wait+2*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
-						f.Check(a.err != nil || a.status >= 500, qt.IsTrue, qt.Commentf("%d", a.status))
-						if _, received := s.received.Load(r.Header.Get("X-Attempt-Id")); received {
-							f.Check(a.status != http.StatusServiceUnavailable, qt.IsTrue) // it may have run
-						}
-					})
-				}
-				group.Wait()
-				f.eventually(func() bool { return s.open.Load() == 0 })
-				f.Check(peak() < smallestMemory, qt.IsTrue, qt.Commentf("%d MB of heap", peak()>>20))
+				f.sendToEndlessServer(s, "/order/", wait)
 			})
 		}
 	}
@@ -150,23 +159,7 @@
 	f.loadCatalog()
 	s := startEndlessServer(f.C, okHead+"Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: ", strings.Repeat("x", 4096), 0)
 	f.registerServer("i-1", "llm", s.listener.Addr().String())
-	peak := watchHeap(f.C)
-	var group sync.WaitGroup
-	for i := range endlessRequests {
-		group.Go(func() {
-			r := f.request(f.Context(), http.MethodPost, "/quote/", "x")
-			r.Header.Set("X-Attempt-Id", fmt.Sprint("id-", i))
-			a := f.discard(r)
-			// On a busy machine, the time may be over before the first event.
-			f.Check(a.err != nil || a.status >= 500, qt.IsTrue, qt.Commentf("%d", a.status))
-			if _, received := s.received.Load(r.Header.Get("X-Attempt-Id")); received {
-				f.Check(a.status != http.StatusServiceUnavailable, qt.IsTrue) // it may have run
-			}
-		})
-	}
-	group.Wait()
-	f.eventually(func() bool { return s.open.Load() == 0 })
-	f.Check(peak() < smallestMemory, qt.IsTrue, qt.Commentf("%d MB of heap", peak()>>20))
+	f.sendToEndlessServer(s, "/quote/", 2*time.Second)
 }
 
 // TestSlowAndStalledStreams has one engine send an event now and then, and another one
--- a/core/connections/tracker.go
+++ b/core/connections/tracker.go
@@ -68,13 +68,15 @@
 func (t *Tracker) Shutdown(ctx context.Context) error {
 	t.closeListeners()
 	t.closeIdle()
-	closedAt := time.Now()
+	linger, withNew := time.After(newConnectionLinger), true
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
-	for t.busy(time.Since(closedAt) < newConnectionLinger) {
+	for t.busy(withNew) {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-linger:
+			withNew = false
 		case <-ticker.C:
 		}
 	}
--- a/core/follow/rank.go
+++ b/core/follow/rank.go
@@ -2,8 +2,9 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
+
+	"acaciapath.example/core/rendezvous"
 )
 
 // Member is a daemon of a failure domain.
@@ -50,14 +51,4 @@
 }
 
 // weight returns the rendezvous hash of a VM and a table.
-func weight(vm, table string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(vm + "\x00" + table)) // a hash never returns an error
-	x := h.Sum64()
-	// The finalizer of MurmurHash3 by Appleby spreads the bits.
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
+func weight(vm, table string) uint64 { return rendezvous.Hash(vm + "\x00" + table) }
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -2,13 +2,13 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"acaciapath.example/core/config"
+	"acaciapath.example/core/rendezvous"
 	"acaciapath.example/core/replica"
 )
 
@@ -80,7 +80,7 @@
 	for _, spec := range specs {
 		s := known[spec.Name]
 		if s == nil || s.Spec.Address != spec.Address || !s.Spec.StartedAt.Equal(spec.StartedAt) {
-			s = &Server{Replica: replica.New(spec), nameHash: hashName(spec.Name)}
+			s = &Server{Replica: replica.New(spec), nameHash: rendezvous.Hash(spec.Name)}
 			added = append(added, spec.Name)
 		}
 		delete(known, spec.Name)
@@ -166,21 +166,6 @@
 	return 0
 }
 
-func hashName(name string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(name)) // a hash never returns an error
-	return mix(h.Sum64())
-}
-
-// mix spreads the bits of x. It is the finalizer of MurmurHash3 by Appleby.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // Terms of the cost of a server, in prompt tokens. An engine processes a prompt
 // token in about 20 µs.
 const (
@@ -251,7 +236,7 @@
 		if s.isExcluded() || s.Lane != requirements.Lane {
 			continue
 		}
-		if weight := mix(s.nameHash ^ mix(requirements.SharedPrefixKey)); prefixServer == nil || weight > highest {
+		if weight := rendezvous.Mix(s.nameHash ^ rendezvous.Mix(requirements.SharedPrefixKey)); prefixServer == nil || weight > highest {
 			prefixServer, highest = s, weight
 		}
 	}
