--- a/acaciad/neighbours/collecting.go
+++ b/acaciad/neighbours/collecting.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"time"
 
+	"acaciapath.example/core/detour"
 	"acaciapath.example/core/follow"
 )
 
@@ -45,7 +46,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.Before(t.collector.directUntil) {
-		return ""
+		return detour.Direct
 	}
 	_, address := t.collector.selector.Choose(now)
 	return address
@@ -55,7 +56,7 @@
 // directly, because there is no collector or the collector has certainly not sent it.
 func (t *Transport) collect(r *http.Request) (response *http.Response, handled bool, err error) {
 	address := t.chooseCollector(time.Now())
-	if address == "" {
+	if address == detour.Direct {
 		return nil, false, nil
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), collectTimeout)
--- a/acaciad/reader/publisher.go
+++ b/acaciad/reader/publisher.go
@@ -51,7 +51,8 @@
 	followers int
 }
 
-// NewPublisher returns a publisher that refuses followers until Publish is called.
+// NewPublisher returns a publisher that refuses followers until Record is called for news
+// that the daemon has read itself.
 func NewPublisher() *Publisher { return &Publisher{changed: make(chan struct{})} }
 
 // Record adds news that arrived at now. reading states that this daemon has read them
