--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -327,9 +327,21 @@
 	if x.eventCount > 0 {
 		f["events"] = x.eventCount
 	}
+	if x.outcome != outcomeServed && x.requirements.Generates {
+		f["prompt-parts"] = formatParts(x.metadata.Work.SharedParts())
+	}
 	return f
 }
 
+// formatParts formats parts of a prompt for the log, by their hexadecimal ids.
+func formatParts(parts []workload.PromptPart) []string {
+	list := make([]string, len(parts))
+	for i, p := range parts {
+		list[i] = strconv.FormatUint(p.ID, 16)
+	}
+	return list
+}
+
 // formatAttempts formats attempts for the log, each as
 // "server/domain running=N reading=N result first-ms=N".
 func formatAttempts(attempts []attempt) []string {
--- a/core/workload/workload.go
+++ b/core/workload/workload.go
@@ -28,6 +28,12 @@
 	Parts []PromptPart
 }
 
+// SharedParts returns the parts of the prompt that other requests may share: all
+// but the last.
+func (w Work) SharedParts() []PromptPart {
+	return w.Parts[:max(len(w.Parts)-1, 0)]
+}
+
 // SharedPrefixKey returns the key of the longest prefix of the prompt that
 // other requests share, or 0 if there is none.
 func (w Work) SharedPrefixKey() uint64 {
