core/quarantine, acaciad/crashreports: refuse prompts that crash engine after engine

Cause: a crash was held against the engine only. Nothing remembered what it had begun to answer, and no daemon told another, so that each new request with the part went to the next engine.

Change: a request that breaks off at its beginning with its engine accuses the shared parts of its prompt, and a run that survives its beginning clears them (core/quarantine, on plain data). Daemons exchange reports through a table of the store (acaciad/crashreports, followed like the others). A part is refused from four engines on, at different moments, with no sound run since and not explained by another part; six while most engines end under other prompts. One trial of all daemons after 10 min, then twice as long.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"acaciapath.example/acaciad/control"
+	"acaciapath.example/acaciad/crashreports"
 	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/acaciad/neighbours"
 	"acaciapath.example/acaciad/proxy"
@@ -20,6 +21,7 @@
 	"acaciapath.example/core/connections"
 	"acaciapath.example/core/follow"
 	"acaciapath.example/core/lease"
+	"acaciapath.example/core/quarantine"
 	"acaciapath.example/core/replica"
 	"acaciapath.example/core/sleep"
 	"acaciapath.example/core/usage"
@@ -39,6 +41,9 @@
 	// settleMargin is how long before its deadline a usage window is settled even
 	// if parts are missing. It leaves time for a few attempts at each call.
 	settleMargin = 2 * time.Second
+	// crashHoldTime is how long the store holds a call of the feed of crash reports. They
+	// change rarely, and keep-alive probes detect a connection that fell silent.
+	crashHoldTime = 12 * time.Second
 	// initialLeasePoll is how often a daemon checks whether the lease is free, until
 	// it knows how many other daemons do so. It allows for hundreds.
 	initialLeasePoll = 10 * time.Second
@@ -79,6 +84,8 @@
 	neighbours     *neighbours.Registry
 	catalogFeed    *feed
 	serversFeed    *feed
+	crashFeed      *feed
+	guard          *crashreports.Guard
 	writeQueue     *neighbours.WriteQueue
 	collector      *neighbours.Collector
 	usage          *control.Usage
@@ -96,8 +103,8 @@
 	mu         sync.Mutex // guards updater
 }
 
-// New returns a daemon that starts when Run is called.
-func New(s platform.Settings, logger *logrus.Logger, now time.Time) *Daemon {
+// New returns a daemon that starts when Run is called. q must be valid.
+func New(s platform.Settings, q quarantine.Settings, logger *logrus.Logger, now time.Time) *Daemon {
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryLimitRatio))
 	instance := fmt.Sprintf("%s-%d", s.Name, now.UnixNano())
 	random := rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(s.Name))))
@@ -152,6 +159,14 @@
 	d.catalogFeed.apply = d.updater.applyCatalog
 	d.serversFeed = d.newFeed(platform.TableServers)
 	d.serversFeed.apply, d.serversFeed.storeRestored = d.applyServers, d.handleStoreRestored
+	d.guard = crashreports.NewGuard(q, d.registry)
+	d.guard.VM, d.guard.Metrics, d.guard.Logger = s.Name, crashreports.NewMetrics(d.registry), logger
+	d.guard.Daemons = func() int { return d.keeper.Row().Candidates }
+	d.guard.Table = &platform.Table{
+		Store: platform.NewStore(s.StoreAddress, storeTimeout, d.storeTransport.Relayed()), Name: platform.TableCrashReports,
+	}
+	d.crashFeed = d.newFeed(platform.TableCrashReports)
+	d.crashFeed.apply, d.crashFeed.holdTime = d.guard.Apply, crashHoldTime
 	client := proxy.NewClient()
 	engines := &platform.EngineClient{Transport: client.Transport()}
 	d.drainPoller = &drainPoller{
@@ -162,6 +177,7 @@
 	d.handler = &proxy.Handler{
 		Directory:    d.directory,
 		Client:       client,
+		Guard:        d.guard,
 		EngineClient: engines,
 		Meter:        d.usage.Meter,
 		Metrics:      proxy.NewMetrics(d.registry),
@@ -189,6 +205,7 @@
 func (d *Daemon) setMembers(members []follow.Member) {
 	d.catalogFeed.setMembers(members)
 	d.serversFeed.setMembers(members)
+	d.crashFeed.setMembers(members)
 	d.storeTransport.SetMembers(d.settings.Name, members)
 }
 
@@ -256,6 +273,8 @@
 	}
 	background.run(d.catalogFeed.run)
 	background.run(d.serversFeed.run)
+	background.run(d.crashFeed.run)
+	background.run(d.guard.Run)
 	if d.settings.ReportsUsage || d.settings.OrdersServers {
 		controlTasks.run(func(ctx context.Context) {
 			sleep.For(ctx, rand.N(leaseStartSpread))
--- a/acaciad/daemon/daemon_test.go
+++ b/acaciad/daemon/daemon_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"acaciapath.example/acaciad/daemon"
+	"acaciapath.example/core/quarantine"
 	"acaciapath.example/platform"
 	"acaciapath.example/platform/platformtest"
 	"acaciapath.example/standin/loopback"
@@ -103,7 +104,7 @@
 	logger.SetOutput(r.log)
 	var ctx context.Context
 	ctx, r.stop = context.WithCancel(context.Background())
-	go func() { r.exited <- daemon.New(s, logger, time.Now()).Run(ctx) }()
+	go func() { r.exited <- daemon.New(s, quarantine.DefaultSettings(), logger, time.Now()).Run(ctx) }()
 	d.Cleanup(r.stop)
 	return r
 }
--- a/acaciad/daemon/listeners.go
+++ b/acaciad/daemon/listeners.go
@@ -73,8 +73,11 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+reader.Path, &reader.Handler{
-		Publishers: map[string]*reader.Publisher{platform.TableCatalog: d.catalogFeed.publisher, platform.TableServers: d.serversFeed.publisher},
-		Logger:     d.logger,
+		Publishers: map[string]*reader.Publisher{
+			platform.TableCatalog: d.catalogFeed.publisher, platform.TableServers: d.serversFeed.publisher,
+			platform.TableCrashReports: d.crashFeed.publisher,
+		},
+		Logger: d.logger,
 	})
 	mux.Handle("/", relay)
 	go d.serve(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, listener)
--- a/acaciad/neighbours/transport.go
+++ b/acaciad/neighbours/transport.go
@@ -78,6 +78,18 @@
 // in t.
 func (t *Transport) Direct() http.RoundTripper { return directTransport{t} }
 
+// Relayed returns a transport that sends each call directly or through a neighbour, and
+// neither to a collector nor, during a shutdown, to be written later.
+func (t *Transport) Relayed() http.RoundTripper { return relayedTransport{t} }
+
+// relayedTransport sends calls on the selected path.
+type relayedTransport struct{ transport *Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (r relayedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	return r.transport.sendOnPath(request)
+}
+
 // directTransport sends calls on the direct path.
 type directTransport struct{ transport *Transport }
 
@@ -104,8 +116,8 @@
 	}
 }
 
-// RoundTrip sends a call on the selected path. If it fails and may be sent again, it
-// is sent once more through a neighbour.
+// RoundTrip sends a write to a collector, or hands it over, if there is reason to, and
+// other calls on the selected path.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	if r.Method == http.MethodPost {
 		if t.handingOver.Load() {
@@ -115,6 +127,12 @@
 			return response, err
 		}
 	}
+	return t.sendOnPath(r)
+}
+
+// sendOnPath sends a call directly or through a neighbour. If it fails and may be sent
+// again, it is sent once more through a neighbour.
+func (t *Transport) sendOnPath(r *http.Request) (*http.Response, error) {
 	t.mu.Lock()
 	via := t.selector.Choose(time.Now(), t.random)
 	t.mu.Unlock()
--- a/acaciad/proxy/events.go
+++ b/acaciad/proxy/events.go
@@ -86,10 +86,12 @@
 // trackEvents counts complete events and stores the id of the last one, at which
 // the stream can be resumed.
 func (x *exchange) trackEvents(events []byte) {
+	now := time.Now()
 	for line := range bytes.Lines(events) {
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
 			x.eventCount++
+			x.recordEvents(1, now)
 			if x.runMove != nil {
 				x.runMove.eventCount.Add(1)
 			}
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -8,9 +8,11 @@
 	"strconv"
 	"time"
 
+	"acaciapath.example/acaciad/crashreports"
 	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/core/catalog"
 	"acaciapath.example/core/placement"
+	"acaciapath.example/core/quarantine"
 	"acaciapath.example/core/usage"
 	"acaciapath.example/core/workload"
 	"acaciapath.example/platform"
@@ -37,6 +39,8 @@
 	retryAfterNoCatalog = 500 * time.Millisecond
 	// retryAfterFailure is sent when no backend server accepted the request.
 	retryAfterFailure = 300 * time.Millisecond
+	// minRetryAfterQuarantine is the least value while a prompt part is quarantined.
+	minRetryAfterQuarantine = time.Second
 )
 
 // Handler serves the requests of callers. Its fields must not change once it
@@ -46,6 +50,8 @@
 	Directory *directory.Directory
 	// Client sends requests to backend servers.
 	Client *Client
+	// Guard refuses requests whose prompts crash model engines.
+	Guard *crashreports.Guard
 	// EngineClient copies the KV cache of runs between model engines. It is nil if the
 	// engines cannot do that.
 	EngineClient *platform.EngineClient
@@ -128,7 +134,9 @@
 	account      *catalog.Account
 	service      string
 	requirements placement.Requirements
-	body         []byte
+	// sharedParts are the parts of the prompt that other requests may share.
+	sharedParts []quarantine.Part
+	body        []byte
 
 	// mayHaveExecuted states that the request may have run on a backend server.
 	mayHaveExecuted bool
@@ -147,6 +155,8 @@
 	cacheCopy  platform.CacheCopy
 	// runMove watches the run whose events are being forwarded.
 	runMove *runMove
+	// runProgress is the progress of the current run on a backend server.
+	runProgress runProgress
 	// lastEventID is the id of the last complete event sent to the caller.
 	lastEventID string
 	// eventCount is the number of events sent to the caller.
@@ -198,6 +208,10 @@
 	defer cancel()
 	x.service = h.Directory.PickService(x.route)
 	x.requirements = x.newRequirements(index.Service(x.service))
+	x.sharedParts = x.newSharedParts()
+	if refused := x.checkQuarantine(); refused != nil {
+		return refused
+	}
 	x.lastEventID = x.metadata.LastEventID
 	h.RetryBudgets.Earn(x.service)
 	h.MoveBudgets.Earn(x.service)
--- a/acaciad/proxy/harness_test.go
+++ b/acaciad/proxy/harness_test.go
@@ -11,9 +11,11 @@
 	"testing"
 	"time"
 
+	"acaciapath.example/acaciad/crashreports"
 	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/acaciad/proxy"
 	"acaciapath.example/core/catalog"
+	"acaciapath.example/core/quarantine"
 	"acaciapath.example/core/replica"
 	"acaciapath.example/core/retry"
 	"acaciapath.example/core/usage"
@@ -79,9 +81,12 @@
 	f.startDrain = startDrain
 	streamsEnd, endStreams := context.WithCancel(context.Background())
 	f.endStreams = endStreams
+	guard := crashreports.NewGuard(quarantine.DefaultSettings(), prometheus.NewRegistry())
+	guard.Metrics, guard.Logger = crashreports.NewMetrics(prometheus.NewRegistry()), logger
 	f.handler = &proxy.Handler{
 		Directory:    f.directory,
 		Client:       proxy.NewClient(),
+		Guard:        guard,
 		Meter:        usage.NewMeter(),
 		Metrics:      proxy.NewMetrics(prometheus.NewRegistry()),
 		Logger:       logger,
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -105,6 +105,9 @@
 // returns nil. It takes a retry from the budget unless the last attempt did not
 // reach its backend server.
 func (x *exchange) reserveNext(last result) *directory.Reservation {
+	if len(x.attempts) > 0 && x.checkQuarantine() != nil {
+		return nil
+	}
 	now := time.Now()
 	reservation := x.handler.Directory.Reserve(x.service, x.requirements, now)
 	if reservation == nil {
@@ -184,14 +187,18 @@
 	})
 	a := &x.attempts[len(x.attempts)-1]
 	began := time.Now()
+	x.runProgress = runProgress{sent: began}
 	response, r := x.send(ctx, reservation)
 	if response == nil {
+		x.runProgress.lost = true
+		x.recordRunEnd(ctx, reservation, 0, r)
 		x.finishFailed(ctx, reservation, a, r)
 		return r
 	}
 	defer response.Body.Close()
 	a.timeToHeaders = time.Since(began)
 	r = x.handleResponse(ctx, reservation, response)
+	x.recordRunEnd(ctx, reservation, response.StatusCode, r)
 	a.result = r.String()
 	switch {
 	case r == answered && response.StatusCode >= http.StatusInternalServerError:
@@ -310,6 +317,7 @@
 		x.recordUsage()
 		return x.forwardLong(response, whole.data)
 	default:
+		x.runProgress.lost = err != errBufferFull
 		return broken // a failure of that size is no answer
 	}
 	x.recordUsage()
@@ -377,6 +385,7 @@
 		x.outcome = outcomeServed
 		return answered
 	}
+	x.runProgress.lost = err != errBufferFull
 	if x.status == 0 {
 		return broken
 	}
--- a/acaciapath/explain/cause.go
+++ b/acaciapath/explain/cause.go
@@ -4,20 +4,21 @@
 
 // outcomeCauses are explanations of the log field "outcome", by its value.
 var outcomeCauses = map[string]string{
-	"served":            "the caller received a complete answer from a backend server",
-	"caller-left":       "the caller closed the connection before it received the complete answer",
-	"answer-broken":     "the answer of the backend server ended before it was complete, and no other backend server could resume it",
-	"may-have-run":      "a backend server received the request but gave no usable answer, and the route does not allow a retry",
-	"not-run":           "no backend server accepted the request, and it certainly did not run",
-	"no-backend-server": "the VM knew no backend server of the service",
-	"timeout":           "the time limit of the caller or of the route expired before an answer arrived",
-	"timeout-not-run":   "the time limit of the caller or of the route expired before a backend server accepted the request",
-	"shutting-down":     "the VM was about to stop, too soon for another stream",
-	"catalog-unknown":   "the VM had not read the configuration yet",
-	"route-unknown":     "no route of the configuration in force matches the host and the path",
-	"key-unknown":       "the key is not in the configuration in force",
-	"body-too-large":    "the body is larger than the configuration allows",
-	"body-incomplete":   "the caller did not send the complete body",
+	"served":             "the caller received a complete answer from a backend server",
+	"caller-left":        "the caller closed the connection before it received the complete answer",
+	"answer-broken":      "the answer of the backend server ended before it was complete, and no other backend server could resume it",
+	"may-have-run":       "a backend server received the request but gave no usable answer, and the route does not allow a retry",
+	"not-run":            "no backend server accepted the request, and it certainly did not run",
+	"no-backend-server":  "the VM knew no backend server of the service",
+	"timeout":            "the time limit of the caller or of the route expired before an answer arrived",
+	"timeout-not-run":    "the time limit of the caller or of the route expired before a backend server accepted the request",
+	"prompt-quarantined": "a part of the prompt is quarantined because several model engines ended under it, and the request was not sent",
+	"shutting-down":      "the VM was about to stop, too soon for another stream",
+	"catalog-unknown":    "the VM had not read the configuration yet",
+	"route-unknown":      "no route of the configuration in force matches the host and the path",
+	"key-unknown":        "the key is not in the configuration in force",
+	"body-too-large":     "the body is larger than the configuration allows",
+	"body-incomplete":    "the caller did not send the complete body",
 }
 
 // attemptResults are explanations of the result of the last attempt, by the word that stands
--- /dev/null
+++ b/core/quarantine/ledger.go
@@ -0,0 +1,273 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Part is a part of a prompt in a request.
+type Part struct {
+	// ID identifies the content of the part.
+	ID uint64
+	// Depth is its position in the prompt.
+	Depth int
+}
+
+// Quarantine is a part whose requests are refused.
+type Quarantine struct {
+	Part uint64
+	// First is when the first of the engines ended under it, and Crashes their number.
+	First   time.Time
+	Crashes int
+	// Since is when it was quarantined, and Until when it may be tried again.
+	Since, Until time.Time
+	// Hold is the time from a failed trial to the next one.
+	Hold time.Duration
+	// Trial is the VM that tries the part, or empty.
+	Trial string
+}
+
+// Ledger is what a daemon knows about crashes under prompts. It is not safe for concurrent
+// use. All times are those of the wall clock.
+type Ledger struct {
+	settings    Settings
+	suspects    map[uint64]*suspect
+	sound       *generations[uint64, time.Time]
+	quarantined map[uint64]*Quarantine
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger(settings Settings) *Ledger {
+	return &Ledger{
+		settings: settings, suspects: make(map[uint64]*suspect), sound: newGenerations[uint64, time.Time](maxSound),
+		quarantined: make(map[uint64]*Quarantine),
+	}
+}
+
+// RecordCrash records that a server ended under a request with the given shared parts. If
+// some of them are quarantined, they explain it. It reports whether others should be told.
+func (l *Ledger) RecordCrash(parts []Part, server string, now time.Time) bool {
+	if l.settings.Crashes == 0 {
+		return false
+	}
+	parts = parts[:min(len(parts), maxParts)]
+	if explaining := slices.DeleteFunc(slices.Clone(parts), func(p Part) bool { return l.quarantined[p.ID] == nil }); len(explaining) > 0 {
+		parts = explaining
+	}
+	changed := false
+	for _, p := range parts {
+		changed = l.accuse(p, Crash{Server: server, At: now, Own: true}, now) || changed
+	}
+	return changed
+}
+
+// accuse adds a crash to a part and reports whether that changes what is known.
+func (l *Ledger) accuse(p Part, c Crash, now time.Time) bool {
+	if c.At.Before(now.Add(-l.settings.Memory)) {
+		return false
+	}
+	s := l.suspects[p.ID]
+	if s == nil {
+		if len(l.suspects) >= maxSuspects {
+			l.dropOldestSuspect()
+		}
+		s = &suspect{depth: p.Depth}
+		s.ownSoundAt, _ = l.sound.get(p.ID)
+		s.soundAt = s.ownSoundAt
+		l.suspects[p.ID] = s
+	}
+	return s.add(c)
+}
+
+// dropOldestSuspect forgets the part that is not quarantined and was accused least
+// recently.
+func (l *Ledger) dropOldestSuspect() {
+	var oldest uint64
+	var at time.Time
+	for id, s := range l.suspects {
+		last := s.crashes[len(s.crashes)-1].At
+		if l.quarantined[id] == nil && (at.IsZero() || last.Before(at)) {
+			oldest, at = id, last
+		}
+	}
+	delete(l.suspects, oldest)
+}
+
+// RecordSound records that a run with the given parts, which began at began, survived its
+// beginning. It lifts the quarantines that this disproves, and returns their parts.
+// tell reports whether others should be told.
+func (l *Ledger) RecordSound(parts []Part, began time.Time) (lifted []uint64, tell bool) {
+	if l.settings.Crashes == 0 {
+		return nil, false
+	}
+	for _, p := range parts[:min(len(parts), maxParts)] {
+		if last, _ := l.sound.get(p.ID); began.After(last) {
+			l.sound.set(p.ID, began)
+		}
+		if s := l.suspects[p.ID]; s != nil && began.After(s.ownSoundAt) {
+			tell = tell || s.clears(began)
+			s.ownSoundAt = began
+		}
+		if l.clear(p.ID, began) {
+			lifted = append(lifted, p.ID)
+		}
+	}
+	return lifted, tell || len(lifted) > 0
+}
+
+// clears reports whether a sound run that began at a time disproves a crash that is not
+// disproved yet.
+func (s *suspect) clears(began time.Time) bool {
+	return slices.ContainsFunc(s.crashes, func(c Crash) bool { return c.At.After(s.soundAt) && !c.At.After(began) })
+}
+
+// clear applies a sound run that began at a time, and reports whether it lifted a
+// quarantine.
+func (l *Ledger) clear(part uint64, began time.Time) bool {
+	if s := l.suspects[part]; s != nil && began.After(s.soundAt) {
+		s.soundAt = began
+	}
+	if q := l.quarantined[part]; q != nil && began.After(q.First) {
+		delete(l.quarantined, part)
+		return true
+	}
+	return false
+}
+
+// Evaluate quarantines the parts with sufficient evidence and forgets what is too old. It
+// returns the parts that are newly quarantined and those that no longer are.
+func (l *Ledger) Evaluate(now time.Time) (added []Quarantine, forgotten []uint64) {
+	forgotten = l.expire(now)
+	for l.settings.Crashes > 0 && len(l.quarantined) < maxQuarantined {
+		part, crashes := l.mostAccused(now)
+		if crashes == nil {
+			break
+		}
+		q := &Quarantine{
+			Part: part, First: crashes[0].At, Crashes: len(crashes),
+			Since: now, Until: now.Add(l.settings.Hold), Hold: l.settings.Hold,
+		}
+		l.quarantined[part] = q
+		added = append(added, *q)
+	}
+	return added, forgotten
+}
+
+// NextEvaluation returns the time until Evaluate may have a different result without
+// further news, or 0 if there is none.
+func (l *Ledger) NextEvaluation(now time.Time) time.Duration {
+	if len(l.suspects)+len(l.quarantined) == 0 {
+		return 0
+	}
+	next := expiryInterval
+	for id, s := range l.suspects {
+		if l.quarantined[id] == nil && !s.reachedAt.IsZero() {
+			next = min(next, max(settleTime-now.Sub(s.reachedAt), time.Millisecond))
+		}
+	}
+	return next
+}
+
+// mostAccused returns the part to be quarantined next and its crashes, or none. Parts that
+// occur only together are accused alike; the deepest is the most specific of them.
+func (l *Ledger) mostAccused(now time.Time) (part uint64, crashes []Crash) {
+	explained := l.explainedServers()
+	depth := 0
+	for id, s := range l.suspects {
+		if l.quarantined[id] != nil {
+			continue
+		}
+		list := s.accusations(explained)
+		if !l.isSufficient(list, explained) {
+			s.reachedAt = time.Time{}
+			continue
+		}
+		if s.reachedAt.IsZero() || s.reachedAt.After(now) {
+			s.reachedAt = now
+		}
+		if now.Sub(s.reachedAt) < settleTime {
+			continue
+		}
+		if order := cmp.Or(cmp.Compare(len(list), len(crashes)), cmp.Compare(s.depth, depth), cmp.Compare(part, id)); order > 0 {
+			part, crashes, depth = id, list, s.depth
+		}
+	}
+	return part, crashes
+}
+
+// isSufficient reports whether the accusations of a part suffice to quarantine it. A part
+// under which less than two thirds of the engines ended that ended meanwhile needs more,
+// since in such a time a sound part is accused several times in a row by chance.
+func (l *Ledger) isSufficient(crashes []Crash, explained map[string]bool) bool {
+	moments := countMoments(crashes)
+	if moments < l.settings.Crashes {
+		return false
+	}
+	if moments >= l.settings.Crashes+moreCrashes {
+		return true
+	}
+	ends := make(map[string]bool)
+	for _, s := range l.suspects {
+		for _, c := range s.crashes {
+			if !c.At.Before(crashes[0].At) && !explained[c.Server] {
+				ends[c.Server] = true
+			}
+		}
+	}
+	return 3*len(crashes) >= 2*len(ends)
+}
+
+// explainedServers returns the servers that ended under quarantined parts.
+func (l *Ledger) explainedServers() map[string]bool {
+	servers := make(map[string]bool)
+	for id := range l.quarantined {
+		if s := l.suspects[id]; s != nil {
+			for _, c := range s.crashes {
+				servers[c.Server] = true
+			}
+		}
+	}
+	return servers
+}
+
+// expire forgets crashes and quarantines that are too old, and returns the parts of the
+// latter.
+func (l *Ledger) expire(now time.Time) (forgotten []uint64) {
+	for id, s := range l.suspects {
+		if s.expire(now.Add(-l.settings.Memory)) {
+			delete(l.suspects, id)
+		}
+	}
+	for id, q := range l.quarantined {
+		if now.Sub(q.Until) > l.settings.Memory {
+			delete(l.quarantined, id)
+			forgotten = append(forgotten, id)
+		}
+	}
+	return forgotten
+}
+
+// Suspects returns the number of accused parts that are not quarantined.
+func (l *Ledger) Suspects() int {
+	n := 0
+	for id := range l.suspects {
+		if l.quarantined[id] == nil {
+			n++
+		}
+	}
+	return n
+}
+
+// IsQuarantined reports whether a part is quarantined.
+func (l *Ledger) IsQuarantined(part uint64) bool { return l.quarantined[part] != nil }
+
+// Quarantined returns the quarantined parts, sorted by part.
+func (l *Ledger) Quarantined() []Quarantine {
+	list := make([]Quarantine, 0, len(l.quarantined))
+	for _, q := range l.quarantined {
+		list = append(list, *q)
+	}
+	slices.SortFunc(list, func(a, b Quarantine) int { return cmp.Compare(a.Part, b.Part) })
+	return list
+}
