--- a/acaciad/daemon/crashing_part_test.go
+++ b/acaciad/daemon/crashing_part_test.go
@@ -35,6 +35,21 @@
 // replacementDelay is the time from a crash to the start of the replacing engine.
 const replacementDelay = 400 * time.Millisecond
 
+// writeAskConfig writes a configuration with the streaming route /ask/ of the service llm,
+// which requires the key "k".
+func (d *deployment) writeAskConfig() {
+	d.store.Write("op", "config", map[string]any{
+		"version": 3,
+		"routes": []any{map[string]any{
+			"name": "ask", "host": "shop.example", "prefix": "/ask/", "type": "streaming", "sessionAffinity": true,
+			"timeoutMs": 5000, "targetLatencyMs": 500, "service": "llm", "maxAttempts": 1,
+		}},
+		"services": []any{map[string]any{"name": "llm", "healthPath": "/healthz", "runtime": map[string]any{"slots": 64, "kvCapacity": 500000, "stride": 3}}},
+		"limits":   map[string]any{"maxBodyBytes": 1000},
+		"tenants":  []any{map[string]any{"name": "account-a", "apiKeys": []string{"k"}}},
+	})
+}
+
 // startEngine starts an engine and lists it.
 func (f *crashingFleet) startEngine() {
 	f.mu.Lock()
@@ -119,10 +134,10 @@
 	return err == nil && response.StatusCode == http.StatusOK
 }
 
-// callers sends requests to random daemons every interval until stop is closed. parts
+// sendSteadily sends requests to random daemons every interval until stop is closed. parts
 // returns the parts of the prompt of the n-th request. The n-th result is stored in served
 // under the time at which it was sent.
-func (f *crashingFleet) callers(daemons []*runningDaemon, name string, interval time.Duration, stop <-chan struct{}, parts func(n int) []string, served func(sent time.Time, ok bool)) {
+func (d *deployment) sendSteadily(daemons []*runningDaemon, name string, interval time.Duration, stop <-chan struct{}, parts func(n int) []string, served func(sent time.Time, ok bool)) {
 	var group sync.WaitGroup
 	defer group.Wait()
 	for n := 0; ; n++ {
@@ -147,16 +162,7 @@
 func TestCrashingPartIsRefused(t *testing.T) {
 	const contact = 4 * time.Second // contactMs of the deployments
 	f := &crashingFleet{deployment: newDeployment(t)}
-	f.store.Write("op", "config", map[string]any{
-		"version": 3,
-		"routes": []any{map[string]any{
-			"name": "ask", "host": "shop.example", "prefix": "/ask/", "type": "streaming", "sessionAffinity": true,
-			"timeoutMs": 5000, "targetLatencyMs": 500, "service": "llm", "maxAttempts": 1,
-		}},
-		"services": []any{map[string]any{"name": "llm", "healthPath": "/healthz", "runtime": map[string]any{"slots": 64, "kvCapacity": 500000, "stride": 3}}},
-		"limits":   map[string]any{"maxBodyBytes": 1000},
-		"tenants":  []any{map[string]any{"name": "account-a", "apiKeys": []string{"k"}}},
-	})
+	f.writeAskConfig()
 	for range 6 {
 		f.startEngine()
 	}
@@ -184,7 +190,7 @@
 		return []string{strconv.Itoa(n % 4), strconv.Itoa(10 + n%20), strconv.Itoa(1000 + n)}
 	}
 	group.Go(func() {
-		f.callers(daemons, "sound", 25*time.Millisecond, stop, sound, func(sent time.Time, ok bool) {
+		f.sendSteadily(daemons, "sound", 25*time.Millisecond, stop, sound, func(sent time.Time, ok bool) {
 			mu.Lock()
 			defer mu.Unlock()
 			results = append(results, result{sent, ok})
@@ -196,7 +202,7 @@
 		parts := func(n int) []string {
 			return []string{strconv.Itoa(n % 4), crashingPart, strconv.Itoa(100_000 + n)}
 		}
-		f.callers(daemons, "crashing", 200*time.Millisecond, stop, parts, func(time.Time, bool) {})
+		f.sendSteadily(daemons, "crashing", 200*time.Millisecond, stop, parts, func(time.Time, bool) {})
 	})
 	var fifth time.Time
 	f.eventually("five engines crash", func() bool {
--- a/acaciad/daemon/daemon_test.go
+++ b/acaciad/daemon/daemon_test.go
@@ -88,12 +88,20 @@
 	return l.out.String()
 }
 
-// start starts a daemon.
-func (d *deployment) start(name string) *runningDaemon {
+// start starts a daemon that does not know others.
+func (d *deployment) start(name string) *runningDaemon { return d.startAt(name, "") }
+
+// startWithNeighbours starts a daemon that knows the others.
+func (d *deployment) startWithNeighbours(name string) *runningDaemon {
+	return d.startAt(name, freeAddress(d.C))
+}
+
+// startAt starts a daemon that accepts calls of others at an address, or nowhere.
+func (d *deployment) startAt(name, neighboursAddress string) *runningDaemon {
 	s := platform.Settings{
 		Name: name, FailureDomain: "z", IP: "127.0.0.1", Regions: map[string]string{"z": "r"},
 		CallersAddress: freeAddress(d.C), ReadyAddress: freeAddress(d.C),
-		StoreAddress: d.store.Address(), CloudAddress: d.cloud.Address(),
+		NeighboursAddress: neighboursAddress, StoreAddress: d.store.Address(), CloudAddress: d.cloud.Address(),
 		ReportsUsage: true, OrdersServers: true, MemoryBytes: 1 << 30,
 		ShutdownGrace: 8 * time.Second, LeaseDuration: time.Second, UsageWindow: time.Second, UsageDeadline: 4 * time.Second,
 		RetryBudgetRatio: 0.2, RetryBudgetExtra: 20, ReconnectTime: time.Second, ServerDrain: 2500 * time.Millisecond,
