core/placement: divide the limits that backend servers name among the daemons

Cause: no code read Server-Limit.

Change: the limit of a server is divided among a few daemons of its failure domain (and of domains without a server of the service), chosen by rendezvous hashing, as many as two for each request a second, so that the tokens which they may have saved stay bounded however many daemons there are. A used-up server is left out of placement; if all are, callers are told to return one after the other.

--- a/acaciad/daemon/budgets.go
+++ b/acaciad/daemon/budgets.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"acaciapath.example/core/placement"
 	"acaciapath.example/core/retry"
 	"acaciapath.example/core/sleep"
 	"acaciapath.example/platform"
@@ -54,11 +55,25 @@
 // daemonCountInterval is how often the daemon reads the number of daemons.
 const daemonCountInterval = time.Second
 
-// updateMoveBurst adapts the daemon's budget for moves to the number of daemons, which
-// is in the row of the lease, until ctx is done.
-func (d *Daemon) updateMoveBurst(ctx context.Context) {
-	for ctx.Err() == nil {
+// followDaemonCount adapts the daemon's budget for moves, and its part of the limits of
+// backend servers, to the number of daemons, which is in the row of the lease, until ctx
+// is done.
+func (d *Daemon) followDaemonCount(ctx context.Context) {
+	for last := 0; ctx.Err() == nil; {
 		sleep.For(ctx, daemonCountInterval)
-		d.handler.MoveBudgets.SetBurst(moveBurst(d.settings.RetryBudgetExtra, d.keeper.Row().Candidates))
+		n := d.keeper.Row().Candidates
+		d.handler.MoveBudgets.SetBurst(moveBurst(d.settings.RetryBudgetExtra, n))
+		if n != last {
+			last = n
+			d.setPeers(func(p *placement.Peers) { p.Daemons = n })
+		}
 	}
 }
+
+// setPeers changes the daemons among which the limits of backend servers are divided.
+func (d *Daemon) setPeers(change func(p *placement.Peers)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change(&d.peers)
+	d.directory.SetPeers(d.peers, time.Now())
+}
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -21,7 +21,7 @@
 	"acaciapath.example/core/connections"
 	"acaciapath.example/core/follow"
 	"acaciapath.example/core/lease"
-	"acaciapath.example/core/quarantine"
+	"acaciapath.example/core/placement"
 	"acaciapath.example/core/replica"
 	"acaciapath.example/core/sleep"
 	"acaciapath.example/core/usage"
@@ -100,16 +100,20 @@
 	// streamsEnd is done when it is too late for another stream before the shutdown ends.
 	streamsEnd context.Context
 	endStreams context.CancelFunc
-	mu         sync.Mutex // guards updater
+	mu         sync.Mutex // guards updater and peers
+	// peers are the daemons among which the limits of backend servers are divided.
+	peers placement.Peers
 }
 
-// New returns a daemon that starts when Run is called. q must be valid.
-func New(s platform.Settings, q quarantine.Settings, logger *logrus.Logger, now time.Time) *Daemon {
+// New returns a daemon that starts when Run is called. The options must be valid.
+func New(s platform.Settings, options Options, logger *logrus.Logger, now time.Time) *Daemon {
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryLimitRatio))
 	instance := fmt.Sprintf("%s-%d", s.Name, now.UnixNano())
 	random := rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(s.Name))))
 	d := &Daemon{settings: s, logger: logger, directory: directory.New(s.FailureDomain, s.ServerDrain, random)}
 	d.updater = newDirectoryUpdater(d.directory, logger)
+	d.peers = placement.Peers{VM: s.Name, FailureDomain: s.FailureDomain, Domains: len(s.Regions), LimitMemory: options.LimitMemory}
+	d.directory.SetPeers(d.peers, now)
 	d.draining, d.startDraining = context.WithCancel(context.Background())
 	d.streamsEnd, d.endStreams = context.WithCancel(context.Background())
 	d.registry = prometheus.NewRegistry()
@@ -159,7 +163,7 @@
 	d.catalogFeed.apply = d.updater.applyCatalog
 	d.serversFeed = d.newFeed(platform.TableServers)
 	d.serversFeed.apply, d.serversFeed.storeRestored = d.applyServers, d.handleStoreRestored
-	d.guard = crashreports.NewGuard(q, d.registry)
+	d.guard = crashreports.NewGuard(options.Quarantine, d.registry)
 	d.guard.VM, d.guard.Metrics, d.guard.Logger = s.Name, crashreports.NewMetrics(d.registry), logger
 	d.guard.Daemons = func() int { return d.keeper.Row().Candidates }
 	d.guard.Table = &platform.Table{
@@ -201,8 +205,13 @@
 	return f
 }
 
-// setMembers passes the daemons of the failure domain to the feeds.
+// setMembers passes the daemons of the failure domain to the feeds and the directory.
 func (d *Daemon) setMembers(members []follow.Member) {
+	vms := make([]string, len(members))
+	for i, m := range members {
+		vms[i] = m.VM
+	}
+	d.setPeers(func(p *placement.Peers) { p.Members = vms })
 	d.catalogFeed.setMembers(members)
 	d.serversFeed.setMembers(members)
 	d.crashFeed.setMembers(members)
@@ -264,7 +273,7 @@
 func (d *Daemon) start(background, controlTasks *taskGroup) {
 	background.run(d.drainPoller.run)
 	background.run(d.logProcessPauses)
-	background.run(d.updateMoveBurst)
+	background.run(d.followDaemonCount)
 	background.run(func(ctx context.Context) { d.storeTransport.Run(ctx, d.directStore.Ping) })
 	if d.settings.NeighboursAddress != "" {
 		background.run(d.neighbours.Run)
--- a/acaciad/daemon/daemon_test.go
+++ b/acaciad/daemon/daemon_test.go
@@ -112,7 +112,7 @@
 	logger.SetOutput(r.log)
 	var ctx context.Context
 	ctx, r.stop = context.WithCancel(context.Background())
-	go func() { r.exited <- daemon.New(s, quarantine.DefaultSettings(), logger, time.Now()).Run(ctx) }()
+	go func() { r.exited <- daemon.New(s, daemon.DefaultOptions(), logger, time.Now()).Run(ctx) }()
 	d.Cleanup(r.stop)
 	return r
 }
@@ -332,3 +332,14 @@
 	d.eventually(fmt.Sprintf("%v requests are reported", ran), func() bool { return d.reportedRequests() == ran })
 	d.checkReports()
 }
+
+func TestOptions(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(daemon.DefaultOptions().Validate(), qt.IsNil)
+	o := daemon.DefaultOptions()
+	o.LimitMemory = 0
+	c.Assert(o.Validate(), qt.ErrorIs, daemon.ErrInvalidOptions)
+	o = daemon.DefaultOptions()
+	o.Quarantine.Hold = 0
+	c.Assert(o.Validate(), qt.ErrorIs, quarantine.ErrInvalidSettings)
+}
--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -42,6 +42,8 @@
 	defaultDrainTime time.Duration
 	// serversListed states that the list of backend servers has been read.
 	serversListed bool
+	// peers are the daemons among which the limits of backend servers are divided.
+	peers placement.Peers
 	// standardChangedAt is when the number of standard backend servers that do not
 	// drain, standardCount, last changed.
 	standardChangedAt time.Time
@@ -120,12 +122,12 @@
 	}
 	for name := range byService {
 		if d.pools[name] == nil {
-			d.pools[name] = &placement.Pool{Shares: d.laneShares(name)}
+			d.pools[name] = &placement.Pool{Shares: d.laneShares(name), Peers: d.peers}
 		}
 	}
 	var changes []Change
 	for name, pool := range d.pools {
-		added, removed := pool.Update(byService[name])
+		added, removed := pool.Update(byService[name], now)
 		if len(added)+len(removed) > 0 {
 			changes = append(changes, Change{Service: name, Added: added, Removed: removed})
 		}
@@ -143,6 +145,28 @@
 	return changes
 }
 
+// SetPeers sets the daemons among which the limits of backend servers are divided.
+func (d *Directory) SetPeers(peers placement.Peers, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peers = peers
+	for _, pool := range d.pools {
+		pool.SetPeers(peers, now)
+	}
+}
+
+// ReturnTime returns when a caller should return if the limits of the backend servers of a
+// service are used up, or false if they are not.
+func (d *Directory) ReturnTime(service string, now time.Time) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pool := d.pools[service]
+	if pool == nil {
+		return 0, false
+	}
+	return pool.ReturnTime(now)
+}
+
 // StandardChangedAt returns when the number of standard backend servers last
 // changed, or the zero time if there never was one.
 func (d *Directory) StandardChangedAt() time.Time {
--- a/acaciad/directory/reservation.go
+++ b/acaciad/directory/reservation.go
@@ -76,6 +76,22 @@
 	}
 }
 
+// SetLimit records the limit of requests a second that the backend server names in an
+// answer. It reports whether the limit is new or changed.
+func (r *Reservation) SetLimit(perSecond float64, now time.Time) bool {
+	r.directory.mu.Lock()
+	defer r.directory.mu.Unlock()
+	return r.pool.SetLimit(r.server, perSecond, now)
+}
+
+// EndLimit records that the answer to the request, which was sent at sent, names no limit.
+// It reports whether that ended one.
+func (r *Reservation) EndLimit(sent time.Time) bool {
+	r.directory.mu.Lock()
+	defer r.directory.mu.Unlock()
+	return r.server.EndLimit(sent)
+}
+
 // Finish releases the reservation and records the outcome. It may be called without
 // MarkPromptRead.
 func (r *Reservation) Finish(outcome Outcome, now time.Time) {
--- a/acaciad/main.go
+++ b/acaciad/main.go
@@ -9,7 +9,6 @@
 
 	"acaciapath.example/acaciad/daemon"
 	"acaciapath.example/core/program"
-	"acaciapath.example/core/quarantine"
 	"acaciapath.example/core/telemetry"
 	"acaciapath.example/platform"
 
@@ -40,22 +39,24 @@
 		SilenceErrors: true,
 	}
 	level := command.Flags().String("log-level", "info", "least severity that is logged: error, warning, info or debug")
-	q := quarantine.DefaultSettings()
+	options := daemon.DefaultOptions()
+	q := &options.Quarantine
 	command.Flags().IntVar(&q.Crashes, "quarantine-crashes", q.Crashes, "model engines that must have ended under a prompt part until its requests are refused; 0 refuses none")
 	command.Flags().DurationVar(&q.Memory, "quarantine-memory", q.Memory, "how long a crash under a prompt part is remembered")
 	command.Flags().DurationVar(&q.Hold, "quarantine-hold", q.Hold, "how long requests with a quarantined prompt part are refused until one is tried")
 	command.Flags().DurationVar(&q.MaxHold, "quarantine-max-hold", q.MaxHold, "longest hold, which doubles with each failed trial")
+	command.Flags().DurationVar(&options.LimitMemory, "limit-memory", options.LimitMemory, "how long a limit that a backend server named is remembered without news")
 	command.RunE = func(command *cobra.Command, _ []string) error {
-		if err := q.Validate(); err != nil {
+		if err := options.Validate(); err != nil {
 			return err
 		}
-		return run(command.Context(), *level, q, hangups)
+		return run(command.Context(), *level, options, hangups)
 	}
 	return command
 }
 
 // run runs the daemon until ctx is done.
-func run(ctx context.Context, level string, q quarantine.Settings, hangups <-chan os.Signal) error {
+func run(ctx context.Context, level string, options daemon.Options, hangups <-chan os.Signal) error {
 	stdout := telemetry.NewNonBlockingWriter(os.Stdout)
 	defer stdout.Close()
 	logger, err := telemetry.NewLogger(level, telemetry.FormatJSON, stdout)
@@ -68,7 +69,7 @@
 		return err
 	}
 	watchSettings(ctx, hangups, path, settings, logger)
-	return daemon.New(settings, q, logger, time.Now()).Run(ctx)
+	return daemon.New(settings, options, logger, time.Now()).Run(ctx)
 }
 
 // watchSettings reads the settings file again on each SIGHUP, but does not apply it. It
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -172,10 +172,25 @@
 	switch {
 	case x.mayHaveExecuted:
 		return mayHaveRun
-	case len(x.attempts) == 0:
-		return noBackendServer
+	case len(x.attempts) > 0:
+		return notRun
+	}
+	if wait, limited := x.handler.Directory.ReturnTime(x.service, time.Now()); limited {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "servers-limited", retryAfter: max(wait, retryAfterFailure)}
+	}
+	return noBackendServer
+}
+
+// recordLimit records the limit that a backend server names in its answer, or that it names
+// none.
+func (x *exchange) recordLimit(reservation *directory.Reservation, info platform.ResponseInfo) {
+	entry := x.handler.Logger.WithField("backend-server", reservation.Spec.Name)
+	switch {
+	case info.HasRateLimit && reservation.SetLimit(info.RateLimit, time.Now()):
+		entry.WithField("per-second", info.RateLimit).Info("backend server names a limit of requests, sending it this daemon's part")
+	case !info.HasRateLimit && !info.NotExecuted && reservation.EndLimit(x.runProgress.sent):
+		entry.Info("backend server names no limit of requests any more")
 	}
-	return notRun
 }
 
 // attempt sends the request to the backend server of a reservation, forwards the
@@ -278,6 +293,9 @@
 // content encoding.
 func (x *exchange) handleResponse(ctx context.Context, reservation *directory.Reservation, response *http.Response) result {
 	info := x.handler.Wire.ParseResponse(response, x.metadata.AttemptID)
+	if info.MatchesRequest {
+		x.recordLimit(reservation, info)
+	}
 	if info.NotExecuted && response.StatusCode != http.StatusBadRequest {
 		return rejected
 	}
--- a/acaciapath/explain/cause.go
+++ b/acaciapath/explain/cause.go
@@ -13,6 +13,7 @@
 	"timeout":            "the time limit of the caller or of the route expired before an answer arrived",
 	"timeout-not-run":    "the time limit of the caller or of the route expired before a backend server accepted the request",
 	"prompt-quarantined": "a part of the prompt is quarantined because several model engines ended under it, and the request was not sent",
+	"servers-limited":    "all backend servers of the service name limits of requests a second, and this VM's part of them was used up",
 	"shutting-down":      "the VM was about to stop, too soon for another stream",
 	"catalog-unknown":    "the VM had not read the configuration yet",
 	"route-unknown":      "no route of the configuration in force matches the host and the path",
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -56,6 +56,8 @@
 	// FullUntil is the time until which the server is avoided because it
 	// rejected a request for lack of capacity.
 	FullUntil time.Time
+	// Limit is the limit that the server names, or nil if there is none.
+	Limit *RateLimit
 
 	nameHash uint64
 }
@@ -66,12 +68,18 @@
 	Servers []*Server
 	// Shares are the shares of the servers that are reserved for lanes.
 	Shares Shares
+	// Peers are the daemons among which the limits of servers are divided.
+	Peers Peers
+
+	// returning is when the last caller that was refused because of limits was told to
+	// return.
+	returning time.Time
 }
 
 // Update replaces the servers, keeps the state of those that remain, and
 // returns the names of the added and the removed ones. A server whose address
 // or start time changed is treated as new, and returned in added only.
-func (p *Pool) Update(specs []replica.Spec) (added, removed []string) {
+func (p *Pool) Update(specs []replica.Spec, now time.Time) (added, removed []string) {
 	known := make(map[string]*Server, len(p.Servers))
 	for _, s := range p.Servers {
 		known[s.Spec.Name] = s
@@ -94,6 +102,7 @@
 	slices.SortFunc(servers, func(a, b *Server) int { return cmp.Compare(a.Spec.Name, b.Spec.Name) })
 	p.Servers = servers
 	p.assignLanes()
+	p.divideLimits(now)
 	return added, removed
 }
 
@@ -196,7 +205,7 @@
 )
 
 // Choose returns the server on which to run a request, or nil if all servers
-// are excluded. A server that is full, in cooldown or reserved for another lane
+// are excluded or their limits are used up. A server that is full, in cooldown or reserved for another lane
 // is chosen if no better one is left. A run that is moved with a copy of its KV cache
 // stays in its lane.
 func (p *Pool) Choose(requirements Requirements, now time.Time, random *rand.Rand) *Server {
@@ -204,7 +213,7 @@
 	var best *Server
 	bestCost := 0.0
 	for _, s := range p.Servers {
-		if s.isExcluded() || !p.accepts(s, requirements) {
+		if s.isExcluded() || !p.accepts(s, requirements) || p.isLimited(s, now) {
 			continue
 		}
 		c := cost(s, requirements, prefixServer, now) + jitterTokens*random.Float64()
@@ -298,6 +307,9 @@
 		keys = []uint64{requirements.SharedPrefixKey}
 	}
 	s.Replica.BeginRequest(keys, now)
+	if s.Limit != nil {
+		s.Limit.tokens = max(s.Limit.tokens-1, 0)
+	}
 	s.PendingPromptTokens += requirements.PromptTokens + int(copyCostRatio*float64(requirements.CopiedKVTokens))
 }
 
--- a/core/placement/pool_test.go
+++ b/core/placement/pool_test.go
@@ -34,7 +34,7 @@
 
 func newPool(shortPauses float64, specs ...replica.Spec) *placement.Pool {
 	p := &placement.Pool{Shares: placement.Shares{ShortPauses: shortPauses}}
-	p.Update(specs)
+	p.Update(specs, time.Time{})
 	return p
 }
 
@@ -102,7 +102,7 @@
 	for i := range specs {
 		specs[i].Draining = specs[i].Kind == config.KindCheap
 	}
-	p.Update(specs)
+	p.Update(specs, time.Time{})
 	for _, s := range p.Servers {
 		if s.Spec.Kind == config.KindStandard {
 			s.Lane = placement.ShortPauses
@@ -227,13 +227,13 @@
 	}
 	specs[1].StartedAt = start
 	specs[2].Address = "10.0.0.2:1"
-	added, removed := p.Update(append(specs[:3:3], replica.Spec{Name: "new"}))
+	added, removed := p.Update(append(specs[:3:3], replica.Spec{Name: "new"}), time.Time{})
 	c.Assert(added, qt.DeepEquals, []string{specs[1].Name, specs[2].Name, "new"})
 	c.Assert(removed, qt.HasLen, 0)
 	c.Assert(p.Servers[0].Running, qt.Equals, 1)
 	c.Assert(p.Servers[1].Running, qt.Equals, 0)
 	c.Assert(p.Servers[2].PendingPromptTokens, qt.Equals, 0)
-	_, removed = p.Update(nil)
+	_, removed = p.Update(nil, time.Time{})
 	c.Assert(removed, qt.HasLen, 4)
 }
 
--- /dev/null
+++ b/core/placement/rate_limit.go
@@ -0,0 +1,235 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"acaciapath.example/core/rendezvous"
+)
+
+// Peers are the daemons among which the limits of backend servers are divided.
+type Peers struct {
+	// VM and FailureDomain are those of this daemon.
+	VM, FailureDomain string
+	// Members are the VMs of the failure domain, or nil if they are not known.
+	Members []string
+	// Daemons is the number of daemons in all failure domains, and Domains that of
+	// failure domains. Either is 0 if it is not known.
+	Daemons, Domains int
+	// LimitMemory is how long a limit is remembered without news, or 0 for
+	// DefaultLimitMemory.
+	LimitMemory time.Duration
+}
+
+// DefaultLimitMemory is how long a limit is remembered without news by default.
+const DefaultLimitMemory = 10 * time.Minute
+
+// limitMemory returns how long a limit is remembered without news.
+func (p Peers) limitMemory() time.Duration {
+	if p.LimitMemory > 0 {
+		return p.LimitMemory
+	}
+	return DefaultLimitMemory
+}
+
+// memberCount returns the number of daemons in the failure domain, at least 1.
+func (p Peers) memberCount() int {
+	if len(p.Members) == 0 && p.Domains > 0 {
+		return max((p.Daemons+p.Domains-1)/p.Domains, 1)
+	}
+	return max(len(p.Members), 1)
+}
+
+// rank returns the number of members that come before this daemon at a server, by
+// rendezvous hashing, or 0 if the members are not known.
+func (p Peers) rank(s *Server) int {
+	weight := func(vm string) uint64 { return rendezvous.Mix(s.nameHash ^ rendezvous.Hash(vm)) }
+	own, n := weight(p.VM), 0
+	for _, vm := range p.Members {
+		if w := weight(vm); w > own || w == own && vm < p.VM {
+			n++
+		}
+	}
+	return n
+}
+
+// RateLimit is the limit of a backend server, as one daemon keeps its part of it.
+//
+// The limit is for all daemons together, which do not see each other's requests. A few of
+// them therefore divide it: those of the server's failure domain, and of failure domains
+// that have no server of the service. Each has a token bucket. They are few, usersPerUnit
+// for each request a second, because each may have saved a token.
+type RateLimit struct {
+	// PerSecond is the limit that the server named, in requests a second. PerSecond ≥ 0.
+	PerSecond float64
+	// NamedAt is when it was last named.
+	NamedAt time.Time
+
+	// rate and capacity are those of this daemon's bucket, in tokens a second and tokens.
+	// They are 0 if the daemon has no part of the limit.
+	rate, capacity float64
+	// 0 ≤ tokens ≤ capacity.
+	tokens  float64
+	updated time.Time
+}
+
+const (
+	// usersPerUnit is the number of daemons that use a server, for each request a second
+	// of its limit.
+	usersPerUnit = 2
+	// savedRequests is the number of requests that all daemons together may save, in
+	// addition to usersPerUnit for each request a second.
+	savedRequests = 2
+)
+
+// divide sets the part of one of users daemons, which together may save a number of
+// requests, or no part if users is 0.
+func (l *RateLimit) divide(perSecond, saved float64, users int) {
+	l.rate, l.capacity = 0, 0
+	if users > 0 {
+		l.rate = perSecond / float64(users)
+		l.capacity = max(1, saved/float64(users))
+	}
+	l.tokens = min(l.tokens, l.capacity)
+}
+
+// refill adds the tokens of the time since the last call.
+func (l *RateLimit) refill(now time.Time) {
+	if elapsed := now.Sub(l.updated); elapsed > 0 {
+		l.tokens = min(l.tokens+l.rate*elapsed.Seconds(), l.capacity)
+	}
+	l.updated = now
+}
+
+// nextToken returns the time until the daemon may send a request to the server, or false if
+// it has no part of the limit.
+func (l *RateLimit) nextToken(now time.Time) (time.Duration, bool) {
+	l.refill(now)
+	if l.rate <= 0 {
+		return 0, false
+	}
+	return time.Duration(max(1-l.tokens, 0) / l.rate * float64(time.Second)), true
+}
+
+// isLimited reports whether the daemon may send no request to a server at present,
+// because of its limit.
+func (p *Pool) isLimited(s *Server, now time.Time) bool {
+	if s.Limit == nil {
+		return false
+	}
+	if now.Sub(s.Limit.NamedAt) > p.Peers.limitMemory() {
+		s.Limit = nil
+		return false
+	}
+	s.Limit.refill(now)
+	return s.Limit.tokens < 1
+}
+
+// EndLimit records that an answer to a request which was sent at sent names no limit. It
+// reports whether that ended a limit. An answer to a request from before the limit was
+// last named does not.
+func (s *Server) EndLimit(sent time.Time) bool {
+	if s.Limit == nil || !sent.After(s.Limit.NamedAt) {
+		return false
+	}
+	s.Limit = nil
+	return true
+}
+
+// SetLimit records the limit of requests a second that a server named. It reports whether
+// the limit is new or changed.
+func (p *Pool) SetLimit(s *Server, perSecond float64, now time.Time) bool {
+	if s.Limit == nil {
+		s.Limit = &RateLimit{PerSecond: -1, updated: now}
+	}
+	s.Limit.NamedAt = now
+	if s.Limit.PerSecond == perSecond {
+		return false
+	}
+	s.Limit.PerSecond = perSecond
+	p.divideLimits(now)
+	return true
+}
+
+// SetPeers sets the daemons among which limits are divided.
+func (p *Pool) SetPeers(peers Peers, now time.Time) {
+	p.Peers = peers
+	p.divideLimits(now)
+}
+
+// divideLimits sets this daemon's part of each limit.
+func (p *Pool) divideLimits(now time.Time) {
+	served := make(map[string]bool)
+	for _, s := range p.Servers {
+		if !s.isExcluded() {
+			served[s.Spec.FailureDomain] = true
+		}
+	}
+	parts := 1 + max(p.Peers.Domains-len(served), 0)
+	for _, s := range p.Servers {
+		if s.Limit == nil {
+			continue
+		}
+		s.Limit.refill(now)
+		perSecond := s.Limit.PerSecond / float64(parts)
+		users := min(max(int(math.Ceil(usersPerUnit*perSecond)), 1), p.Peers.memberCount())
+		if s.Spec.FailureDomain != p.Peers.FailureDomain && served[p.Peers.FailureDomain] || p.Peers.rank(s) >= users {
+			users = 0
+		}
+		s.Limit.divide(perSecond, usersPerUnit*perSecond+savedRequests/float64(parts), users)
+	}
+}
+
+// Limited returns the number of servers with a limit.
+func (p *Pool) Limited() int {
+	n := 0
+	for _, s := range p.Servers {
+		if s.Limit != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// maxReturnTime is the longest time after which a caller is told to return because of
+// limits.
+const maxReturnTime = 10 * time.Second
+
+// ReturnTime returns when a caller that is refused now should return because the limits of
+// the servers are used up, or false if limits do not explain that there is no server.
+// Callers are told to return one after the other, at the rate of the limits.
+func (p *Pool) ReturnTime(now time.Time) (time.Duration, bool) {
+	wait, rate, limited := maxReturnTime, 0.0, false
+	for _, s := range p.Servers {
+		switch {
+		case s.isExcluded():
+		case !p.isLimited(s, now):
+			return 0, false
+		default:
+			limited = true
+			if d, ok := s.Limit.nextToken(now); ok {
+				wait, rate = min(wait, d), rate+s.Limit.rate
+			}
+		}
+	}
+	if !limited {
+		return 0, false
+	}
+	at := now.Add(wait)
+	if rate > 0 {
+		if next := p.returning.Add(time.Duration(float64(time.Second) / rate)); next.After(at) {
+			at = next
+		}
+	}
+	at = minTime(at, now.Add(maxReturnTime))
+	p.returning = at
+	return at.Sub(now), true
+}
+
+// minTime returns the earlier of two times.
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
