acaciad/limitreports: daemons tell each other of the limits of backend servers

Cause: a daemon with no part of a limit gets no answers from the server, so that it would keep off it for 10 min after the limit ended; and each of hundreds of daemons would send it a request before it knows.

Change: a row for each limited server in the table that crash reports use, now backend-reports, written by daemons whose answers name another limit than the row, or none. Its reader's hold is 1.2 s, so that the table costs a reader less than one call a second.

--- a/acaciad/crashreports/guard_test.go
+++ b/acaciad/crashreports/guard_test.go
@@ -49,11 +49,11 @@
 	store := platform.NewStore(s.store.Address(), time.Second, platform.NewStoreTransport())
 	g := &guard{Guard: crashreports.NewGuard(s.settings, registry), stop: stop}
 	g.VM, g.Logger, g.Metrics = vm, logger, crashreports.NewMetrics(registry)
-	g.Table = &platform.Table{Store: store, Name: platform.TableCrashReports}
+	g.Table = &platform.Table{Store: store, Name: platform.TableReports}
 	go g.Run(ctx)
 	go func() {
 		for ctx.Err() == nil {
-			if rows, err := store.Snapshot(ctx, platform.TableCrashReports); err == nil {
+			if rows, err := store.Snapshot(ctx, platform.TableReports); err == nil {
 				g.Apply(rows.Rows, true)
 			}
 			time.Sleep(50 * time.Millisecond)
@@ -109,7 +109,7 @@
 		s.eventually("a daemon refuses the part", func() bool { return g.refuses(7) })
 		s.Assert(g.refuses(1), qt.IsFalse)
 	}
-	s.eventually("the row is written", func() bool { return len(s.store.Rows(platform.TableCrashReports, "")) == 5 })
+	s.eventually("the row is written", func() bool { return len(s.store.Rows(platform.TableReports, "")) == 5 })
 	later := s.start("vm-later")
 	s.eventually("a daemon that starts later refuses the part", func() bool { return later.refuses(7) })
 }
@@ -137,7 +137,7 @@
 	g := s.start("vm-1")
 	g.crash(0, 7)
 	g.crash(1, 7)
-	s.eventually("the report is written", func() bool { return len(s.store.Rows(platform.TableCrashReports, "")) == 1 })
+	s.eventually("the report is written", func() bool { return len(s.store.Rows(platform.TableReports, "")) == 1 })
 	time.Sleep(400 * time.Millisecond) // the second crash may be written later
 	g.stop()
 	g = s.start("vm-1")
@@ -158,7 +158,7 @@
 	two.RecordSound(prompt(7), time.Now())
 	s.eventually("both send it again", func() bool { return !one.refuses(7) && !two.refuses(7) })
 	s.eventually("its row is deleted", func() bool {
-		for _, row := range s.store.Rows(platform.TableCrashReports, "") {
+		for _, row := range s.store.Rows(platform.TableReports, "") {
 			if row.Key == "quarantine/7" {
 				return false
 			}
@@ -215,7 +215,7 @@
 		"report/vm-9": "{", "quarantine/7": `{"hold-ms":0}`, "quarantine/x": "{}", "else": "1",
 		"report/vm-8": `{"crashes":[{"part":"z","server":"a"}]}`,
 	} {
-		s.store.WriteBytes(platform.TableCrashReports, key, []byte(value))
+		s.store.WriteBytes(platform.TableReports, key, []byte(value))
 	}
 	g := s.start("vm-1")
 	for i := range 4 {
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"acaciapath.example/acaciad/control"
 	"acaciapath.example/acaciad/crashreports"
 	"acaciapath.example/acaciad/directory"
+	"acaciapath.example/acaciad/limitreports"
 	"acaciapath.example/acaciad/neighbours"
 	"acaciapath.example/acaciad/proxy"
 	"acaciapath.example/core/config"
@@ -41,9 +42,13 @@
 	// settleMargin is how long before its deadline a usage window is settled even
 	// if parts are missing. It leaves time for a few attempts at each call.
 	settleMargin = 2 * time.Second
-	// crashHoldTime is how long the store holds a call of the feed of crash reports. They
+	// reportsHoldTime is how long the store holds a call of the feed of reports. They
 	// change rarely, and keep-alive probes detect a connection that fell silent.
-	crashHoldTime = 12 * time.Second
+	reportsHoldTime = 12 * time.Second
+	// reportsReaderHold is the same for a daemon that reads for others, and reportsSilence
+	// how long the others wait for news from it.
+	reportsReaderHold = 1200 * time.Millisecond
+	reportsSilence    = 2 * time.Second
 	// initialLeasePoll is how often a daemon checks whether the lease is free, until
 	// it knows how many other daemons do so. It allows for hundreds.
 	initialLeasePoll = 10 * time.Second
@@ -84,8 +89,9 @@
 	neighbours     *neighbours.Registry
 	catalogFeed    *feed
 	serversFeed    *feed
-	crashFeed      *feed
+	reportsFeed    *feed
 	guard          *crashreports.Guard
+	limits         *limitreports.Sharer
 	writeQueue     *neighbours.WriteQueue
 	collector      *neighbours.Collector
 	usage          *control.Usage
@@ -166,11 +172,16 @@
 	d.guard = crashreports.NewGuard(options.Quarantine, d.registry)
 	d.guard.VM, d.guard.Metrics, d.guard.Logger = s.Name, crashreports.NewMetrics(d.registry), logger
 	d.guard.Daemons = func() int { return d.keeper.Row().Candidates }
-	d.guard.Table = &platform.Table{
-		Store: platform.NewStore(s.StoreAddress, storeTimeout, d.storeTransport.Relayed()), Name: platform.TableCrashReports,
+	reports := &platform.Table{
+		Store: platform.NewStore(s.StoreAddress, storeTimeout, d.storeTransport.Relayed()), Name: platform.TableReports,
 	}
-	d.crashFeed = d.newFeed(platform.TableCrashReports)
-	d.crashFeed.apply, d.crashFeed.holdTime = d.guard.Apply, crashHoldTime
+	d.guard.Table = reports
+	d.limits = limitreports.NewSharer()
+	d.limits.Table, d.limits.Memory, d.limits.Daemons, d.limits.Logger = reports, options.LimitMemory, d.guard.Daemons, logger
+	d.limits.Learn, d.limits.Forget = d.learnLimit, d.forgetLimit
+	d.reportsFeed = d.newFeed(platform.TableReports)
+	d.reportsFeed.apply, d.reportsFeed.holdTime = d.applyReports, reportsHoldTime
+	d.reportsFeed.times.Hold, d.reportsFeed.times.Silence = reportsReaderHold, reportsSilence
 	client := proxy.NewClient()
 	engines := &platform.EngineClient{Transport: client.Transport()}
 	d.drainPoller = &drainPoller{
@@ -182,6 +193,7 @@
 		Directory:    d.directory,
 		Client:       client,
 		Guard:        d.guard,
+		Limits:       d.limits,
 		EngineClient: engines,
 		Meter:        d.usage.Meter,
 		Metrics:      proxy.NewMetrics(d.registry),
@@ -214,7 +226,7 @@
 	d.setPeers(func(p *placement.Peers) { p.Members = vms })
 	d.catalogFeed.setMembers(members)
 	d.serversFeed.setMembers(members)
-	d.crashFeed.setMembers(members)
+	d.reportsFeed.setMembers(members)
 	d.storeTransport.SetMembers(d.settings.Name, members)
 }
 
@@ -282,8 +294,9 @@
 	}
 	background.run(d.catalogFeed.run)
 	background.run(d.serversFeed.run)
-	background.run(d.crashFeed.run)
+	background.run(d.reportsFeed.run)
 	background.run(d.guard.Run)
+	background.run(d.limits.Run)
 	if d.settings.ReportsUsage || d.settings.OrdersServers {
 		controlTasks.run(func(ctx context.Context) {
 			sleep.For(ctx, rand.N(leaseStartSpread))
@@ -311,6 +324,27 @@
 	return d.updater.applyServers(rows, snapshot)
 }
 
+// applyReports applies what daemons report about backend servers.
+func (d *Daemon) applyReports(rows []platform.Row, snapshot bool) bool {
+	d.limits.Apply(rows, snapshot)
+	return d.guard.Apply(rows, snapshot)
+}
+
+// learnLimit applies the limit of a backend server that another daemon reports.
+func (d *Daemon) learnLimit(instance string, perSecond float64, named time.Time) {
+	if d.directory.LearnLimit(instance, perSecond, named, time.Now()) {
+		d.logger.WithFields(logrus.Fields{"backend-server": instance, "per-second": perSecond}).
+			Info("limit of a backend server learned from another daemon, sending it this daemon's part")
+	}
+}
+
+// forgetLimit applies that a backend server names no limit any more.
+func (d *Daemon) forgetLimit(instance string) {
+	if d.directory.ForgetLimit(instance) {
+		d.logger.WithField("backend-server", instance).Info("limit of a backend server ended, as another daemon reports")
+	}
+}
+
 // stayingCheapEngines calls directoryUpdater.stayingCheapEngines with the lock.
 func (d *Daemon) stayingCheapEngines() [][]replica.Spec {
 	d.mu.Lock()
--- a/acaciad/daemon/listeners.go
+++ b/acaciad/daemon/listeners.go
@@ -75,7 +75,7 @@
 	mux.Handle("GET "+reader.Path, &reader.Handler{
 		Publishers: map[string]*reader.Publisher{
 			platform.TableCatalog: d.catalogFeed.publisher, platform.TableServers: d.serversFeed.publisher,
-			platform.TableCrashReports: d.crashFeed.publisher,
+			platform.TableReports: d.reportsFeed.publisher,
 		},
 		Logger: d.logger,
 	})
--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -155,6 +155,40 @@
 	}
 }
 
+// LearnLimit records the limit of requests a second that an instance of a backend server
+// named to another daemon at named. It reports whether it is new or changed. A limit that
+// was named to this daemon later stays.
+func (d *Directory) LearnLimit(instance string, perSecond float64, named, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed := false
+	for _, pool := range d.pools {
+		for _, s := range pool.Servers {
+			if s.Spec.Instance() == instance && (s.Limit == nil || named.After(s.Limit.NamedAt)) {
+				changed = pool.SetLimit(s, perSecond, now) || changed
+				s.Limit.NamedAt = named
+			}
+		}
+	}
+	return changed
+}
+
+// ForgetLimit records that an instance of a backend server names no limit any more, by
+// what another daemon reports. It reports whether it had one.
+func (d *Directory) ForgetLimit(instance string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	forgotten := false
+	for _, pool := range d.pools {
+		for _, s := range pool.Servers {
+			if s.Limit != nil && s.Spec.Instance() == instance {
+				s.Limit, forgotten = nil, true
+			}
+		}
+	}
+	return forgotten
+}
+
 // ReturnTime returns when a caller should return if the limits of the backend servers of a
 // service are used up, or false if they are not.
 func (d *Directory) ReturnTime(service string, now time.Time) (time.Duration, bool) {
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -10,6 +10,7 @@
 
 	"acaciapath.example/acaciad/crashreports"
 	"acaciapath.example/acaciad/directory"
+	"acaciapath.example/acaciad/limitreports"
 	"acaciapath.example/core/catalog"
 	"acaciapath.example/core/placement"
 	"acaciapath.example/core/quarantine"
@@ -52,6 +53,8 @@
 	Client *Client
 	// Guard refuses requests whose prompts crash model engines.
 	Guard *crashreports.Guard
+	// Limits reports the limits that backend servers name.
+	Limits *limitreports.Sharer
 	// EngineClient copies the KV cache of runs between model engines. It is nil if the
 	// engines cannot do that.
 	EngineClient *platform.EngineClient
--- a/acaciad/proxy/harness_test.go
+++ b/acaciad/proxy/harness_test.go
@@ -13,6 +13,7 @@
 
 	"acaciapath.example/acaciad/crashreports"
 	"acaciapath.example/acaciad/directory"
+	"acaciapath.example/acaciad/limitreports"
 	"acaciapath.example/acaciad/proxy"
 	"acaciapath.example/core/catalog"
 	"acaciapath.example/core/quarantine"
@@ -83,10 +84,13 @@
 	f.endStreams = endStreams
 	guard := crashreports.NewGuard(quarantine.DefaultSettings(), prometheus.NewRegistry())
 	guard.Metrics, guard.Logger = crashreports.NewMetrics(prometheus.NewRegistry()), logger
+	limits := limitreports.NewSharer()
+	limits.Daemons, limits.Logger = func() int { return 1 }, logger
 	f.handler = &proxy.Handler{
 		Directory:    f.directory,
 		Client:       proxy.NewClient(),
 		Guard:        guard,
+		Limits:       limits,
 		Meter:        usage.NewMeter(),
 		Metrics:      proxy.NewMetrics(prometheus.NewRegistry()),
 		Logger:       logger,
--- a/acaciad/proxy/quarantine.go
+++ b/acaciad/proxy/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"acaciapath.example/acaciad/directory"
@@ -94,7 +93,6 @@
 		x.recordSound()
 	case (r == broken || r == truncated) && p.lost && p.events < beginningEvents && ctx.Err() == nil &&
 		x.request.Context().Err() == nil && x.outcome != outcomeCallerLeft:
-		server := reservation.Spec.Name + "@" + strconv.FormatInt(reservation.Spec.StartedAt.UnixMilli(), 10)
-		x.handler.Guard.RecordCrash(x.metadata.AttemptID, x.sharedParts, server, time.Now())
+		x.handler.Guard.RecordCrash(x.metadata.AttemptID, x.sharedParts, reservation.Spec.Instance(), time.Now())
 	}
 }
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -184,11 +184,16 @@
 // recordLimit records the limit that a backend server names in its answer, or that it names
 // none.
 func (x *exchange) recordLimit(reservation *directory.Reservation, info platform.ResponseInfo) {
-	entry := x.handler.Logger.WithField("backend-server", reservation.Spec.Name)
+	now, instance := time.Now(), reservation.Spec.Instance()
+	entry := x.handler.Logger.WithField("backend-server", instance)
+	if info.HasRateLimit {
+		x.handler.Limits.Record(instance, info.RateLimit, now)
+	}
 	switch {
-	case info.HasRateLimit && reservation.SetLimit(info.RateLimit, time.Now()):
+	case info.HasRateLimit && reservation.SetLimit(info.RateLimit, now):
 		entry.WithField("per-second", info.RateLimit).Info("backend server names a limit of requests, sending it this daemon's part")
 	case !info.HasRateLimit && !info.NotExecuted && reservation.EndLimit(x.runProgress.sent):
+		x.handler.Limits.End(instance, now)
 		entry.Info("backend server names no limit of requests any more")
 	}
 }
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"strconv"
 	"time"
 
 	"acaciapath.example/core/config"
@@ -52,6 +53,12 @@
 	StartedAt time.Time
 }
 
+// Instance returns the name of the backend server together with its start, which identify
+// it and what it holds.
+func (s Spec) Instance() string {
+	return s.Name + "@" + strconv.FormatInt(s.StartedAt.UnixMilli(), 10)
+}
+
 // Replica is the state of a backend server as one entry daemon knows it. It is
 // not safe for concurrent use.
 type Replica struct {
