acaciad/proxy: a stream without a length that ends before its first event is broken off

Cause: an engine that closes its connection when it crashes ends an answer which has neither a length nor chunks. Without an event it was passed on as a complete empty stream, and counted as a sound run of its prompt.

Evidence: TestStreamsThatEndWithTheirConnection/no_event got 200 with an empty body before; a stream that ends within an event was refused already.

--- a/acaciad/proxy/events.go
+++ b/acaciad/proxy/events.go
@@ -21,6 +21,8 @@
 	errCallerLeft = merry.Sentinel("proxy: the caller disconnected from the stream")
 	// errIncompleteEvent is returned when a stream ends within an event.
 	errIncompleteEvent = merry.Sentinel("proxy: the stream contains an incomplete event")
+	// errNoEvent is returned when a stream without a length ends before its first event.
+	errNoEvent = merry.Sentinel("proxy: the connection of the stream ended before its first event")
 )
 
 // forwardEvents forwards complete events to the caller as they arrive. It returns
@@ -38,6 +40,8 @@
 			events.discard(end)
 		}
 		switch {
+		case err == io.EOF && x.runProgress.events == 0 && endsWithConnection(response):
+			return errNoEvent
 		case err == io.EOF && len(events.data) == 0:
 			x.startStream(ctx, reservation, response)
 			return nil
@@ -49,6 +53,12 @@
 	}
 }
 
+// endsWithConnection reports whether nothing but the end of its connection shows the end
+// of a response.
+func endsWithConnection(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 // startStream handles the first event from a backend server: it marks the prompt as
 // read, records the usage and starts to watch the run for a move. It sends the response
 // headers to the caller only for the first backend server of the request.
