acaciad/crashreports: the least time between two reports holds for all of them

A daemon that saw a crash just after a report wrote the next one at once, up to some 25 a second in a storm.

--- a/acaciad/crashreports/exchange.go
+++ b/acaciad/crashreports/exchange.go
@@ -38,7 +38,7 @@
 // scheduleReportLocked schedules a write of the report. The caller holds g.mu.
 func (g *Guard) scheduleReportLocked(now time.Time) {
 	if g.reportDue.IsZero() {
-		g.reportDue = now.Add(g.spread())
+		g.reportDue = maxTime(now.Add(g.spread()), g.reportedAt.Add(reportInterval))
 	}
 }
 
@@ -127,7 +127,7 @@
 		return
 	}
 	report, hasRow := g.ledger.Report(), g.ownRow
-	g.reportDue = time.Time{}
+	g.reportDue, g.reportedAt = time.Time{}, now
 	g.mu.Unlock()
 	if report.IsEmpty() && !hasRow {
 		return
@@ -145,9 +145,6 @@
 	switch {
 	case err == nil:
 		g.ownRow = !write.Delete
-		if !g.reportDue.IsZero() {
-			g.reportDue = maxTime(g.reportDue, time.Now().Round(0).Add(reportInterval))
-		}
 	case ctx.Err() == nil:
 		g.reportDue = time.Now().Round(0).Add(retryInterval + g.spread())
 		g.Logger.WithField("error", platformapi.Reason(err)).Info("cannot write the crash report of this VM, will retry")
--- a/acaciad/crashreports/guard.go
+++ b/acaciad/crashreports/guard.go
@@ -35,8 +35,9 @@
 
 	mu     sync.Mutex // guards the fields below
 	ledger *quarantine.Ledger
-	// reportDue is when the report is to be written, or zero.
-	reportDue time.Time
+	// reportDue is when the report is to be written, or zero, and reportedAt when it was
+	// last written.
+	reportDue, reportedAt time.Time
 	// ownRowKnown states that the row of this VM from before a restart has been looked for,
 	// and ownRow that there is a row.
 	ownRowKnown, ownRow bool
