core/placement: a named limit is divided alone, with hashes of the members kept

Cause: each limit that a server named divided the limits of all servers anew and hashed the names of all members for each, under the directory's lock.

--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -122,7 +122,8 @@
 	}
 	for name := range byService {
 		if d.pools[name] == nil {
-			d.pools[name] = &placement.Pool{Shares: d.laneShares(name), Peers: d.peers}
+			d.pools[name] = &placement.Pool{Shares: d.laneShares(name)}
+			d.pools[name].SetPeers(d.peers, now)
 		}
 	}
 	var changes []Change
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -12,6 +12,8 @@
 	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/core/catalog"
 	"acaciapath.example/platform"
+
+	"github.com/sirupsen/logrus"
 )
 
 // Outcomes of requests other than refusals: the caller received a complete answer
@@ -184,17 +186,20 @@
 // recordLimit records the limit that a backend server names in its answer, or that it names
 // none.
 func (x *exchange) recordLimit(reservation *directory.Reservation, info platform.ResponseInfo) {
-	now, instance := time.Now(), reservation.Spec.Instance()
-	entry := x.handler.Logger.WithField("backend-server", instance)
+	now := time.Now()
 	if info.HasRateLimit {
+		instance := reservation.Spec.Instance()
 		x.handler.Limits.Record(instance, info.RateLimit, now)
+		if reservation.SetLimit(info.RateLimit, now) {
+			x.handler.Logger.WithFields(logrus.Fields{"backend-server": instance, "per-second": info.RateLimit}).
+				Info("backend server names a limit of requests, sending it this daemon's part")
+		}
+		return
 	}
-	switch {
-	case info.HasRateLimit && reservation.SetLimit(info.RateLimit, now):
-		entry.WithField("per-second", info.RateLimit).Info("backend server names a limit of requests, sending it this daemon's part")
-	case !info.HasRateLimit && !info.NotExecuted && reservation.EndLimit(x.runProgress.sent):
+	if !info.NotExecuted && reservation.EndLimit(x.runProgress.sent) {
+		instance := reservation.Spec.Instance()
 		x.handler.Limits.End(instance, now)
-		entry.Info("backend server names no limit of requests any more")
+		x.handler.Logger.WithField("backend-server", instance).Info("backend server names no limit of requests any more")
 	}
 }
 
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -68,9 +68,13 @@
 	Servers []*Server
 	// Shares are the shares of the servers that are reserved for lanes.
 	Shares Shares
-	// Peers are the daemons among which the limits of servers are divided.
+	// Peers are the daemons among which the limits of servers are divided. SetPeers sets
+	// them.
 	Peers Peers
 
+	// ownHash and otherHashes are hashes of this daemon's VM and of the other members.
+	ownHash     uint64
+	otherHashes []uint64
 	// returning is when the last caller that was refused because of limits was told to
 	// return.
 	returning time.Time
--- a/core/placement/rate_limit.go
+++ b/core/placement/rate_limit.go
@@ -40,19 +40,6 @@
 	return max(len(p.Members), 1)
 }
 
-// rank returns the number of members that come before this daemon at a server, by
-// rendezvous hashing, or 0 if the members are not known.
-func (p Peers) rank(s *Server) int {
-	weight := func(vm string) uint64 { return rendezvous.Mix(s.nameHash ^ rendezvous.Hash(vm)) }
-	own, n := weight(p.VM), 0
-	for _, vm := range p.Members {
-		if w := weight(vm); w > own || w == own && vm < p.VM {
-			n++
-		}
-	}
-	return n
-}
-
 // RateLimit is the limit of a backend server, as one daemon keeps its part of it.
 //
 // The limit is for all daemons together, which do not see each other's requests. A few of
@@ -147,37 +134,65 @@
 		return false
 	}
 	s.Limit.PerSecond = perSecond
-	p.divideLimits(now)
+	p.divideLimit(s, p.servedDomains(), now)
 	return true
 }
 
 // SetPeers sets the daemons among which limits are divided.
 func (p *Pool) SetPeers(peers Peers, now time.Time) {
 	p.Peers = peers
+	p.ownHash, p.otherHashes = rendezvous.Hash(peers.VM), nil
+	for _, vm := range peers.Members {
+		if vm != peers.VM {
+			p.otherHashes = append(p.otherHashes, rendezvous.Hash(vm))
+		}
+	}
 	p.divideLimits(now)
 }
 
-// divideLimits sets this daemon's part of each limit.
-func (p *Pool) divideLimits(now time.Time) {
+// servedDomains returns the failure domains that have servers.
+func (p *Pool) servedDomains() map[string]bool {
 	served := make(map[string]bool)
 	for _, s := range p.Servers {
 		if !s.isExcluded() {
 			served[s.Spec.FailureDomain] = true
 		}
 	}
-	parts := 1 + max(p.Peers.Domains-len(served), 0)
+	return served
+}
+
+// divideLimits sets this daemon's part of each limit.
+func (p *Pool) divideLimits(now time.Time) {
+	served := p.servedDomains()
 	for _, s := range p.Servers {
-		if s.Limit == nil {
-			continue
+		if s.Limit != nil {
+			p.divideLimit(s, served, now)
 		}
-		s.Limit.refill(now)
-		perSecond := s.Limit.PerSecond / float64(parts)
-		users := min(max(int(math.Ceil(usersPerUnit*perSecond)), 1), p.Peers.memberCount())
-		if s.Spec.FailureDomain != p.Peers.FailureDomain && served[p.Peers.FailureDomain] || p.Peers.rank(s) >= users {
-			users = 0
+	}
+}
+
+// divideLimit sets this daemon's part of the limit of a server.
+func (p *Pool) divideLimit(s *Server, served map[string]bool, now time.Time) {
+	s.Limit.refill(now)
+	parts := 1 + max(p.Peers.Domains-len(served), 0)
+	perSecond := s.Limit.PerSecond / float64(parts)
+	users := min(max(int(math.Ceil(usersPerUnit*perSecond)), 1), p.Peers.memberCount())
+	if s.Spec.FailureDomain != p.Peers.FailureDomain && served[p.Peers.FailureDomain] || p.rank(s) >= users {
+		users = 0
+	}
+	s.Limit.divide(perSecond, usersPerUnit*perSecond+savedRequests/float64(parts), users)
+}
+
+// rank returns the number of members that come before this daemon at a server, by
+// rendezvous hashing, or 0 if the members are not known.
+func (p *Pool) rank(s *Server) int {
+	own, n := rendezvous.Mix(s.nameHash^p.ownHash), 0
+	for _, hash := range p.otherHashes {
+		if rendezvous.Mix(s.nameHash^hash) > own {
+			n++
 		}
-		s.Limit.divide(perSecond, usersPerUnit*perSecond+savedRequests/float64(parts), users)
 	}
+	return n
 }
 
 // Limited returns the number of servers with a limit.
