acaciad/proxy: the end of an event is searched for in new bytes only

Cause: after each read the whole buffer was searched for the end of an event, twice, with a generic search: quadratic in the size of the event, up to 1 MB for each of 200 streams at once.

Change: only new bytes are searched, backwards from one line end to the next.

--- a/acaciad/proxy/endless_test.go
+++ b/acaciad/proxy/endless_test.go
@@ -25,6 +25,8 @@
 	prefix, repeat string
 	// pause is the time before each repetition, or 0 for none.
 	pause time.Duration
+	// bytewise states that each byte is sent by itself.
+	bytewise bool
 	// open is the number of connections with an endless answer.
 	open atomic.Int64
 	// requests is the number of requests received, and received has their ids.
@@ -67,12 +69,27 @@
 	}
 	for {
 		time.Sleep(s.pause)
-		if _, err := io.WriteString(connection, s.repeat); err != nil {
+		if err := s.sendRepeat(connection); err != nil {
 			return
 		}
 	}
 }
 
+// sendRepeat sends the repeated bytes once.
+func (s *endlessServer) sendRepeat(connection net.Conn) error {
+	if !s.bytewise {
+		_, err := io.WriteString(connection, s.repeat)
+		return err
+	}
+	for i := range s.repeat {
+		if _, err := io.WriteString(connection, s.repeat[i:i+1]); err != nil {
+			return err
+		}
+		time.Sleep(100 * time.Microsecond)
+	}
+	return nil
+}
+
 const (
 	// endlessRequests is the number of requests that meet an endless answer at once.
 	endlessRequests = 200
--- a/acaciad/proxy/events.go
+++ b/acaciad/proxy/events.go
@@ -31,14 +31,18 @@
 	controller := http.NewResponseController(x.writer)
 	events := newBuffer(x.handler.Buffers, maxEventBytes)
 	defer events.release()
+	searched := 0 // bytes of events.data in which no event ends
 	for {
 		err := events.readFrom(response.Body)
-		if end := lastEventEnd(events.data); end > 0 {
+		from := max(searched-maxEventEndBytes+1, 0)
+		if end := lastEventEnd(events.data[from:]); end > 0 {
+			end += from
 			if writeErr := x.writeEvents(ctx, controller, reservation, response, events.data[:end]); writeErr != nil {
 				return writeErr
 			}
 			events.discard(end)
 		}
+		searched = len(events.data)
 		switch {
 		case err == io.EOF && x.runProgress.events == 0 && endsWithConnection(response):
 			return errNoEvent
@@ -113,15 +117,20 @@
 	}
 }
 
+// maxEventEndBytes is the maximum length of the line ends that end an event.
+const maxEventEndBytes = len("\r\n\r\n")
+
 // lastEventEnd returns the length of the complete events at the beginning of data,
 // or 0 if there are none. An event ends with an empty line.
 func lastEventEnd(data []byte) int {
-	end := bytes.LastIndex(data, []byte("\n\n"))
-	if crlf := bytes.LastIndex(data, []byte("\r\n\r\n")); crlf >= 0 && crlf+4 > end+2 {
-		return crlf + 4
-	}
-	if end < 0 {
-		return 0
+	for end := len(data); ; {
+		i := bytes.LastIndexByte(data[:end], '\n')
+		if i < 0 {
+			return 0
+		}
+		if bytes.HasSuffix(data[:i], []byte("\n")) || bytes.HasSuffix(data[:i], []byte("\r\n\r")) {
+			return i + 1
+		}
+		end = i
 	}
-	return end + 2
 }
