controld: TestFrozenHolderSendsNoStaleOrders checks that it froze the holder

KNOWN-RED.txt: once, at load 21, no next holder sent an order within 30 s.

Suspected cause: the test read the holder of the lease, then waited for the order intent, and froze whoever had held the lease before. If the lease changed hands in between, the real holder goes on under its fencing token, and a higher one never comes. Ruled out: an order that ends before the freeze (with 1.5 s between intent and freeze, on a scratch copy, the test passes). Freezing the other daemon on purpose gives the same line after 30 s.

Change: after the freeze the test reads the lease again. If the frozen daemon does not hold it, it is resumed and the round begins anew; three rounds with a frozen holder are required as before. The entry stays until the cause is seen.

--- a/controld/main_test.go
+++ b/controld/main_test.go
@@ -161,6 +161,29 @@
 	c.Fatalf("timed out waiting until %s", what)
 }
 
+// freezeHolder freezes the process that holds the lease while it has an order in progress,
+// and returns the name of its VM. On a busy machine the lease may change hands just before;
+// the process that had it is then resumed, and the next order is waited for.
+func freezeHolder(c *qt.C, p *standin.Server, daemons map[string]*exec.Cmd) string {
+	c.Helper()
+	for deadline := time.Now().Add(testTimeout); time.Now().Before(deadline); {
+		p.SetFaults(standin.Servers, fault.Faults{})
+		eventually(c, "the pool has its minimum size", func() bool { return liveServers(c, p) == 2 })
+		holder := leaseHolder(c, p)
+		p.SetFaults(standin.Servers, fault.Faults{Delay: fault.Duration(orderDelay)})
+		p.EvictCheapServers(domain, 0)
+		eventually(c, "an order intent is recorded", func() bool { return openIntents(p) > 0 })
+		c.Assert(daemons[holder].Process.Signal(syscall.SIGSTOP), qt.IsNil)
+		if leaseHolder(c, p) == holder {
+			return holder
+		}
+		c.Logf("the lease changed hands before %s was frozen", holder)
+		c.Assert(daemons[holder].Process.Signal(syscall.SIGCONT), qt.IsNil)
+	}
+	c.Fatalf("timed out waiting to freeze the holder of the lease")
+	return ""
+}
+
 // TestFrozenHolderSendsNoStaleOrders guards against a holder that goes on sending
 // after its lease has expired. Three times, it freezes the holder's process during an
 // order until the next holder has sent one, and then resumes it. The platform does not
@@ -180,12 +203,7 @@
 		defer stopDaemon(c, daemons[name])
 	}
 	for range 3 {
-		eventually(c, "the pool has its minimum size", func() bool { return liveServers(c, p) == 2 })
-		holder := leaseHolder(c, p)
-		p.SetFaults(standin.Servers, fault.Faults{Delay: fault.Duration(orderDelay)})
-		p.EvictCheapServers(domain, 0)
-		eventually(c, "an order intent is recorded", func() bool { return openIntents(p) > 0 })
-		c.Assert(daemons[holder].Process.Signal(syscall.SIGSTOP), qt.IsNil)
+		holder := freezeHolder(c, p, daemons)
 		fence := lastFence(p)
 		eventually(c, "the next holder has sent an order", func() bool { return lastFence(p) > fence })
 		c.Assert(daemons[holder].Process.Signal(syscall.SIGCONT), qt.IsNil)
