acaciad/crashreports, limitreports: older news of the table change nothing

Cause: a daemon that had just written the row of a quarantine applied the table as it had been read before the write. The missing row looked deleted, the quarantine was lifted, and its row was then deleted for all as disproved. The same holds for limits, and for a deletion that arrives after a later write.

--- a/acaciad/crashreports/exchange.go
+++ b/acaciad/crashreports/exchange.go
@@ -232,9 +232,9 @@
 	}
 }
 
-// Apply applies rows of the table. snapshot states that they are all rows. It returns
-// false, since no further changes are likely to follow.
-func (g *Guard) Apply(rows []platform.Row, snapshot bool) bool {
+// Apply applies rows of the table. snapshot states that they are all rows as of a version
+// of the store. It returns false, since no further changes are likely to follow.
+func (g *Guard) Apply(rows []platform.Row, snapshot bool, version uint64) bool {
 	now := time.Now().Round(0)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -254,8 +254,8 @@
 		}
 	}
 	if snapshot {
-		for part, version := range g.versions {
-			if version != 0 && !seen[part] {
+		for part, known := range g.versions {
+			if known <= version && !seen[part] {
 				g.endLocked(part)
 			}
 		}
@@ -292,8 +292,12 @@
 	return report.Newest()
 }
 
-// applyQuarantineLocked applies the row of a quarantine. The caller holds g.mu.
+// applyQuarantineLocked applies the row of a quarantine, unless a later one is known. The
+// caller holds g.mu.
 func (g *Guard) applyQuarantineLocked(part uint64, row platform.Row, now time.Time) {
+	if row.Version < g.versions[part] {
+		return
+	}
 	if row.Deleted {
 		g.endLocked(part)
 		return
--- a/acaciad/crashreports/guard_test.go
+++ b/acaciad/crashreports/guard_test.go
@@ -54,7 +54,7 @@
 	go func() {
 		for ctx.Err() == nil {
 			if rows, err := store.Snapshot(ctx, platform.TableReports); err == nil {
-				g.Apply(rows.Rows, true)
+				g.Apply(rows.Rows, true, rows.Version)
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
@@ -169,6 +169,35 @@
 	s.Assert(one.refuses(7) || two.refuses(7), qt.IsFalse)
 }
 
+// TestLateNewsLiftNoQuarantine has a daemon that wrote the row of a quarantine receive the
+// table as it was before, and an older deletion of the row. It must go on to refuse the part.
+func TestLateNewsLiftNoQuarantine(t *testing.T) {
+	s := newTable(t)
+	client := platform.NewStore(s.store.Address(), time.Second, platform.NewStoreTransport())
+	s.store.Write(platform.TableReports, "quarantine/7", map[string]any{})
+	s.store.Remove(platform.TableReports, "quarantine/7")
+	before, err := client.Snapshot(s.Context(), platform.TableReports)
+	s.Assert(err, qt.IsNil)
+	g := s.start("vm-1")
+	for i := range 4 {
+		g.crash(i, 7)
+	}
+	s.eventually("the row is written", func() bool {
+		for _, row := range s.store.Rows(platform.TableReports, "") {
+			if row.Key == "quarantine/7" {
+				return true
+			}
+		}
+		return false
+	})
+	for range 20 {
+		g.Apply(before.Rows, true, before.Version)
+		g.Apply([]platform.Row{{Key: "quarantine/7", Version: before.Version, Deleted: true}}, false, before.Version)
+		s.Assert(g.refuses(7), qt.IsTrue)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // TestOneTrialOfAllDaemons lets a quarantine run out while several daemons get requests
 // with the part. One request of all may be sent, and if its engine ends as well, no other
 // one for twice as long.
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -326,8 +326,9 @@
 
 // applyReports applies what daemons report about backend servers.
 func (d *Daemon) applyReports(rows []platform.Row, snapshot bool) bool {
-	d.limits.Apply(rows, snapshot)
-	return d.guard.Apply(rows, snapshot)
+	version := d.reportsFeed.version
+	d.limits.Apply(rows, snapshot, version)
+	return d.guard.Apply(rows, snapshot, version)
 }
 
 // learnLimit applies the limit of a backend server that another daemon reports.
--- a/acaciad/limitreports/sharer.go
+++ b/acaciad/limitreports/sharer.go
@@ -47,6 +47,8 @@
 	perSecond float64
 	named     time.Time
 	ended     bool
+	// version is the version of the row, or 0 if it is not written yet.
+	version uint64
 }
 
 // Sharer exchanges the limits of backend servers with other daemons. It is safe for
@@ -147,7 +149,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	_, err := s.Table.Commit(ctx, &table.CommitPayload{Writes: writes})
+	rows, err := s.Table.Commit(ctx, &table.CommitPayload{Writes: writes})
+	var version uint64
+	if len(rows) > 0 {
+		version = rows[0].Version
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for instance, l := range written {
@@ -159,6 +165,7 @@
 			delete(s.rows, instance)
 			s.Forget(instance)
 		case err == nil:
+			l.version = version
 			s.rows[instance] = l
 		}
 	}
@@ -200,8 +207,9 @@
 	return writes, written
 }
 
-// Apply applies rows of the table. snapshot states that they are all rows.
-func (s *Sharer) Apply(rows []platform.Row, snapshot bool) {
+// Apply applies rows of the table. snapshot states that they are all rows as of a version
+// of the store.
+func (s *Sharer) Apply(rows []platform.Row, snapshot bool, version uint64) {
 	now := time.Now().Round(0)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -217,16 +225,20 @@
 	if !snapshot {
 		return
 	}
-	for instance := range s.rows {
-		if !seen[instance] {
+	for instance, row := range s.rows {
+		if row.version <= version && !seen[instance] {
 			delete(s.rows, instance)
 			s.Forget(instance)
 		}
 	}
 }
 
-// applyLocked applies the row of a server. The caller holds s.mu.
+// applyLocked applies the row of a server, unless a later one is known. The caller holds
+// s.mu.
 func (s *Sharer) applyLocked(instance string, row platform.Row, snapshot bool, now time.Time) {
+	if row.Version < s.rows[instance].version {
+		return
+	}
 	if row.Deleted {
 		delete(s.rows, instance)
 		s.Forget(instance)
@@ -241,7 +253,7 @@
 	if named.After(now) {
 		named = now // the clock of the other VM is ahead
 	}
-	s.rows[instance] = limit{perSecond: stored.PerSecond, named: named}
+	s.rows[instance] = limit{perSecond: stored.PerSecond, named: named, version: row.Version}
 	if now.Sub(named) < s.Memory {
 		s.Learn(instance, stored.PerSecond, named)
 		return
--- a/acaciad/limitreports/sharer_test.go
+++ b/acaciad/limitreports/sharer_test.go
@@ -48,7 +48,7 @@
 	go func() {
 		for ctx.Err() == nil {
 			if rows, err := client.Snapshot(ctx, platform.TableReports); err == nil {
-				s.Apply(rows.Rows, true)
+				s.Apply(rows.Rows, true, rows.Version)
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
