acaciad/crashreports: decisions do not wait for writes

Cause: one loop decided and wrote. While the store did not answer, each write held the next decision up for 2 s. Read in review.

Change: writes have a loop of their own. The package's tests pass twice with the race detector, TestCrashingPartIsRefused passes.

--- a/acaciad/crashreports/exchange.go
+++ b/acaciad/crashreports/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,39 +40,57 @@
 func (g *Guard) scheduleReportLocked(now time.Time) {
 	if g.reportDue.IsZero() {
 		g.reportDue = maxTime(now.Add(g.spread()), g.reportedAt.Add(reportInterval))
+		signal(g.wakeWriter)
 	}
 }
 
 // setWriteLocked schedules a write of the row of a quarantine. The caller holds g.mu.
 func (g *Guard) setWriteLocked(part uint64, w pendingWrite) {
 	g.writes[part] = w
-	g.signal()
+	signal(g.wakeWriter)
 }
 
-// Run decides on quarantines and writes rows until ctx is done.
+// Run decides on quarantines and writes rows until ctx is done. Decisions do not wait for
+// writes, which a store that is away may hold up.
 func (g *Guard) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		now := time.Now().Round(0)
+	var writer sync.WaitGroup
+	defer writer.Wait()
+	writer.Go(func() {
+		repeat(ctx, g.wakeWriter, func(now time.Time) time.Duration {
+			g.writeReport(ctx, now)
+			g.writeQuarantines(ctx, now)
+			return g.nextWrite(time.Now().Round(0))
+		})
+	})
+	repeat(ctx, g.wake, func(now time.Time) time.Duration {
 		g.evaluate(now)
-		g.writeReport(ctx, now)
-		g.writeQuarantines(ctx, now)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.ledger.NextEvaluation(time.Now().Round(0))
+	})
+}
+
+// repeat calls f until ctx is done: again when wake receives, and after the time that f
+// returns unless it is 0.
+func repeat(ctx context.Context, wake <-chan struct{}, f func(now time.Time) time.Duration) {
+	for ctx.Err() == nil {
 		var timer <-chan time.Time
-		if wait := g.nextWait(time.Now().Round(0)); wait > 0 {
+		if wait := f(time.Now().Round(0)); wait > 0 {
 			timer = time.After(wait)
 		}
 		select {
 		case <-ctx.Done():
-		case <-g.wake:
+		case <-wake:
 		case <-timer:
 		}
 	}
 }
 
-// nextWait returns the time until something is due, or 0 if nothing is.
-func (g *Guard) nextWait(now time.Time) time.Duration {
+// nextWrite returns the time until a write is due, or 0 if none is.
+func (g *Guard) nextWrite(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	wait := g.ledger.NextEvaluation(now)
+	var wait time.Duration
 	until := func(due time.Time) {
 		if d := max(due.Sub(now), time.Millisecond); wait == 0 || d < wait {
 			wait = d
@@ -107,7 +126,7 @@
 			continue
 		}
 		if q, due := g.ledger.NextTrial(part, g.VM, now); due {
-			g.writes[part] = pendingWrite{due: now.Add(g.spread()), trial: true, value: q}
+			g.setWriteLocked(part, pendingWrite{due: now.Add(g.spread()), trial: true, value: q})
 		}
 	}
 	if g.ownRow && g.ledger.Report().IsEmpty() {
@@ -262,7 +281,7 @@
 	}
 	g.ownRowKnown = true
 	g.publishLocked()
-	g.signal()
+	signal(g.wake)
 	return false
 }
 
--- a/acaciad/crashreports/guard.go
+++ b/acaciad/crashreports/guard.go
@@ -30,8 +30,8 @@
 
 	// refused holds the quarantined parts. Requests read it without a lock.
 	refused atomic.Pointer[map[uint64]*refusedPart]
-	// wake makes Run look for what is due.
-	wake chan struct{}
+	// wake makes Run decide anew, and wakeWriter makes it look for writes that are due.
+	wake, wakeWriter chan struct{}
 
 	mu     sync.Mutex // guards the fields below
 	ledger *quarantine.Ledger
@@ -72,7 +72,7 @@
 // It registers gauges with registry.
 func NewGuard(settings quarantine.Settings, registry prometheus.Registerer) *Guard {
 	g := &Guard{
-		Daemons: func() int { return 0 }, wake: make(chan struct{}, 1), ledger: quarantine.NewLedger(settings),
+		Daemons: func() int { return 0 }, wake: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1), ledger: quarantine.NewLedger(settings),
 		writes: make(map[uint64]pendingWrite), versions: make(map[uint64]uint64), tried: make(map[uint64]*atomic.Bool),
 	}
 	g.refused.Store(&map[uint64]*refusedPart{})
@@ -97,7 +97,7 @@
 			continue
 		}
 		if !now.Before(r.until) && r.trialWanted.CompareAndSwap(false, true) {
-			g.signal()
+			signal(g.wake)
 		}
 		g.Metrics.refused.Inc()
 		return r.until, true
@@ -126,7 +126,7 @@
 	g.mu.Unlock()
 	g.Logger.WithFields(logrus.Fields{"request-id": requestID, "backend-server": server, "prompt-parts": formatParts(parts)}).
 		Info("backend server ended under a request that had just begun, its prompt parts are suspected")
-	g.signal()
+	signal(g.wake)
 }
 
 // RecordSound records that a run with the given shared parts, which was sent at began,
@@ -146,14 +146,14 @@
 	}
 	g.mu.Unlock()
 	if tell {
-		g.signal()
+		signal(g.wake)
 	}
 }
 
-// signal wakes Run.
-func (g *Guard) signal() {
+// signal wakes the receiver of a channel.
+func signal(wake chan<- struct{}) {
 	select {
-	case g.wake <- struct{}{}:
+	case wake <- struct{}{}:
 	default:
 	}
 }
