--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -127,6 +127,8 @@
 		rand.New(rand.NewPCG(uint64(now.UnixNano()), 2)))
 	d.store = platform.NewStore(s.StoreAddress, storeTimeout, d.storeTransport)
 	d.directStore = platform.NewStore(s.StoreAddress, storeTimeout, d.storeTransport.Direct())
+	d.directStore.Epochs = d.store.Epochs
+	d.store.Epochs.OnRestore(d.logRestore)
 	relayableTable := &platform.Table{Store: d.store}
 	directTable := &platform.Table{Store: d.directStore}
 	d.neighbours = &neighbours.Registry{
@@ -175,6 +177,7 @@
 	reports := &platform.Table{
 		Store: platform.NewStore(s.StoreAddress, storeTimeout, d.storeTransport.Relayed()), Name: platform.TableReports,
 	}
+	reports.Store.Epochs = d.store.Epochs
 	d.guard.Table = reports
 	d.limits = limitreports.NewSharer()
 	d.limits.Table, d.limits.Memory, d.limits.Daemons, d.limits.Logger = reports, options.LimitMemory, d.guard.Daemons, logger
@@ -312,6 +315,12 @@
 	}
 }
 
+// logRestore logs that the store was restored from a copy.
+func (d *Daemon) logRestore(previous, current uint64) {
+	d.logger.WithFields(logrus.Fields{"epoch": current, "last-epoch": previous}).
+		Warn("store was restored from a copy, what was written last is lost")
+}
+
 // logLeaseFailure logs a failed call for the lease.
 func (d *Daemon) logLeaseFailure(err error) {
 	d.logger.WithError(err).Warn("store call for the lease of the control tasks failed, will retry")
--- a/acaciad/daemon/listeners.go
+++ b/acaciad/daemon/listeners.go
@@ -68,7 +68,7 @@
 		return
 	}
 	relay := &neighbours.Relay{
-		StoreAddress: d.settings.StoreAddress, Allowed: platform.IsStoreCall, StoreUnreachable: d.storeTransport.DirectFailing,
+		StoreAddress: d.settings.StoreAddress, Allowed: platform.IsStoreCall, Headers: []string{platform.HeaderEpoch}, StoreUnreachable: d.storeTransport.DirectFailing,
 		Base: d.storeTransport.Direct(), Queue: d.writeQueue, Collector: d.collector, Logger: d.logger,
 	}
 	mux := http.NewServeMux()
--- a/acaciad/neighbours/relay.go
+++ b/acaciad/neighbours/relay.go
@@ -25,6 +25,9 @@
 	StoreAddress string
 	// Allowed reports whether a call may be relayed.
 	Allowed func(method, path string) bool
+	// Headers are the names of the headers of answers that are passed on, beside the type
+	// of their content.
+	Headers []string
 	// StoreUnreachable reports whether the daemon itself cannot reach the store.
 	StoreUnreachable func() bool
 	// Base sends calls to the store directly.
@@ -72,6 +75,11 @@
 	}
 	defer response.Body.Close()
 	w.Header().Set("Content-Type", response.Header.Get("Content-Type"))
+	for _, name := range l.Headers {
+		if values := response.Header.Values(name); len(values) > 0 {
+			w.Header()[http.CanonicalHeaderKey(name)] = values
+		}
+	}
 	w.WriteHeader(response.StatusCode)
 	if _, err := io.Copy(w, response.Body); err != nil {
 		panic(http.ErrAbortHandler) // the answer must not look complete
