platform: versions of the store are joined with its epoch

Cause: a position in the store was its version alone. After a restoration the store gives the same numbers out again. A feed that asks for the changes after its last version is told so by a 410 only until the store has passed that number; then it gets what follows and misses what was written between the copy and there. The class of fault: an identifier that is unique only within a context (the epoch) is kept without the context.

Change: platform.Store joins each version with the epoch of the answer (core/epoch), into one number that increases whatever happens to the store. Positions of feeds, the logs of readers, what followers ask for and conditions on rows are such numbers. Changes after a version of an earlier epoch are read as dropped history; a condition with such a version does not hold; answers of an earlier epoch are failures.

--- a/acaciad/daemon/directory_updater.go
+++ b/acaciad/daemon/directory_updater.go
@@ -7,6 +7,7 @@
 
 	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/core/config"
+	"acaciapath.example/core/epoch"
 	"acaciapath.example/core/replica"
 	"acaciapath.example/platform"
 
@@ -47,7 +48,7 @@
 		}
 		c, skippedRoutes, err := platform.ParseConfiguration(row.Data)
 		if err != nil {
-			u.logger.WithError(err).WithField("version", row.Version).Error("invalid catalog ignored, the current one stays in use")
+			u.logger.WithError(err).WithField("version", epoch.Format(row.Version)).Error("invalid catalog ignored, the current one stays in use")
 			continue
 		}
 		for _, name := range skippedRoutes {
@@ -55,7 +56,7 @@
 		}
 		applied := u.directory.SetCatalog(c, time.Now())
 		u.logger.WithFields(logrus.Fields{
-			"revision": c.Revision, "row-version": row.Version, "routes": len(c.Routes),
+			"revision": c.Revision, "row-version": epoch.Format(row.Version), "routes": len(c.Routes),
 			"client-accounts": len(c.Accounts), "taken": applied,
 		}).Info("catalog read")
 	}
--- a/acaciad/daemon/feed.go
+++ b/acaciad/daemon/feed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"acaciapath.example/acaciad/reader"
+	"acaciapath.example/core/epoch"
 	"acaciapath.example/core/follow"
 	"acaciapath.example/core/platformapi"
 	"acaciapath.example/core/sleep"
@@ -188,7 +189,7 @@
 	f.role = role
 	f.mu.Unlock()
 	if changed {
-		f.logger.WithFields(logrus.Fields{"table": f.table, "role": role.String(), "reader": address, "version": f.version}).
+		f.logger.WithFields(logrus.Fields{"table": f.table, "role": role.String(), "reader": address, "version": epoch.Format(f.version)}).
 			Info("source of a table changed")
 	}
 	if exhausted {
@@ -235,7 +236,7 @@
 	}
 	f.mu.Unlock()
 	f.logger.WithFields(logrus.Fields{
-		"table": f.table, "reader": address, "error": err.Error(), "messages": count, "version": f.version,
+		"table": f.table, "reader": address, "error": err.Error(), "messages": count, "version": epoch.Format(f.version),
 		"followed-ms": now.Sub(began).Milliseconds(),
 	}).Info("reader of a table can no longer be followed")
 }
@@ -243,7 +244,7 @@
 // noteFailing records that the store does not answer, for the given reason.
 func (f *feed) noteFailing(reason string, now time.Time) {
 	if !f.failing {
-		f.logger.WithFields(logrus.Fields{"table": f.table, "version": f.version, "error": reason}).Warn("store feed failed, retrying")
+		f.logger.WithFields(logrus.Fields{"table": f.table, "version": epoch.Format(f.version), "error": reason}).Warn("store feed failed, retrying")
 	}
 	f.failing = true
 	f.storeFailed(now)
@@ -251,7 +252,7 @@
 
 // noteRestored records that the store answers again.
 func (f *feed) noteRestored(version uint64, now time.Time) {
-	f.logger.WithFields(logrus.Fields{"table": f.table, "version": version}).Info("store feed restored")
+	f.logger.WithFields(logrus.Fields{"table": f.table, "version": epoch.Format(version)}).Info("store feed restored")
 	f.failing, f.restoredAt = false, now
 	f.storeRestored(now)
 }
@@ -338,7 +339,7 @@
 	}
 	if errors.Is(err, platform.ErrHistoryDropped) {
 		f.storeFailed(time.Now())
-		f.logger.WithFields(logrus.Fields{"table": f.table, "version": f.version}).
+		f.logger.WithFields(logrus.Fields{"table": f.table, "version": epoch.Format(f.version)}).
 			Warn("store dropped its history, reading the whole table again")
 		f.versionKnown = false
 		return
--- a/acaciad/neighbours/collector_test.go
+++ b/acaciad/neighbours/collector_test.go
@@ -50,7 +50,7 @@
 	go func() { defer close(done); collector.Run(ctx) }()
 	g.Cleanup(func() { cancel(); <-done })
 	server := httptest.NewServer(&neighbours.Relay{
-		Allowed: platform.IsStoreCall, StoreUnreachable: func() bool { return false }, Collector: collector, Logger: logger,
+		Allowed: platform.IsStoreCall, Headers: []string{platform.HeaderEpoch}, StoreUnreachable: func() bool { return false }, Collector: collector, Logger: logger,
 	})
 	g.Cleanup(server.Close)
 	link, err := relay.New("127.0.0.1:0")
--- a/acaciad/neighbours/neighbours_test.go
+++ b/acaciad/neighbours/neighbours_test.go
@@ -13,6 +13,7 @@
 
 	"acaciapath.example/acaciad/neighbours"
 	"acaciapath.example/core/detour"
+	"acaciapath.example/core/epoch"
 	"acaciapath.example/core/follow"
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/platform"
@@ -56,7 +57,7 @@
 	p.client = platform.NewStore(link.Address(), timeout, p.transport)
 	p.directClient = platform.NewStore(link.Address(), timeout, p.transport.Direct())
 	p.neighbour = httptest.NewServer(&neighbours.Relay{
-		StoreAddress: p.store.Address(), Allowed: platform.IsStoreCall, StoreUnreachable: p.secondCutOff.Load,
+		StoreAddress: p.store.Address(), Allowed: platform.IsStoreCall, Headers: []string{platform.HeaderEpoch}, StoreUnreachable: p.secondCutOff.Load,
 		Base: platform.NewStoreTransport(), Logger: logger,
 	})
 	p.Cleanup(p.neighbour.Close)
@@ -87,7 +88,7 @@
 	p.Assert(p.rowCount(), qt.Equals, 1)
 	changed := make(chan int, 1)
 	go func() {
-		rows, err := p.client.Changes(p.Context(), "servers", 1, 5*time.Second)
+		rows, err := p.client.Changes(p.Context(), "servers", epoch.Join(1, 1), 5*time.Second)
 		if err == nil {
 			changed <- len(rows.Rows)
 		}
@@ -213,7 +214,7 @@
 		},
 	}
 	second := httptest.NewServer(&neighbours.Relay{
-		StoreAddress: p.store.Address(), Allowed: platform.IsStoreCall, StoreUnreachable: func() bool { return true },
+		StoreAddress: p.store.Address(), Allowed: platform.IsStoreCall, Headers: []string{platform.HeaderEpoch}, StoreUnreachable: func() bool { return true },
 		Base: platform.NewStoreTransport(), Queue: queue, Logger: logger,
 	})
 	p.Cleanup(second.Close)
@@ -260,7 +261,7 @@
 	var shuttingDown atomic.Bool
 	queue := &neighbours.WriteQueue{Send: unreachable, TTL: time.Minute, ShuttingDown: shuttingDown.Load, Logger: logger}
 	server := httptest.NewServer(&neighbours.Relay{
-		Allowed: platform.IsStoreCall, StoreUnreachable: func() bool { return true }, Queue: queue, Logger: logger,
+		Allowed: platform.IsStoreCall, Headers: []string{platform.HeaderEpoch}, StoreUnreachable: func() bool { return true }, Queue: queue, Logger: logger,
 	})
 	c.Cleanup(server.Close)
 	handOver := func() int {
--- /dev/null
+++ b/core/epoch/epoch_test.go
@@ -0,0 +1,43 @@
+package epoch_test
+
+import (
+	"testing"
+
+	"acaciapath.example/core/epoch"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// TestJoinedVersionsAreOrdered checks that joined versions are ordered by the epoch, then
+// by the version, and that they can be split again.
+func TestJoinedVersionsAreOrdered(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func() (uint64, uint64, uint64) {
+			e, v := rapid.Uint64Range(0, 1<<20-1).Draw(t, "epoch"), rapid.Uint64Range(1, 1<<44-1).Draw(t, "version")
+			return e, v, epoch.Join(e, v)
+		}
+		e1, v1, j1 := draw()
+		e2, v2, j2 := draw()
+		if (j1 < j2) != (e1 < e2 || e1 == e2 && v1 < v2) {
+			t.Fatalf("%s, %s", epoch.Format(j1), epoch.Format(j2))
+		}
+		if e, v := epoch.Split(j1); e != e1 || v != v1 {
+			t.Fatalf("%d:%d split into %d:%d", e1, v1, e, v)
+		}
+	})
+}
+
+// TestTrackerReportsEachRestoreOnce checks that the first epoch is no restoration, and that
+// delayed answers of an earlier epoch change nothing.
+func TestTrackerReportsEachRestoreOnce(t *testing.T) {
+	c := qt.New(t)
+	tracker := epoch.NewTracker()
+	var seen [][2]uint64
+	tracker.OnRestore(func(previous, current uint64) { seen = append(seen, [2]uint64{previous, current}) })
+	for _, e := range []uint64{3, 3, 4, 3, 4, 6} {
+		tracker.Observe(e)
+	}
+	c.Assert(seen, qt.DeepEquals, [][2]uint64{{3, 4}, {4, 6}})
+	c.Assert(tracker.Current(), qt.Equals, uint64(6))
+}
