--- a/acaciad/daemon/follow_test.go
+++ b/acaciad/daemon/follow_test.go
@@ -312,6 +312,42 @@
 	d.checkVersions()
 }
 
+// TestFollowersLearnChangesAfterRestore has the store come back from a copy, in which
+// versions that the daemons know are given out again. All daemons must learn each change,
+// also while the reader is cut off from the store.
+func TestFollowersLearnChangesAfterRestore(t *testing.T) {
+	for _, cutReader := range []bool{false, true} {
+		t.Run(fmt.Sprintf("reader cut off %t", cutReader), func(t *testing.T) {
+			t.Parallel()
+			d := newDomain(t)
+			backup := d.store.Backup()
+			for range 8 {
+				d.store.Write(platform.TableServers, "lost", nil)
+			}
+			d.writeAndWait(d.daemons)
+			ranked := d.ranked()
+			if cutReader {
+				ranked[0].storeLink.SetFaults(relay.Faults{DropToTarget: true, DropFromTarget: true})
+			}
+			d.store.SetFault(func(string, string) platformtest.Fault { return platformtest.Unavailable })
+			time.Sleep(300 * time.Millisecond)
+			d.store.Restore(backup)
+			d.store.SetFault(nil)
+			for range 3 {
+				d.writeAndWait(ranked[1:])
+			}
+			ranked[0].storeLink.SetFaults(relay.Faults{})
+			for range 2 {
+				d.writeAndWait(ranked)
+			}
+			for _, v := range d.daemons {
+				d.Check(v.has("lost"), qt.IsFalse)
+			}
+			d.checkVersions()
+		})
+	}
+}
+
 // TestReaderWithoutStoreTellsItsRows has a daemon start to follow a reader whose store
 // does not answer. It must notice that, and still apply the rows that the reader has.
 func TestReaderWithoutStoreTellsItsRows(t *testing.T) {
