--- a/acaciad/daemon/restored_store_test.go
+++ b/acaciad/daemon/restored_store_test.go
@@ -1,8 +1,11 @@
 package daemon_test
 
 import (
+	"encoding/json"
 	"net/http"
+	"sync"
 	"testing"
+	"time"
 
 	"acaciapath.example/platform/platformtest"
 
@@ -33,3 +36,99 @@
 	d.eventually("the third key is in force", func() bool { return r.lookStatus("third") == http.StatusOK })
 	d.Assert(r.lookStatus("second"), qt.Equals, http.StatusUnauthorized)
 }
+
+// restore has the store fail for a moment and come back from a copy. What the operator
+// and the backend servers wrote is written again.
+func (d *deployment) restore(backup *platformtest.Backup, configVersion int) {
+	d.store.SetFault(func(string, string) platformtest.Fault { return platformtest.Unavailable })
+	time.Sleep(300 * time.Millisecond)
+	d.store.Restore(backup)
+	d.writeConfig(configVersion, "k")
+	d.registerShop("ready")
+	d.store.SetFault(nil)
+}
+
+// usageReports returns the requests of each window that was reported, after checking that
+// all reports of a window have the same counts, and that fencing tokens do not go back or
+// belong to several holders.
+func (d *deployment) usageReports() map[float64]int {
+	counts, first := make(map[float64]int), make(map[float64]string)
+	holders := make(map[uint64]string)
+	fence := uint64(0)
+	for _, call := range d.cloud.Calls() {
+		if call.Path != "/usage" {
+			continue
+		}
+		id := call.Body["windowId"].(float64)
+		report, err := json.Marshal(call.Body["counts"])
+		d.Assert(err, qt.IsNil)
+		if _, known := first[id]; !known {
+			first[id] = string(report)
+		}
+		d.Assert(string(report), qt.Equals, first[id], qt.Commentf("window %.0f", id))
+		counts[id] = 0
+		for _, n := range call.Body["counts"].(map[string]any) {
+			counts[id] += int(n.(float64))
+		}
+		d.Assert(call.Fence >= fence, qt.IsTrue, qt.Commentf("%d after %d", call.Fence, fence))
+		fence = max(fence, call.Fence)
+		if _, known := holders[call.Fence]; !known {
+			holders[call.Fence] = call.Holder
+		}
+		d.Assert(call.Holder, qt.Equals, holders[call.Fence])
+	}
+	return counts
+}
+
+// TestUsageIsReportedOnceAfterRestore restores the store from a copy that lacks windows
+// which were reported, while requests run on two daemons. No window may be reported with
+// other counts, and each request must be counted.
+func TestUsageIsReportedOnceAfterRestore(t *testing.T) {
+	d := newDeployment(t)
+	d.writeConfig(3, "k")
+	d.registerShop("ready")
+	daemons := []*runningDaemon{d.start("vm-1"), d.start("vm-2")}
+	for _, r := range daemons {
+		d.eventually("it serves", func() bool { return r.lookStatus("k") == http.StatusOK })
+	}
+	var callers sync.WaitGroup
+	stop := make(chan struct{})
+	for _, r := range daemons {
+		callers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+					r.lookStatus("k")
+				}
+			}
+		})
+	}
+	reports := func(n int) func() bool { return func() bool { return len(d.usageReports()) >= n } }
+	d.eventually("windows are reported", reports(1))
+	backup := d.store.Backup()
+	d.eventually("further windows are reported", reports(4))
+	d.restore(backup, 4)
+	d.eventually("windows are reported after the restoration", reports(9))
+	close(stop)
+	callers.Wait()
+	for _, r := range daemons {
+		r.stop()
+		d.Assert(<-r.exited, qt.IsNil)
+	}
+	ran := len(d.shop.ReceivedRequests())
+	last := d.start("vm-3")
+	d.eventually("all requests are reported", func() bool { return sum(d.usageReports()) >= ran })
+	last.stop()
+	d.Assert(sum(d.usageReports()), qt.Equals, ran)
+}
+
+// sum returns the sum of all counts.
+func sum(counts map[float64]int) int {
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
