core/lease: leases and fencing tokens survive a restoration of the table

Cause: the table was the only memory of who holds the lease and of the last token. Change: the row has the epoch in which its holder wrote it; a row of an earlier epoch, or a missing one after a restoration, says nothing, so that everybody waits for a whole duration, but for the process whose grant is still valid: it goes on at once. Tokens are derived from the epoch and the version of the replaced row.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -139,6 +139,7 @@
 	cloud := platform.NewCloudClient(s.CloudAddress, s.Name, s.UsageWindow, cloudTimeout)
 	terms := lease.Terms{Name: lease.UsageReportsName, Holder: instance, Duration: s.LeaseDuration}
 	d.keeper = lease.NewKeeper(directTable, terms, initialLeasePoll, newClock(now))
+	d.keeper.FollowEpochs(d.store.Epochs)
 	d.usage = &control.Usage{
 		Meter:         usage.NewMeter(),
 		Writer:        usage.NewWriter(relayableTable, s.Name, instance),
--- a/core/lease/keeper.go
+++ b/core/lease/keeper.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"acaciapath.example/core/epoch"
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/core/platformapi"
 	"acaciapath.example/core/sleep"
@@ -23,6 +24,8 @@
 	terms Terms
 
 	grant atomic.Pointer[Grant]
+	// epochs is set if the table has epochs. It must not change once Run is called.
+	epochs *epoch.Tracker
 
 	mu    sync.Mutex // guards the fields below; not held during calls
 	lease *Lease
@@ -37,6 +40,17 @@
 	return &Keeper{table: service, clock: clock, terms: terms, lease: New(terms, pollInterval)}
 }
 
+// FollowEpochs makes the keeper follow the epochs of the table. It must be called before
+// Run.
+func (k *Keeper) FollowEpochs(epochs *epoch.Tracker) { k.epochs = epochs }
+
+// setEpochLocked passes the latest epoch to the lease. The caller holds k.mu.
+func (k *Keeper) setEpochLocked() {
+	if k.epochs != nil {
+		k.lease.SetEpoch(k.epochs.Current(), k.clock())
+	}
+}
+
 // SetPollInterval sets how often the row is read while another process holds the
 // lease. interval > 0.
 func (k *Keeper) SetPollInterval(interval time.Duration) {
@@ -151,6 +165,7 @@
 // conflict, which means that another process wrote the row first, is no error.
 func (k *Keeper) runNext(ctx context.Context) error {
 	k.mu.Lock()
+	k.setEpochLocked()
 	request := k.lease.Next(k.clock())
 	k.mu.Unlock()
 	if request.Kind == Wait {
@@ -161,6 +176,7 @@
 	rows, err := k.call(ctx, request)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.setEpochLocked()
 	switch {
 	case err != nil:
 		k.lease.HandleFailure(request, err)
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"acaciapath.example/core/epoch"
 	"acaciapath.example/core/gen/table"
 )
 
@@ -72,6 +73,11 @@
 	sentAt map[uint64]Instant
 	// releasing reports whether the lease is being released.
 	releasing bool
+	// epoch is the epoch of the table, or 0 if the table has none.
+	epoch uint64
+	// carried is the grant that the process had when it noticed that the table was
+	// restored. While it is valid, no other process can hold the lease.
+	carried *Grant
 }
 
 // New returns a Lease that has not read its row yet. It reads the row every
@@ -90,6 +96,22 @@
 // the row with the next renewal.
 func (l *Lease) SetCandidates(n int) { l.candidates = n }
 
+// SetEpoch sets the epoch of the table (core/epoch). now is the current time. What is known
+// of the rows is void in a later epoch: the holder has to acquire the lease again, and every
+// other process waits for the whole duration of the lease.
+func (l *Lease) SetEpoch(current uint64, now Instant) {
+	if current <= l.epoch {
+		return
+	}
+	if l.epoch > 0 {
+		if grant := l.Grant(); grant.MaySend(now) {
+			l.carried = grant
+		}
+		l.rowKnown, l.writeUncertain, l.confirming = false, false, false
+	}
+	l.epoch = current
+}
+
 // Row returns the last known lease row.
 func (l *Lease) Row() Row { return l.row }
 
@@ -165,13 +187,44 @@
 	case l.heldByUs():
 		return l.writeRequest(now, Row{Holder: l.terms.Holder, Fence: l.row.Fence}, false)
 	case !l.releasing && l.mayAcquire(now):
-		return l.writeRequest(now, Row{Holder: l.terms.Holder, Fence: l.row.Fence + 1}, true)
+		return l.writeRequest(now, Row{Holder: l.terms.Holder, Fence: l.nextFence()}, true)
 	}
 	return l.readRequest()
 }
 
 // heldByUs reports whether the last known row names this process as the holder.
-func (l *Lease) heldByUs() bool { return l.rowKnown && l.row.Holder == l.terms.Holder }
+func (l *Lease) heldByUs() bool {
+	return l.rowKnown && l.row.Holder == l.terms.Holder && l.row.Epoch == l.epoch
+}
+
+// firstEpoch is the epoch of a table that was never restored.
+const firstEpoch = 1
+
+// isVacant reports whether the last known row shows that no process holds the lease. After
+// the table was restored, a missing row does not show it.
+func (l *Lease) isVacant() bool {
+	if l.version == 0 {
+		return l.epoch <= firstEpoch
+	}
+	return l.row.Holder == "" && l.row.Epoch == l.epoch
+}
+
+// fenceVersionBits is the number of bits of a fencing token that hold the version of the
+// replaced lease row, if the table has epochs. The higher ones hold the epoch.
+const fenceVersionBits = 32
+
+// nextFence returns the fencing token of the next acquisition. After the table was restored,
+// the row may have an earlier token than the last one that was used, and a write that is
+// applied late may replace a later row. Therefore the token is derived from the epoch and
+// the version of the row that the acquisition replaces.
+func (l *Lease) nextFence() uint64 {
+	next := l.row.Fence + 1
+	if l.epoch == 0 {
+		return next
+	}
+	_, version := epoch.Split(l.version)
+	return max(next, l.epoch<<fenceVersionBits+version+1)
+}
 
 // renewWait returns how long after now the lease has to be renewed.
 func (l *Lease) renewWait(now Instant) time.Duration {
@@ -187,15 +240,18 @@
 // before that: its last read is old, and a write based on it would nearly always
 // conflict.
 func (l *Lease) mayAcquire(now Instant) bool {
+	if l.carried.MaySend(now) {
+		return true
+	}
 	if l.acquireWait(now) > 0 {
 		return false
 	}
-	return l.row.Holder == "" || l.pollInterval < l.terms.Duration || l.acquireWait(l.lastReadAt) <= 0
+	return l.isVacant() || l.pollInterval < l.terms.Duration || l.acquireWait(l.lastReadAt) <= 0
 }
 
 // acquireWait returns how long after now the lease expires and may be acquired.
 func (l *Lease) acquireWait(now Instant) time.Duration {
-	if l.row.Holder == "" {
+	if l.isVacant() {
 		return 0
 	}
 	return max(l.row.Duration(), l.terms.Duration) - now.minElapsed(l.changedAt)
@@ -214,6 +270,7 @@
 	l.sentAt[l.lastAttempt] = now
 	delete(l.sentAt, l.lastAttempt-maxSentAttempts)
 	row.Attempt = l.lastAttempt
+	row.Epoch = l.epoch
 	row.Candidates = l.candidates
 	row.DurationMS = l.terms.Duration.Milliseconds()
 	key := RowKey(l.terms.Name)
--- a/core/lease/request.go
+++ b/core/lease/request.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"acaciapath.example/core/epoch"
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/core/platformapi"
 )
@@ -38,7 +39,10 @@
 func (l *Lease) HandleRead(rows []*table.Row, now Instant) error {
 	leaseRow := findRow(rows, RowKey(l.terms.Name))
 	fenceRow := findRow(rows, FenceKey(l.terms.Name))
-	row, err := parseRows(leaseRow, fenceRow)
+	row, err := l.parseRows(leaseRow, fenceRow)
+	if answered, _ := epoch.Split(leaseRow.Version); err == nil && leaseRow.Version > 0 && answered < l.epoch {
+		err = ErrOutdatedRead
+	}
 	l.lastFailed = err != nil
 	if err != nil {
 		return err
@@ -53,9 +57,10 @@
 	return nil
 }
 
-// parseRows returns the content of the lease row, after checking that both rows
-// have the same fencing token.
-func parseRows(leaseRow, fenceRow *table.Row) (Row, error) {
+// parseRows returns the content of the lease row, after checking that both rows have the
+// same fencing token. In a row of an earlier epoch, a late write may have replaced the token;
+// the result then has the greater one.
+func (l *Lease) parseRows(leaseRow, fenceRow *table.Row) (Row, error) {
 	row, err := ParseRow(leaseRow.Value)
 	if err != nil {
 		return Row{}, err
@@ -64,6 +69,10 @@
 	if err != nil {
 		return Row{}, err
 	}
+	if row.Epoch < l.epoch {
+		row.Fence = max(row.Fence, fence.Fence)
+		return row, nil
+	}
 	if fence.Fence != row.Fence {
 		return Row{}, ErrTornRead
 	}
@@ -73,6 +82,13 @@
 // HandleCommit processes the rows that a Write returned. now is when they arrived.
 func (l *Lease) HandleCommit(request Request, rows []*table.Row, now Instant) {
 	l.lastFailed, l.writeUncertain = false, false
+	if request.row.Epoch != l.epoch {
+		l.writeUncertain = true // the table was restored meanwhile
+		return
+	}
+	if request.row.Holder == l.terms.Holder {
+		l.carried = nil
+	}
 	if fenceRow := findRow(rows, FenceKey(l.terms.Name)); fenceRow.Version > 0 {
 		l.fenceVersion = fenceRow.Version
 	}
--- a/core/lease/row.go
+++ b/core/lease/row.go
@@ -31,6 +31,10 @@
 	ErrTornRead = merry.Sentinel("lease: lease row and fence row have different fencing tokens")
 )
 
+// ErrOutdatedRead is returned for a read that was answered before the table was restored
+// from a backup.
+var ErrOutdatedRead = merry.Sentinel("lease: table was restored after it was read")
+
 // OrdersName returns the name of the lease whose holder orders backend servers in
 // a failure domain.
 func OrdersName(failureDomain string) string { return "orders/" + failureDomain }
@@ -53,6 +57,9 @@
 	// Attempt is the number of this write among those of the holder, which tells
 	// the holder which of its writes took effect.
 	Attempt uint64 `json:"attempt"`
+	// Epoch is the epoch of the table in which the holder wrote the row. In a later
+	// epoch the row is one of a backup, which says nothing about the present holder.
+	Epoch uint64 `json:"epoch,omitempty"`
 	// Candidates is the number of processes that poll the row, as far as the
 	// holder knows, or 0 if unknown.
 	Candidates int `json:"candidates,omitempty"`
--- a/core/lease/sim_test.go
+++ b/core/lease/sim_test.go
@@ -36,7 +36,7 @@
 }
 
 func (p *process) now(s *simulation) lease.Instant {
-	return lease.Instant{Monotonic: p.clock, Wall: epoch.Add(s.time + p.wallOffset)}
+	return lease.Instant{Monotonic: p.clock, Wall: start.Add(s.time + p.wallOffset)}
 }
 
 // inFlight is a request that was made and not yet answered.
@@ -64,8 +64,6 @@
 	released map[string]bool
 }
 
-var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-
 func newSimulation(t *rapid.T) *simulation {
 	s := &simulation{table: newFakeTable(), released: make(map[string]bool)}
 	for vm := range vms {
