core/usage, acaciad/control: windows that were reported are not settled again after a restoration

The platform got two reports of one usage window with different counts (ONE), and usage that had run was missing, after the store came back from a copy.

Cause: the table was the only memory of which windows were closed, what they were reported with, and which parts were counted. The copy is older, so that the holder settled the windows once more, from what parts the copy had.

Change: the progress row has the epoch in which it was written. If that is an earlier one, the reporter first writes again what it remembers (closures and totals), closes the other windows that were reported and deletes their parts. Which windows were reported is announced to all daemons before each report, through a row of the table that they follow anyway, so that a successor knows it too; they write the row again if it is lost. Each daemon inserts its parts of windows that were not reported again, under the same names, so that each is counted once.

--- /dev/null
+++ b/acaciad/control/reported.go
@@ -0,0 +1,140 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"acaciapath.example/core/gen/table"
+	"acaciapath.example/core/platformapi"
+	"acaciapath.example/platform"
+
+	"github.com/sirupsen/logrus"
+)
+
+// reportedKey is the key of the row that tells which usage windows were reported.
+const reportedKey = "usage-reported"
+
+// Intervals of writes of the row after the store was restored from a copy.
+const (
+	// minRewriteSpread and rewritePerDaemon give the time over which the daemons spread
+	// their writes. One is enough.
+	minRewriteSpread = 300 * time.Millisecond
+	rewritePerDaemon = 4 * time.Millisecond
+	// rewriteTimeout bounds a write.
+	rewriteTimeout = 2 * time.Second
+)
+
+// storedReported is the value of the row.
+type storedReported struct {
+	Through time.Time `json:"through"`
+}
+
+// Reported knows the last usage window that was reported, or is about to be. All daemons
+// follow it through a row of the store, so that some know it when the store is restored
+// from a copy and its reporter is gone. It is safe for concurrent use. Its exported fields
+// must not change once it is used.
+type Reported struct {
+	// Table stores the row.
+	Table table.Service
+	// Daemons returns the number of daemons, or 0 if it is not known.
+	Daemons func() int
+	// Logger logs failed writes and invalid rows.
+	Logger *logrus.Logger
+
+	mu sync.Mutex // guards the fields below
+	// through is the start of the last window, and stored what the row has.
+	through, stored time.Time
+	rewriting       bool
+}
+
+// Through returns the start of the last window that may have been reported, or zero.
+func (r *Reported) Through() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.through
+}
+
+// Announce tells the other daemons that the window that starts at start is about to be
+// reported.
+func (r *Reported) Announce(ctx context.Context, start time.Time) error {
+	r.mu.Lock()
+	if start.Before(r.through) {
+		start = r.through
+	}
+	r.mu.Unlock()
+	if err := r.write(ctx, start); err != nil {
+		return err
+	}
+	r.note(start)
+	return nil
+}
+
+// write writes the row.
+func (r *Reported) write(ctx context.Context, through time.Time) error {
+	value, err := json.Marshal(storedReported{Through: through.UTC()})
+	if err != nil {
+		return err
+	}
+	_, err = r.Table.Commit(ctx, &table.CommitPayload{Writes: []*table.Write{{Key: reportedKey, Value: value}}})
+	return err
+}
+
+// note records that windows through the one that starts at start may have been reported.
+func (r *Reported) note(start time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if start.After(r.through) {
+		r.through = start
+	}
+}
+
+// Apply applies rows of the table. snapshot states that they are all rows. If the row is
+// behind what this daemon knows, the store has lost it, and the daemon writes it again.
+func (r *Reported) Apply(rows []platform.Row, snapshot bool) {
+	var stored storedReported
+	found := false
+	for _, row := range rows {
+		if row.Key != reportedKey || row.Deleted {
+			continue
+		}
+		if err := json.Unmarshal(row.Data, &stored); err != nil {
+			r.Logger.WithError(err).WithField("row", row.Key).Warn("invalid row of reported usage windows ignored")
+			continue
+		}
+		found = true
+	}
+	if !found && !snapshot {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stored = stored.Through
+	if stored.Through.After(r.through) {
+		r.through = stored.Through
+	}
+	if r.stored.Before(r.through) && !r.rewriting {
+		r.rewriting = true
+		spread := max(minRewriteSpread, time.Duration(r.Daemons())*rewritePerDaemon)
+		time.AfterFunc(rand.N(spread), r.rewrite)
+	}
+}
+
+// rewrite writes the row again unless another daemon has done so.
+func (r *Reported) rewrite() {
+	r.mu.Lock()
+	through, behind := r.through, r.stored.Before(r.through)
+	r.rewriting = false
+	r.mu.Unlock()
+	if !behind {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), rewriteTimeout)
+	defer cancel()
+	if err := r.write(ctx, through); err != nil {
+		r.Logger.WithField("error", platformapi.Reason(err)).
+			Info("cannot write again which usage windows were reported, another daemon or the next report will")
+	}
+}
--- a/acaciad/control/usage.go
+++ b/acaciad/control/usage.go
@@ -60,12 +60,18 @@
 	// ReportWithin is the time after its end within which a window must be
 	// reported.
 	ReportWithin time.Duration
+	// Reported knows which windows were reported.
+	Reported *Reported
 	// StartHandOver makes the store client hand over writes to other daemons from
 	// now on.
 	StartHandOver func()
 	// Logger logs settled windows and failures.
 	Logger *logrus.Logger
 
+	// restored receives after the store was restored from a copy.
+	restored     chan struct{}
+	restoredOnce sync.Once
+
 	// random spreads the polls of the candidates for the lease over time.
 	random *rand.Rand
 	// lastVMs lists the VMs that wrote parts of the last settled window.
@@ -95,6 +101,22 @@
 	writer.Wait()
 }
 
+// HandleRestore has the parts that the store may have lost written again, because the store
+// was restored from a copy.
+func (u *Usage) HandleRestore() {
+	u.Writer.HandleRestore(u.Reported.Through())
+	select {
+	case u.restoredSignal() <- struct{}{}:
+	default:
+	}
+}
+
+// restoredSignal returns the channel that receives after a restoration.
+func (u *Usage) restoredSignal() chan struct{} {
+	u.restoredOnce.Do(func() { u.restored = make(chan struct{}, 1) })
+	return u.restored
+}
+
 // writeParts writes closed parts until ctx is done. It runs apart from the closing
 // of parts, which must not be delayed while the store is unavailable: usage would be
 // counted in a later window.
@@ -104,6 +126,7 @@
 		case <-ctx.Done():
 			return
 		case <-closed:
+		case <-u.restoredSignal():
 		}
 		u.flushAll(ctx)
 	}
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -128,7 +128,7 @@
 	d.store = platform.NewStore(s.StoreAddress, storeTimeout, d.storeTransport)
 	d.directStore = platform.NewStore(s.StoreAddress, storeTimeout, d.storeTransport.Direct())
 	d.directStore.Epochs = d.store.Epochs
-	d.store.Epochs.OnRestore(d.logRestore)
+	d.store.Epochs.OnRestore(d.handleRestore)
 	relayableTable := &platform.Table{Store: d.store}
 	directTable := &platform.Table{Store: d.directStore}
 	d.neighbours = &neighbours.Registry{
@@ -152,6 +152,7 @@
 	}
 	d.usage.StartHandOver = d.storeTransport.StartHandOver
 	d.usage.Reporter.SettleWhenComplete = true
+	d.usage.Reporter.Epoch = d.store.Epochs.Current
 	d.writeQueue = &neighbours.WriteQueue{
 		Send: d.directStore.Post, Adopt: d.adoptWrite, TTL: s.UsageDeadline,
 		ShuttingDown: func() bool { return d.draining.Err() != nil }, Logger: logger,
@@ -180,6 +181,8 @@
 	}
 	reports.Store.Epochs = d.store.Epochs
 	d.guard.Table = reports
+	d.usage.Reported = &control.Reported{Table: reports, Daemons: d.guard.Daemons, Logger: logger}
+	d.usage.Reporter.ReportedThrough, d.usage.Reporter.Announce = d.usage.Reported.Through, d.usage.Reported.Announce
 	d.limits = limitreports.NewSharer()
 	d.limits.Table, d.limits.Memory, d.limits.Daemons, d.limits.Logger = reports, options.LimitMemory, d.guard.Daemons, logger
 	d.limits.Learn, d.limits.Forget = d.learnLimit, d.forgetLimit
@@ -316,10 +319,12 @@
 	}
 }
 
-// logRestore logs that the store was restored from a copy.
-func (d *Daemon) logRestore(previous, current uint64) {
+// handleRestore has what the store has lost written again, since it was restored from a
+// copy.
+func (d *Daemon) handleRestore(previous, current uint64) {
 	d.logger.WithFields(logrus.Fields{"epoch": current, "last-epoch": previous}).
-		Warn("store was restored from a copy, what was written last is lost")
+		Warn("store was restored from a copy, what was written last is written again")
+	d.usage.HandleRestore()
 }
 
 // logLeaseFailure logs a failed call for the lease.
@@ -338,6 +343,7 @@
 func (d *Daemon) applyReports(rows []platform.Row, snapshot bool) bool {
 	version := d.reportsFeed.version
 	d.limits.Apply(rows, snapshot, version)
+	d.usage.Reported.Apply(rows, snapshot)
 	return d.guard.Apply(rows, snapshot, version)
 }
 
--- a/core/usage/reporter.go
+++ b/core/usage/reporter.go
@@ -46,6 +46,13 @@
 	// window. A window is then settled as soon as all its parts are present, before
 	// the end of the grace period.
 	SettleWhenComplete bool
+	// Epoch returns the epoch of the table (core/epoch). It is nil if the table has none.
+	Epoch func() uint64
+	// ReportedThrough returns the start of the last window that may have been reported, as
+	// far as this process knows, also from others. Announce tells the others that a window
+	// is about to be reported. Both are nil if the table is never restored.
+	ReportedThrough func() time.Time
+	Announce        func(ctx context.Context, start time.Time) error
 
 	table  table.Service
 	usage  usageport.Service
@@ -56,6 +63,10 @@
 	// notBefore is the end of the window after the last one that was settled. Until
 	// then, no window can be due, and the table is not read.
 	notBefore time.Time
+	// fixed are the latest windows whose totals this process has fixed or read, sorted, and
+	// confirmed the start of the last one whose report was accepted.
+	fixed     []*Window
+	confirmed time.Time
 }
 
 // NewReporter returns a Reporter that reads and writes rows and sends reports to
@@ -76,6 +87,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if recovered, err := r.recover(ctx, progress, version, max(billing.Window, MinWindow)); recovered || err != nil {
+		return nil, err
+	}
 	first, err := r.firstPart(ctx)
 	if err != nil {
 		return nil, err
@@ -93,7 +107,14 @@
 	var window *Window
 	err = r.holder.Do(ctx, func(ctx context.Context, grant *lease.Grant) error {
 		window, err = r.fixWindow(ctx, start, grant)
-		return err
+		if err != nil {
+			return err
+		}
+		r.remember(window)
+		if r.Announce != nil {
+			return r.Announce(ctx, start)
+		}
+		return nil
 	})
 	if err != nil {
 		return nil, err
@@ -103,6 +124,9 @@
 	}); err != nil {
 		return nil, merry.Prepend(err, "usage: report window")
 	}
+	if window.Start.After(r.confirmed) {
+		r.confirmed = window.Start
+	}
 	r.recordWriters(window, billing.Window)
 	if err := r.finish(ctx, window, progress, version); err != nil {
 		return window, err
@@ -219,7 +243,7 @@
 	if fixed != nil || err != nil {
 		return fixed, err
 	}
-	if err := r.insertRow(ctx, ClosedKey(start), Progress{LastWindow: start}, grant); err != nil {
+	if err := r.insertRow(ctx, ClosedKey(start), closure{Window: start}, grant); err != nil {
 		return nil, err
 	}
 	window, err := r.sumParts(ctx, start)
@@ -327,7 +351,7 @@
 func (r *Reporter) finish(ctx context.Context, window *Window, progress Progress, version uint64) error {
 	return r.holder.Do(ctx, func(ctx context.Context, grant *lease.Grant) error {
 		if window.Start.After(progress.LastWindow) {
-			if err := r.storeProgress(ctx, Progress{LastWindow: window.Start}, version, grant); err != nil {
+			if err := r.storeProgress(ctx, Progress{LastWindow: window.Start, Epoch: r.epoch()}, version, grant); err != nil {
 				return err
 			}
 		}
--- a/core/usage/window.go
+++ b/core/usage/window.go
@@ -29,4 +29,16 @@
 type Progress struct {
 	// LastWindow is the start of the last reported window.
 	LastWindow time.Time `json:"last"`
+	// Epoch is the epoch of the table in which it was recorded. In a later epoch, further
+	// windows may have been reported since.
+	Epoch uint64 `json:"epoch,omitempty"`
+}
+
+// closure is the content of the row that closes a window.
+type closure struct {
+	// Window is the start of the window.
+	Window time.Time `json:"last"`
+	// Reported states that the window was reported before the table was restored from a
+	// backup. Its totals are in no row, unless its reporter has written them again.
+	Reported bool `json:"reported,omitempty"`
 }
--- a/core/usage/writer.go
+++ b/core/usage/writer.go
@@ -16,6 +16,10 @@
 // outage of the table.
 const maxWaitingWindows = 16
 
+// maxInsertedParts is the maximum number of parts that are kept after they were inserted,
+// for the case that the table is restored from a backup.
+const maxInsertedParts = 64
+
 // maxFlushAttempts is the maximum number of attempts to write parts in one Flush. A
 // part that finds its window closed moves on to a later window.
 const maxFlushAttempts = 16
@@ -36,6 +40,9 @@
 	flushMu sync.Mutex // held by Flush
 
 	mu sync.Mutex // guards the fields below
+	// inserted are the latest parts that are known to be in the table, and again those
+	// that are inserted once more because the table was restored from a backup.
+	inserted, again []*sentPart
 	// waiting are the parts that were not sent yet, one for each window, sorted by
 	// window.
 	waiting  []Part
@@ -52,6 +59,12 @@
 type sentPart struct {
 	name PartName
 	part Part
+	// restored states that the table was restored from a backup since the part was first
+	// sent, so that it may be counted in a window whose totals the table has lost.
+	restored bool
+	// resend states that this happened while the part was in flight, so that an answer may
+	// be about the table before.
+	resend bool
 }
 
 // NewWriter returns a Writer for a process on the VM with the given name. instance
@@ -96,6 +109,9 @@
 	for _, part := range w.waiting {
 		lists = append(lists, part.Lines)
 	}
+	for _, sent := range w.again {
+		lists = append(lists, sent.part.Lines)
+	}
 	if w.inFlight != nil {
 		lists = append(lists, w.inFlight.part.Lines)
 	}
@@ -109,6 +125,11 @@
 func (w *Writer) Flush(ctx context.Context, now time.Time, length time.Duration) error {
 	w.flushMu.Lock()
 	defer w.flushMu.Unlock()
+	for w.hasAgain() {
+		if err := w.send(ctx, w.nextPart(now, length), length); err != nil {
+			return err
+		}
+	}
 	for range maxFlushAttempts {
 		sent := w.nextPart(now, length)
 		if sent == nil {
@@ -124,6 +145,49 @@
 	return nil
 }
 
+// HandleRestore makes the next Flush insert all parts again that belong to windows after
+// the one that starts at through, because the table was restored from a backup. Parts of
+// earlier windows are counted in reports. Parts keep their names, so that each is still
+// counted once.
+func (w *Writer) HandleRestore(through time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.inFlight != nil {
+		w.inFlight.restored, w.inFlight.resend = true, true
+	}
+	for _, sent := range w.inserted {
+		if sent.part.Window.After(through) {
+			sent.restored = true
+			w.again = append(w.again, sent)
+		}
+	}
+	w.inserted = nil
+}
+
+// hasAgain reports whether parts wait to be inserted again.
+func (w *Writer) hasAgain() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.again) > 0
+}
+
+// wasReported reports whether a part belongs to a window that was reported before the table
+// was restored from a backup, and may be counted there.
+func (w *Writer) wasReported(ctx context.Context, sent *sentPart) (bool, error) {
+	w.mu.Lock()
+	restored := sent.restored
+	w.mu.Unlock()
+	if !restored {
+		return false, nil
+	}
+	rows, err := w.table.Get(ctx, &table.GetPayload{Keys: []string{ClosedKey(sent.part.Window)}})
+	if err != nil || len(rows) == 0 {
+		return false, err
+	}
+	closed, err := decode[closure](rows[0].Value)
+	return closed.Reported, err
+}
+
 // nextPart returns the part to send: the one in flight whose outcome is unknown, or
 // else the waiting part of the earliest window, or nil if there is none.
 func (w *Writer) nextPart(now time.Time, length time.Duration) *sentPart {
@@ -132,6 +196,11 @@
 	if w.inFlight != nil {
 		return w.inFlight
 	}
+	if len(w.again) > 0 {
+		w.inFlight = w.again[0]
+		w.again = slices.Delete(w.again, 0, 1)
+		return w.inFlight
+	}
 	if len(w.waiting) == 0 {
 		return nil
 	}
@@ -192,9 +261,12 @@
 		return true, nil
 	}
 	rows, err = w.table.Get(ctx, &table.GetPayload{Keys: []string{WindowKey(sent.part.Window)}})
-	if err != nil || len(rows) == 0 {
+	if err != nil {
 		return false, err
 	}
+	if len(rows) == 0 {
+		return w.wasReported(ctx, sent)
+	}
 	window, err := decode[Window](rows[0].Value)
 	if err != nil {
 		return false, err
@@ -202,13 +274,23 @@
 	return slices.Contains(window.Parts, sent.name), nil
 }
 
-// resolve ends the part in flight. If it was not counted, its window is closed, and
+// resolve ends the part in flight, or has it sent again if the table was restored
+// meanwhile. If it was not counted, its window is closed, and
 // its usage waits for a later window.
 func (w *Writer) resolve(sent *sentPart, counted bool, length time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.inFlight = nil
+	if sent.resend {
+		sent.resend = false
+		w.again = append(w.again, sent)
+		return
+	}
 	if counted {
+		w.inserted = append(w.inserted, sent)
+		if excess := len(w.inserted) - maxInsertedParts; excess > 0 {
+			w.inserted = slices.Delete(w.inserted, 0, excess)
+		}
 		return
 	}
 	if len(sent.part.Lines) > 0 {
