core/replica: entries of a restored store do not bring back servers that left

Cause: the latest entry in the store was taken for the latest that the server wrote. Change: replica.EntryHistory remembers each server's latest entry, by its start and its sequence. Servers that are alive write again; entries of others expire.

TestServerThatLeavesIsNotUsedAfterRestore failed before ("removed false": the draining server got requests) and passes.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -325,6 +325,19 @@
 	d.logger.WithFields(logrus.Fields{"epoch": current, "last-epoch": previous}).
 		Warn("store was restored from a copy, what was written last is written again")
 	d.usage.HandleRestore()
+	d.compareEntries(time.Now())
+}
+
+// compareEntries has entries of backend servers compared with those from before the store was
+// restored from a copy, for a while.
+func (d *Daemon) compareEntries(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	time.AfterFunc(d.updater.history.HandleRestore(now), func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.updater.useRefused(time.Now())
+	})
 }
 
 // logLeaseFailure logs a failed call for the lease.
--- a/acaciad/daemon/directory_updater.go
+++ b/acaciad/daemon/directory_updater.go
@@ -31,12 +31,16 @@
 	// reportedDrains maps the engines that reported themselves that they drain to the
 	// time at which they stop.
 	reportedDrains map[string]time.Time
+	// history has the latest entries, and refused those that are older, just after the store
+	// was restored from a copy.
+	history replica.EntryHistory
+	refused map[string]replica.Spec
 	// storeRestoredAt is when the store was last available again after an outage.
 	storeRestoredAt time.Time
 }
 
 func newDirectoryUpdater(d *directory.Directory, logger *logrus.Logger) *directoryUpdater {
-	return &directoryUpdater{directory: d, logger: logger, servers: make(map[string]replica.Spec), heldUntil: make(map[string]time.Time), reportedDrains: make(map[string]time.Time)}
+	return &directoryUpdater{directory: d, logger: logger, servers: make(map[string]replica.Spec), heldUntil: make(map[string]time.Time), reportedDrains: make(map[string]time.Time), refused: make(map[string]replica.Spec)}
 }
 
 // applyCatalog applies the configuration that the operator wrote. It returns false,
@@ -83,6 +87,13 @@
 			continue
 		}
 		delete(u.heldUntil, row.Key)
+		delete(u.refused, row.Key)
+		if !u.history.Admit(spec, now) {
+			u.refused[row.Key] = spec
+			u.logger.WithFields(logrus.Fields{"backend-server": row.Key, "sequence": spec.Sequence, "draining": u.servers[row.Key].Draining}).
+				Info("entry of a backend server is older than a known one, not used: the store was restored from a copy")
+			continue
+		}
 		evicting = evicting || spec.Kind == config.KindCheap && spec.Draining && !u.servers[row.Key].Draining
 		u.servers[row.Key] = spec
 	}
@@ -100,6 +111,8 @@
 // remove removes a backend server. It keeps the server for a while if its entry may be
 // missing only because the store was unavailable.
 func (u *directoryUpdater) remove(name string, now time.Time) {
+	u.history.Remove(name, now)
+	delete(u.refused, name)
 	spec, known := u.servers[name]
 	if holdUntil := u.storeRestoredAt.Add(missingEntryHold); known && !spec.Draining && now.Before(holdUntil) {
 		if _, held := u.heldUntil[name]; !held {
@@ -111,6 +124,18 @@
 	delete(u.heldUntil, name)
 }
 
+// useRefused uses the entries that were refused because they were older than known ones, once
+// their servers have had time to write newer ones and entries of others have expired.
+func (u *directoryUpdater) useRefused(now time.Time) {
+	for name, spec := range u.refused {
+		if u.history.Admit(spec, now) {
+			u.servers[name] = spec
+			delete(u.refused, name)
+		}
+	}
+	u.publish(now)
+}
+
 // removeHeld removes the servers that were kept long enough without an entry.
 func (u *directoryUpdater) removeHeld(now time.Time) {
 	for name, holdUntil := range u.heldUntil {
--- a/acaciad/daemon/restored_store_test.go
+++ b/acaciad/daemon/restored_store_test.go
@@ -132,3 +132,44 @@
 	}
 	return total
 }
+
+// TestServerThatLeavesIsNotUsedAfterRestore restores the store from a copy in which a server
+// is ready that has begun to drain, or was removed, since. It must get no requests.
+func TestServerThatLeavesIsNotUsedAfterRestore(t *testing.T) {
+	for _, removed := range []bool{false, true} {
+		d := newDeployment(t)
+		stays := platformtest.NewServer("i-2", 1)
+		d.Cleanup(stays.Close)
+		d.writeConfig(3, "k")
+		d.registerShop("ready")
+		d.store.Write("servers", "i-2", stays.Entry("shop", "z", "ready"))
+		r := d.start("vm-1")
+		d.eventually("both servers are used", func() bool {
+			r.lookStatus("k")
+			return len(d.shop.ReceivedRequests()) > 0 && len(stays.ReceivedRequests()) > 0
+		})
+		backup := d.store.Backup()
+		if removed {
+			d.store.Remove("servers", "i-1")
+		} else {
+			d.registerShop("draining")
+		}
+		unused := func() bool {
+			before := len(d.shop.ReceivedRequests())
+			for range 20 {
+				r.lookStatus("k")
+			}
+			return len(d.shop.ReceivedRequests()) == before
+		}
+		d.eventually("the server that leaves is not used", unused)
+		d.store.SetFault(func(string, string) platformtest.Fault { return platformtest.Unavailable })
+		time.Sleep(300 * time.Millisecond)
+		d.store.Restore(backup)
+		d.store.SetFault(nil)
+		for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			d.Assert(unused(), qt.IsTrue, qt.Commentf("removed %t", removed))
+		}
+		d.Assert(r.lookStatus("k"), qt.Equals, http.StatusOK)
+		r.stop()
+	}
+}
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -51,6 +51,9 @@
 	// StartedAt is when it started, or zero if it is not known. A backend
 	// server that restarted under the same name has lost its state.
 	StartedAt time.Time
+	// Sequence is the number of the entry among those that it wrote since its start, or 0
+	// if it is not known.
+	Sequence uint64
 }
 
 // Instance returns the name of the backend server together with its start, which identify
