--- a/acaciad/daemon/feed.go
+++ b/acaciad/daemon/feed.go
@@ -296,6 +296,9 @@
 	case follow.Follows:
 		hold, gap = 0, 0
 	}
+	if f.failing {
+		hold = 0 // the store may have been restored, and know nothing after a lost version
+	}
 	rows, snapshot, err := f.callStore(ctx, hold)
 	if err != nil {
 		f.handleStoreFailure(ctx, err)
--- a/core/epoch/tracker.go
+++ b/core/epoch/tracker.go
@@ -7,10 +7,12 @@
 	mu      sync.Mutex // guards the fields below
 	current uint64
 	hooks   []func(previous, current uint64)
+	// superseded is closed and replaced when a later epoch is observed.
+	superseded chan struct{}
 }
 
 // NewTracker returns a tracker that has seen no epoch, which counts as epoch 0.
-func NewTracker() *Tracker { return &Tracker{} }
+func NewTracker() *Tracker { return &Tracker{superseded: make(chan struct{})} }
 
 // Current returns the latest epoch that was observed.
 func (t *Tracker) Current() uint64 {
@@ -19,6 +21,14 @@
 	return t.current
 }
 
+// Superseded returns a channel that is closed when a later epoch than the current one is
+// observed.
+func (t *Tracker) Superseded() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.superseded
+}
+
 // OnRestore adds a function that is called when a later epoch than a known one is observed.
 // It must not wait for calls of the store.
 func (t *Tracker) OnRestore(f func(previous, current uint64)) {
@@ -32,7 +42,11 @@
 func (t *Tracker) Observe(epoch uint64) {
 	t.mu.Lock()
 	previous := t.current
-	t.current = max(previous, epoch)
+	if epoch > previous {
+		t.current = epoch
+		close(t.superseded)
+		t.superseded = make(chan struct{})
+	}
 	hooks := t.hooks
 	t.mu.Unlock()
 	if previous == 0 || epoch <= previous {
