acaciad/crashreports: quarantines outlive a restoration of the store

Now a row that was written in an earlier epoch is lost, not deleted, and is written again, and so are reports of crashes.

--- a/acaciad/crashreports/exchange.go
+++ b/acaciad/crashreports/exchange.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"acaciapath.example/core/epoch"
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/core/platformapi"
 	"acaciapath.example/core/quarantine"
@@ -273,11 +274,7 @@
 		}
 	}
 	if snapshot {
-		for part, known := range g.versions {
-			if known <= version && !seen[part] {
-				g.endLocked(part)
-			}
-		}
+		g.applyMissingLocked(seen, version, now)
 	}
 	g.ownRowKnown = true
 	g.publishLocked()
@@ -285,6 +282,32 @@
 	return false
 }
 
+// applyMissingLocked ends the quarantines whose rows are missing as of a version of the
+// store. If the store was restored from a copy since, they are not missing but lost: they
+// are written again, and so is the report of this daemon. The caller holds g.mu.
+func (g *Guard) applyMissingLocked(seen map[uint64]bool, version uint64, now time.Time) {
+	current, _ := epoch.Split(version)
+	for part, known := range g.versions {
+		if seen[part] || known > version {
+			continue
+		}
+		if written, _ := epoch.Split(known); written == current || !g.ledger.IsQuarantined(part) {
+			g.endLocked(part)
+			continue
+		}
+		delete(g.versions, part)
+		for _, q := range g.ledger.Quarantined() {
+			if q.Part == part {
+				g.setWriteLocked(part, pendingWrite{due: now.Add(g.spread()), value: q})
+			}
+		}
+	}
+	if restored := g.epoch > 0 && current > g.epoch; restored && (g.ownRow || !g.ledger.Report().IsEmpty()) {
+		g.scheduleReportLocked(now)
+	}
+	g.epoch = max(g.epoch, current)
+}
+
 // applyReportLocked applies the report of a VM and returns its newest time. The caller
 // holds g.mu.
 func (g *Guard) applyReportLocked(vm string, row platform.Row, now time.Time) time.Time {
--- a/acaciad/crashreports/guard.go
+++ b/acaciad/crashreports/guard.go
@@ -43,8 +43,10 @@
 	ownRowKnown, ownRow bool
 	// writes are the rows of quarantines that are to be written or deleted.
 	writes map[uint64]pendingWrite
-	// versions are the versions of the rows of quarantines.
+	// versions are the versions of the rows of quarantines, and epoch is the epoch of the
+	// latest whole table.
 	versions map[uint64]uint64
+	epoch    uint64
 	// tried are the trials of this daemon that no request has used yet.
 	tried map[uint64]*atomic.Bool
 }
--- a/core/epoch/epoch_test.go
+++ b/core/epoch/epoch_test.go
@@ -14,7 +14,7 @@
 func TestJoinedVersionsAreOrdered(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		draw := func() (uint64, uint64, uint64) {
-			e, v := rapid.Uint64Range(0, 1<<20-1).Draw(t, "epoch"), rapid.Uint64Range(1, 1<<44-1).Draw(t, "version")
+			e, v := rapid.Uint64Range(0, 1<<20-1).Draw(t, "epoch"), rapid.Uint64Range(0, 1<<44-1).Draw(t, "version")
 			return e, v, epoch.Join(e, v)
 		}
 		e1, v1, j1 := draw()
--- a/core/epoch/version.go
+++ b/core/epoch/version.go
@@ -8,12 +8,8 @@
 const versionBits = 44
 
 // Join returns a version that is greater than all versions of earlier epochs, and ordered
-// like the store's versions within an epoch. Version 0 stays 0, since it means that there
-// is none.
+// like the store's versions within an epoch.
 func Join(epoch, version uint64) uint64 {
-	if version == 0 {
-		return 0
-	}
 	return epoch<<versionBits | version
 }
 
