acaciad/limitreports: limits of backend servers outlive a restoration of the store

A copy from before a row made the daemons that learned the limit from it forget it (LIMIT). A row of an earlier epoch that is missing is written again instead.

TestLimitOutlivesRestore failed before and passes.

--- a/acaciad/limitreports/sharer.go
+++ b/acaciad/limitreports/sharer.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"acaciapath.example/core/epoch"
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/core/platformapi"
 	"acaciapath.example/platform"
@@ -225,11 +226,19 @@
 	if !snapshot {
 		return
 	}
+	current, _ := epoch.Split(version)
 	for instance, row := range s.rows {
-		if row.version <= version && !seen[instance] {
-			delete(s.rows, instance)
-			s.Forget(instance)
+		if row.version > version || seen[instance] {
+			continue
 		}
+		delete(s.rows, instance)
+		if written, _ := epoch.Split(row.version); written < current && now.Sub(row.named) < s.Memory {
+			// The store was restored from a copy without the row.
+			row.version = 0
+			s.scheduleLocked(instance, row, now)
+			continue
+		}
+		s.Forget(instance)
 	}
 }
 
