acaciad: the neighbour row and the baseline of orders are written again after a restoration

Both are written once (or every four minutes) and were taken for stored. A copy without the neighbour row hides a daemon from those that would write through it; one without the baseline makes the next holder of the lease take ordered servers for deployed ones.

--- a/acaciad/control/autoscaler.go
+++ b/acaciad/control/autoscaler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"acaciapath.example/acaciad/directory"
@@ -53,8 +54,15 @@
 	// surpluses holds the replicas that each service needs beyond its baseline, as a
 	// share of the baseline.
 	surpluses map[string]order.Surplus
+	// restored states that the store was restored from a copy, which may lack the baseline.
+	restored atomic.Bool
 }
 
+// HandleRestore has the baseline stored again if this daemon knows it, because the store was
+// restored from a copy that may lack it. Otherwise a later holder of the lease would take
+// ordered servers for deployed ones.
+func (a *Autoscaler) HandleRestore() { a.restored.Store(true) }
+
 // Run orders backend servers until ctx is done.
 func (a *Autoscaler) Run(ctx context.Context) {
 	a.lastOrders = make(map[order.ReplicaGroup]order.LastOrder)
@@ -107,6 +115,7 @@
 // number of standard servers is stable. It reports whether the baseline is known.
 func (a *Autoscaler) ensureBaseline(ctx context.Context, index *catalog.Index) bool {
 	if a.baseline != nil {
+		a.storeAgain(ctx)
 		return true
 	}
 	baseline, err := order.LoadBaseline(ctx, a.Table)
@@ -121,6 +130,17 @@
 	return baseline != nil
 }
 
+// storeAgain stores the baseline after the store was restored, unless it has one.
+func (a *Autoscaler) storeAgain(ctx context.Context) {
+	if !a.restored.Swap(false) {
+		return
+	}
+	if err := order.StoreBaseline(ctx, a.Table, *a.baseline); err != nil {
+		a.restored.Store(true)
+		a.Logger.WithField("error", platformapi.Reason(err)).Warn("cannot store the baseline of backend servers again, will retry")
+	}
+}
+
 // countReplicas returns the baseline that consists of the standard replicas that are
 // present now.
 func (a *Autoscaler) countReplicas(index *catalog.Index) order.Baseline {
--- a/acaciad/neighbours/registry.go
+++ b/acaciad/neighbours/registry.go
@@ -33,6 +33,9 @@
 	minReadInterval = 8 * time.Second
 	// checkInterval is how often the registry checks whether a write or a read is due.
 	checkInterval = time.Second
+	// rewriteSpread is the time over which the daemons write their rows again after the store
+	// was restored.
+	rewriteSpread = 2 * time.Second
 	// retryInterval is the time between two attempts while the store does not answer. A
 	// daemon that knows no neighbours tries every checkInterval.
 	retryInterval = 5 * time.Second
@@ -82,9 +85,13 @@
 	// knownCount is the number of known neighbours, and readCount that of reads so far.
 	knownCount, readCount int
 
-	refresh atomic.Bool
+	refresh, rewrite atomic.Bool
 }
 
+// HandleRestore has the daemon's row written again soon, because the store was restored from
+// a copy that may lack it.
+func (r *Registry) HandleRestore() { r.rewrite.Store(true) }
+
 // Refresh asks for another read of the rows, because the list of members is outdated.
 func (r *Registry) Refresh() { r.refresh.Store(true) }
 
@@ -95,6 +102,9 @@
 func (r *Registry) Run(ctx context.Context) {
 	var nextWrite, nextRead, lastRead time.Time
 	for ctx.Err() == nil {
+		if r.rewrite.Swap(false) {
+			nextWrite = time.Now().Add(time.Duration(r.Random.Int64N(int64(rewriteSpread))))
+		}
 		if now := time.Now(); !now.Before(nextWrite) {
 			first := nextWrite.IsZero()
 			nextWrite = now.Add(checkInterval)
