acaciad/neighbours, core/usage: writes handed over or adopted are written again after a restoration

Usage of a daemon that had shut down was lost if the store lost the write that a neighbour had made for it: the queue forgot a write once it was committed. It now keeps it until it expires; so does a Writer with adopted parts.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -325,6 +325,9 @@
 	d.logger.WithFields(logrus.Fields{"epoch": current, "last-epoch": previous}).
 		Warn("store was restored from a copy, what was written last is written again")
 	d.usage.HandleRestore()
+	d.writeQueue.HandleRestore(time.Now())
+	d.neighbours.HandleRestore()
+	d.autoscaler.HandleRestore()
 	d.compareEntries(time.Now())
 }
 
--- a/acaciad/neighbours/write_queue.go
+++ b/acaciad/neighbours/write_queue.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,8 +52,11 @@
 	// Logger logs the outcomes of writes.
 	Logger *logrus.Logger
 
-	mu     sync.Mutex
+	mu     sync.Mutex // guards the fields below
 	writes []queuedWrite
+	// committed are the latest writes that the store has committed, kept until they
+	// expire, for the case that the store is restored from a copy.
+	committed []queuedWrite
 }
 
 // queuedWrite is a write in the queue. It is dropped after expiresAt.
@@ -73,6 +77,29 @@
 	return nil
 }
 
+// HandleRestore queues the writes again that the store committed and may have lost, because
+// it was restored from a copy. Their origins have exited.
+func (q *WriteQueue) HandleRestore(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, queued := range q.committed {
+		if len(q.writes) < maxQueuedWrites && !now.After(queued.expiresAt) {
+			q.writes = append(q.writes, queued)
+		}
+	}
+	q.committed = nil
+}
+
+// keepCommitted keeps a write that the store has committed.
+func (q *WriteQueue) keepCommitted(queued queuedWrite, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.committed = slices.DeleteFunc(q.committed, func(w queuedWrite) bool { return now.After(w.expiresAt) })
+	if len(q.committed) < maxQueuedWrites {
+		q.committed = append(q.committed, queued)
+	}
+}
+
 // Run sends queued writes to the store until ctx is done.
 func (q *WriteQueue) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -114,6 +141,7 @@
 	switch {
 	case err == nil && status == http.StatusOK:
 		entry.Info("write for a neighbour committed")
+		q.keepCommitted(queued, time.Now())
 	case err == nil && status == http.StatusPreconditionFailed:
 		if err := q.Adopt(queued.path, queued.body); err != nil {
 			entry.WithError(err).Warn("write for a neighbour dropped: its conditions do not hold, or it was committed before")
--- a/core/usage/adopt.go
+++ b/core/usage/adopt.go
@@ -33,6 +33,8 @@
 	part   Part
 	// marks are the keys of rows that are inserted with the usage.
 	marks []string
+	// written is the start of the window in which the usage was written, or zero.
+	written time.Time
 }
 
 // adoptedKey returns the key of the row that marks a part as adopted.
@@ -94,19 +96,23 @@
 		}
 		adopted := w.adopted[0]
 		w.mu.Unlock()
-		if err := w.writeAdopted(ctx, adopted, now, length); err != nil {
+		if err := w.writeAdopted(ctx, &adopted, now, length); err != nil {
 			return err
 		}
 		w.mu.Lock()
 		w.adopted = slices.Delete(w.adopted, 0, 1)
+		if !adopted.written.IsZero() {
+			w.adoptedWritten = append(w.adoptedWritten, adopted)
+			w.adoptedWritten = w.adoptedWritten[max(0, len(w.adoptedWritten)-maxAdoptedParts):]
+		}
 		w.mu.Unlock()
 	}
 }
 
 // writeAdopted inserts the usage of an adopted part into an open window. It returns nil
 // once the usage is counted, here or elsewhere.
-func (w *Writer) writeAdopted(ctx context.Context, adopted adoptedPart, now time.Time, length time.Duration) error {
-	counted, err := w.wasCounted(ctx, &sentPart{name: adopted.origin, part: adopted.part})
+func (w *Writer) writeAdopted(ctx context.Context, adopted *adoptedPart, now time.Time, length time.Duration) error {
+	counted, err := w.wasCounted(ctx, &sentPart{name: adopted.origin, part: adopted.part, restored: true})
 	if counted || err != nil {
 		return err
 	}
@@ -114,10 +120,13 @@
 		w.mu.Lock()
 		window := w.openWindow(now, length)
 		w.mu.Unlock()
-		commit, key := w.adoptedCommit(adopted, window)
+		commit, key := w.adoptedCommit(*adopted, window)
 		_, err := w.table.Commit(ctx, commit)
 		conflict := platformapi.AsConflict(err)
 		if conflict == nil {
+			if err == nil {
+				adopted.written = window
+			}
 			return err
 		}
 		for _, row := range conflict.Rows {
--- a/core/usage/writer.go
+++ b/core/usage/writer.go
@@ -48,8 +48,10 @@
 	waiting  []Part
 	inFlight *sentPart
 	// adopted are parts of processes that have ended.
-	adopted  []adoptedPart
-	sequence uint64
+	adopted []adoptedPart
+	// adoptedWritten are the latest of them that were written.
+	adoptedWritten []adoptedPart
+	sequence       uint64
 	// earliestOpen is the start of the earliest window that is not known to be
 	// closed.
 	earliestOpen time.Time
@@ -162,6 +164,12 @@
 		}
 	}
 	w.inserted = nil
+	for _, adopted := range w.adoptedWritten {
+		if adopted.written.After(through) && len(w.adopted) < maxAdoptedParts {
+			w.adopted = append(w.adopted, adopted)
+		}
+	}
+	w.adoptedWritten = nil
 }
 
 // hasAgain reports whether parts wait to be inserted again.
@@ -181,7 +189,7 @@
 		return false, nil
 	}
 	rows, err := w.table.Get(ctx, &table.GetPayload{Keys: []string{ClosedKey(sent.part.Window)}})
-	if err != nil || len(rows) == 0 {
+	if err != nil || len(rows) == 0 || len(rows[0].Value) == 0 {
 		return false, err
 	}
 	closed, err := decode[closure](rows[0].Value)
