acaciad/proxy: only a stream continues a stream

Reported by other operators: after a stream had broken off, callers found an error's text in it, or it ended as if complete. Here errors were kept out, but a signed 2xx of another status or type of content was taken as the continuation.

--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -323,6 +323,8 @@
 		return broken
 	}
 	switch {
+	case success && x.status != 0 && !x.continuesStream(response):
+		return broken
 	case success && x.route.Kind == catalog.Stream:
 		return x.forwardStream(ctx, reservation, response)
 	case x.status != 0:
@@ -331,6 +333,12 @@
 	return x.forwardWhole(response)
 }
 
+// continuesStream reports whether a response may continue the stream that the caller gets:
+// it must have the same status and type of content.
+func (x *exchange) continuesStream(response *http.Response) bool {
+	return response.StatusCode == x.status && response.Header.Get("Content-Type") == x.writer.Header().Get("Content-Type")
+}
+
 // bufferedAnswer is an answer of a backend server that was received completely.
 type bufferedAnswer struct {
 	status int
