core/placement: backend servers are heard about leaving and pauses

Requests reached servers that had said in their answers that they leave (DRAIN), or had asked for a pause with 503 (BUDGET), since neither header was read.

Pool.Availability is the one place that says whether a server may get a request now, and why not. A pause counts from the answer, is cut to a minute, and is prolonged by up to a tenth at random; if all servers are paused or limited, callers get 503 with the time of the earliest end, one after the other. Answers to the daemon's own calls count too; a paused engine gets none of these.

TestStatementsHoldInAnyOrder (rapid): answers, entries, old entries and restarts in any order.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -211,6 +211,7 @@
 		Draining:     d.draining,
 		StreamsEnd:   d.streamsEnd,
 	}
+	engines.OnStatement = d.handler.HearAt
 	return d
 }
 
@@ -378,11 +379,17 @@
 	}
 }
 
-// stayingCheapEngines calls directoryUpdater.stayingCheapEngines with the lock.
+// stayingCheapEngines calls directoryUpdater.stayingCheapEngines with the lock, and leaves out
+// engines that asked for a pause.
 func (d *Daemon) stayingCheapEngines() [][]replica.Spec {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.updater.stayingCheapEngines(time.Now())
+	now := time.Now()
+	groups := d.updater.stayingCheapEngines(now)
+	for i, group := range groups {
+		groups[i] = slices.DeleteFunc(group, func(spec replica.Spec) bool { return d.directory.IsPaused(spec.Instance(), now) })
+	}
+	return slices.DeleteFunc(groups, func(group []replica.Spec) bool { return len(group) == 0 })
 }
 
 // markEnginesDraining calls directoryUpdater.markDraining with the lock.
--- a/acaciad/directory/collector.go
+++ b/acaciad/directory/collector.go
@@ -1,7 +1,10 @@
 package directory
 
 import (
+	"time"
+
 	"acaciapath.example/core/config"
+	"acaciapath.example/core/placement"
 
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -26,6 +29,7 @@
 	stateReady   = "ready"
 	stateLeaving = "leaving"
 	stateAbsent  = "absent"
+	statePaused  = "paused"
 )
 
 var _ prometheus.Collector = (*Directory)(nil)
@@ -48,6 +52,7 @@
 	if view := d.view.Load(); view != nil {
 		metrics <- prometheus.MustNewConstMetric(descRevision, prometheus.GaugeValue, float64(view.Index.Catalog.Revision))
 	}
+	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for name, pool := range d.pools {
@@ -55,11 +60,13 @@
 		groups := make(map[serverGroup]int)
 		for _, s := range pool.Servers {
 			group := serverGroup{service: name, kind: s.Spec.Kind, state: stateReady}
-			switch {
-			case s.Spec.Draining:
+			switch pool.Availability(s, now) {
+			case placement.Leaving:
 				group.state = stateLeaving
-			case s.Misdirected:
+			case placement.Misdirected:
 				group.state = stateAbsent
+			case placement.Paused:
+				group.state = statePaused
 			}
 			groups[group]++
 		}
--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -37,6 +37,8 @@
 	// drainStates holds the drain states of the listed backend servers that a request
 	// has been sent to, or that drain.
 	drainStates drainStates
+	// statements holds what backend servers say of themselves in answers.
+	statements placement.Statements
 	// defaultDrainTime is how long a draining backend server is expected to serve
 	// if its entry does not state the time left.
 	defaultDrainTime time.Duration
@@ -134,6 +136,7 @@
 		}
 	}
 	d.drainStates.update(d.pools, d.defaultDrainTime, now)
+	d.applyStatementsLocked(now)
 	standard := 0
 	for _, spec := range specs {
 		if spec.Kind == config.KindStandard && !spec.Draining {
@@ -191,7 +194,7 @@
 }
 
 // ReturnTime returns when a caller should return if the limits of the backend servers of a
-// service are used up, or false if they are not.
+// service are used up or they are in a pause, or false if they are not.
 func (d *Directory) ReturnTime(service string, now time.Time) (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -277,7 +280,7 @@
 	}
 	for _, s := range pool.Servers {
 		switch {
-		case s.Spec.Draining || s.Spec.FailureDomain != failureDomain:
+		case s.Spec.Draining || s.SaysLeaving || s.Spec.FailureDomain != failureDomain:
 		case s.Spec.Kind == config.KindCheap:
 			c.Cheap++
 		default:
--- a/acaciad/proxy/handover.go
+++ b/acaciad/proxy/handover.go
@@ -124,6 +124,12 @@
 func (m *runMove) handleDraining() {
 	defer close(m.done)
 	now := time.Now()
+	if m.handler.Directory.IsPaused(m.source.Spec.Instance(), now) {
+		m.handler.Metrics.recordHandover(handoverStayed)
+		m.handler.Logger.WithFields(logrus.Fields{"request-id": m.id, "backend-server": m.source.Spec.Name}).
+			Info("engine draining during a request, not moved: the engine asked for a pause")
+		return
+	}
 	run := m.runState(now)
 	link, stopsAt := m.sourceLink(now)
 	plan := handover.Decide(run, link, stopsAt, now)
@@ -186,7 +192,7 @@
 func (m *runMove) execute(ctx context.Context, plan handover.Plan) (result, target string, err error) {
 	for at, ok := plan.Start, true; ok; at, ok = plan.NextAttempt(time.Now()) {
 		sleep.For(ctx, time.Until(at))
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || m.handler.Directory.IsPaused(m.source.Spec.Instance(), time.Now()) {
 			break
 		}
 		var to *directory.Reservation
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -171,15 +171,15 @@
 
 // finalRefusal returns the refusal for a request that no backend server answered.
 func (x *exchange) finalRefusal() *refusal {
-	switch {
-	case x.mayHaveExecuted:
+	if x.mayHaveExecuted {
 		return mayHaveRun
-	case len(x.attempts) > 0:
-		return notRun
 	}
 	if wait, limited := x.handler.Directory.ReturnTime(x.service, time.Now()); limited {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "servers-limited", retryAfter: max(wait, retryAfterFailure)}
 	}
+	if len(x.attempts) > 0 {
+		return notRun
+	}
 	return noBackendServer
 }
 
@@ -310,6 +310,9 @@
 		x.recordLimit(reservation, info)
 	}
 	isOurs := info.MatchesRequest || info.Anonymous && !x.connectionReused
+	if isOurs {
+		x.handler.hear(reservation.Spec, info.Statement)
+	}
 	if info.NotExecuted && isOurs && response.StatusCode != http.StatusBadRequest {
 		return rejected
 	}
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -58,8 +58,14 @@
 	FullUntil time.Time
 	// Limit is the limit that the server names, or nil if there is none.
 	Limit *RateLimit
+	// SaysLeaving states that the server said in an answer that it leaves.
+	SaysLeaving bool
+	// PausedUntil is the end of the pause that the server asked for, or zero.
+	PausedUntil time.Time
 
 	nameHash uint64
+	// instance is Spec.Instance().
+	instance string
 }
 
 // Pool holds the backend servers of one service.
@@ -92,7 +98,7 @@
 	for _, spec := range specs {
 		s := known[spec.Name]
 		if s == nil || s.Spec.Address != spec.Address || !s.Spec.StartedAt.Equal(spec.StartedAt) {
-			s = &Server{Replica: replica.New(spec), nameHash: rendezvous.Hash(spec.Name)}
+			s = &Server{Replica: replica.New(spec), nameHash: rendezvous.Hash(spec.Name), instance: spec.Instance()}
 			added = append(added, spec.Name)
 		}
 		delete(known, spec.Name)
@@ -126,9 +132,6 @@
 	p.assignLanes()
 }
 
-// isExcluded reports whether the server gets no new requests.
-func (s *Server) isExcluded() bool { return s.Spec.Draining || s.Misdirected }
-
 // fullCooldown is how long a server that rejected a request for lack of
 // capacity is avoided. In about this time some of its requests end.
 const fullCooldown = 200 * time.Millisecond
@@ -208,8 +211,8 @@
 	shortPausesOtherDomainTokens = 2000
 )
 
-// Choose returns the server on which to run a request, or nil if all servers
-// are excluded or their limits are used up. A server that is full, in cooldown or reserved for another lane
+// Choose returns the server on which to run a request, or nil if no server is
+// available. A server that is full, in cooldown or reserved for another lane
 // is chosen if no better one is left. A run that is moved with a copy of its KV cache
 // stays in its lane.
 func (p *Pool) Choose(requirements Requirements, now time.Time, random *rand.Rand) *Server {
@@ -217,7 +220,7 @@
 	var best *Server
 	bestCost := 0.0
 	for _, s := range p.Servers {
-		if s.isExcluded() || !p.accepts(s, requirements) || p.isLimited(s, now) {
+		if !p.accepts(s, requirements) || p.Availability(s, now) != Available {
 			continue
 		}
 		c := cost(s, requirements, prefixServer, now) + jitterTokens*random.Float64()
--- a/core/placement/rate_limit.go
+++ b/core/placement/rate_limit.go
@@ -207,27 +207,34 @@
 }
 
 // maxReturnTime is the longest time after which a caller is told to return because of
-// limits.
+// limits and pauses.
 const maxReturnTime = 10 * time.Second
 
+// pausedReturnRate is the rate at which callers are told to return to each server after its
+// pause, in requests a second.
+const pausedReturnRate = 20
+
 // ReturnTime returns when a caller that is refused now should return because the limits of
-// the servers are used up, or false if limits do not explain that there is no server.
-// Callers are told to return one after the other, at the rate of the limits.
+// the servers are used up or they are in a pause, or false if that does not explain that
+// there is no server. Callers are told to return one after the other, at the rate of the
+// limits.
 func (p *Pool) ReturnTime(now time.Time) (time.Duration, bool) {
-	wait, rate, limited := maxReturnTime, 0.0, false
+	wait, rate, explained := maxReturnTime, 0.0, false
 	for _, s := range p.Servers {
-		switch {
-		case s.isExcluded():
-		case !p.isLimited(s, now):
+		switch p.Availability(s, now) {
+		case Available:
 			return 0, false
-		default:
-			limited = true
+		case Paused:
+			explained = true
+			wait, rate = min(wait, s.PausedUntil.Sub(now)), rate+pausedReturnRate
+		case Limited:
+			explained = true
 			if d, ok := s.Limit.nextToken(now); ok {
 				wait, rate = min(wait, d), rate+s.Limit.rate
 			}
 		}
 	}
-	if !limited {
+	if !explained {
 		return 0, false
 	}
 	at := now.Add(wait)
