acaciad/daemon: a follower notices a restoration with the rows

A follower learned rows of a restored store from its reader before its own calls showed the new epoch, and so used old entries of servers that had left (DRAIN).

TestFollowersLearnChangesAfterRestore now checks it; it failed before and passes.

--- a/acaciad/daemon/feed.go
+++ b/acaciad/daemon/feed.go
@@ -266,6 +266,8 @@
 // accept applies news that arrived at now and records them for followers. It reports
 // whether more changes are likely to follow at once.
 func (f *feed) accept(news follow.News, reading bool, now time.Time) bool {
+	current, _ := epoch.Split(news.Version)
+	f.store.Epochs.Observe(current) // a reader may know before this daemon calls the store
 	f.publisher.Record(news, reading, now)
 	f.version, f.versionKnown = news.Version, true
 	if !news.Failing {
--- a/acaciad/daemon/follow_test.go
+++ b/acaciad/daemon/follow_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"acaciapath.example/acaciad/reader"
+	"acaciapath.example/core/epoch"
 	"acaciapath.example/core/follow"
 	"acaciapath.example/platform"
 	"acaciapath.example/platform/platformtest"
@@ -41,6 +42,8 @@
 	rows     map[string]bool
 	versions []uint64
 	restored int
+	// epochUnknown states that rows of an epoch were applied before the epoch was noticed.
+	epochUnknown bool
 }
 
 // domain is a failure domain whose daemons follow a table.
@@ -119,6 +122,8 @@
 		}
 	}
 	v.versions = append(v.versions, v.feed.version)
+	current, _ := epoch.Split(v.feed.version)
+	v.epochUnknown = v.epochUnknown || current > v.feed.store.Epochs.Current()
 	return false
 }
 
@@ -342,6 +347,9 @@
 			}
 			for _, v := range d.daemons {
 				d.Check(v.has("lost"), qt.IsFalse)
+				v.mu.Lock()
+				d.Check(v.epochUnknown, qt.IsFalse)
+				v.mu.Unlock()
 			}
 			d.checkVersions()
 		})
