core/usage: no window is reported twice if no daemon lived through a restoration

Now a daemon that followed the row before vouches for it in the new epoch; if nobody does, windows that had ended when the holder began to follow are taken for reported. Their usage, if it was not, is lost rather than charged twice.

Also, servers that started since the copy are kept until they have written again, even if this VM did not notice the outage.

TestNoWindowIsReportedTwiceIfAllDaemonsAreNew failed before and passes.

--- a/acaciad/control/reported.go
+++ b/acaciad/control/reported.go
@@ -9,6 +9,7 @@
 
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/core/platformapi"
+	"acaciapath.example/core/usage"
 	"acaciapath.example/platform"
 
 	"github.com/sirupsen/logrus"
@@ -30,6 +31,8 @@
 // storedReported is the value of the row.
 type storedReported struct {
 	Through time.Time `json:"through"`
+	// Epoch is the epoch of the store in which a daemon vouched for it.
+	Epoch uint64 `json:"epoch,omitempty"`
 }
 
 // Reported knows the last usage window that was reported, or is about to be. All daemons
@@ -39,6 +42,10 @@
 type Reported struct {
 	// Table stores the row.
 	Table table.Service
+	// Epoch returns the epoch of the store.
+	Epoch func() uint64
+	// Window is the length of usage windows.
+	Window time.Duration
 	// Daemons returns the number of daemons, or 0 if it is not known.
 	Daemons func() int
 	// Logger logs failed writes and invalid rows.
@@ -46,15 +53,44 @@
 
 	mu sync.Mutex // guards the fields below
 	// through is the start of the last window, and stored what the row has.
-	through, stored time.Time
-	rewriting       bool
+	through time.Time
+	stored  storedReported
+	// followedAt is when the row was first read, in the epoch since, or zero.
+	followedAt time.Time
+	since      uint64
+	rewriting  bool
 }
 
-// Through returns the start of the last window that may have been reported, or zero.
-func (r *Reported) Through() time.Time {
+var _ usage.Reported = (*Reported)(nil)
+
+// firstEpoch is the epoch of a store that was never restored.
+const firstEpoch = 1
+
+// Through returns the start of the last window that may have been reported, or zero. If the
+// store was restored, and no daemon that followed the row before has vouched for it, these
+// are all windows that had ended when this daemon began to follow it. known is false until
+// then.
+func (r *Reported) Through() (start time.Time, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.through
+	current := r.Epoch()
+	switch {
+	case current <= firstEpoch || r.livedBefore(current) || r.stored.Epoch == current:
+		return r.through, true
+	case r.followedAt.IsZero():
+		return r.through, false
+	}
+	ended := usage.WindowStart(r.followedAt.Add(-r.Window), r.Window)
+	if r.through.After(ended) {
+		ended = r.through
+	}
+	return ended, true
+}
+
+// livedBefore reports whether this daemon followed the row before an epoch. The caller holds
+// r.mu.
+func (r *Reported) livedBefore(current uint64) bool {
+	return !r.followedAt.IsZero() && r.since < current
 }
 
 // Announce tells the other daemons that the window that starts at start is about to be
@@ -74,7 +110,7 @@
 
 // write writes the row.
 func (r *Reported) write(ctx context.Context, through time.Time) error {
-	value, err := json.Marshal(storedReported{Through: through.UTC()})
+	value, err := json.Marshal(storedReported{Through: through.UTC(), Epoch: r.Epoch()})
 	if err != nil {
 		return err
 	}
@@ -92,8 +128,9 @@
 }
 
 // Apply applies rows of the table. snapshot states that they are all rows. If the row is
-// behind what this daemon knows, the store has lost it, and the daemon writes it again.
-func (r *Reported) Apply(rows []platform.Row, snapshot bool) {
+// behind what this daemon knows, the store has lost it, and the daemon writes it again. now
+// is the current time.
+func (r *Reported) Apply(rows []platform.Row, snapshot bool, now time.Time) {
 	var stored storedReported
 	found := false
 	for _, row := range rows {
@@ -111,21 +148,33 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stored = stored.Through
+	if r.followedAt.IsZero() {
+		r.followedAt, r.since = now, r.Epoch()
+	}
+	r.stored = stored
 	if stored.Through.After(r.through) {
 		r.through = stored.Through
 	}
-	if r.stored.Before(r.through) && !r.rewriting {
+	if r.isBehind() && !r.rewriting {
 		r.rewriting = true
 		spread := max(minRewriteSpread, time.Duration(r.Daemons())*rewritePerDaemon)
 		time.AfterFunc(rand.N(spread), r.rewrite)
 	}
 }
 
+// isBehind reports whether the row lacks what this daemon knows. The caller holds r.mu.
+func (r *Reported) isBehind() bool {
+	if r.through.IsZero() {
+		return false
+	}
+	current := r.Epoch()
+	return r.stored.Through.Before(r.through) || r.livedBefore(current) && r.stored.Epoch < current
+}
+
 // rewrite writes the row again unless another daemon has done so.
 func (r *Reported) rewrite() {
 	r.mu.Lock()
-	through, behind := r.through, r.stored.Before(r.through)
+	through, behind := r.through, r.isBehind()
 	r.rewriting = false
 	r.mu.Unlock()
 	if !behind {
--- a/acaciad/control/usage.go
+++ b/acaciad/control/usage.go
@@ -104,7 +104,8 @@
 // HandleRestore has the parts that the store may have lost written again, because the store
 // was restored from a copy.
 func (u *Usage) HandleRestore() {
-	u.Writer.HandleRestore(u.Reported.Through())
+	through, _ := u.Reported.Through()
+	u.Writer.HandleRestore(through)
 	select {
 	case u.restoredSignal() <- struct{}{}:
 	default:
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -181,8 +181,8 @@
 	}
 	reports.Store.Epochs = d.store.Epochs
 	d.guard.Table = reports
-	d.usage.Reported = &control.Reported{Table: reports, Daemons: d.guard.Daemons, Logger: logger}
-	d.usage.Reporter.ReportedThrough, d.usage.Reporter.Announce = d.usage.Reported.Through, d.usage.Reported.Announce
+	d.usage.Reported = &control.Reported{Table: reports, Epoch: d.store.Epochs.Current, Window: s.UsageWindow, Daemons: d.guard.Daemons, Logger: logger}
+	d.usage.Reporter.Reported = d.usage.Reported
 	d.limits = limitreports.NewSharer()
 	d.limits.Table, d.limits.Memory, d.limits.Daemons, d.limits.Logger = reports, options.LimitMemory, d.guard.Daemons, logger
 	d.limits.Learn, d.limits.Forget = d.learnLimit, d.forgetLimit
@@ -330,6 +330,7 @@
 	d.neighbours.HandleRestore()
 	d.autoscaler.HandleRestore()
 	d.compareEntries(time.Now())
+	d.handleStoreRestored(time.Now()) // servers that started since the copy write their entries again
 }
 
 // compareEntries has entries of backend servers compared with those from before the store was
@@ -360,7 +361,7 @@
 func (d *Daemon) applyReports(rows []platform.Row, snapshot bool) bool {
 	version := d.reportsFeed.version
 	d.limits.Apply(rows, snapshot, version)
-	d.usage.Reported.Apply(rows, snapshot)
+	d.usage.Reported.Apply(rows, snapshot, time.Now())
 	return d.guard.Apply(rows, snapshot, version)
 }
 
--- a/acaciad/daemon/restored_store_test.go
+++ b/acaciad/daemon/restored_store_test.go
@@ -173,3 +173,28 @@
 		r.stop()
 	}
 }
+
+// TestNoWindowIsReportedTwiceIfAllDaemonsAreNew restores the store while no daemon runs that
+// knows which windows were reported. Those that ended before must not be reported again.
+func TestNoWindowIsReportedTwiceIfAllDaemonsAreNew(t *testing.T) {
+	d := newDeployment(t)
+	d.writeConfig(3, "k")
+	d.registerShop("ready")
+	first := d.start("vm-1")
+	d.eventually("it serves", func() bool { return first.lookStatus("k") == http.StatusOK })
+	d.eventually("a window is reported", func() bool { return len(d.usageReports()) >= 1 })
+	backup := d.store.Backup()
+	d.eventually("further windows are reported", func() bool {
+		first.lookStatus("k")
+		return len(d.usageReports()) >= 4
+	})
+	first.stop()
+	d.Assert(<-first.exited, qt.IsNil)
+	reported := len(d.usageReports())
+	d.restore(backup, 4)
+	second := d.start("vm-2")
+	d.eventually("windows are reported again", func() bool {
+		second.lookStatus("k")
+		return len(d.usageReports()) >= reported+3
+	})
+}
--- a/core/usage/recover.go
+++ b/core/usage/recover.go
@@ -40,10 +40,12 @@
 
 // reportedThrough returns the start of the last window that must not be settled again. A
 // window whose totals this process remembers and whose report it has not seen accepted is
-// not among them, since its report can be repeated.
-func (r *Reporter) reportedThrough(progress Progress, length time.Duration) time.Time {
-	through := progress.LastWindow
-	for _, t := range []time.Time{r.confirmed, r.knownThrough()} {
+// not among them, since its report can be repeated. known is false if that is not known
+// yet.
+func (r *Reporter) reportedThrough(progress Progress, length time.Duration) (through time.Time, known bool) {
+	through = progress.LastWindow
+	announced, known := r.announcedThrough()
+	for _, t := range []time.Time{r.confirmed, announced} {
 		if t.After(through) {
 			through = t
 		}
@@ -51,27 +53,30 @@
 	for i := len(r.fixed) - 1; i >= 0 && r.fixed[i].Start.After(r.confirmed) && r.fixed[i].Start.Equal(through); i-- {
 		through = WindowStart(through.Add(-length), length)
 	}
-	return through
+	return through, known
 }
 
-// knownThrough returns what ReportedThrough returns, or zero if it is nil.
-func (r *Reporter) knownThrough() time.Time {
-	if r.ReportedThrough == nil {
-		return time.Time{}
+// announcedThrough returns what Reported knows, or zero if it is nil.
+func (r *Reporter) announcedThrough() (start time.Time, known bool) {
+	if r.Reported == nil {
+		return time.Time{}, true
 	}
-	return r.ReportedThrough()
+	return r.Reported.Through()
 }
 
 // recover writes again what the table lost when it was restored from a backup since the
 // progress was recorded: the totals of the windows that this process remembers, and the
 // closures of all that were reported. Parts of reported windows are deleted, because they
-// are counted. It reports whether it changed the progress.
+// are counted. It reports whether no window may be settled yet.
 func (r *Reporter) recover(ctx context.Context, progress Progress, version uint64, length time.Duration) (bool, error) {
 	epoch := r.epoch()
-	through := r.reportedThrough(progress, length)
-	if progress.Epoch >= epoch || through.IsZero() {
+	if progress.Epoch >= epoch {
 		return false, nil
 	}
+	through, known := r.reportedThrough(progress, length)
+	if !known || through.IsZero() {
+		return !known, nil
+	}
 	return true, r.holder.Do(ctx, func(ctx context.Context, grant *lease.Grant) error {
 		for _, window := range r.fixed {
 			if !window.Start.After(progress.LastWindow) {
--- a/core/usage/reporter.go
+++ b/core/usage/reporter.go
@@ -39,6 +39,16 @@
 
 var _ LeaseHolder = (*lease.Keeper)(nil)
 
+// Reported tells which windows were reported, from memory that a restoration of the table
+// does not change.
+type Reported interface {
+	// Through returns the start of the last window that may have been reported, or zero.
+	// known is false if that is not known yet.
+	Through() (start time.Time, known bool)
+	// Announce tells the other processes that a window is about to be reported.
+	Announce(ctx context.Context, start time.Time) error
+}
+
 // Reporter settles usage windows under the lease of usage reports. It is not safe
 // for concurrent use.
 type Reporter struct {
@@ -48,11 +58,9 @@
 	SettleWhenComplete bool
 	// Epoch returns the epoch of the table (core/epoch). It is nil if the table has none.
 	Epoch func() uint64
-	// ReportedThrough returns the start of the last window that may have been reported, as
-	// far as this process knows, also from others. Announce tells the others that a window
-	// is about to be reported. Both are nil if the table is never restored.
-	ReportedThrough func() time.Time
-	Announce        func(ctx context.Context, start time.Time) error
+	// Reported is what all processes know of reported windows. It is nil if the table is
+	// never restored.
+	Reported Reported
 
 	table  table.Service
 	usage  usageport.Service
@@ -87,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if recovered, err := r.recover(ctx, progress, version, max(billing.Window, MinWindow)); recovered || err != nil {
+	if wait, err := r.recover(ctx, progress, version, max(billing.Window, MinWindow)); wait || err != nil {
 		return nil, err
 	}
 	first, err := r.firstPart(ctx)
@@ -111,8 +119,8 @@
 			return err
 		}
 		r.remember(window)
-		if r.Announce != nil {
-			return r.Announce(ctx, start)
+		if r.Reported != nil {
+			return r.Reported.Announce(ctx, start)
 		}
 		return nil
 	})
