core/usage: the totals that are announced are told from others

Found by a randomized test of restorations, on the code before: - The reporter repeated the same window for ever, and no later one was reported, if a writer had inserted a part after a restoration and before the window was closed again. - A window that two reporters had fixed could be reported with both totals. - Parts were moved to a later window although the report contained them, if they were rejected by a window whose totals were not written yet. - A window was closed without its totals by a settlement that had begun before the restoration. - The first window was skipped if the reply to its announcement was lost.

Announcements have a digest of the totals, so that only the reporter that announced them repeats the report. Totals are written again before the closure. Parts that these do not contain move to the open window, with a mark by which their writer knows it. A settlement ends if the epoch changes.

--- a/acaciad/control/reported.go
+++ b/acaciad/control/reported.go
@@ -31,6 +31,8 @@
 // storedReported is the value of the row.
 type storedReported struct {
 	Through time.Time `json:"through"`
+	// Totals is the digest of the totals of that window, if they are known.
+	Totals string `json:"totals,omitempty"`
 	// Epoch is the epoch of the store in which a daemon vouched for it.
 	Epoch uint64 `json:"epoch,omitempty"`
 }
@@ -52,9 +54,9 @@
 	Logger *logrus.Logger
 
 	mu sync.Mutex // guards the fields below
-	// through is the start of the last window, and stored what the row has.
-	through time.Time
-	stored  storedReported
+	// last is the last announcement, and stored what the row has.
+	last   usage.Announcement
+	stored storedReported
 	// followedAt is when the row was first read, in the epoch since, or zero.
 	followedAt time.Time
 	since      uint64
@@ -66,25 +68,23 @@
 // firstEpoch is the epoch of a store that was never restored.
 const firstEpoch = 1
 
-// Through returns the start of the last window that may have been reported, or zero. If the
-// store was restored, and no daemon that followed the row before has vouched for it, these
-// are all windows that had ended when this daemon began to follow it. known is false until
-// then.
-func (r *Reported) Through() (start time.Time, known bool) {
+// Last returns the announcement of the last window that may have been reported. If the store
+// was restored, and no daemon that followed the row before has vouched for it, these are all
+// windows that had ended when this daemon began to follow it. known is false until then.
+func (r *Reported) Last() (last usage.Announcement, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	current := r.Epoch()
 	switch {
 	case current <= firstEpoch || r.livedBefore(current) || r.stored.Epoch == current:
-		return r.through, true
+		return r.last, true
 	case r.followedAt.IsZero():
-		return r.through, false
+		return r.last, false
 	}
-	ended := usage.WindowStart(r.followedAt.Add(-r.Window), r.Window)
-	if r.through.After(ended) {
-		ended = r.through
+	if ended := usage.WindowStart(r.followedAt.Add(-r.Window), r.Window); ended.After(r.last.Window) {
+		return usage.Announcement{Window: ended}, true
 	}
-	return ended, true
+	return r.last, true
 }
 
 // livedBefore reports whether this daemon followed the row before an epoch. The caller holds
@@ -93,24 +93,25 @@
 	return !r.followedAt.IsZero() && r.since < current
 }
 
-// Announce tells the other daemons that the window that starts at start is about to be
-// reported.
-func (r *Reported) Announce(ctx context.Context, start time.Time) error {
+// Announce tells the other daemons that a window is about to be reported.
+func (r *Reported) Announce(ctx context.Context, a usage.Announcement) error {
 	r.mu.Lock()
-	if start.Before(r.through) {
-		start = r.through
+	if a.Window.Before(r.last.Window) {
+		a = r.last
 	}
 	r.mu.Unlock()
-	if err := r.write(ctx, start); err != nil {
+	if err := r.write(ctx, a); err != nil {
 		return err
 	}
-	r.note(start)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.note(a)
 	return nil
 }
 
 // write writes the row.
-func (r *Reported) write(ctx context.Context, through time.Time) error {
-	value, err := json.Marshal(storedReported{Through: through.UTC(), Epoch: r.Epoch()})
+func (r *Reported) write(ctx context.Context, a usage.Announcement) error {
+	value, err := json.Marshal(storedReported{Through: a.Window.UTC(), Totals: a.Totals, Epoch: r.Epoch()})
 	if err != nil {
 		return err
 	}
@@ -118,12 +119,10 @@
 	return err
 }
 
-// note records that windows through the one that starts at start may have been reported.
-func (r *Reported) note(start time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if start.After(r.through) {
-		r.through = start
+// note records an announcement unless a later one is known. The caller holds r.mu.
+func (r *Reported) note(a usage.Announcement) {
+	if a.Window.After(r.last.Window) {
+		r.last = a
 	}
 }
 
@@ -152,9 +151,7 @@
 		r.followedAt, r.since = now, r.Epoch()
 	}
 	r.stored = stored
-	if stored.Through.After(r.through) {
-		r.through = stored.Through
-	}
+	r.note(usage.Announcement{Window: stored.Through, Totals: stored.Totals})
 	if r.isBehind() && !r.rewriting {
 		r.rewriting = true
 		spread := max(minRewriteSpread, time.Duration(r.Daemons())*rewritePerDaemon)
@@ -164,17 +161,17 @@
 
 // isBehind reports whether the row lacks what this daemon knows. The caller holds r.mu.
 func (r *Reported) isBehind() bool {
-	if r.through.IsZero() {
+	if r.last.Window.IsZero() {
 		return false
 	}
 	current := r.Epoch()
-	return r.stored.Through.Before(r.through) || r.livedBefore(current) && r.stored.Epoch < current
+	return r.stored.Through.Before(r.last.Window) || r.livedBefore(current) && r.stored.Epoch < current
 }
 
 // rewrite writes the row again unless another daemon has done so.
 func (r *Reported) rewrite() {
 	r.mu.Lock()
-	through, behind := r.through, r.isBehind()
+	last, behind := r.last, r.isBehind()
 	r.rewriting = false
 	r.mu.Unlock()
 	if !behind {
@@ -182,7 +179,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), rewriteTimeout)
 	defer cancel()
-	if err := r.write(ctx, through); err != nil {
+	if err := r.write(ctx, last); err != nil {
 		r.Logger.WithField("error", platformapi.Reason(err)).
 			Info("cannot write again which usage windows were reported, another daemon or the next report will")
 	}
--- a/acaciad/control/usage.go
+++ b/acaciad/control/usage.go
@@ -104,8 +104,8 @@
 // HandleRestore has the parts that the store may have lost written again, because the store
 // was restored from a copy.
 func (u *Usage) HandleRestore() {
-	through, _ := u.Reported.Through()
-	u.Writer.HandleRestore(through)
+	last, _ := u.Reported.Last()
+	u.Writer.HandleRestore(last.Window, u.Billing.Window)
 	select {
 	case u.restoredSignal() <- struct{}{}:
 	default:
--- a/core/usage/recover.go
+++ b/core/usage/recover.go
@@ -7,12 +7,13 @@
 
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/core/lease"
+	"acaciapath.example/core/platformapi"
 )
 
 // Limits of what is remembered for the case that the table is restored from a backup.
 const (
-	// maxFixedWindows is the number of windows whose totals a Reporter remembers.
-	maxFixedWindows = 32
+	// maxReportedWindows is the number of windows whose totals a Reporter remembers.
+	maxReportedWindows = 32
 	// maxRecoveredWindows is the number of windows that are closed again. A backup that
 	// lacks more of them is not expected.
 	maxRecoveredWindows = 256
@@ -26,78 +27,75 @@
 	return r.Epoch()
 }
 
-// remember remembers the totals of a window.
+// remember remembers the totals of a window whose report was accepted.
 func (r *Reporter) remember(window *Window) {
-	i, found := slices.BinarySearchFunc(r.fixed, window.Start, func(w *Window, start time.Time) int { return w.Start.Compare(start) })
+	i, found := slices.BinarySearchFunc(r.reported, window.Start, func(w *Window, start time.Time) int { return w.Start.Compare(start) })
 	if found {
 		return
 	}
-	r.fixed = slices.Insert(r.fixed, i, window)
-	if len(r.fixed) > maxFixedWindows {
-		r.fixed = slices.Delete(r.fixed, 0, 1)
+	r.reported = slices.Insert(r.reported, i, window)
+	if len(r.reported) > maxReportedWindows {
+		r.reported = slices.Delete(r.reported, 0, 1)
 	}
 }
 
-// reportedThrough returns the start of the last window that must not be settled again. A
-// window whose totals this process remembers and whose report it has not seen accepted is
-// not among them, since its report can be repeated. known is false if that is not known
-// yet.
-func (r *Reporter) reportedThrough(progress Progress, length time.Duration) (through time.Time, known bool) {
+// reportedThrough returns the start of the last window that must not be settled again. If
+// the last window that was announced is pending here with the totals that were announced,
+// it is not among them but returned as repeat, since its report can be repeated. known is
+// false if that is not known yet.
+func (r *Reporter) reportedThrough(progress Progress, length time.Duration) (through time.Time, repeat *Window, known bool) {
 	through = progress.LastWindow
-	announced, known := r.announcedThrough()
-	for _, t := range []time.Time{r.confirmed, announced} {
-		if t.After(through) {
-			through = t
-		}
-	}
-	for i := len(r.fixed) - 1; i >= 0 && r.fixed[i].Start.After(r.confirmed) && r.fixed[i].Start.Equal(through); i-- {
-		through = WindowStart(through.Add(-length), length)
+	if n := len(r.reported); n > 0 && r.reported[n-1].Start.After(through) {
+		through = r.reported[n-1].Start
 	}
-	return through, known
-}
-
-// announcedThrough returns what Reported knows, or zero if it is nil.
-func (r *Reporter) announcedThrough() (start time.Time, known bool) {
 	if r.Reported == nil {
-		return time.Time{}, true
+		return through, nil, true
+	}
+	last, known := r.Reported.Last()
+	if !last.Window.After(through) {
+		return through, nil, known
+	}
+	if p := r.pending; p != nil && p.Start.Equal(last.Window) && p.Digest() == last.Totals {
+		return WindowStart(p.Start.Add(-length), length), p, known
 	}
-	return r.Reported.Through()
+	return last.Window, nil, known
 }
 
 // recover writes again what the table lost when it was restored from a backup since the
 // progress was recorded: the totals of the windows that this process remembers, and the
 // closures of all that were reported. Parts of reported windows are deleted, because they
 // are counted. It reports whether no window may be settled yet.
-func (r *Reporter) recover(ctx context.Context, progress Progress, version uint64, length time.Duration) (bool, error) {
+func (r *Reporter) recover(ctx context.Context, now time.Time, progress Progress, version uint64, length time.Duration) (bool, error) {
 	epoch := r.epoch()
 	if progress.Epoch >= epoch {
 		return false, nil
 	}
-	through, known := r.reportedThrough(progress, length)
-	if !known || through.IsZero() {
-		return !known, nil
+	through, repeat, known := r.reportedThrough(progress, length)
+	if !known {
+		return true, nil
 	}
 	return true, r.holder.Do(ctx, func(ctx context.Context, grant *lease.Grant) error {
-		for _, window := range r.fixed {
+		remembered := slices.Clone(r.reported)
+		if repeat != nil {
+			remembered = append(remembered, repeat)
+		}
+		for _, window := range remembered {
 			if !window.Start.After(progress.LastWindow) {
 				continue
 			}
-			if err := r.insertRow(ctx, ClosedKey(window.Start), closure{Window: window.Start}, grant); err != nil {
-				return err
-			}
+			// Writers whose parts are rejected look for the totals.
 			if err := r.insertRow(ctx, WindowKey(window.Start), window, grant); err != nil {
 				return err
 			}
-		}
-		start := through
-		for i := 0; i < maxRecoveredWindows && start.After(progress.LastWindow); i++ {
-			if err := r.insertRow(ctx, ClosedKey(start), closure{Window: start, Reported: true}, grant); err != nil {
+			if err := r.insertRow(ctx, ClosedKey(window.Start), closure{Window: window.Start}, grant); err != nil {
 				return err
 			}
-			if progress.LastWindow.IsZero() && i >= maxFixedWindows {
-				break // nothing was reported when the backup was made
+			if err := r.moveParts(ctx, window, WindowStart(now, length), length, grant); err != nil {
+				return err
 			}
-			start = WindowStart(start.Add(-length), length)
+		}
+		if err := r.closeReported(ctx, progress.LastWindow, through, length, grant); err != nil {
+			return err
 		}
 		if err := r.deletePartsThrough(ctx, through, grant); err != nil {
 			return err
@@ -106,6 +104,26 @@
 	})
 }
 
+// closeReported closes the windows after last up to the one that starts at through, and
+// marks them as reported. If last is zero, nothing was reported when the backup was made.
+func (r *Reporter) closeReported(ctx context.Context, last, through time.Time, length time.Duration, grant *lease.Grant) error {
+	most := maxRecoveredWindows
+	if last.IsZero() {
+		most = maxReportedWindows
+	}
+	var writes []*table.Write
+	for start := through; start.After(last) && len(writes) < most; start = WindowStart(start.Add(-length), length) {
+		writes = append(writes, &table.Write{Key: ClosedKey(start), Value: encode(closure{Window: start, Reported: true})})
+	}
+	for batch := range slices.Chunk(writes, maxDeletedRows) {
+		_, err := r.table.Commit(ctx, &table.CommitPayload{Conditions: []*table.Condition{grant.Condition()}, Writes: batch})
+		if err != nil {
+			return asSuperseded(err)
+		}
+	}
+	return nil
+}
+
 // deletePartsThrough deletes the parts of all windows up to the one that starts at through.
 func (r *Reporter) deletePartsThrough(ctx context.Context, through time.Time, grant *lease.Grant) error {
 	for {
@@ -132,3 +150,59 @@
 		}
 	}
 }
+
+// moveParts moves the parts of a closed window that its totals do not contain to the
+// earliest open window from open on. They were inserted after the table was restored and
+// before the window was closed again.
+func (r *Reporter) moveParts(ctx context.Context, window *Window, open time.Time, length time.Duration, grant *lease.Grant) error {
+	rows, err := r.listParts(ctx, window.Start)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		_, name, err := parsePartKey(row.Key)
+		if err != nil {
+			return err
+		}
+		if slices.Contains(window.Parts, name) {
+			continue
+		}
+		part, err := decode[Part](row.Value)
+		if err != nil {
+			return err
+		}
+		if open, err = r.movePart(ctx, row.Key, part, name, open, length, grant); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// movePart moves the part with the given key to the earliest open window from open on, and
+// returns the start of that window. A mark tells its writer that it was moved.
+func (r *Reporter) movePart(ctx context.Context, key string, part Part, name PartName, open time.Time, length time.Duration, grant *lease.Grant) (time.Time, error) {
+	mark := adoptedKey(part.Window, name)
+	for range maxFlushAttempts {
+		moved := Part{Window: open, Lines: part.Lines}
+		_, err := r.table.Commit(ctx, &table.CommitPayload{
+			Conditions: []*table.Condition{{Key: mark}, {Key: ClosedKey(open)}, grant.Condition()},
+			Writes: []*table.Write{
+				{Key: key, Delete: true},
+				{Key: mark, Value: []byte("{}")},
+				{Key: PartKey(open, name), Value: encode(moved)},
+			},
+		})
+		conflict := platformapi.AsConflict(err)
+		if conflict == nil {
+			return open, err
+		}
+		if err := asSuperseded(err); err != nil {
+			return open, err
+		}
+		if slices.ContainsFunc(conflict.Rows, func(row *table.Row) bool { return row.Key == mark }) {
+			return open, nil // an earlier attempt has moved it
+		}
+		open = WindowStart(open.Add(length), length)
+	}
+	return open, ErrWindowClosed
+}
--- a/core/usage/reporter.go
+++ b/core/usage/reporter.go
@@ -43,14 +43,23 @@
 
 var _ LeaseHolder = (*lease.Keeper)(nil)
 
+// Announcement is what a process tells the others before it reports a window.
+type Announcement struct {
+	// Window is the start of the window, or zero if none was announced.
+	Window time.Time
+	// Totals is the digest of the totals that are about to be reported (Window.Digest). It
+	// is empty if they are not known.
+	Totals string
+}
+
 // Reported tells which windows were reported, from memory that a restoration of the table
 // does not change.
 type Reported interface {
-	// Through returns the start of the last window that may have been reported, or zero.
-	// known is false if that is not known yet.
-	Through() (start time.Time, known bool)
+	// Last returns the announcement of the last window that may have been reported. known
+	// is false if that is not known yet.
+	Last() (last Announcement, known bool)
 	// Announce tells the other processes that a window is about to be reported.
-	Announce(ctx context.Context, start time.Time) error
+	Announce(ctx context.Context, a Announcement) error
 }
 
 // Reporter settles usage windows under the lease of usage reports. It is not safe
@@ -75,10 +84,11 @@
 	// notBefore is the end of the window after the last one that was settled. Until
 	// then, no window can be due, and the table is not read.
 	notBefore time.Time
-	// fixed are the latest windows whose totals this process has fixed or read, sorted, and
-	// confirmed the start of the last one whose report was accepted.
-	fixed     []*Window
-	confirmed time.Time
+	// reported are the latest windows whose reports by this process were accepted, sorted.
+	reported []*Window
+	// pending is the window that this process has fixed or read last, if it does not know
+	// that its report was accepted, or nil.
+	pending *Window
 }
 
 // NewReporter returns a Reporter that reads and writes rows and sends reports to
@@ -99,7 +109,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if wait, err := r.recover(ctx, progress, version, max(billing.Window, MinWindow)); wait || err != nil {
+	epoch := r.epoch()
+	if wait, err := r.recover(ctx, now, progress, version, max(billing.Window, MinWindow)); wait || err != nil {
 		return nil, err
 	}
 	first, err := r.firstPart(ctx)
@@ -118,13 +129,16 @@
 	}
 	var window *Window
 	err = r.holder.Do(ctx, func(ctx context.Context, grant *lease.Grant) error {
+		if r.epoch() != epoch {
+			return ErrRestored
+		}
 		window, err = r.fixWindow(ctx, start, grant)
 		if err != nil {
 			return err
 		}
-		r.remember(window)
+		r.pending = window
 		if r.Reported != nil {
-			return r.Reported.Announce(ctx, start)
+			return r.Reported.Announce(ctx, Announcement{Window: start, Totals: window.Digest()})
 		}
 		return nil
 	})
@@ -136,9 +150,8 @@
 	}); err != nil {
 		return nil, merry.Prepend(err, "usage: report window")
 	}
-	if window.Start.After(r.confirmed) {
-		r.confirmed = window.Start
-	}
+	r.pending = nil
+	r.remember(window)
 	r.recordWriters(window, billing.Window)
 	if err := r.finish(ctx, window, progress, version); err != nil {
 		return window, err
--- a/core/usage/window.go
+++ b/core/usage/window.go
@@ -1,10 +1,16 @@
 package usage
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"slices"
 	"time"
 )
 
+// digestBytes is the number of bytes of a digest. It tells apart the few totals that the
+// same window can have.
+const digestBytes = 8
+
 // Window is the fixed totals of a usage window. Once inserted, it never changes.
 type Window struct {
 	// Start is the start of the window.
@@ -25,6 +31,12 @@
 	return slices.Compact(names)
 }
 
+// Digest returns a hash of the totals, in hexadecimal.
+func (w *Window) Digest() string {
+	sum := sha256.Sum256(encode(w))
+	return hex.EncodeToString(sum[:digestBytes])
+}
+
 // Progress records up to which window usage has been reported.
 type Progress struct {
 	// LastWindow is the start of the last reported window.
@@ -39,6 +51,6 @@
 	// Window is the start of the window.
 	Window time.Time `json:"last"`
 	// Reported states that the window was reported before the table was restored from a
-	// backup. Its totals are in no row, unless its reporter has written them again.
+	// backup. If its totals are in no row, all its parts are taken for counted.
 	Reported bool `json:"reported,omitempty"`
 }
--- a/core/usage/writer.go
+++ b/core/usage/writer.go
@@ -149,16 +149,20 @@
 
 // HandleRestore makes the next Flush insert all parts again that belong to windows after
 // the one that starts at through, because the table was restored from a backup. Parts of
-// earlier windows are counted in reports. Parts keep their names, so that each is still
-// counted once.
-func (w *Writer) HandleRestore(through time.Time) {
+// earlier windows are counted in reports, unless they were inserted again before, after
+// their window was reported. Parts keep their names, so that each is still counted once.
+// Parts that were not sent yet go to later windows. length is the length of windows.
+func (w *Writer) HandleRestore(through time.Time, length time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !through.IsZero() {
+		w.markClosed(through, length)
+	}
 	if w.inFlight != nil {
 		w.inFlight.restored, w.inFlight.resend = true, true
 	}
 	for _, sent := range w.inserted {
-		if sent.part.Window.After(through) {
+		if sent.restored || sent.part.Window.After(through) {
 			sent.restored = true
 			w.again = append(w.again, sent)
 		}
@@ -279,7 +283,17 @@
 	if err != nil {
 		return false, err
 	}
-	return slices.Contains(window.Parts, sent.name), nil
+	if slices.Contains(window.Parts, sent.name) {
+		return true, nil
+	}
+	return w.wasMoved(ctx, sent)
+}
+
+// wasMoved reports whether a reporter has moved a part to a later window, because its own
+// had been reported before the table was restored from a backup.
+func (w *Writer) wasMoved(ctx context.Context, sent *sentPart) (bool, error) {
+	rows, err := w.table.Get(ctx, &table.GetPayload{Keys: []string{adoptedKey(sent.part.Window, sent.name)}})
+	return len(rows) > 0, err
 }
 
 // resolve ends the part in flight, or has it sent again if the table was restored
