acaciad/daemon: TestNamedLimitIsKept asks all engines after the end of the limit

Traced: in these runs all daemons had logged the end of both limits within 1 s, and none learned one again. The requests shared 12 prompt parts, which the engine without a limit had cached meanwhile, so that placement kept sending them there.

--- a/acaciad/daemon/server_limit_test.go
+++ b/acaciad/daemon/server_limit_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -124,9 +125,14 @@
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	failed := 0
+	var limited atomic.Bool
+	limited.Store(true)
 	group.Go(func() {
-		d.sendSteadily(daemons, "ask", 80*time.Millisecond, stop, func(n int) []string {
-			return []string{strconv.Itoa(n % 12), strconv.Itoa(1000 + n)}
+		d.sendSteadily(daemons, "ask", 40*time.Millisecond, stop, func(n int) []string {
+			if limited.Load() {
+				return []string{strconv.Itoa(n % 12), strconv.Itoa(1000 + n)}
+			}
+			return []string{strconv.Itoa(100_000 + n), strconv.Itoa(1000 + n)} // no engine has it cached
 		}, func(_ time.Time, ok bool) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -149,6 +155,7 @@
 		d.Check(share >= limit/2, qt.IsTrue, qt.Commentf("engine %d got only %.2f requests a second", i, share))
 		e.setLimit(0)
 	}
+	limited.Store(false)
 	time.Sleep(6 * time.Second)
 	for i, e := range engines[:2] {
 		n := e.arrivalsBetween(ended.Add(3*time.Second), ended.Add(6*time.Second))
