--- a/core/usage/recover.go
+++ b/core/usage/recover.go
@@ -64,15 +64,12 @@
 // recover writes again what the table lost when it was restored from a backup since the
 // progress was recorded: the totals of the windows that this process remembers, and the
 // closures of all that were reported. Parts of reported windows are deleted, because they
-// are counted. It reports whether no window may be settled yet.
-func (r *Reporter) recover(ctx context.Context, now time.Time, progress Progress, version uint64, length time.Duration) (bool, error) {
+// are counted. known is false if it is not known yet which windows these are.
+func (r *Reporter) recover(ctx context.Context, now time.Time, progress Progress, version uint64, length time.Duration) (known bool, err error) {
 	epoch := r.epoch()
-	if progress.Epoch >= epoch {
-		return false, nil
-	}
 	through, repeat, known := r.reportedThrough(progress, length)
 	if !known {
-		return true, nil
+		return false, nil
 	}
 	return true, r.holder.Do(ctx, func(ctx context.Context, grant *lease.Grant) error {
 		remembered := slices.Clone(r.reported)
--- a/core/usage/reporter.go
+++ b/core/usage/reporter.go
@@ -110,8 +110,13 @@
 		return nil, err
 	}
 	epoch := r.epoch()
-	if wait, err := r.recover(ctx, now, progress, version, max(billing.Window, MinWindow)); wait || err != nil {
-		return nil, err
+	if progress.Epoch < epoch {
+		if known, err := r.recover(ctx, now, progress, version, max(billing.Window, MinWindow)); !known || err != nil {
+			return nil, err
+		}
+		if progress, version, err = r.progress(ctx); err != nil || progress.Epoch < epoch {
+			return nil, err
+		}
 	}
 	first, err := r.firstPart(ctx)
 	if err != nil {
