acaciapath/proofs: TestReplacedVMLoadsConfigFromNeighbours waits for the neighbours

Traced: it waited for vm-3, which is not in the list of VMs, and then cut off the platform. A new daemon takes the newest revision of the neighbours that it knows.

--- a/acaciapath/proofs/revisions_test.go
+++ b/acaciapath/proofs/revisions_test.go
@@ -271,10 +271,11 @@
 func TestReplacedVMLoadsConfigFromNeighbours(t *testing.T) {
 	t.Parallel()
 	env := newTestEnv(t, 1, engineOptions, "")
-	env.startNeighbours(2)
+	neighbours, _ := env.startNeighbours(2)
 	env.apply("\n[key roofers-1]\nwithdrawn = true\n")
-	old := env.startEntry("vm-3")
-	env.eventually("the key is withdrawn", func() bool { return env.status(old).Revision == env.revision })
+	for _, p := range append(neighbours, env.startEntry("vm-3")) {
+		env.eventually("the key is withdrawn", func() bool { return env.status(p).Revision == env.revision })
+	}
 	env.platform.SetFaults(platform.Table, fault.Faults{Down: true})
 	env.platform.SetFaults(platform.Objects, fault.Faults{Down: true})
 	first := env.startEntry("vm-4")
