core/usage: windows before the first report are not taken for reported

Cause: after a restoration, all windows up to the last announced one counted as reported. Windows before the first one that was ever reported are not: a part of such a window that was lost and inserted again late was deleted as counted (traced: a-1 of window 00:00, first report 00:01).

Change: an announcement has the first announced window too (Announcement.First), and Covers tells which windows it is about. The row of reported windows stores it; a row without it means not known, which covers all earlier windows as before.

--- a/acaciad/control/reported.go
+++ b/acaciad/control/reported.go
@@ -30,6 +30,10 @@
 
 // storedReported is the value of the row.
 type storedReported struct {
+	// First is the start of the first window that was ever announced, or zero if it is not
+	// known.
+	First time.Time `json:"first,omitzero"`
+	// Through is the start of the last one.
 	Through time.Time `json:"through"`
 	// Totals is the digest of the totals of that window, if they are known.
 	Totals string `json:"totals,omitempty"`
@@ -96,22 +100,20 @@
 // Announce tells the other daemons that a window is about to be reported.
 func (r *Reported) Announce(ctx context.Context, a usage.Announcement) error {
 	r.mu.Lock()
-	if a.Window.Before(r.last.Window) {
-		a = r.last
-	}
+	a = r.last.Merge(a)
 	r.mu.Unlock()
 	if err := r.write(ctx, a); err != nil {
 		return err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.note(a)
+	r.last = r.last.Merge(a)
 	return nil
 }
 
 // write writes the row.
 func (r *Reported) write(ctx context.Context, a usage.Announcement) error {
-	value, err := json.Marshal(storedReported{Through: a.Window.UTC(), Totals: a.Totals, Epoch: r.Epoch()})
+	value, err := json.Marshal(storedReported{First: a.First.UTC(), Through: a.Window.UTC(), Totals: a.Totals, Epoch: r.Epoch()})
 	if err != nil {
 		return err
 	}
@@ -119,13 +121,6 @@
 	return err
 }
 
-// note records an announcement unless a later one is known. The caller holds r.mu.
-func (r *Reported) note(a usage.Announcement) {
-	if a.Window.After(r.last.Window) {
-		r.last = a
-	}
-}
-
 // Apply applies rows of the table. snapshot states that they are all rows. If the row is
 // behind what this daemon knows, the store has lost it, and the daemon writes it again. now
 // is the current time.
@@ -151,7 +146,7 @@
 		r.followedAt, r.since = now, r.Epoch()
 	}
 	r.stored = stored
-	r.note(usage.Announcement{Window: stored.Through, Totals: stored.Totals})
+	r.last = r.last.Merge(usage.Announcement{First: stored.First, Window: stored.Through, Totals: stored.Totals})
 	if r.isBehind() && !r.rewriting {
 		r.rewriting = true
 		spread := max(minRewriteSpread, time.Duration(r.Daemons())*rewritePerDaemon)
--- a/acaciad/control/usage.go
+++ b/acaciad/control/usage.go
@@ -105,7 +105,7 @@
 // was restored from a copy.
 func (u *Usage) HandleRestore() {
 	last, _ := u.Reported.Last()
-	u.Writer.HandleRestore(last.Window, u.Billing.Window)
+	u.Writer.HandleRestore(last, u.Billing.Window)
 	select {
 	case u.restoredSignal() <- struct{}{}:
 	default:
--- a/core/usage/recover.go
+++ b/core/usage/recover.go
@@ -39,26 +39,38 @@
 	}
 }
 
-// reportedThrough returns the start of the last window that must not be settled again. If
-// the last window that was announced is pending here with the totals that were announced,
-// it is not among them but returned as repeat, since its report can be repeated. known is
-// false if that is not known yet.
-func (r *Reporter) reportedThrough(progress Progress, length time.Duration) (through time.Time, repeat *Window, known bool) {
-	through = progress.LastWindow
+// announcement returns what is announced before a window is reported.
+func (r *Reporter) announcement(window *Window, progress Progress) Announcement {
+	a := Announcement{First: window.Start, Window: window.Start, Totals: window.Digest()}
+	last, known := r.Reported.Last()
+	if last.Window.IsZero() && (!known || !progress.LastWindow.IsZero()) {
+		a.First = time.Time{}
+	}
+	return a
+}
+
+// lastReported returns the windows that must not be settled again. If the last window that
+// was announced is pending here with the totals that were announced, it is not among them
+// but returned as repeat, since its report can be repeated. known is false if that is not
+// known yet.
+func (r *Reporter) lastReported(progress Progress, length time.Duration) (last Announcement, repeat *Window, known bool) {
+	through := progress.LastWindow
 	if n := len(r.reported); n > 0 && r.reported[n-1].Start.After(through) {
 		through = r.reported[n-1].Start
 	}
 	if r.Reported == nil {
-		return through, nil, true
+		return Announcement{Window: through}, nil, true
 	}
-	last, known := r.Reported.Last()
+	last, known = r.Reported.Last()
 	if !last.Window.After(through) {
-		return through, nil, known
+		last.Window = through
+		return last, nil, known
 	}
 	if p := r.pending; p != nil && p.Start.Equal(last.Window) && p.Digest() == last.Totals {
-		return WindowStart(p.Start.Add(-length), length), p, known
+		last.Window = WindowStart(p.Start.Add(-length), length)
+		return last, p, known
 	}
-	return last.Window, nil, known
+	return last, nil, known
 }
 
 // recover writes again what the table lost when it was restored from a backup since the
@@ -67,7 +79,7 @@
 // are counted. known is false if it is not known yet which windows these are.
 func (r *Reporter) recover(ctx context.Context, now time.Time, progress Progress, version uint64, length time.Duration) (known bool, err error) {
 	epoch := r.epoch()
-	through, repeat, known := r.reportedThrough(progress, length)
+	last, repeat, known := r.lastReported(progress, length)
 	if !known {
 		return false, nil
 	}
@@ -91,25 +103,26 @@
 				return err
 			}
 		}
-		if err := r.closeReported(ctx, progress.LastWindow, through, length, grant); err != nil {
+		if err := r.closeReported(ctx, progress.LastWindow, last, length, grant); err != nil {
 			return err
 		}
-		if err := r.deletePartsThrough(ctx, through, grant); err != nil {
+		if err := r.deleteReportedParts(ctx, last, grant); err != nil {
 			return err
 		}
-		return r.storeProgress(ctx, Progress{LastWindow: through, Epoch: epoch}, version, grant)
+		return r.storeProgress(ctx, Progress{LastWindow: last.Window, Epoch: epoch}, version, grant)
 	})
 }
 
-// closeReported closes the windows after last up to the one that starts at through, and
-// marks them as reported. If last is zero, nothing was reported when the backup was made.
-func (r *Reporter) closeReported(ctx context.Context, last, through time.Time, length time.Duration, grant *lease.Grant) error {
+// closeReported closes the windows up to last that were reported since the backup was made,
+// and marks them as reported. recorded is the start of the last one that the backup has, or
+// zero.
+func (r *Reporter) closeReported(ctx context.Context, recorded time.Time, last Announcement, length time.Duration, grant *lease.Grant) error {
 	most := maxRecoveredWindows
-	if last.IsZero() {
+	if recorded.IsZero() && last.First.IsZero() {
 		most = maxReportedWindows
 	}
 	var writes []*table.Write
-	for start := through; start.After(last) && len(writes) < most; start = WindowStart(start.Add(-length), length) {
+	for start := last.Window; start.After(recorded) && last.Covers(start) && len(writes) < most; start = WindowStart(start.Add(-length), length) {
 		writes = append(writes, &table.Write{Key: ClosedKey(start), Value: encode(closure{Window: start, Reported: true})})
 	}
 	for batch := range slices.Chunk(writes, maxDeletedRows) {
@@ -121,29 +134,33 @@
 	return nil
 }
 
-// deletePartsThrough deletes the parts of all windows up to the one that starts at through.
-func (r *Reporter) deletePartsThrough(ctx context.Context, through time.Time, grant *lease.Grant) error {
+// deleteReportedParts deletes the parts of all windows up to last that were reported.
+func (r *Reporter) deleteReportedParts(ctx context.Context, last Announcement, grant *lease.Grant) error {
+	after := ""
 	for {
-		rows, err := r.table.List(ctx, &table.ListPayload{Prefix: partPrefix, Limit: maxDeletedRows})
-		if err != nil {
+		rows, err := r.table.List(ctx, &table.ListPayload{Prefix: partPrefix, After: after, Limit: maxDeletedRows})
+		if err != nil || len(rows) == 0 {
 			return err
 		}
+		after = rows[len(rows)-1].Key
 		var writes []*table.Write
 		for _, row := range rows {
 			start, _, err := parsePartKey(row.Key)
 			if err != nil {
 				return err
 			}
-			if !start.After(through) {
+			if start.After(last.Window) {
+				break // rows are sorted by the start of their window
+			}
+			if last.Covers(start) {
 				writes = append(writes, &table.Write{Key: row.Key, Delete: true})
 			}
 		}
-		if len(writes) == 0 {
-			return nil
-		}
-		_, err = r.table.Commit(ctx, &table.CommitPayload{Conditions: []*table.Condition{grant.Condition()}, Writes: writes})
-		if err != nil {
-			return asSuperseded(err)
+		if len(writes) > 0 {
+			_, err = r.table.Commit(ctx, &table.CommitPayload{Conditions: []*table.Condition{grant.Condition()}, Writes: writes})
+			if err != nil {
+				return asSuperseded(err)
+			}
 		}
 	}
 }
--- a/core/usage/reporter.go
+++ b/core/usage/reporter.go
@@ -43,22 +43,14 @@
 
 var _ LeaseHolder = (*lease.Keeper)(nil)
 
-// Announcement is what a process tells the others before it reports a window.
-type Announcement struct {
-	// Window is the start of the window, or zero if none was announced.
-	Window time.Time
-	// Totals is the digest of the totals that are about to be reported (Window.Digest). It
-	// is empty if they are not known.
-	Totals string
-}
-
 // Reported tells which windows were reported, from memory that a restoration of the table
 // does not change.
 type Reported interface {
 	// Last returns the announcement of the last window that may have been reported. known
 	// is false if that is not known yet.
 	Last() (last Announcement, known bool)
-	// Announce tells the other processes that a window is about to be reported.
+	// Announce tells the other processes that a window is about to be reported, together
+	// with what is known of earlier ones (Announcement.Merge).
 	Announce(ctx context.Context, a Announcement) error
 }
 
@@ -143,7 +135,7 @@
 		}
 		r.pending = window
 		if r.Reported != nil {
-			return r.Reported.Announce(ctx, Announcement{Window: start, Totals: window.Digest()})
+			return r.Reported.Announce(ctx, r.announcement(window, progress))
 		}
 		return nil
 	})
--- a/core/usage/restore_test.go
+++ b/core/usage/restore_test.go
@@ -35,9 +35,7 @@
 	if f == faultUnavailable || f == faultDelayed {
 		return errNoReply
 	}
-	if next.Window.After(a.last.Window) {
-		a.last = next
-	}
+	a.last = a.last.Merge(next)
 	if f != faultNone {
 		return errNoReply
 	}
@@ -57,7 +55,7 @@
 func (v *vm) notice() {
 	if v.epoch != v.restores.epoch {
 		v.epoch = v.restores.epoch
-		v.writer.HandleRestore(v.restores.announced.last.Window, length)
+		v.writer.HandleRestore(v.restores.announced.last, length)
 	}
 }
 
@@ -255,12 +253,19 @@
 // that it has written, no request is lost either.
 func TestUsageAcrossRestores(t *testing.T) {
 	for _, test := range []struct {
+		name string
 		vms  int
 		most uint64
 		seed string
-	}{{vms: 1, most: 3, seed: "1"}, {vms: 3, most: 3, seed: "1"}, {vms: 1, most: 60, seed: "4"}, {vms: 3, most: 60, seed: "1"}} {
+	}{
+		{name: "vms=1,restores=3", vms: 1, most: 3, seed: "1"},
+		{name: "vms=3,restores=3", vms: 3, most: 3, seed: "1"},
+		{name: "vms=1,restores=60", vms: 1, most: 60, seed: "4"},
+		{name: "vms=3,restores=60", vms: 3, most: 60, seed: "1"},
+		{name: "report-of-an-earlier-window-fails", vms: 1, most: 60, seed: "537170"},
+	} {
 		vms := test.vms
-		t.Run(fmt.Sprintf("vms=%d,restores=%d", vms, test.most), func(t *testing.T) {
+		t.Run(test.name, func(t *testing.T) {
 			setSeed(t, test.seed)
 			rapid.Check(t, func(t *rapid.T) {
 				s := newRestores(t, vms, test.most)
--- a/core/usage/writer.go
+++ b/core/usage/writer.go
@@ -147,29 +147,30 @@
 	return nil
 }
 
-// HandleRestore makes the next Flush insert all parts again that belong to windows after
-// the one that starts at through, because the table was restored from a backup. Parts of
-// earlier windows are counted in reports, unless they were inserted again before, after
-// their window was reported. Parts keep their names, so that each is still counted once.
-// Parts that were not sent yet go to later windows. length is the length of windows.
-func (w *Writer) HandleRestore(through time.Time, length time.Duration) {
+// HandleRestore makes the next Flush insert all parts again that belong to windows that were
+// not reported, because the table was restored from a backup. last is the last announcement
+// of a window. Parts of windows that it covers are counted in reports, unless they were
+// inserted again before, after their window was reported. Parts keep their names, so that
+// each is still counted once. Parts that were not sent yet go to later windows. length is
+// the length of windows.
+func (w *Writer) HandleRestore(last Announcement, length time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !through.IsZero() {
-		w.markClosed(through, length)
+	if !last.Window.IsZero() {
+		w.markClosed(last.Window, length)
 	}
 	if w.inFlight != nil {
 		w.inFlight.restored, w.inFlight.resend = true, true
 	}
 	for _, sent := range w.inserted {
-		if sent.restored || sent.part.Window.After(through) {
+		if sent.restored || !last.Covers(sent.part.Window) {
 			sent.restored = true
 			w.again = append(w.again, sent)
 		}
 	}
 	w.inserted = nil
 	for _, adopted := range w.adoptedWritten {
-		if adopted.written.After(through) && len(w.adopted) < maxAdoptedParts {
+		if !last.Covers(adopted.written) && len(w.adopted) < maxAdoptedParts {
 			w.adopted = append(w.adopted, adopted)
 		}
 	}
