acaciad/daemon: a follower reads the store as soon as any call is answered

What callers saw: 404 on routes of an acknowledged version, 6 s after a VM of the large deployment could reach the store again (CONFIG).

Cause: whether the store answers was a belief of each feed. A feed of a follower that had failed once did not call the store for 4 s, and the timeout of its last call came on top, while the daemon's other feeds and its probe were answered.

Change: epoch.Tracker, which all clients of the store share, knows when the store last answered. The pause ends once a call that came after the failure is answered.

--- a/acaciad/daemon/feed.go
+++ b/acaciad/daemon/feed.go
@@ -30,9 +30,9 @@
 	// followerRetryInterval is the same for a daemon that usually follows a reader.
 	// There may be hundreds of these.
 	followerRetryInterval = time.Second
-	// followerStorePause is how long a daemon that usually follows a reader does not call
-	// a store that failed. In the meantime it tries to follow readers, which call more
-	// often.
+	// followerStorePause is how long a feed of a daemon that usually follows a reader does
+	// not call a store that failed, unless other calls are answered. In the meantime it
+	// tries to follow readers, which call more often.
 	followerStorePause = 4 * time.Second
 	// feedGapRatio is the time from a change to the next call, as a share of the time
 	// within which the daemon must follow a draining backend server. Changes in the
@@ -164,7 +164,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		role, address := f.choose(now)
-		pausing := f.isFollower() && f.failing && now.Sub(f.failedAt) < followerStorePause
+		pausing := f.isFollower() && f.failing && now.Sub(f.failedAt) < followerStorePause && !f.store.Epochs.AnsweredSince(f.failedAt)
 		switch {
 		case role != follow.Follows && pausing:
 			sleep.For(ctx, feedRetryInterval)
--- a/core/epoch/epoch_test.go
+++ b/core/epoch/epoch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"acaciapath.example/core/epoch"
 
@@ -41,3 +42,14 @@
 	c.Assert(seen, qt.DeepEquals, [][2]uint64{{3, 4}, {4, 6}})
 	c.Assert(tracker.Current(), qt.Equals, uint64(6))
 }
+
+func TestAnsweredSince(t *testing.T) {
+	c := qt.New(t)
+	tracker := epoch.NewTracker()
+	first := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	c.Assert(tracker.AnsweredSince(first), qt.IsFalse)
+	tracker.Answered(first.Add(time.Second))
+	tracker.Answered(first) // a delayed one
+	c.Assert(tracker.AnsweredSince(first), qt.IsTrue)
+	c.Assert(tracker.AnsweredSince(first.Add(time.Second)), qt.IsFalse)
+}
--- a/core/epoch/tracker.go
+++ b/core/epoch/tracker.go
@@ -1,12 +1,18 @@
 package epoch
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
-// Tracker knows the latest epoch of a store. It is safe for concurrent use.
+// Tracker knows the latest epoch of a store, and when the store last answered. It is safe
+// for concurrent use.
 type Tracker struct {
 	mu      sync.Mutex // guards the fields below
 	current uint64
-	hooks   []func(previous, current uint64)
+	// answeredAt is when the store last answered a call, or zero.
+	answeredAt time.Time
+	hooks      []func(previous, current uint64)
 	// superseded is closed and replaced when a later epoch is observed.
 	superseded chan struct{}
 }
@@ -37,6 +43,22 @@
 	t.hooks = append(t.hooks, f)
 }
 
+// Answered records that the store answered a call at now.
+func (t *Tracker) Answered(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.After(t.answeredAt) {
+		t.answeredAt = now
+	}
+}
+
+// AnsweredSince reports whether the store has answered a call after a time.
+func (t *Tracker) AnsweredSince(after time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.answeredAt.After(after)
+}
+
 // Observe records that the store answered in an epoch. An earlier epoch than the current
 // one is ignored, since answers may be delayed.
 func (t *Tracker) Observe(epoch uint64) {
