acaciad/neighbours: a failing test of collectors that are blamed for the store

At 15 s, 189 of 195 daemons log that their collector of writes failed (its connection ended, since the store had reset it). Until 25 s all of them write directly: at 17.2 s to 17.8 s and at 20.0 s to 20.6 s, when the parts of a usage window are due, the store answers 503 and 429, and the reporter's own calls time out until 22.4 s.

--- a/acaciad/neighbours/collector_test.go
+++ b/acaciad/neighbours/collector_test.go
@@ -171,3 +171,29 @@
 		return fault
 	}
 }
+
+// TestCollectorIsBlamedForStore has the store fail for a moment. Once it answers again, the
+// daemons must write through their collector, and not all of them to the store.
+func TestCollectorIsBlamedForStore(t *testing.T) {
+	for name, fault := range map[string]platformtest.Fault{
+		"unavailable":  platformtest.Unavailable,
+		"rate limited": platformtest.RateLimited,
+		"reset":        platformtest.ConnectionReset,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGroup(t)
+			g.store.SetFault(func(string, string) platformtest.Fault { return fault })
+			for _, err := range g.commitAll() {
+				g.Assert(err, qt.IsNotNil)
+			}
+			g.store.SetFault(nil)
+			before := g.store.Calls("/acaciapath/rows-tx")
+			for _, err := range g.commitAll() {
+				g.Assert(err, qt.IsNil)
+			}
+			g.Assert(g.store.Rows("acaciapath", "control"), qt.HasLen, writers)
+			calls := g.store.Calls("/acaciapath/rows-tx") - before
+			g.Assert(calls <= 3, qt.IsTrue, qt.Commentf("%d calls", calls))
+		})
+	}
+}
