acaciad/neighbours: a collector is not blamed for the store

Cause: a collector that got no answer from the store closed the connection, and a refusal of the store was passed on as the collector's own. Each daemon then took its collector for broken and wrote to the store itself for 10 s, all of them at the end of the next usage window. The class of fault: a failure behind a relay is blamed on the relay.

Change: a collector answers 503 if the store refused a write, 504 if its outcome is unknown, and 429 if too many wait; its transactions end before the calls of its neighbours do. Only if the store has failed at the collector for 5 s does the collector count as failed.

--- a/acaciad/neighbours/collecting.go
+++ b/acaciad/neighbours/collecting.go
@@ -10,6 +10,8 @@
 
 	"acaciapath.example/core/detour"
 	"acaciapath.example/core/follow"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // collectedWrites is the name under which follow.Rank ranks collectors. It is not that of
@@ -24,12 +26,23 @@
 	// directPeriod is how long writes are sent to the store directly after a collector
 	// failed: the write that failed must not wait for further collectors.
 	directPeriod = 10 * time.Second
+	// maxStoreFailing is how long a collector may say that the store does not answer it,
+	// until the collector counts as failed itself. The outages that it tells of are mostly
+	// those of the store for all daemons.
+	maxStoreFailing = 5 * time.Second
 )
 
+// errStoreSilent is returned if the store did not answer a collector, so that a write may
+// have been committed.
+var errStoreSilent = merry.Sentinel("neighbours: the store did not answer the collector")
+
 // collectorChoice selects the collector of this daemon's writes.
 type collectorChoice struct {
 	selector    follow.Selector
 	directUntil time.Time
+	// storeFailingSince is the first of the latest answers by which collectors said that
+	// the store does not answer them, or zero.
+	storeFailingSince time.Time
 }
 
 // SetMembers replaces the daemons of the failure domain, among which a collector is
@@ -68,16 +81,47 @@
 	out.URL = &url.URL{Scheme: "http", Host: address, Path: collectedPath, RawQuery: url.Values{"path": {r.URL.Path}}.Encode()}
 	out.Host = address
 	response, err = t.Base.RoundTrip(out)
-	switch {
-	case err == nil && (response.StatusCode == http.StatusOK || response.StatusCode == http.StatusPreconditionFailed):
+	if err != nil {
+		cancel()
+		t.recordCollectorFailure(address, response, err)
+		return nil, !isDialError(err), err
+	}
+	switch response.StatusCode {
+	case http.StatusOK, http.StatusPreconditionFailed:
+		t.recordStoreAnswer()
 		response.Body = &cancelOnClose{ReadCloser: response.Body, cancel: cancel}
 		return response, true, nil
-	case err == nil:
-		_ = response.Body.Close() // the direct call replaces it
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		if t.recordStoreFailure(time.Now()) > maxStoreFailing {
+			t.recordCollectorFailure(address, response, err)
+		}
+	default:
+		t.recordCollectorFailure(address, response, err)
 	}
+	_ = response.Body.Close() // the direct call replaces it
 	cancel()
-	t.recordCollectorFailure(address, response, err)
-	return nil, err != nil && !isDialError(err), err
+	if response.StatusCode == http.StatusGatewayTimeout {
+		return nil, true, errStoreSilent
+	}
+	return nil, false, nil
+}
+
+// recordStoreAnswer records that the store answers a collector.
+func (t *Transport) recordStoreAnswer() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.collector.storeFailingSince = time.Time{}
+}
+
+// recordStoreFailure records that the store does not answer a collector. It returns for how
+// long that has been so.
+func (t *Transport) recordStoreFailure(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.collector.storeFailingSince.IsZero() {
+		t.collector.storeFailingSince = now
+	}
+	return now.Sub(t.collector.storeFailingSince)
 }
 
 // isDialError reports whether a call failed because there was no connection, so that it
@@ -92,7 +136,7 @@
 	now := time.Now()
 	t.mu.Lock()
 	t.collector.selector.Failed(address, now)
-	t.collector.directUntil = now.Add(directPeriod)
+	t.collector.directUntil, t.collector.storeFailingSince = now.Add(directPeriod), time.Time{}
 	t.mu.Unlock()
 	entry := t.Logger.WithField("collector", address)
 	if err != nil {
--- a/acaciad/neighbours/collector.go
+++ b/acaciad/neighbours/collector.go
@@ -24,6 +24,9 @@
 	collectDelay = 150 * time.Millisecond
 	// maxCollected is the maximum number of writes that wait.
 	maxCollected = 1024
+	// commitTimeout bounds a transaction of a collector, so that neighbours are told that the
+	// store does not answer before their own calls time out (collectTimeout).
+	commitTimeout = 500 * time.Millisecond
 )
 
 // Collector commits writes of neighbours together.
@@ -83,7 +86,7 @@
 		commits[i] = w.commit
 	}
 	merged, n := batch.Merge(commits)
-	_, err := c.Table.Commit(ctx, merged)
+	err := c.commit(ctx, merged)
 	if n == 1 || platformapi.AsConflict(err) == nil {
 		for _, w := range waiting[:n] {
 			w.result <- err
@@ -92,16 +95,23 @@
 	}
 	c.Logger.WithFields(logrus.Fields{"writes": n, "error": platformapi.Reason(err)}).Info("writes of neighbours rejected together, committing each alone")
 	for _, w := range waiting[:n] {
-		_, err := c.Table.Commit(ctx, w.commit)
-		w.result <- err
+		w.result <- c.commit(ctx, w.commit)
 	}
 	return n
 }
 
+// commit commits a transaction within commitTimeout.
+func (c *Collector) commit(ctx context.Context, transaction *table.CommitPayload) error {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	_, err := c.Table.Commit(ctx, transaction)
+	return err
+}
+
 var _ http.Handler = (*Collector)(nil)
 
-// ServeHTTP accepts a write and answers like the store. If the outcome is unknown, it
-// closes the connection without an answer.
+// ServeHTTP accepts a write and answers like the store. It answers 503 if the store has
+// refused the write, 504 if the outcome is unknown, and 429 if too many writes wait.
 func (c *Collector) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRelayedBytes))
 	if err != nil {
@@ -118,7 +128,7 @@
 	select {
 	case c.queue <- write:
 	default:
-		w.WriteHeader(http.StatusServiceUnavailable)
+		w.WriteHeader(http.StatusTooManyRequests)
 		return
 	}
 	select {
@@ -134,7 +144,7 @@
 	case platformapi.HadNoEffect(err):
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
-		panic(http.ErrAbortHandler) // the write may have been committed
+		w.WriteHeader(http.StatusGatewayTimeout)
 	}
 }
 
