acaciad/neighbours: rows that the store still has are not written again

A copy that is seconds old has nearly all of these rows, since they are renewed every four minutes.

A daemon now looks whether the store has its row, and writes it only if not. TestStoredRowsAreWrittenAgain failed before (2 writes instead of 1) and passes; TestRowIsWrittenAgainAfterRestore passes as before.

--- a/acaciad/neighbours/registry.go
+++ b/acaciad/neighbours/registry.go
@@ -33,9 +33,9 @@
 	minReadInterval = 8 * time.Second
 	// checkInterval is how often the registry checks whether a write or a read is due.
 	checkInterval = time.Second
-	// rewriteSpread is the time over which the daemons write their rows again after the store
-	// was restored.
-	rewriteSpread = 2 * time.Second
+	// lookUpSpread is the time over which the daemons look whether the store still has their
+	// rows, after it was restored from a copy.
+	lookUpSpread = 2 * time.Second
 	// retryInterval is the time between two attempts while the store does not answer. A
 	// daemon that knows no neighbours tries every checkInterval.
 	retryInterval = 5 * time.Second
@@ -85,12 +85,12 @@
 	// knownCount is the number of known neighbours, and readCount that of reads so far.
 	knownCount, readCount int
 
-	refresh, rewrite atomic.Bool
+	refresh, restored atomic.Bool
 }
 
-// HandleRestore has the daemon's row written again soon, because the store was restored from
-// a copy that may lack it.
-func (r *Registry) HandleRestore() { r.rewrite.Store(true) }
+// HandleRestore has the daemon's row written again soon if the store lacks it, because the
+// store was restored from a copy.
+func (r *Registry) HandleRestore() { r.restored.Store(true) }
 
 // Refresh asks for another read of the rows, because the list of members is outdated.
 func (r *Registry) Refresh() { r.refresh.Store(true) }
@@ -100,10 +100,16 @@
 
 // Run renews the daemon's row and reads those of other daemons until ctx is done.
 func (r *Registry) Run(ctx context.Context) {
-	var nextWrite, nextRead, lastRead time.Time
+	var nextWrite, nextRead, lastRead, lookUp time.Time
 	for ctx.Err() == nil {
-		if r.rewrite.Swap(false) {
-			nextWrite = time.Now().Add(time.Duration(r.Random.Int64N(int64(rewriteSpread))))
+		if r.restored.Swap(false) {
+			lookUp = time.Now().Add(time.Duration(r.Random.Int64N(int64(lookUpSpread))))
+		}
+		if now := time.Now(); !lookUp.IsZero() && !now.Before(lookUp) {
+			lookUp = time.Time{}
+			if !r.isStored(ctx) {
+				nextWrite = now
+			}
 		}
 		if now := time.Now(); !now.Before(nextWrite) {
 			first := nextWrite.IsZero()
@@ -135,6 +141,16 @@
 	firstReadInterval = 3 * time.Second
 )
 
+// isStored reports whether the store is known to have the daemon's row.
+func (r *Registry) isStored(ctx context.Context) bool {
+	rows, err := r.Table.Get(ctx, &table.GetPayload{Keys: []string{r.rowKey()}})
+	if err != nil {
+		r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot look up the neighbour row of this VM, writing it again")
+		return false
+	}
+	return len(rows) > 0
+}
+
 // write writes the daemon's row and reports whether that succeeded.
 func (r *Registry) write(ctx context.Context, now time.Time) bool {
 	value, err := json.Marshal(entry{Address: r.Address, Cores: r.Cores, FailureDomain: r.FailureDomain, Written: now})
--- a/acaciad/neighbours/restore_test.go
+++ b/acaciad/neighbours/restore_test.go
@@ -54,6 +54,36 @@
 	wait()
 }
 
+// TestStoredRowsAreWrittenAgain restores the store from a copy that has the row of a daemon.
+// It must not be written again: there may be hundreds of daemons, and the store has much to
+// do.
+func TestStoredRowsAreWrittenAgain(t *testing.T) {
+	p := newPair(t)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	r := &neighbours.Registry{
+		VM: "vm-1", FailureDomain: "z", Address: "10.0.0.1:1", Table: &platform.Table{Store: p.client},
+		OnUpdate: func([]detour.Neighbour) {}, OnMembers: func([]follow.Member) {}, Logger: logger, Random: rand.New(rand.NewPCG(1, 2)),
+	}
+	p.client.Epochs.OnRestore(func(uint64, uint64) { r.HandleRestore() })
+	ctx, cancel := context.WithCancel(p.Context())
+	p.Cleanup(cancel)
+	go r.Run(ctx)
+	writes := func() int { return p.store.Calls("/acaciapath/rows-tx") }
+	for end := time.Now().Add(10 * time.Second); writes() == 0; time.Sleep(10 * time.Millisecond) {
+		p.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+	backup, before := p.store.Backup(), writes()
+	p.store.Restore(backup)
+	p.Assert(p.client.Ping(p.Context()), qt.IsNil)
+	reads := p.store.Calls("/acaciapath/rows-get")
+	for end := time.Now().Add(10 * time.Second); p.store.Calls("/acaciapath/rows-get") == reads && writes() == before; time.Sleep(10 * time.Millisecond) {
+		p.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+	time.Sleep(1500 * time.Millisecond) // more than the time between two checks
+	p.Assert(writes(), qt.Equals, before)
+}
+
 // TestHandedOverWriteIsSentAgainAfterRestore has a queue commit a write of a daemon that has
 // exited, which the store then loses.
 func TestHandedOverWriteIsSentAgainAfterRestore(t *testing.T) {
