acaciad/control: few of hundreds of daemons write the row of reported windows again

After a restoration 195 daemons wrote the row within 0.8 s, before news of the first of these writes reached them: more than the 200 transactions a second that one part of the store takes, at the moment when usage parts and the reporter need it.

The spread is 25 ms for each daemon now; the first write still comes within some 25 ms on average. TestHundredsWriteReportedRowAgain failed before (195 writes in the first second) and passes (at most 100).

--- a/acaciad/control/reported.go
+++ b/acaciad/control/reported.go
@@ -23,7 +23,7 @@
 	// minRewriteSpread and rewritePerDaemon give the time over which the daemons spread
 	// their writes. One is enough.
 	minRewriteSpread = 300 * time.Millisecond
-	rewritePerDaemon = 4 * time.Millisecond
+	rewritePerDaemon = 25 * time.Millisecond
 	// rewriteTimeout bounds a write.
 	rewriteTimeout = 2 * time.Second
 )
--- /dev/null
+++ b/acaciad/control/reported_test.go
@@ -0,0 +1,74 @@
+package control_test
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"acaciapath.example/acaciad/control"
+	"acaciapath.example/core/usage"
+	"acaciapath.example/platform"
+	"acaciapath.example/platform/platformtest"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+)
+
+// TestHundredsWriteReportedRowAgain restores the store, and hundreds of daemons see that the
+// row of reported windows is lost. Few of them may write it: a part of the store takes 200
+// transactions a second.
+func TestHundredsWriteReportedRowAgain(t *testing.T) {
+	const (
+		daemons = 195
+		// followDelay is how long news of the row take to reach all daemons.
+		followDelay = time.Second
+		// maxWrites is the number of writes until then that leaves room for other writes.
+		maxWrites = 100
+	)
+	c := qt.New(t)
+	store := platformtest.NewStore()
+	c.Cleanup(store.Close)
+	client := platform.NewStore(store.Address(), time.Second, platform.NewStoreTransport())
+	backup := store.Backup()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	all := make([]*control.Reported, daemons)
+	for i := range all {
+		all[i] = &control.Reported{
+			Table: &platform.Table{Store: client}, Epoch: client.Epochs.Current, Window: 5 * time.Second,
+			Daemons: func() int { return daemons }, Logger: logger,
+		}
+	}
+	window := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	announced := usage.Announcement{First: window, Window: window, Totals: "x"}
+	c.Assert(all[0].Announce(t.Context(), announced), qt.IsNil)
+	followAll := func() {
+		for _, r := range all {
+			rows := []platform.Row{}
+			for _, row := range store.Rows("acaciapath", "control") {
+				rows = append(rows, platform.Row{Key: row.Key, Data: row.Data, Version: row.Version})
+			}
+			r.Apply(rows, true, time.Now())
+		}
+	}
+	followAll()
+	store.Restore(backup)
+	c.Assert(client.Ping(t.Context()), qt.IsNil)
+	c.Assert(store.Rows("acaciapath", "control"), qt.HasLen, 0)
+	before := store.Calls("/acaciapath/rows-tx")
+	followAll()
+	time.Sleep(followDelay)
+	first := store.Calls("/acaciapath/rows-tx") - before
+	c.Assert(first > 0, qt.IsTrue)
+	c.Assert(first <= maxWrites, qt.IsTrue, qt.Commentf("%d writes", first))
+	followAll()
+	time.Sleep(100 * time.Millisecond) // writes that had begun
+	settled := store.Calls("/acaciapath/rows-tx")
+	time.Sleep(followDelay)
+	c.Assert(store.Calls("/acaciapath/rows-tx"), qt.Equals, settled)
+	for _, r := range all {
+		last, known := r.Last()
+		c.Assert(known, qt.IsTrue)
+		c.Assert(last, qt.DeepEquals, announced)
+	}
+}
