acaciad/neighbours: writes without conflicts are committed together

After a restoration from a copy that has some of the usage parts, each batch of a collector was rejected, and its writes committed one after the other: up to 33 round trips, longer than the 800 ms that neighbours wait.

The conflict names the rows whose conditions do not hold. The collector tells their writers, and commits the others together (batch.Split).

TestEachCollectedWriteIsSentAloneAfterConflict failed before (31 calls of the store for 30 rows of which 15 exist) and passes (at most 6); TestSplit.

--- a/acaciad/neighbours/collector.go
+++ b/acaciad/neighbours/collector.go
@@ -78,26 +78,63 @@
 }
 
 // commitFirst commits as many of the first writes as one transaction holds, and returns
-// their number. If the store rejects the transaction, each of them is committed alone,
-// so that it gets its own result.
+// their number. If the store rejects the transaction, those whose conditions do not hold
+// are told so, and the others are committed without them.
 func (c *Collector) commitFirst(ctx context.Context, waiting []*collected) int {
-	commits := make([]*table.CommitPayload, len(waiting))
-	for i, w := range waiting {
-		commits[i] = w.commit
+	merged, n := batch.Merge(commitsOf(waiting))
+	for rest := waiting[:n]; len(rest) > 0; {
+		err := c.commit(ctx, merged)
+		conflict := platformapi.AsConflict(err)
+		if conflict == nil || len(rest) == 1 {
+			for _, w := range rest {
+				w.result <- err
+			}
+			return n
+		}
+		before := len(rest)
+		rest = rejectConflicting(rest, conflict)
+		c.Logger.WithFields(logrus.Fields{"writes": before, "rejected": before - len(rest), "error": platformapi.Reason(err)}).
+			Info("writes of neighbours rejected together, committing those without conflicts")
+		if len(rest) == before {
+			c.commitAlone(ctx, rest)
+			return n
+		}
+		if len(rest) > 0 {
+			merged, _ = batch.Merge(commitsOf(rest))
+		}
 	}
-	merged, n := batch.Merge(commits)
-	err := c.commit(ctx, merged)
-	if n == 1 || platformapi.AsConflict(err) == nil {
-		for _, w := range waiting[:n] {
-			w.result <- err
+	return n
+}
+
+// rejectConflicting tells the writers whose conditions do not hold, and returns the other
+// writes.
+func rejectConflicting(writes []*collected, conflict *table.Conflict) []*collected {
+	var rest []*collected
+	for i, own := range batch.Split(commitsOf(writes), conflict) {
+		if own != nil {
+			writes[i].result <- own
+			continue
 		}
-		return n
+		rest = append(rest, writes[i])
 	}
-	c.Logger.WithFields(logrus.Fields{"writes": n, "error": platformapi.Reason(err)}).Info("writes of neighbours rejected together, committing each alone")
-	for _, w := range waiting[:n] {
+	return rest
+}
+
+// commitAlone commits each write alone, because the store does not tell which of them it
+// rejects.
+func (c *Collector) commitAlone(ctx context.Context, writes []*collected) {
+	for _, w := range writes {
 		w.result <- c.commit(ctx, w.commit)
 	}
-	return n
+}
+
+// commitsOf returns the commits of writes.
+func commitsOf(writes []*collected) []*table.CommitPayload {
+	commits := make([]*table.CommitPayload, len(writes))
+	for i, w := range writes {
+		commits[i] = w.commit
+	}
+	return commits
 }
 
 // commit commits a transaction within commitTimeout.
--- a/acaciad/neighbours/collector_test.go
+++ b/acaciad/neighbours/collector_test.go
@@ -197,3 +197,27 @@
 		})
 	}
 }
+
+// TestEachCollectedWriteIsSentAloneAfterConflict has half of the rows exist already, as after
+// a restoration from a copy that has some of them. The others must be committed together.
+func TestEachCollectedWriteIsSentAloneAfterConflict(t *testing.T) {
+	g := newGroup(t)
+	for i := 0; i < writers; i += 2 {
+		_, err := g.tables[i].Commit(g.Context(), part(i))
+		g.Assert(err, qt.IsNil)
+	}
+	before := g.store.Calls("/acaciapath/rows-tx")
+	for i, err := range g.commitAll() {
+		if i%2 != 0 {
+			g.Check(err, qt.IsNil, qt.Commentf("%d", i))
+			continue
+		}
+		conflict := platformapi.AsConflict(err)
+		g.Assert(conflict, qt.IsNotNil)
+		g.Assert(conflict.Rows, qt.HasLen, 1)
+		g.Assert(conflict.Rows[0].Key, qt.Equals, fmt.Sprint("part-", i))
+	}
+	g.Assert(g.store.Rows("acaciapath", "control"), qt.HasLen, writers)
+	calls := g.store.Calls("/acaciapath/rows-tx") - before
+	g.Assert(calls <= 6, qt.IsTrue, qt.Commentf("%d calls", calls))
+}
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -29,6 +29,28 @@
 	return m.merged, len(commits)
 }
 
+// Split returns the conflict of each of the commits that were joined into a transaction
+// which the table rejected with a conflict. It is nil for those whose conditions hold.
+func Split(commits []*table.CommitPayload, conflict *table.Conflict) []*table.Conflict {
+	failed := make(map[string]*table.Row)
+	for _, row := range conflict.Rows {
+		failed[row.Key] = row
+	}
+	conflicts := make([]*table.Conflict, len(commits))
+	for i, commit := range commits {
+		var rows []*table.Row
+		for _, c := range commit.Conditions {
+			if row := failed[c.Key]; row != nil {
+				rows = append(rows, row)
+			}
+		}
+		if len(rows) > 0 {
+			conflicts[i] = &table.Conflict{Message: conflict.Message, Rows: rows}
+		}
+	}
+	return conflicts
+}
+
 // merger is a transaction that grows.
 type merger struct {
 	merged *table.CommitPayload
--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -41,6 +41,23 @@
 	c.Assert(n, qt.Equals, 1)
 }
 
+func TestSplit(t *testing.T) {
+	c := qt.New(t)
+	commits := []*table.CommitPayload{insert("a", 1), insert("b", 1), insert("c", 1)}
+	row := &table.Row{Key: "b", Version: 7}
+	conflicts := batch.Split(commits, &table.Conflict{Rows: []*table.Row{row}})
+	c.Assert(conflicts[0], qt.IsNil)
+	c.Assert(conflicts[1].Rows, qt.DeepEquals, []*table.Row{row})
+	c.Assert(conflicts[2], qt.IsNil)
+	closed := &table.Row{Key: "closed", Version: 8}
+	for _, conflict := range batch.Split(commits, &table.Conflict{Rows: []*table.Row{closed}}) {
+		c.Assert(conflict.Rows, qt.DeepEquals, []*table.Row{closed})
+	}
+	for _, conflict := range batch.Split(commits, &table.Conflict{}) {
+		c.Assert(conflict, qt.IsNil)
+	}
+}
+
 // TestMergedCommitsAreIndependent checks random commits against a table: a transaction
 // takes effect exactly if each of the commits in it would, in their order, and then has
 // the same effect.
