--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -46,15 +46,15 @@
 	commits := []*table.CommitPayload{insert("a", 1), insert("b", 1), insert("c", 1)}
 	row := &table.Row{Key: "b", Version: 7}
 	conflicts := batch.Split(commits, &table.Conflict{Rows: []*table.Row{row}})
-	c.Assert(conflicts[0], qt.IsNil)
+	c.Assert(conflicts[0] == nil, qt.IsTrue)
 	c.Assert(conflicts[1].Rows, qt.DeepEquals, []*table.Row{row})
-	c.Assert(conflicts[2], qt.IsNil)
+	c.Assert(conflicts[2] == nil, qt.IsTrue)
 	closed := &table.Row{Key: "closed", Version: 8}
 	for _, conflict := range batch.Split(commits, &table.Conflict{Rows: []*table.Row{closed}}) {
 		c.Assert(conflict.Rows, qt.DeepEquals, []*table.Row{closed})
 	}
 	for _, conflict := range batch.Split(commits, &table.Conflict{}) {
-		c.Assert(conflict, qt.IsNil)
+		c.Assert(conflict == nil, qt.IsTrue)
 	}
 }
 
