core/membership: an indirect probe does not change while it is sent

What operators could see: a torn record of a daemon in a heartbeat of entryd, which other daemons then gossip on.

Cause: the target of an indirect probe pointed into the table. The probe is encoded without the table's lock, while news of the target replace its record. The class of fault: a pointer to guarded state leaves its lock.

TestProbeChangesWhileItIsSent shows it without the race detector: it failed before and passes. The other pointers in messages, summaries of domains, are made for each message.

--- a/core/membership/probe.go
+++ b/core/membership/probe.go
@@ -122,9 +122,10 @@
 	t.suspectAt[probe.To.MemberID] = t.time + indirectTimeout
 	helpers := t.randomMembers(indirectProbes, func(m *member) bool { return m != target && !m.isDead() })
 	probes := make([]Probe, len(helpers))
+	sent := target.record // probes are sent while the table goes on changing
 	for i, id := range helpers {
 		probes[i] = t.probe(t.members[id].record)
-		probes[i].Request.Target = &target.record
+		probes[i].Request.Target = &sent
 	}
 	return probes
 }
--- a/core/membership/view_test.go
+++ b/core/membership/view_test.go
@@ -151,3 +151,23 @@
 	}
 	return table.Members(start)
 }
+
+// TestProbeChangesWhileItIsSent has news of a target arrive between the decision on indirect
+// probes and their sending, which is done without the table's lock.
+func TestProbeChangesWhileItIsSent(t *testing.T) {
+	c := qt.New(t)
+	table := newTable()
+	table.SetVMs(vmList(5), start)
+	probes := table.Tick(start.Add(membership.Period))
+	c.Assert(probes, qt.Not(qt.HasLen), 0)
+	target := probes[0].To
+	indirect := table.HandleFailure(probes[0], start.Add(membership.Period))
+	c.Assert(indirect, qt.Not(qt.HasLen), 0)
+	news := target
+	news.Incarnation, news.Leaving = target.Incarnation+1, true
+	from := membership.Record{MemberID: membership.ID{VM: "vm-004", Role: peer.RoleControl}, FailureDomain: "a", State: peer.MemberLive}
+	table.HandleHeartbeat(peer.Heartbeat{Gossip: peer.Gossip{From: from, Updates: []membership.Record{news}}}, start.Add(membership.Period))
+	for _, probe := range indirect {
+		c.Assert(*probe.Request.Target, qt.DeepEquals, target)
+	}
+}
