acaciad/soak: the store is restored from copies

TestSoakWithRestores: beside the faults of TestSoak, copies of the store are made about every half second, and the store is restored from one of the latest ten; the operator and the backend servers write again what they had written since. The checks are the same: no window is reported twice, fencing tokens do not go back, no request that was served by a daemon which was never killed is missing in the reports.

--- a/acaciad/soak/cluster_test.go
+++ b/acaciad/soak/cluster_test.go
@@ -70,6 +70,10 @@
 	vms     []*vm
 	servers []*server
 	version int
+
+	// written is held while the operator or a backend server writes, and while the store is
+	// restored from a copy.
+	written sync.Mutex
 }
 
 // newCluster starts the stand-ins and a number of daemons, which log to files in dir.
@@ -117,9 +121,39 @@
 func (cl *cluster) register(s *server, state string) {
 	entry := s.Entry(s.service, "z", state)
 	entry["address"] = s.link.Address()
+	cl.written.Lock()
+	defer cl.written.Unlock()
 	cl.store.Write("servers", s.ID, entry)
 }
 
+// unregister removes the entry of a backend server.
+func (cl *cluster) unregister(s *server) {
+	cl.written.Lock()
+	defer cl.written.Unlock()
+	cl.store.Remove("servers", s.ID)
+}
+
+// restoreStore restores the store from a copy. The operator and the backend servers then
+// write again what they wrote since.
+func (cl *cluster) restoreStore(backup *platformtest.Backup) {
+	cl.written.Lock()
+	defer cl.written.Unlock()
+	current := map[string][]platformtest.Row{"op": cl.store.Rows("op", ""), "servers": cl.store.Rows("servers", "")}
+	cl.store.Restore(backup)
+	for name, rows := range current {
+		keys := make(map[string]bool)
+		for _, row := range rows {
+			keys[row.Key] = true
+			cl.store.WriteBytes(name, row.Key, row.Data)
+		}
+		for _, row := range cl.store.Rows(name, "") {
+			if !keys[row.Key] {
+				cl.store.Remove(name, row.Key)
+			}
+		}
+	}
+}
+
 // writeConfig writes the next configuration, with or without the second key.
 func (cl *cluster) writeConfig(secondKey bool) {
 	cl.version += 3
@@ -134,6 +168,8 @@
 	if secondKey {
 		accounts = append(accounts, map[string]any{"name": "account-b", "apiKeys": []string{"key-b"}})
 	}
+	cl.written.Lock()
+	defer cl.written.Unlock()
 	cl.store.Write("op", "config", map[string]any{
 		"version": cl.version,
 		"routes": []any{
--- a/acaciad/soak/faults_test.go
+++ b/acaciad/soak/faults_test.go
@@ -27,6 +27,10 @@
 	secondKey  bool
 	restarting map[*vm]bool
 	mu         sync.Mutex // guards restarting
+	// restores states that the store is also restored from copies, and backups are the latest
+	// of these.
+	restores bool
+	backups  []*platformtest.Backup
 }
 
 func newFaultInjector(cl *cluster, seed uint64) *faultInjector {
@@ -38,6 +42,9 @@
 // run injects faults until ctx is done, and then clears all of them.
 func (f *faultInjector) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if f.restores {
+			f.backUpOrRestore()
+		}
 		f.injectFault(ctx)
 		sleep.For(ctx, f.randomMilliseconds(100, 700))
 	}
@@ -52,6 +59,24 @@
 	}
 }
 
+// maxBackups is the number of copies of the store that are kept. One is made about every 0.5 s.
+const maxBackups = 10
+
+// backUpOrRestore makes a copy of the store, or restores the store from one.
+func (f *faultInjector) backUpOrRestore() {
+	if len(f.backups) > 0 && f.random.IntN(6) == 0 {
+		i := f.random.IntN(len(f.backups))
+		f.record("store restored from a copy")
+		f.cluster.restoreStore(f.backups[i])
+		f.backups = f.backups[:i+1]
+		return
+	}
+	f.backups = append(f.backups, f.cluster.store.Backup())
+	if len(f.backups) > maxBackups {
+		f.backups = f.backups[1:]
+	}
+}
+
 // randomMilliseconds returns a random duration from minimum to below maximum, in
 // milliseconds.
 func (f *faultInjector) randomMilliseconds(minimum, maximum int) time.Duration {
@@ -234,7 +259,7 @@
 	f.cluster.register(b, "draining")
 	f.group.Go(func() {
 		sleep.For(ctx, duration)
-		f.cluster.store.Remove("servers", b.ID)
+		f.cluster.unregister(b)
 		b.link.CloseConnections()
 		sleep.For(ctx, duration)
 		b.SetDraining(0)
--- a/acaciad/soak/soak_test.go
+++ b/acaciad/soak/soak_test.go
@@ -17,10 +17,11 @@
 )
 
 var (
-	firstSeed       = flag.Uint64("first", 1, "first seed of the soak")
-	seedCount       = flag.Int("seeds", 2, "number of seeds of the soak")
-	readerSeedCount = flag.Int("reader-seeds", 1, "number of seeds of the soak with readers")
-	soakLength      = flag.Duration("length", 8*time.Second, "how long a seed's faults last")
+	firstSeed        = flag.Uint64("first", 1, "first seed of the soak")
+	seedCount        = flag.Int("seeds", 2, "number of seeds of the soak")
+	restoreSeedCount = flag.Int("restore-seeds", 1, "number of seeds of the soak with restorations of the store")
+	readerSeedCount  = flag.Int("reader-seeds", 1, "number of seeds of the soak with readers")
+	soakLength       = flag.Duration("length", 8*time.Second, "how long a seed's faults last")
 )
 
 // regressions lists seeds that once failed, each with the cause.
@@ -45,7 +46,17 @@
 		seeds = append(seeds, *firstSeed+uint64(i))
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(qt.New(t), binary, seed, daemonCount) })
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(qt.New(t), binary, seed, daemonCount, false) })
+	}
+}
+
+// TestSoakWithRestores runs seeds in which the store is also restored from copies that are up
+// to some seconds old.
+func TestSoakWithRestores(t *testing.T) {
+	binary := build(t, t.TempDir())
+	for i := range *restoreSeedCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(qt.New(t), binary, seed, daemonCount, true) })
 	}
 }
 
@@ -55,16 +66,18 @@
 	binary := build(t, t.TempDir())
 	for i := range *readerSeedCount {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(qt.New(t), binary, seed, largeDaemonCount) })
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(qt.New(t), binary, seed, largeDaemonCount, false) })
 	}
 }
 
-// runSeed runs the test with one seed and a number of daemons.
-func runSeed(c *qt.C, binary string, seed uint64, daemons int) {
+// runSeed runs the test with one seed and a number of daemons. restores states that the store
+// is also restored from copies.
+func runSeed(c *qt.C, binary string, seed uint64, daemons int, restores bool) {
 	dir, err := os.MkdirTemp("", "acaciapath-soak-")
 	c.Assert(err, qt.IsNil)
 	cl := newCluster(c, binary, dir, daemons)
 	injector := newFaultInjector(cl, seed)
+	injector.restores = restores
 	c.Cleanup(func() {
 		if !c.Failed() {
 			_ = os.RemoveAll(dir)
