core/lease, acaciad/neighbours: read again as a newcomer

Lease.succeeds read like the success of a call; it is wasHolder now. The two tests of neighbour rows after a restoration start the registry in one function, and TestStoredRowsAreWrittenAgain waits for longer than the whole spread, so that a read of the registry itself cannot end it early. It still fails if the row is always written. No behaviour of the daemon changes.

--- a/acaciad/neighbours/restore_test.go
+++ b/acaciad/neighbours/restore_test.go
@@ -18,11 +18,8 @@
 	"github.com/sirupsen/logrus"
 )
 
-// TestRowIsWrittenAgainAfterRestore restores the store from a copy without the row of a
-// daemon. The others must be able to find it again long before its next heartbeat.
-func TestRowIsWrittenAgainAfterRestore(t *testing.T) {
-	p := newPair(t)
-	backup := p.store.Backup()
+// startRegistry runs the registry of a daemon on vm-1 until the end of the test.
+func (p *pair) startRegistry() {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	r := &neighbours.Registry{
@@ -33,6 +30,14 @@
 	ctx, cancel := context.WithCancel(p.Context())
 	p.Cleanup(cancel)
 	go r.Run(ctx)
+}
+
+// TestRowIsWrittenAgainAfterRestore restores the store from a copy without the row of a
+// daemon. The others must be able to find it again long before its next heartbeat.
+func TestRowIsWrittenAgainAfterRestore(t *testing.T) {
+	p := newPair(t)
+	backup := p.store.Backup()
+	p.startRegistry()
 	written := func() bool {
 		for _, row := range p.store.Rows("acaciapath", "control") {
 			if strings.HasSuffix(row.Key, "/vm-1") {
@@ -59,16 +64,7 @@
 // do.
 func TestStoredRowsAreWrittenAgain(t *testing.T) {
 	p := newPair(t)
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	r := &neighbours.Registry{
-		VM: "vm-1", FailureDomain: "z", Address: "10.0.0.1:1", Table: &platform.Table{Store: p.client},
-		OnUpdate: func([]detour.Neighbour) {}, OnMembers: func([]follow.Member) {}, Logger: logger, Random: rand.New(rand.NewPCG(1, 2)),
-	}
-	p.client.Epochs.OnRestore(func(uint64, uint64) { r.HandleRestore() })
-	ctx, cancel := context.WithCancel(p.Context())
-	p.Cleanup(cancel)
-	go r.Run(ctx)
+	p.startRegistry()
 	writes := func() int { return p.store.Calls("/acaciapath/rows-tx") }
 	for end := time.Now().Add(10 * time.Second); writes() == 0; time.Sleep(10 * time.Millisecond) {
 		p.Assert(time.Now().Before(end), qt.IsTrue)
@@ -80,7 +76,7 @@
 	for end := time.Now().Add(10 * time.Second); p.store.Calls("/acaciapath/rows-get") == reads && writes() == before; time.Sleep(10 * time.Millisecond) {
 		p.Assert(time.Now().Before(end), qt.IsTrue)
 	}
-	time.Sleep(1500 * time.Millisecond) // more than the time between two checks
+	time.Sleep(3500 * time.Millisecond) // more than the spread and the time between two checks
 	p.Assert(writes(), qt.Equals, before)
 }
 
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -75,9 +75,9 @@
 	releasing bool
 	// epoch is the epoch of the table, or 0 if the table has none.
 	epoch uint64
-	// succeeds states that the process was the last known holder when the table was restored,
+	// wasHolder states that the process was the last known holder when the table was restored,
 	// and that no holder is known since. It then calls the table as often as a holder.
-	succeeds bool
+	wasHolder bool
 	// carried is the grant that the process had when it noticed that the table was
 	// restored. While it is valid, no other process can hold the lease.
 	carried *Grant
@@ -110,7 +110,7 @@
 		if grant := l.Grant(); grant.MaySend(now) {
 			l.carried = grant
 		}
-		l.succeeds = l.succeeds || l.heldByUs()
+		l.wasHolder = l.wasHolder || l.heldByUs()
 		l.rowKnown, l.writeUncertain, l.confirming = false, false, false
 	}
 	l.epoch = current
@@ -119,7 +119,7 @@
 // effectivePollInterval returns how often the row is read while another process may hold the
 // lease.
 func (l *Lease) effectivePollInterval() time.Duration {
-	if l.succeeds {
+	if l.wasHolder {
 		return min(l.pollInterval, l.terms.Duration/pollDivisor)
 	}
 	return l.pollInterval
@@ -160,7 +160,7 @@
 func (l *Lease) NextDelay(now Instant) time.Duration {
 	since := now.minElapsed(l.requestedAt)
 	switch {
-	case l.lastFailed && (l.heldByUs() || l.writeUncertain || l.succeeds):
+	case l.lastFailed && (l.heldByUs() || l.writeUncertain || l.wasHolder):
 		return l.terms.Duration/retryDivisor - since
 	case l.lastFailed:
 		return l.pollInterval - since
--- a/core/lease/request.go
+++ b/core/lease/request.go
@@ -113,6 +113,6 @@
 	}
 	l.rowKnown, l.version, l.row = true, version, row
 	if version > 0 && row.Epoch == l.epoch {
-		l.succeeds = false
+		l.wasHolder = false
 	}
 }
