--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -347,6 +347,9 @@
 	if x.eventCount > 0 {
 		f["events"] = x.eventCount
 	}
+	if x.outcome != outcomeServed && x.route != nil {
+		f["request-key"] = strconv.FormatUint(x.requestKey(), 16)
+	}
 	if x.outcome != outcomeServed && x.requirements.Generates {
 		f["prompt-parts"] = formatParts(x.metadata.Work.SharedParts())
 	}
--- a/acaciad/proxy/quarantine.go
+++ b/acaciad/proxy/quarantine.go
@@ -32,6 +32,15 @@
 	survived bool
 }
 
+// requestKey identifies the request, also when it is sent again.
+func (x *exchange) requestKey() uint64 {
+	account := ""
+	if x.account != nil {
+		account = x.account.Name
+	}
+	return quarantine.RequestID(account, x.request.URL.RequestURI(), x.body)
+}
+
 // newSharedParts returns the parts of the prompt that other requests may share, for a
 // request that generates.
 func (x *exchange) newSharedParts() []quarantine.Part {
