core/quarantine: a request under which three servers ended is refused

Cause: what makes servers fail was looked for only in the shared parts of prompts. A request without a prompt, or one that differs from sound ones only as a whole, was never suspected. Class of fault: evidence is kept for one kind of cause only.

Change: the whole request (client account, path, body) is a part like those of prompts, with three ends of servers instead of four, and exchanged in the same reports, so that it survives restarts of all daemons. Ends are counted only if the server accepts no connections any more, for parts of prompts too; otherwise only the answer was lost. Reports and the suspects keep those with several crashes first.

--- a/acaciad/crashreports/exchange.go
+++ b/acaciad/crashreports/exchange.go
@@ -11,7 +11,6 @@
 	"acaciapath.example/core/epoch"
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/core/platformapi"
-	"acaciapath.example/core/quarantine"
 	"acaciapath.example/platform"
 )
 
@@ -122,6 +121,7 @@
 	if len(added) > 0 {
 		g.publishLocked()
 	}
+	g.updateSuspiciousLocked()
 	for part, r := range *g.refused.Load() {
 		if _, pending := g.writes[part]; pending || !r.trialWanted.Load() {
 			continue
@@ -371,7 +371,7 @@
 	delete(g.writes, part)
 	delete(g.tried, part)
 	if g.ledger.Lift(part) {
-		g.logChange(changeEnded, quarantine.Quarantine{Part: part})
+		g.logChange(changeEnded, g.endedLocked(part))
 	}
 }
 
--- a/acaciad/crashreports/guard.go
+++ b/acaciad/crashreports/guard.go
@@ -28,8 +28,10 @@
 	// Logger logs each crash and each change of a quarantine.
 	Logger *logrus.Logger
 
-	// refused holds the quarantined parts. Requests read it without a lock.
-	refused atomic.Pointer[map[uint64]*refusedPart]
+	// refused holds the quarantined parts, and suspicious states that any part is suspected
+	// or quarantined. Requests read them without a lock.
+	refused    atomic.Pointer[map[uint64]*refusedPart]
+	suspicious atomic.Bool
 	// wake makes Run decide anew, and wakeWriter makes it look for writes that are due.
 	wake, wakeWriter chan struct{}
 
@@ -54,6 +56,8 @@
 // refusedPart is a part whose requests are refused.
 type refusedPart struct {
 	until time.Time
+	// whole states that the part is a whole request.
+	whole bool
 	// trial is set while one request may be tried. It is nil if this daemon has no
 	// trial.
 	trial *atomic.Bool
@@ -82,12 +86,27 @@
 	return g
 }
 
-// Refuses reports whether a request with the given shared parts must not be sent to an
-// engine, and until when.
-func (g *Guard) Refuses(parts []quarantine.Part, now time.Time) (until time.Time, refuses bool) {
+// HasQuarantines reports whether any part is quarantined.
+func (g *Guard) HasQuarantines() bool { return len(*g.refused.Load()) > 0 }
+
+// IsSuspicious reports whether any part is suspected or quarantined. While none is, a sound
+// run of a whole request need not be recorded.
+func (g *Guard) IsSuspicious() bool { return g.suspicious.Load() }
+
+// Refusal tells why a request is not sent.
+type Refusal struct {
+	// Until is when one request may be tried again.
+	Until time.Time
+	// Whole states that the request itself is quarantined, not a part of its prompt.
+	Whole bool
+}
+
+// Refuses reports whether a request with the given parts must not be sent to a server, and
+// why.
+func (g *Guard) Refuses(parts []quarantine.Part, now time.Time) (refusal Refusal, refuses bool) {
 	refused := *g.refused.Load()
 	if len(refused) == 0 {
-		return time.Time{}, false
+		return Refusal{}, false
 	}
 	for _, p := range parts {
 		r := refused[p.ID]
@@ -102,12 +121,12 @@
 			signal(g.wake)
 		}
 		g.Metrics.refused.Inc()
-		return r.until, true
+		return Refusal{Until: r.until, Whole: r.whole}, true
 	}
-	return time.Time{}, false
+	return Refusal{}, false
 }
 
-// RecordCrash records that a server ended under a request with the given shared parts.
+// RecordCrash records that a server ended under a request with the given parts.
 func (g *Guard) RecordCrash(requestID string, parts []quarantine.Part, server string, now time.Time) {
 	if len(parts) == 0 {
 		return
@@ -118,6 +137,7 @@
 	if g.ledger.RecordCrash(parts, server, now) {
 		g.scheduleReportLocked(now)
 	}
+	g.suspicious.Store(true)
 	for _, p := range parts {
 		if q, ok := g.ledger.FailTrial(p.ID, g.VM, now); ok {
 			g.setWriteLocked(p.ID, pendingWrite{due: now, value: q})
@@ -126,13 +146,21 @@
 		}
 	}
 	g.mu.Unlock()
-	g.Logger.WithFields(logrus.Fields{"request-id": requestID, "backend-server": server, "prompt-parts": formatParts(parts)}).
-		Info("backend server ended under a request that had just begun, its prompt parts are suspected")
+	fields := logrus.Fields{"request-id": requestID, "backend-server": server}
+	for _, p := range parts {
+		if p.Whole {
+			fields["request-key"] = formatPart(p.ID)
+		}
+	}
+	if list := formatParts(parts); len(list) > 0 {
+		fields["prompt-parts"] = list
+	}
+	g.Logger.WithFields(fields).Info("backend server ended under a request that had just begun, it and its prompt parts are suspected")
 	signal(g.wake)
 }
 
-// RecordSound records that a run with the given shared parts, which was sent at began,
-// survived its beginning.
+// RecordSound records that a run with the given parts, which was sent at began, survived its
+// beginning.
 func (g *Guard) RecordSound(parts []quarantine.Part, began time.Time) {
 	if len(parts) == 0 {
 		return
@@ -164,14 +192,21 @@
 func (g *Guard) publishLocked() {
 	refused := make(map[uint64]*refusedPart)
 	for _, q := range g.ledger.Quarantined() {
-		refused[q.Part] = &refusedPart{until: q.Until, trial: g.tried[q.Part]}
+		refused[q.Part] = &refusedPart{until: q.Until, whole: q.Whole, trial: g.tried[q.Part]}
 	}
 	g.refused.Store(&refused)
+	g.updateSuspiciousLocked()
+}
+
+// updateSuspiciousLocked updates suspicious. The caller holds g.mu.
+func (g *Guard) updateSuspiciousLocked() {
+	g.suspicious.Store(g.ledger.Suspects() > 0 || len(g.ledger.Quarantined()) > 0)
 }
 
 // removeLocked ends a quarantine that the ledger no longer has, and schedules the deletion
 // of its row. The caller holds g.mu.
 func (g *Guard) removeLocked(part uint64, change string, now time.Time) {
+	ended := g.endedLocked(part)
 	delete(g.tried, part)
 	if g.versions[part] != 0 {
 		g.setWriteLocked(part, pendingWrite{due: now.Add(g.spread()), remove: true})
@@ -179,12 +214,22 @@
 		delete(g.writes, part)
 	}
 	g.publishLocked()
-	g.logChange(change, quarantine.Quarantine{Part: part})
+	g.logChange(change, ended)
+}
+
+// endedLocked describes a quarantine that has ended, for the log. The caller holds g.mu.
+func (g *Guard) endedLocked(part uint64) quarantine.Quarantine {
+	published := (*g.refused.Load())[part]
+	return quarantine.Quarantine{Part: part, Whole: published != nil && published.whole}
 }
 
 // logChange logs and counts a change of a quarantine.
 func (g *Guard) logChange(change string, q quarantine.Quarantine) {
 	g.Metrics.changes.WithLabelValues(change).Inc()
+	if q.Whole {
+		g.logRequestChange(change, q)
+		return
+	}
 	entry := g.Logger.WithFields(logrus.Fields{"part": formatPart(q.Part), "change": change})
 	if q.Until.IsZero() {
 		entry.Warn("prompt part no longer quarantined, its requests are sent again")
@@ -194,11 +239,24 @@
 		Warn("prompt part quarantined, its requests are refused")
 }
 
-// formatParts returns the ids of parts in hexadecimal form.
+// logRequestChange logs a change of the quarantine of a whole request.
+func (g *Guard) logRequestChange(change string, q quarantine.Quarantine) {
+	entry := g.Logger.WithFields(logrus.Fields{"request-key": formatPart(q.Part), "change": change})
+	if q.Until.IsZero() {
+		entry.Warn("request no longer quarantined, it is sent again")
+		return
+	}
+	entry.WithFields(logrus.Fields{"crashes": q.Crashes, "first": q.First.UTC(), "until": q.Until.UTC()}).
+		Warn("request quarantined, it is refused")
+}
+
+// formatParts returns the ids of parts of a prompt in hexadecimal form.
 func formatParts(parts []quarantine.Part) []string {
-	list := make([]string, len(parts))
-	for i, p := range parts {
-		list[i] = formatPart(p.ID)
+	var list []string
+	for _, p := range parts {
+		if !p.Whole {
+			list = append(list, formatPart(p.ID))
+		}
 	}
 	return list
 }
--- a/acaciad/crashreports/metrics.go
+++ b/acaciad/crashreports/metrics.go
@@ -24,15 +24,15 @@
 	m := &Metrics{
 		crashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "acaciapath_prompt_crashes_total",
-			Help: "Requests of this daemon that broke off in their beginning together with their model engine.",
+			Help: "Requests of this daemon that broke off in their beginning together with their backend server.",
 		}),
 		refused: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "acaciapath_quarantine_refusals_total",
-			Help: "Requests that were not sent because a part of their prompt is quarantined.",
+			Help: "Requests that were not sent because they, or a part of their prompt, are quarantined.",
 		}),
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "acaciapath_quarantine_changes_total",
-			Help: "Changes of quarantined parts of prompts, by change.",
+			Help: "Changes of quarantined parts of prompts and requests, by change.",
 		}, []string{"change"}),
 	}
 	registry.MustRegister(m.crashes, m.refused, m.changes)
@@ -43,7 +43,7 @@
 func registerGauges(registry prometheus.Registerer, g *Guard) {
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "acaciapath_suspect_parts",
-		Help: "Parts of prompts under which a model engine ended, and which are not quarantined.",
+		Help: "Parts of prompts, and requests, under which a backend server ended, and which are not quarantined.",
 	}, func() float64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -51,6 +51,6 @@
 	}))
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "acaciapath_quarantined_parts",
-		Help: "Parts of prompts whose requests are refused.",
+		Help: "Parts of prompts whose requests are refused, and refused requests.",
 	}, func() float64 { return float64(len(*g.refused.Load())) }))
 }
--- a/acaciad/crashreports/rows.go
+++ b/acaciad/crashreports/rows.go
@@ -26,10 +26,11 @@
 	SoundRuns []storedRun   `json:"sound-runs,omitempty"`
 }
 
-// storedCrash is a crash under a part.
+// storedCrash is a crash under a part or a whole request.
 type storedCrash struct {
 	Part   string `json:"part"`
 	Depth  int    `json:"depth"`
+	Whole  bool   `json:"whole,omitempty"`
 	Server string `json:"server"`
 	AtMS   int64  `json:"at-ms"`
 }
@@ -40,8 +41,9 @@
 	BeganMS int64  `json:"began-ms"`
 }
 
-// storedQuarantine is the value of the row of a quarantined part.
+// storedQuarantine is the value of the row of a quarantined part or request.
 type storedQuarantine struct {
+	Whole   bool   `json:"whole,omitempty"`
 	FirstMS int64  `json:"first-ms"`
 	Crashes int    `json:"crashes"`
 	SinceMS int64  `json:"since-ms"`
@@ -57,7 +59,7 @@
 func encodeReport(r quarantine.Report) ([]byte, error) {
 	var s storedReport
 	for _, a := range r.Accusations {
-		s.Crashes = append(s.Crashes, storedCrash{Part: formatPart(a.Part.ID), Depth: a.Part.Depth, Server: a.Server, AtMS: a.At.UnixMilli()})
+		s.Crashes = append(s.Crashes, storedCrash{Part: formatPart(a.Part.ID), Depth: a.Part.Depth, Whole: a.Part.Whole, Server: a.Server, AtMS: a.At.UnixMilli()})
 	}
 	for _, run := range r.SoundRuns {
 		s.SoundRuns = append(s.SoundRuns, storedRun{Part: formatPart(run.Part), BeganMS: run.Began.UnixMilli()})
@@ -78,7 +80,7 @@
 			return r, merry.Wrap(errInvalidRow, merry.AppendMessagef("crash of %q under %q", c.Server, c.Part))
 		}
 		r.Accusations = append(r.Accusations, quarantine.Accusation{
-			Part: quarantine.Part{ID: id, Depth: c.Depth}, Server: c.Server, At: time.UnixMilli(c.AtMS),
+			Part: quarantine.Part{ID: id, Depth: c.Depth, Whole: c.Whole}, Server: c.Server, At: time.UnixMilli(c.AtMS),
 		})
 	}
 	for _, run := range s.SoundRuns {
@@ -94,7 +96,7 @@
 // encodeQuarantine returns the value of the row for a quarantined part.
 func encodeQuarantine(q quarantine.Quarantine) ([]byte, error) {
 	return json.Marshal(storedQuarantine{
-		FirstMS: q.First.UnixMilli(), Crashes: q.Crashes, SinceMS: q.Since.UnixMilli(), UntilMS: q.Until.UnixMilli(),
+		Whole: q.Whole, FirstMS: q.First.UnixMilli(), Crashes: q.Crashes, SinceMS: q.Since.UnixMilli(), UntilMS: q.Until.UnixMilli(),
 		HoldMS: q.Hold.Milliseconds(), Trial: q.Trial,
 	})
 }
@@ -120,7 +122,7 @@
 		return quarantine.Quarantine{}, merry.Wrap(errInvalidRow, merry.AppendMessage("no positive hold or end"))
 	}
 	return quarantine.Quarantine{
-		Part: part, First: time.UnixMilli(s.FirstMS), Crashes: s.Crashes, Since: time.UnixMilli(s.SinceMS),
+		Part: part, Whole: s.Whole, First: time.UnixMilli(s.FirstMS), Crashes: s.Crashes, Since: time.UnixMilli(s.SinceMS),
 		Until: time.UnixMilli(s.UntilMS), Hold: time.Duration(s.HoldMS) * time.Millisecond, Trial: s.Trial,
 	}, nil
 }
--- a/acaciad/proxy/client.go
+++ b/acaciad/proxy/client.go
@@ -41,11 +41,29 @@
 	// request if a reused connection turns out to be closed, and requests that
 	// may run only once must not be sent twice.
 	singleUse *http.Transport
+	// dialer opens the connections.
+	dialer *net.Dialer
 }
 
 // NewClient returns a client that has no open connections.
 func NewClient() *Client {
-	return &Client{pooled: newTransport(false), singleUse: newTransport(true)}
+	dialer := &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
+		},
+	}
+	return &Client{pooled: newTransport(dialer, false), singleUse: newTransport(dialer, true), dialer: dialer}
+}
+
+// accepts reports whether a backend server accepts connections.
+func (c *Client) accepts(address string) bool {
+	connection, err := c.dialer.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = connection.Close() // nothing was sent
+	return true
 }
 
 // Transport returns the transport that reuses connections, for other calls to
@@ -54,13 +72,7 @@
 
 // newTransport returns a transport with the limits above. If disableKeepAlives
 // is set, each request uses a new connection.
-func newTransport(disableKeepAlives bool) *http.Transport {
-	dialer := &net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
-		},
-	}
+func newTransport(dialer *net.Dialer, disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -40,7 +40,8 @@
 	retryAfterNoCatalog = 500 * time.Millisecond
 	// retryAfterFailure is sent when no backend server accepted the request.
 	retryAfterFailure = 300 * time.Millisecond
-	// minRetryAfterQuarantine is the least value while a prompt part is quarantined.
+	// minRetryAfterQuarantine is the least value while a request or a prompt part is
+	// quarantined.
 	minRetryAfterQuarantine = time.Second
 )
 
@@ -51,7 +52,7 @@
 	Directory *directory.Directory
 	// Client sends requests to backend servers.
 	Client *Client
-	// Guard refuses requests whose prompts crash model engines.
+	// Guard refuses requests that crash backend servers.
 	Guard *crashreports.Guard
 	// Limits reports the limits that backend servers name.
 	Limits *limitreports.Sharer
@@ -139,7 +140,9 @@
 	requirements placement.Requirements
 	// sharedParts are the parts of the prompt that other requests may share.
 	sharedParts []quarantine.Part
-	body        []byte
+	// wholeAndParts are the request itself and sharedParts. allParts sets it.
+	wholeAndParts []quarantine.Part
+	body          []byte
 
 	// mayHaveExecuted states that the request may have run on a backend server.
 	mayHaveExecuted bool
--- a/acaciad/proxy/quarantine.go
+++ b/acaciad/proxy/quarantine.go
@@ -7,6 +7,7 @@
 
 	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/core/quarantine"
+	"acaciapath.example/core/replica"
 )
 
 // A run of a prompt on which engines crash breaks off as soon as it begins to answer.
@@ -55,20 +56,34 @@
 	return parts
 }
 
-// checkQuarantine returns the refusal for a request whose prompt has a quarantined part, or
-// nil.
+// allParts returns what the request may have in common with others: itself and the shared
+// parts of its prompt.
+func (x *exchange) allParts() []quarantine.Part {
+	if x.wholeAndParts == nil {
+		whole := quarantine.Part{ID: x.requestKey(), Whole: true}
+		x.wholeAndParts = append([]quarantine.Part{whole}, x.sharedParts...)
+	}
+	return x.wholeAndParts
+}
+
+// checkQuarantine returns the refusal for a request that is quarantined, or whose prompt has
+// a quarantined part, or nil.
 func (x *exchange) checkQuarantine() *refusal {
-	if len(x.sharedParts) == 0 {
+	if !x.handler.Guard.HasQuarantines() {
 		return nil
 	}
 	now := time.Now()
-	until, refuses := x.handler.Guard.Refuses(x.sharedParts, now)
+	refused, refuses := x.handler.Guard.Refuses(x.allParts(), now)
 	if !refuses {
 		return nil
 	}
+	reason := "prompt-quarantined"
+	if refused.Whole {
+		reason = "request-quarantined"
+	}
 	return &refusal{
-		status: http.StatusServiceUnavailable, reason: "prompt-quarantined",
-		retryAfter: max(until.Sub(now), minRetryAfterQuarantine),
+		status: http.StatusServiceUnavailable, reason: reason,
+		retryAfter: max(refused.Until.Sub(now), minRetryAfterQuarantine),
 	}
 }
 
@@ -90,18 +105,33 @@
 		return
 	}
 	x.runProgress.survived = true
-	x.handler.Guard.RecordSound(x.sharedParts, x.runProgress.sent)
+	parts := x.sharedParts
+	if x.handler.Guard.IsSuspicious() {
+		parts = x.allParts()
+	}
+	x.handler.Guard.RecordSound(parts, x.runProgress.sent)
 }
 
-// recordRunEnd records what the end of a run tells about the parts of its prompt.
+// recordRunEnd records what the end of a run tells about the request and the parts of its
+// prompt.
 func (x *exchange) recordRunEnd(ctx context.Context, reservation *directory.Reservation, status int, r result) {
 	p := &x.runProgress
 	switch {
-	case len(x.sharedParts) == 0:
 	case r == answered && status >= 200 && status < 300:
 		x.recordSound()
 	case (r == broken || r == truncated) && p.lost && p.events < beginningEvents && ctx.Err() == nil &&
 		x.request.Context().Err() == nil && x.outcome != outcomeCallerLeft:
-		x.handler.Guard.RecordCrash(x.metadata.AttemptID, x.sharedParts, reservation.Spec.Instance(), time.Now())
+		x.recordCrash(reservation.Spec)
 	}
 }
+
+// recordCrash records that the server crashed under the request, unless it still accepts
+// connections, so that only the answer was lost.
+func (x *exchange) recordCrash(server replica.Spec) {
+	now, id, parts := time.Now(), x.metadata.AttemptID, x.allParts()
+	go func() {
+		if !x.handler.Client.accepts(server.Address) {
+			x.handler.Guard.RecordCrash(id, parts, server.Instance(), now)
+		}
+	}()
+}
--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -6,17 +6,22 @@
 	"time"
 )
 
-// Part is a part of a prompt in a request.
+// Part is what a request may have in common with others: a part of its prompt, or the whole
+// request, which may be sent again.
 type Part struct {
-	// ID identifies the content of the part.
+	// ID identifies the content of the part. That of a whole request is its RequestID.
 	ID uint64
-	// Depth is its position in the prompt.
+	// Depth is its position in the prompt. It is 0 for a whole request.
 	Depth int
+	// Whole states that it is the whole request.
+	Whole bool
 }
 
 // Quarantine is a part whose requests are refused.
 type Quarantine struct {
 	Part uint64
+	// Whole states that the part is a whole request.
+	Whole bool
 	// First is when the first of the engines ended under it, and Crashes their number.
 	First   time.Time
 	Crashes int
@@ -72,7 +77,7 @@
 		if len(l.suspects) >= maxSuspects {
 			l.dropOldestSuspect()
 		}
-		s = &suspect{depth: p.Depth}
+		s = &suspect{depth: p.Depth, whole: p.Whole}
 		s.ownSoundAt, _ = l.sound.get(p.ID)
 		s.soundAt = s.ownSoundAt
 		l.suspects[p.ID] = s
@@ -81,14 +86,18 @@
 }
 
 // dropOldestSuspect forgets the part that is not quarantined and was accused least
-// recently.
+// recently, if possible one that was accused only once.
 func (l *Ledger) dropOldestSuspect() {
 	var oldest uint64
 	var at time.Time
+	repeated := true
 	for id, s := range l.suspects {
-		last := s.crashes[len(s.crashes)-1].At
-		if l.quarantined[id] == nil && (at.IsZero() || last.Before(at)) {
-			oldest, at = id, last
+		last, several := s.crashes[len(s.crashes)-1].At, len(s.crashes) > 1
+		if l.quarantined[id] != nil || several && !repeated {
+			continue
+		}
+		if at.IsZero() || last.Before(at) || repeated && !several {
+			oldest, at, repeated = id, last, several
 		}
 	}
 	delete(l.suspects, oldest)
@@ -102,6 +111,9 @@
 		return nil, false
 	}
 	for _, p := range parts[:min(len(parts), maxParts)] {
+		if p.Whole && l.suspects[p.ID] == nil && l.quarantined[p.ID] == nil {
+			continue // nearly all requests are sent once
+		}
 		if last, _ := l.sound.get(p.ID); began.After(last) {
 			l.sound.set(p.ID, began)
 		}
@@ -145,7 +157,7 @@
 			break
 		}
 		q := &Quarantine{
-			Part: part, First: crashes[0].At, Crashes: len(crashes),
+			Part: part, Whole: l.suspects[part].whole, First: crashes[0].At, Crashes: len(crashes),
 			Since: now, Until: now.Add(l.settings.Hold), Hold: l.settings.Hold,
 		}
 		l.quarantined[part] = q
@@ -170,16 +182,17 @@
 }
 
 // mostAccused returns the part to be quarantined next and its crashes, or none. Parts that
-// occur only together are accused alike; the deepest is the most specific of them.
+// occur only together are accused alike; the whole request is the most specific of them,
+// then the deepest part.
 func (l *Ledger) mostAccused(now time.Time) (part uint64, crashes []Crash) {
 	explained := l.explainedServers()
-	depth := 0
+	depth, whole := 0, false
 	for id, s := range l.suspects {
 		if l.quarantined[id] != nil {
 			continue
 		}
 		list := s.accusations(explained)
-		if !l.isSufficient(list, explained) {
+		if !l.isSufficient(s, list, explained) {
 			s.reachedAt = time.Time{}
 			continue
 		}
@@ -189,8 +202,15 @@
 		if now.Sub(s.reachedAt) < settleTime {
 			continue
 		}
-		if order := cmp.Or(cmp.Compare(len(list), len(crashes)), cmp.Compare(s.depth, depth), cmp.Compare(part, id)); order > 0 {
-			part, crashes, depth = id, list, s.depth
+		order := cmp.Or(cmp.Compare(len(list), len(crashes)), cmp.Compare(s.depth, depth), cmp.Compare(part, id))
+		if s.whole != whole {
+			order = -1
+			if s.whole {
+				order = 1
+			}
+		}
+		if order > 0 {
+			part, crashes, depth, whole = id, list, s.depth, s.whole
 		}
 	}
 	return part, crashes
@@ -198,8 +218,12 @@
 
 // isSufficient reports whether the accusations of a part suffice to quarantine it. A part
 // under which less than two thirds of the engines ended that ended meanwhile needs more,
-// since in such a time a sound part is accused several times in a row by chance.
-func (l *Ledger) isSufficient(crashes []Crash, explained map[string]bool) bool {
+// since in such a time a sound part is accused several times in a row by chance. A whole
+// request runs on one server at a time, so that this does not happen to it.
+func (l *Ledger) isSufficient(s *suspect, crashes []Crash, explained map[string]bool) bool {
+	if s.whole {
+		return len(crashes) >= l.settings.RequestCrashes
+	}
 	moments := countMoments(crashes)
 	if moments < l.settings.Crashes {
 		return false
--- a/core/quarantine/report.go
+++ b/core/quarantine/report.go
@@ -46,13 +46,15 @@
 
 // Report returns what this daemon has seen and others need: the crashes that its sound
 // runs do not disprove, and the sound runs that disprove a crash. Beyond maxReported of
-// either, the latest are kept.
+// either, those of parts with several crashes are kept, then the latest.
 func (l *Ledger) Report() Report {
 	var r Report
+	repeated := make(map[uint64]bool)
 	for id, s := range l.suspects {
+		repeated[id] = len(s.crashes) > 1
 		for _, c := range s.crashes {
 			if c.Own && c.At.After(s.soundAt) {
-				r.Accusations = append(r.Accusations, Accusation{Part: Part{ID: id, Depth: s.depth}, Server: c.Server, At: c.At})
+				r.Accusations = append(r.Accusations, Accusation{Part: Part{ID: id, Depth: s.depth, Whole: s.whole}, Server: c.Server, At: c.At})
 			}
 		}
 		if len(s.crashes) > 0 && !s.ownSoundAt.Before(s.crashes[0].At) {
@@ -60,6 +62,12 @@
 		}
 	}
 	slices.SortFunc(r.Accusations, func(a, b Accusation) int {
+		if repeated[a.Part.ID] != repeated[b.Part.ID] {
+			if repeated[a.Part.ID] {
+				return -1
+			}
+			return 1
+		}
 		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Part.ID, b.Part.ID), cmp.Compare(a.Server, b.Server))
 	})
 	slices.SortFunc(r.SoundRuns, func(a, b SoundRun) int {
--- a/core/quarantine/settings.go
+++ b/core/quarantine/settings.go
@@ -11,9 +11,10 @@
 
 // Settings are the limits from which a prompt part is quarantined, and for how long.
 type Settings struct {
-	// Crashes is the number of engines that must have ended under a part. With 0, parts
-	// are not quarantined. Crashes ≥ 2 or 0.
-	Crashes int
+	// Crashes is the number of engines that must have ended under a part, and
+	// RequestCrashes that of servers that must have ended under a whole request. With
+	// Crashes = 0, nothing is quarantined. Crashes ≥ 2 or 0, RequestCrashes ≥ 2.
+	Crashes, RequestCrashes int
 	// Memory is how long a crash is remembered, and how long a quarantined part is
 	// remembered after its last hold. Memory > 0.
 	Memory time.Duration
@@ -24,7 +25,7 @@
 
 // DefaultSettings returns the settings that apply if the operator gives none.
 func DefaultSettings() Settings {
-	return Settings{Crashes: 4, Memory: 10 * time.Minute, Hold: 10 * time.Minute, MaxHold: 6 * time.Hour}
+	return Settings{Crashes: 4, RequestCrashes: 3, Memory: 10 * time.Minute, Hold: 10 * time.Minute, MaxHold: 6 * time.Hour}
 }
 
 // Validate returns ErrInvalidSettings if a value is out of range.
@@ -32,6 +33,8 @@
 	switch {
 	case s.Crashes < 0 || s.Crashes == 1:
 		return merry.Wrap(ErrInvalidSettings, merry.AppendMessagef("crashes is %d, must be 0 or at least 2", s.Crashes))
+	case s.RequestCrashes < 2:
+		return merry.Wrap(ErrInvalidSettings, merry.AppendMessagef("request crashes is %d, must be at least 2", s.RequestCrashes))
 	case s.Memory <= 0:
 		return merry.Wrap(ErrInvalidSettings, merry.AppendMessagef("memory is %s, must be positive", s.Memory))
 	case s.Hold <= 0 || s.Hold > s.MaxHold:
@@ -63,7 +66,7 @@
 
 // Limits of what a daemon remembers.
 const (
-	// maxSuspects is the number of accused parts.
+	// maxSuspects is the number of accused parts and requests.
 	maxSuspects = 1024
 	// maxCrashes is the number of crashes of each accused part.
 	maxCrashes = 64
--- a/core/quarantine/suspect.go
+++ b/core/quarantine/suspect.go
@@ -15,10 +15,12 @@
 	Own bool
 }
 
-// suspect is a part that was accused.
+// suspect is a part, or a whole request, that was accused.
 type suspect struct {
-	// depth is the position of the part in the prompt.
+	// depth is the position of the part in the prompt, and whole states that it is a whole
+	// request.
 	depth int
+	whole bool
 	// crashes are sorted by time, with one for each server.
 	crashes []Crash
 	// soundAt is the latest begin of a sound run with the part that is known, and
