--- a/core/quarantine/sim_test.go
+++ b/core/quarantine/sim_test.go
@@ -25,6 +25,9 @@
 	firstParts, secondParts int
 	// depth is the position of the part that crashes engines.
 	depth int
+	// whole states that one request crashes engines, which is sent again and again, instead
+	// of a part of prompts.
+	whole bool
 	// otherCrashes are the ends of single engines a second that have other causes.
 	otherCrashes float64
 	// massCrash is the share of the engines that end together at massCrashAt.
@@ -50,6 +53,8 @@
 	feedGap = 750 * time.Millisecond
 	// deadPart crashes engines.
 	deadPart = 1 << 40
+	// wholeRequests is less than the ids of requests.
+	wholeRequests = 1 << 50
 )
 
 // simRun is a request on an engine.
@@ -102,8 +107,11 @@
 	// crashes are the times of ends of engines under the part.
 	crashes []time.Duration
 	// late is the number of requests with the part that were sent later than contact
-	// after the fifth crash, by daemons that had not just restarted or been cut.
+	// after the fifth crash, or the third one of a whole request, by daemons that had not
+	// just restarted or been cut.
 	late int
+	// sent is the number of requests.
+	sent uint64
 	// wrong is the largest number of daemons that refused a sound part at a time, and
 	// wrongSteps is the number of looks at which any did.
 	wrong, wrongSteps int
@@ -134,7 +142,12 @@
 		{ID: uint64(1 + s.random.IntN(s.firstParts)), Depth: 0},
 		{ID: uint64(1000 + s.random.IntN(s.secondParts)), Depth: 1},
 	}
-	if dead {
+	s.sent++
+	parts = append(parts, quarantine.Part{ID: wholeRequests + s.sent, Whole: true})
+	switch {
+	case dead && s.whole:
+		parts[0].ID, parts[1].ID, parts[2].ID = 1, 1000, deadPart
+	case dead:
 		parts[s.depth].ID = deadPart
 	}
 	for _, p := range parts {
@@ -146,7 +159,11 @@
 	if s.servers[server].upAt > s.now {
 		return // no connection
 	}
-	if dead && len(s.crashes) >= 5 && s.now > s.crashes[4]+contact && s.now > vm.cut+contact {
+	allowed := 5
+	if s.whole {
+		allowed = 3
+	}
+	if dead && len(s.crashes) >= allowed && s.now > s.crashes[allowed-1]+contact && s.now > vm.cut+contact {
 		s.late++
 	}
 	begins := s.now + 50*time.Millisecond + time.Duration(s.random.Int64N(int64(150*time.Millisecond)))
@@ -358,14 +375,14 @@
 }
 
 // seeds is the number of days that are played of each shape; of the largest, a third.
-var seeds = flag.Int("quarantine-seeds", 3, "days of each shape that TestDeadPartIsFoundAmongOthers plays")
+var seeds = flag.Int("quarantine-seeds", 3, "days of each shape that the tests of crashing parts and requests play")
 
-// TestDeadPartIsFoundAmongOthers plays days of many shapes. On each, at most three requests
-// with the part may be sent later than the contact time after the fifth crash, and no
-// sound part may be refused.
-func TestDeadPartIsFoundAmongOthers(t *testing.T) {
+// playFleets plays days of all shapes. On each, at most three requests with the part may be
+// sent later than the contact time after the crash that is allowed last, and no sound part
+// or request may be refused.
+func playFleets(t *testing.T, whole bool) {
 	for name, f := range fleets {
-		f.crashingFrom = 8 * time.Second
+		f.crashingFrom, f.whole = 8*time.Second, whole
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			days := *seeds
@@ -383,3 +400,9 @@
 		})
 	}
 }
+
+// TestDeadPartIsFoundAmongOthers has parts of prompts crash engines.
+func TestDeadPartIsFoundAmongOthers(t *testing.T) { playFleets(t, false) }
+
+// TestCrashingRequestIsFoundAmongOthers has one request crash engines that is sent again.
+func TestCrashingRequestIsFoundAmongOthers(t *testing.T) { playFleets(t, true) }
