--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -182,6 +182,7 @@
 type attempt struct {
 	server        string
 	domain        string
+	version       string
 	running       int
 	unreadTokens  int
 	result        string
@@ -347,6 +348,9 @@
 	if len(x.attempts) > 0 {
 		f["attempts"] = formatAttempts(x.attempts)
 	}
+	if x.metadata.LastEventID != "" {
+		f["resumes"], f["last-event-id"] = x.metadata.Resumes, x.metadata.LastEventID
+	}
 	if x.eventCount > 0 {
 		f["events"] = x.eventCount
 	}
@@ -369,12 +373,12 @@
 }
 
 // formatAttempts formats attempts for the log, each as
-// "server/domain running=N reading=N result first-ms=N".
+// "server/domain version=V running=N reading=N result first-ms=N".
 func formatAttempts(attempts []attempt) []string {
 	list := make([]string, len(attempts))
 	for i, a := range attempts {
 		list[i] = a.server + "/" + a.domain +
-			" running=" + strconv.Itoa(a.running) + " reading=" + strconv.Itoa(a.unreadTokens) +
+			" version=" + a.version + " running=" + strconv.Itoa(a.running) + " reading=" + strconv.Itoa(a.unreadTokens) +
 			" " + a.result + " first-ms=" + strconv.FormatInt(a.timeToHeaders.Milliseconds(), 10)
 	}
 	return list
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -207,7 +207,7 @@
 // answer if there is one, and releases the reservation.
 func (x *exchange) attempt(ctx context.Context, reservation *directory.Reservation) result {
 	x.attempts = append(x.attempts, attempt{
-		server: reservation.Spec.Name, domain: reservation.Spec.FailureDomain,
+		server: reservation.Spec.Name, domain: reservation.Spec.FailureDomain, version: reservation.Spec.Version,
 		running: reservation.Running, unreadTokens: reservation.UnreadTokens,
 	})
 	a := &x.attempts[len(x.attempts)-1]
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -38,6 +38,9 @@
 	// Serves are the names of the models, or the name of the plain service,
 	// that it serves.
 	Serves []string
+	// Version is the version of its software, or empty if it is not known. Versions have no
+	// order.
+	Version string
 	// Kind is the kind of backend server: standard or cheap.
 	Kind config.ServerKind
 	// Slots is the largest number of requests that it runs concurrently.
--- a/core/workload/workload.go
+++ b/core/workload/workload.go
@@ -67,6 +67,9 @@
 	// LastEventID is the ID of the last event of a stream that the caller
 	// received, or empty.
 	LastEventID string
+	// Resumes is the AttemptID of the caller's attempt that brought the first event of
+	// the stream that it takes up again, or empty.
+	Resumes string
 	// Work is the work of the request for a model engine.
 	Work Work
 }
