core/origin: a stream goes on only at the software version that began it

Cause: the version of a server was not read. A stream that broke off went on at any server of its service, in the same answer (after a failure, or when its run was moved), and when its caller took it up at another daemon, which knew nothing of it. Class of fault: what a request depends on is known to one daemon, and chosen anew by the next.

Change: placement.Requirements binds a stream to the version of its first event. Each daemon reports the streams it has begun in a row while versions are mixed; core/origin decides from what a daemon has seen itself and, if need be, from the rows, with the versions at which streams can begin that no row has. A stream of unknown version is refused as not run.

Evidence: TestStreamsGoOnAtTheirVersion failed before (20 to 22 of 48 streams with events of two versions) and TestStreamsGoOnAtTheirVersionInOneAnswer (3 of 24); both pass.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/acaciad/limitreports"
 	"acaciapath.example/acaciad/neighbours"
+	"acaciapath.example/acaciad/origins"
 	"acaciapath.example/acaciad/proxy"
 	"acaciapath.example/core/config"
 	"acaciapath.example/core/connections"
@@ -92,6 +93,7 @@
 	reportsFeed    *feed
 	guard          *crashreports.Guard
 	limits         *limitreports.Sharer
+	origins        *origins.Registry
 	writeQueue     *neighbours.WriteQueue
 	collector      *neighbours.Collector
 	usage          *control.Usage
@@ -186,6 +188,12 @@
 	d.limits = limitreports.NewSharer()
 	d.limits.Table, d.limits.Memory, d.limits.Daemons, d.limits.Logger = reports, options.LimitMemory, d.guard.Daemons, logger
 	d.limits.Learn, d.limits.Forget = d.learnLimit, d.forgetLimit
+	collectedTable := &platform.Table{Store: platform.NewStore(s.StoreAddress, storeTimeout, d.storeTransport.Collected())}
+	collectedTable.Store.Epochs = d.store.Epochs
+	d.origins = origins.NewRegistry()
+	d.origins.VM, d.origins.Table, d.origins.Logger = s.Name, collectedTable, logger
+	d.origins.Daemons, d.origins.ListAge, d.origins.Metrics = d.guard.Daemons, d.serversFeed.age, origins.NewMetrics(d.registry)
+	d.updater.origins = d.origins
 	d.reportsFeed = d.newFeed(platform.TableReports)
 	d.reportsFeed.apply, d.reportsFeed.holdTime = d.applyReports, reportsHoldTime
 	d.reportsFeed.times.Hold, d.reportsFeed.times.Silence = reportsReaderHold, reportsSilence
@@ -201,6 +209,7 @@
 		Client:       client,
 		Guard:        d.guard,
 		Limits:       d.limits,
+		Origins:      d.origins,
 		EngineClient: engines,
 		Meter:        d.usage.Meter,
 		Metrics:      proxy.NewMetrics(d.registry),
@@ -305,6 +314,7 @@
 	background.run(d.reportsFeed.run)
 	background.run(d.guard.Run)
 	background.run(d.limits.Run)
+	background.run(d.origins.Run)
 	if d.settings.ReportsUsage || d.settings.OrdersServers {
 		controlTasks.run(func(ctx context.Context) {
 			sleep.For(ctx, rand.N(leaseStartSpread))
@@ -328,6 +338,7 @@
 	d.usage.HandleRestore()
 	d.writeQueue.HandleRestore(time.Now())
 	d.neighbours.HandleRestore()
+	d.origins.HandleRestore()
 	d.autoscaler.HandleRestore()
 	d.compareEntries(time.Now())
 	d.handleStoreRestored(time.Now()) // servers that started since the copy write their entries again
--- a/acaciad/daemon/directory_updater.go
+++ b/acaciad/daemon/directory_updater.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"acaciapath.example/acaciad/directory"
+	"acaciapath.example/acaciad/origins"
 	"acaciapath.example/core/config"
 	"acaciapath.example/core/epoch"
+	"acaciapath.example/core/origin"
 	"acaciapath.example/core/replica"
 	"acaciapath.example/platform"
 
@@ -24,7 +26,9 @@
 type directoryUpdater struct {
 	directory *directory.Directory
 	logger    *logrus.Logger
-	servers   map[string]replica.Spec
+	// origins is told which versions are listed, unless it is nil.
+	origins *origins.Registry
+	servers map[string]replica.Spec
 	// heldUntil maps the servers whose entries went missing during an outage of the store
 	// or just after it to the time until which they are kept.
 	heldUntil map[string]time.Time
@@ -200,6 +204,9 @@
 			draining++
 		}
 	}
+	if u.origins != nil {
+		u.origins.SetListed(listedVersions(specs), now)
+	}
 	for _, change := range u.directory.SetServers(specs, now) {
 		u.logger.WithFields(logrus.Fields{
 			"service": change.Service, "added": change.Added, "removed": change.Removed,
@@ -207,3 +214,20 @@
 		}).Info("backend servers changed")
 	}
 }
+
+// listedVersions returns the versions of the servers of each service. Streams can begin at
+// those with a server that does not drain.
+func listedVersions(specs []replica.Spec) map[string][]origin.Version {
+	versions := make(map[string][]origin.Version)
+	for _, spec := range specs {
+		for _, service := range spec.Serves {
+			i := slices.IndexFunc(versions[service], func(v origin.Version) bool { return v.Name == spec.Version })
+			if i < 0 {
+				i = len(versions[service])
+				versions[service] = append(versions[service], origin.Version{Name: spec.Version})
+			}
+			versions[service][i].Open = versions[service][i].Open || !spec.Draining
+		}
+	}
+	return versions
+}
--- /dev/null
+++ b/acaciad/daemon/stream_version_test.go
@@ -0,0 +1,266 @@
+package daemon_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"acaciapath.example/platform/platformtest"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// versionedFleet is a service of model engines whose software has several versions. The data
+// of each event names the version.
+type versionedFleet struct {
+	*deployment
+	// engines are the running engines by id.
+	engines map[string]*httptest.Server
+}
+
+// streamEvents is the number of events of a stream.
+const streamEvents = 40
+
+func newVersionedFleet(t *testing.T) *versionedFleet {
+	f := &versionedFleet{deployment: newDeployment(t), engines: make(map[string]*httptest.Server)}
+	f.store.Write("op", "config", map[string]any{
+		"version": 3,
+		"routes": []any{map[string]any{
+			"name": "ask", "host": "shop.example", "prefix": "/ask/", "type": "streaming", "sessionAffinity": true,
+			"timeoutMs": 20000, "targetLatencyMs": 500, "service": "llm", "maxAttempts": 3, "streamResume": true,
+		}},
+		"services": []any{map[string]any{"name": "llm", "healthPath": "/healthz", "runtime": map[string]any{"slots": 64, "kvCapacity": 500000, "stride": 3}}},
+		"limits":   map[string]any{"maxBodyBytes": 1000},
+		"tenants":  []any{map[string]any{"name": "account-a", "apiKeys": []string{"k"}}},
+	})
+	return f
+}
+
+// startEngine starts an engine of a version and lists it.
+func (f *versionedFleet) startEngine(id, version string) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h := w.Header()
+		h.Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		if r.Header.Get("X-Expected-Replica") != id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		h.Set("X-Replica-Signature", platformtest.Signature)
+		h.Set("Content-Type", "text/event-stream")
+		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // none counts as 0
+		controller := http.NewResponseController(w)
+		for i := last + 1; i <= streamEvents; i++ {
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(25 * time.Millisecond):
+			}
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, version)
+			_ = controller.Flush()
+		}
+	}))
+	f.Cleanup(server.CloseClientConnections)
+	f.engines[id] = server
+	f.store.Write("servers", id, map[string]any{
+		"service": "llm", "address": strings.TrimPrefix(server.URL, "http://"), "zone": "z", "version": version,
+		"slots": 64, "state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+	})
+}
+
+// crashEngine crashes an engine, whose entry stays for a while.
+func (f *versionedFleet) crashEngine(id string) {
+	server := f.engines[id]
+	delete(f.engines, id)
+	_ = server.Listener.Close()
+	server.CloseClientConnections()
+	time.AfterFunc(time.Second, func() { f.store.Remove("servers", id) })
+}
+
+// callerStream is what a caller received of a stream.
+type callerStream struct {
+	// attempt is the id of the attempt that brought the first event.
+	attempt string
+	// status is the status of the last attempt, or 0 if there was no answer.
+	status int
+	events int
+	// versions are the versions in the events.
+	versions map[string]bool
+}
+
+// receive sends an attempt and receives events until the stream ends, or until there are most
+// of them, when the caller disconnects.
+func (s *callerStream) receive(d *runningDaemon, attempt string, most int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.settings.CallersAddress+"/ask/7", strings.NewReader("x"))
+	if err != nil {
+		return
+	}
+	request.Host = "shop.example"
+	h := request.Header
+	h.Set("Authorization", "Bearer k")
+	h.Set("X-Attempt-Id", attempt)
+	h.Set("X-Deadline-Ms", "15000")
+	h.Set("X-Model", "m")
+	h.Set("X-Token-Usage", "400,50")
+	h.Set("X-Prefix-Hash", attempt[:1]+":300,2:100")
+	if s.events > 0 {
+		h.Set("Last-Event-Id", strconv.Itoa(s.events))
+		h.Set("Resumes", s.attempt)
+	} else {
+		s.attempt = attempt
+	}
+	s.status = 0
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	s.status = response.StatusCode
+	if s.status != http.StatusOK {
+		return
+	}
+	lines := bufio.NewScanner(response.Body)
+	for s.events < most && lines.Scan() {
+		if version, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+			s.events++
+			s.versions[version] = true
+		}
+	}
+}
+
+// receiveAll has n callers send an attempt each at once, to the daemons in turn.
+func receiveAll(streams []*callerStream, daemons []*runningDaemon, name string, most int) {
+	var group sync.WaitGroup
+	for i, s := range streams {
+		group.Go(func() { s.receive(daemons[i%len(daemons)], fmt.Sprintf("%x-%s-%d", i%16, name, i), most) })
+	}
+	group.Wait()
+}
+
+// startDaemons starts daemons that serve the route.
+func (f *versionedFleet) startDaemons(n int) []*runningDaemon {
+	var daemons []*runningDaemon
+	for i := range n {
+		daemons = append(daemons, f.start(fmt.Sprintf("vm-%d", i)))
+	}
+	f.eventually("all serve", func() bool {
+		for i, d := range daemons {
+			probe := &callerStream{versions: make(map[string]bool)}
+			if probe.receive(d, fmt.Sprintf("0-probe-%d", i), 1); probe.status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+	return daemons
+}
+
+// checkVersions checks that no stream has events of two versions, and that at least half of
+// the streams of the given versions were received as a whole.
+func (f *versionedFleet) checkVersions(streams []*callerStream, serving ...string) {
+	whole, expected, mixed := 0, 0, 0
+	for _, s := range streams {
+		if len(s.versions) > 1 {
+			mixed++
+			continue
+		}
+		for _, version := range serving {
+			if s.versions[version] {
+				expected++
+				if s.events == streamEvents {
+					whole++
+				}
+			}
+		}
+	}
+	f.Check(mixed, qt.Equals, 0, qt.Commentf("streams with events of two versions, of %d", len(streams)))
+	f.Check(2*whole >= expected, qt.IsTrue, qt.Commentf("%d of %d streams went on", whole, expected))
+	f.Logf("%d streams, %d of serving versions, %d of them whole, %d with two versions", len(streams), expected, whole, mixed)
+}
+
+// TestStreamsGoOnAtTheirVersion has streams break off while engines of two versions serve:
+// in one answer, when callers take them up at another daemon, and after all daemons have
+// restarted, with both versions or one of them left.
+func TestStreamsGoOnAtTheirVersion(t *testing.T) {
+	for name, test := range map[string]struct {
+		interrupt func(f *versionedFleet, daemons []*runningDaemon) []*runningDaemon
+		serving   []string
+	}{
+		"another daemon": {
+			interrupt: func(_ *versionedFleet, daemons []*runningDaemon) []*runningDaemon {
+				return append(daemons[1:], daemons[0])
+			},
+			serving: []string{"v1", "v2"},
+		},
+		"all daemons restarted": {
+			interrupt: func(f *versionedFleet, daemons []*runningDaemon) []*runningDaemon {
+				for _, d := range daemons {
+					d.stop()
+				}
+				return f.startDaemons(len(daemons))
+			},
+			serving: []string{"v1", "v2"},
+		},
+		"all daemons restarted, one version left": {
+			interrupt: func(f *versionedFleet, daemons []*runningDaemon) []*runningDaemon {
+				for _, d := range daemons {
+					d.stop()
+				}
+				for _, id := range []string{"a-1", "a-2"} {
+					f.store.Remove("servers", id)
+				}
+				return f.startDaemons(len(daemons))
+			},
+			serving: []string{"v2"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newVersionedFleet(t)
+			for id, version := range map[string]string{"a-1": "v1", "a-2": "v1", "b-1": "v2", "b-2": "v2"} {
+				f.startEngine(id, version)
+			}
+			daemons := f.startDaemons(3)
+			streams := newStreams(48)
+			receiveAll(streams, daemons, "first", 30)
+			time.Sleep(300 * time.Millisecond) // the daemons are in touch when they end
+			daemons = test.interrupt(f, daemons)
+			receiveAll(streams, daemons, "second", streamEvents)
+			f.checkVersions(streams, test.serving...)
+		})
+	}
+}
+
+// TestStreamsGoOnAtTheirVersionInOneAnswer has engines of both versions crash in the middle
+// of streams.
+func TestStreamsGoOnAtTheirVersionInOneAnswer(t *testing.T) {
+	f := newVersionedFleet(t)
+	for id, version := range map[string]string{"a-1": "v1", "a-2": "v1", "a-3": "v1", "b-1": "v2", "b-2": "v2", "b-3": "v2"} {
+		f.startEngine(id, version)
+	}
+	daemons := f.startDaemons(3)
+	streams := newStreams(24)
+	time.AfterFunc(600*time.Millisecond, func() {
+		f.crashEngine("a-1")
+		f.crashEngine("b-1")
+	})
+	receiveAll(streams, daemons, "only", streamEvents)
+	f.checkVersions(streams, "v1", "v2")
+}
+
+// newStreams returns streams that have not begun.
+func newStreams(n int) []*callerStream {
+	streams := make([]*callerStream, n)
+	for i := range streams {
+		streams[i] = &callerStream{versions: make(map[string]bool)}
+	}
+	return streams
+}
--- a/acaciad/neighbours/transport.go
+++ b/acaciad/neighbours/transport.go
@@ -82,6 +82,23 @@
 // neither to a collector nor, during a shutdown, to be written later.
 func (t *Transport) Relayed() http.RoundTripper { return relayedTransport{t} }
 
+// Collected returns a transport that sends writes to a collector and other calls directly or
+// through a neighbour, and nothing to be written later.
+func (t *Transport) Collected() http.RoundTripper { return collectedTransport{t} }
+
+// collectedTransport sends writes to a collector if there is one.
+type collectedTransport struct{ transport *Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (c collectedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Method == http.MethodPost {
+		if response, handled, err := c.transport.collect(r); handled {
+			return response, err
+		}
+	}
+	return c.transport.sendOnPath(r)
+}
+
 // relayedTransport sends calls on the selected path.
 type relayedTransport struct{ transport *Transport }
 
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -11,7 +11,9 @@
 	"acaciapath.example/acaciad/crashreports"
 	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/acaciad/limitreports"
+	"acaciapath.example/acaciad/origins"
 	"acaciapath.example/core/catalog"
+	"acaciapath.example/core/origin"
 	"acaciapath.example/core/placement"
 	"acaciapath.example/core/quarantine"
 	"acaciapath.example/core/usage"
@@ -56,6 +58,9 @@
 	Guard *crashreports.Guard
 	// Limits reports the limits that backend servers name.
 	Limits *limitreports.Sharer
+	// Origins knows which versions of the backend servers began the streams that may be
+	// taken up again.
+	Origins *origins.Registry
 	// EngineClient copies the KV cache of runs between model engines. It is nil if the
 	// engines cannot do that.
 	EngineClient *platform.EngineClient
@@ -112,6 +117,8 @@
 // Refusals that do not depend on the request.
 var (
 	unknownCatalog    = &refusal{status: http.StatusServiceUnavailable, reason: "catalog-unknown", retryAfter: retryAfterNoCatalog}
+	unknownOrigin     = &refusal{status: http.StatusServiceUnavailable, reason: "stream-version-unknown", retryAfter: retryAfterFailure}
+	noSuchVersion     = &refusal{status: http.StatusServiceUnavailable, reason: "stream-version-not-serving", retryAfter: retryAfterFailure}
 	shuttingDown      = &refusal{status: http.StatusServiceUnavailable, reason: "shutting-down", retryAfter: retryAfterFailure}
 	unknownRoute      = &refusal{status: http.StatusNotFound, reason: "route-unknown"}
 	unknownKey        = &refusal{status: http.StatusUnauthorized, reason: "key-unknown"}
@@ -166,6 +173,13 @@
 	// connectionReused states that the connection of the current attempt had carried
 	// another request before.
 	connectionReused bool
+	// stream identifies the stream, and origin is where it began, once receiving is set.
+	stream    origin.Stream
+	origin    origin.Origin
+	receiving bool
+	// endAwait is called when the first event of an attempt that begins a stream has been
+	// recorded, and when the attempt ends.
+	endAwait func()
 	// lastEventID is the id of the last complete event sent to the caller.
 	lastEventID string
 	// eventCount is the number of events sent to the caller.
@@ -217,7 +231,11 @@
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline())
 	defer cancel()
 	x.service = h.Directory.PickService(x.route)
+	refused := x.findOrigin(ctx)
 	x.requirements = x.newRequirements(index.Service(x.service))
+	if refused != nil {
+		return refused
+	}
 	x.sharedParts = x.newSharedParts()
 	if refused := x.checkQuarantine(); refused != nil {
 		return refused
@@ -245,6 +263,8 @@
 		Lane:             placement.LaneOf(x.view.Index, x.route, s),
 		PromptTokens:     x.metadata.Work.PromptTokens,
 		FirstEventTarget: x.route.LatencyTarget,
+		OnlyVersion:      x.receiving,
+		Version:          x.origin.Version,
 	}
 	if required.Generates {
 		required.SharedPrefixKey = x.metadata.Work.SharedPrefixKey()
@@ -315,6 +335,7 @@
 // recordOutcome logs and counts the outcome of the request.
 func (x *exchange) recordOutcome() {
 	now := time.Now()
+	x.endStream(now)
 	x.handler.Metrics.recordRequest(x, now.Sub(x.arrived))
 	entry := x.handler.Logger.WithFields(x.logFields(now))
 	if x.outcome == outcomeServed {
@@ -349,7 +370,7 @@
 		f["attempts"] = formatAttempts(x.attempts)
 	}
 	if x.metadata.LastEventID != "" {
-		f["resumes"], f["last-event-id"] = x.metadata.Resumes, x.metadata.LastEventID
+		f["resumes"], f["last-event-id"], f["stream-version"] = x.metadata.Resumes, x.metadata.LastEventID, x.requirements.Version
 	}
 	if x.eventCount > 0 {
 		f["events"] = x.eventCount
--- a/acaciad/proxy/harness_test.go
+++ b/acaciad/proxy/harness_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -14,12 +15,15 @@
 	"acaciapath.example/acaciad/crashreports"
 	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/acaciad/limitreports"
+	"acaciapath.example/acaciad/origins"
 	"acaciapath.example/acaciad/proxy"
 	"acaciapath.example/core/catalog"
+	"acaciapath.example/core/origin"
 	"acaciapath.example/core/quarantine"
 	"acaciapath.example/core/replica"
 	"acaciapath.example/core/retry"
 	"acaciapath.example/core/usage"
+	"acaciapath.example/platform"
 	"acaciapath.example/platform/platformtest"
 
 	qt "github.com/frankban/quicktest"
@@ -91,6 +95,7 @@
 		Client:       proxy.NewClient(),
 		Guard:        guard,
 		Limits:       limits,
+		Origins:      newOrigins(c, logger),
 		Meter:        usage.NewMeter(),
 		Metrics:      proxy.NewMetrics(prometheus.NewRegistry()),
 		Logger:       logger,
@@ -125,6 +130,29 @@
 func (f *fixture) registerServer(id, service, address string) {
 	f.specs = append(f.specs, replica.Spec{Name: id, Address: address, FailureDomain: "z", Serves: []string{service}, Slots: 8})
 	f.directory.SetServers(f.specs, time.Now())
+	f.setVersions()
+}
+
+// setVersions passes on which versions are listed.
+func (f *fixture) setVersions() {
+	versions := make(map[string][]origin.Version)
+	for _, spec := range f.specs {
+		listed := origin.Version{Name: spec.Version, Open: true}
+		if service := spec.Serves[0]; !slices.Contains(versions[service], listed) {
+			versions[service] = append(versions[service], listed)
+		}
+	}
+	f.handler.Origins.SetListed(versions, time.Now())
+}
+
+// newOrigins returns a registry of streams with a store of its own.
+func newOrigins(c *qt.C, logger *logrus.Logger) *origins.Registry {
+	store := platformtest.NewStore()
+	c.Cleanup(store.Close)
+	r := origins.NewRegistry()
+	r.VM, r.Logger, r.Metrics = "vm", logger, origins.NewMetrics(prometheus.NewRegistry())
+	r.Table = &platform.Table{Store: platform.NewStore(store.Address(), time.Second, platform.NewStoreTransport())}
+	return r
 }
 
 // answer is what a caller received.
--- /dev/null
+++ b/acaciad/proxy/origin_test.go
@@ -0,0 +1,67 @@
+package proxy_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"acaciapath.example/core/origin"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestRunMovesToItsVersionOnly has an engine drain beside another one whose software has
+// another version.
+func TestRunMovesToItsVersionOnly(t *testing.T) {
+	f, one, two := newMoveFixture(t)
+	f.specs[0].Version = "v1"
+	f.directory.SetServers(f.specs, time.Now())
+	answers := f.startLongStream("/quote/", one, two)
+	f.specs[1].Version = "v2"
+	f.drainEngine(one)
+	time.AfterFunc(drainNotice, one.Close)
+	f.Assert((<-answers).err, qt.IsNotNil)
+	f.Assert(receivedCount(two), qt.Equals, 0)
+}
+
+// TestStreamOfUnknownVersion has callers take up streams that no daemon knows while servers of
+// two versions serve: they are told that nothing ran, and the servers get no request.
+func TestStreamOfUnknownVersion(t *testing.T) {
+	f := newFixture(t, 2)
+	f.loadCatalog()
+	one, two := f.startServer("i-1", "llm", 5), f.startServer("i-2", "llm", 5)
+	f.specs[0].Version, f.specs[1].Version = "v1", "v2"
+	f.directory.SetServers(f.specs, time.Now())
+	f.setVersions()
+	f.handler.Origins.Begin(origin.StreamID("account-b", "id-0"), origin.Origin{Service: "llm", Version: "v1"}, time.Now())
+	for _, resumes := range []string{"", "id-9", "id-0", strings.Repeat("x", 10_000), "\t\x80"} {
+		r := f.request(f.Context(), http.MethodPost, "/reply/", "x")
+		r.Header.Set("X-Deadline-Ms", "10000")
+		r.Header.Set("Last-Event-Id", "3")
+		r.Header["Resumes"] = []string{resumes}
+		a := f.do(r)
+		f.Assert(a.err, qt.IsNil)
+		f.Check(a.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%.20q", resumes))
+		f.Check(a.body, qt.Equals, "stream-version-unknown\n")
+		f.Check(a.header.Get("Retry-After") != "", qt.IsTrue)
+	}
+	f.Check(receivedCount(one, two), qt.Equals, 0)
+}
+
+// TestStreamOfVersionThatLeft has a caller take up a stream whose version has no server left.
+func TestStreamOfVersionThatLeft(t *testing.T) {
+	f := newFixture(t, 2)
+	f.loadCatalog()
+	s := f.startServer("i-1", "llm", 5)
+	f.specs[0].Version = "v2"
+	f.directory.SetServers(f.specs, time.Now())
+	f.handler.Origins.Begin(origin.StreamID("account-a", "id-0"), origin.Origin{Service: "llm", Version: "v1"}, time.Now())
+	r := f.request(f.Context(), http.MethodPost, "/reply/", "x")
+	r.Header.Set("Last-Event-Id", "3")
+	r.Header.Set("Resumes", "id-0")
+	a := f.do(r)
+	f.Check(a.status, qt.Equals, http.StatusServiceUnavailable)
+	f.Check(a.body, qt.Equals, "stream-version-not-serving\n")
+	f.Check(receivedCount(s), qt.Equals, 0)
+}
--- a/acaciad/proxy/quarantine.go
+++ b/acaciad/proxy/quarantine.go
@@ -35,11 +35,7 @@
 
 // requestKey identifies the request, also when it is sent again.
 func (x *exchange) requestKey() uint64 {
-	account := ""
-	if x.account != nil {
-		account = x.account.Name
-	}
-	return quarantine.RequestID(account, x.request.URL.RequestURI(), x.body)
+	return quarantine.RequestID(x.accountName(), x.request.URL.RequestURI(), x.body)
 }
 
 // newSharedParts returns the parts of the prompt that other requests may share, for a
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -180,6 +180,9 @@
 	if len(x.attempts) > 0 {
 		return notRun
 	}
+	if x.requirements.OnlyVersion {
+		return noSuchVersion
+	}
 	return noBackendServer
 }
 
@@ -213,6 +216,8 @@
 	a := &x.attempts[len(x.attempts)-1]
 	began := time.Now()
 	x.runProgress = runProgress{sent: began}
+	x.endAwait = x.awaitStream(reservation.Spec.Version)
+	defer x.endAwait()
 	response, r := x.send(ctx, reservation)
 	if response == nil {
 		x.runProgress.lost = true
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -38,6 +38,10 @@
 	FirstEventTarget time.Duration
 	// FailedServers are the names of the servers that failed the request.
 	FailedServers []string
+	// OnlyVersion states that only servers whose software has the version Version can
+	// continue the stream.
+	OnlyVersion bool
+	Version     string
 }
 
 // Server is the state of a backend server as one entry daemon knows it.
@@ -236,6 +240,9 @@
 // Runs that are moved there are not preempted, so that the engine would preempt
 // urgent requests instead.
 func (p *Pool) accepts(s *Server, requirements Requirements) bool {
+	if requirements.OnlyVersion && s.Spec.Version != requirements.Version {
+		return false
+	}
 	return requirements.CopiedKVTokens == 0 || p.Shares == (Shares{}) || s.Lane == requirements.Lane
 }
 
@@ -249,7 +256,7 @@
 	var prefixServer *Server
 	var highest uint64
 	for _, s := range p.Servers {
-		if s.isExcluded() || s.Lane != requirements.Lane {
+		if s.isExcluded() || s.Lane != requirements.Lane || requirements.OnlyVersion && s.Spec.Version != requirements.Version {
 			continue
 		}
 		if weight := rendezvous.Mix(s.nameHash ^ rendezvous.Mix(requirements.SharedPrefixKey)); prefixServer == nil || weight > highest {
