--- a/acaciad/daemon/directory_updater.go
+++ b/acaciad/daemon/directory_updater.go
@@ -9,7 +9,6 @@
 	"acaciapath.example/acaciad/origins"
 	"acaciapath.example/core/config"
 	"acaciapath.example/core/epoch"
-	"acaciapath.example/core/origin"
 	"acaciapath.example/core/replica"
 	"acaciapath.example/platform"
 
@@ -26,7 +25,7 @@
 type directoryUpdater struct {
 	directory *directory.Directory
 	logger    *logrus.Logger
-	// origins is told which versions are listed, unless it is nil.
+	// origins is told at which versions streams are to begin, unless it is nil.
 	origins *origins.Registry
 	servers map[string]replica.Spec
 	// heldUntil maps the servers whose entries went missing during an outage of the store
@@ -68,6 +67,7 @@
 			"client-accounts": len(c.Accounts), "taken": applied,
 		}).Info("catalog read")
 	}
+	u.updatePlans()
 	return false
 }
 
@@ -204,30 +204,18 @@
 			draining++
 		}
 	}
-	if u.origins != nil {
-		u.origins.SetListed(listedVersions(specs), now)
-	}
 	for _, change := range u.directory.SetServers(specs, now) {
 		u.logger.WithFields(logrus.Fields{
 			"service": change.Service, "added": change.Added, "removed": change.Removed,
 			"known": len(specs), "leaving": draining, "lapsed": len(u.heldUntil),
 		}).Info("backend servers changed")
 	}
+	u.updatePlans()
 }
 
-// listedVersions returns the versions of the servers of each service. Streams can begin at
-// those with a server that does not drain.
-func listedVersions(specs []replica.Spec) map[string][]origin.Version {
-	versions := make(map[string][]origin.Version)
-	for _, spec := range specs {
-		for _, service := range spec.Serves {
-			i := slices.IndexFunc(versions[service], func(v origin.Version) bool { return v.Name == spec.Version })
-			if i < 0 {
-				i = len(versions[service])
-				versions[service] = append(versions[service], origin.Version{Name: spec.Version})
-			}
-			versions[service][i].Open = versions[service][i].Open || !spec.Draining
-		}
+// updatePlans passes on at which versions streams are to begin.
+func (u *directoryUpdater) updatePlans() {
+	if u.origins != nil {
+		u.origins.SetPlans(u.directory.StreamPlans())
 	}
-	return versions
 }
--- a/acaciad/daemon/stream_version_test.go
+++ b/acaciad/daemon/stream_version_test.go
@@ -193,12 +193,16 @@
 	for name, test := range map[string]struct {
 		interrupt func(f *versionedFleet, daemons []*runningDaemon) []*runningDaemon
 		serving   []string
+		// events is the number of events that callers have when their streams break off,
+		// and pause the time from then to the interruption.
+		events int
+		pause  time.Duration
 	}{
 		"another daemon": {
 			interrupt: func(_ *versionedFleet, daemons []*runningDaemon) []*runningDaemon {
 				return append(daemons[1:], daemons[0])
 			},
-			serving: []string{"v1", "v2"},
+			serving: []string{"v1", "v2"}, events: 30, pause: 300 * time.Millisecond,
 		},
 		"all daemons restarted": {
 			interrupt: func(f *versionedFleet, daemons []*runningDaemon) []*runningDaemon {
@@ -207,7 +211,16 @@
 				}
 				return f.startDaemons(len(daemons))
 			},
-			serving: []string{"v1", "v2"},
+			serving: []string{"v1", "v2"}, events: 30, pause: 300 * time.Millisecond,
+		},
+		"all daemons restarted just after streams began": {
+			interrupt: func(f *versionedFleet, daemons []*runningDaemon) []*runningDaemon {
+				for _, d := range daemons {
+					d.stop()
+				}
+				return f.startDaemons(len(daemons))
+			},
+			serving: []string{"v1", "v2"}, events: 1,
 		},
 		"all daemons restarted, one version left": {
 			interrupt: func(f *versionedFleet, daemons []*runningDaemon) []*runningDaemon {
@@ -219,7 +232,7 @@
 				}
 				return f.startDaemons(len(daemons))
 			},
-			serving: []string{"v2"},
+			serving: []string{"v2"}, events: 30, pause: 300 * time.Millisecond,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -230,8 +243,8 @@
 			}
 			daemons := f.startDaemons(3)
 			streams := newStreams(48)
-			receiveAll(streams, daemons, "first", 30)
-			time.Sleep(300 * time.Millisecond) // the daemons are in touch when they end
+			receiveAll(streams, daemons, "first", test.events)
+			time.Sleep(test.pause)
 			daemons = test.interrupt(f, daemons)
 			receiveAll(streams, daemons, "second", streamEvents)
 			f.checkVersions(streams, test.serving...)
--- /dev/null
+++ b/acaciad/directory/stream_plans.go
@@ -0,0 +1,38 @@
+package directory
+
+import (
+	"acaciapath.example/core/catalog"
+	"acaciapath.example/core/origin"
+	"acaciapath.example/core/placement"
+)
+
+// StreamGroup returns the group of the streams of a route at a service.
+func StreamGroup(index *catalog.Index, r *catalog.Route, service string) origin.Group {
+	lane := placement.LaneOf(index, r, index.Service(service))
+	return origin.Group{Service: service, Lane: lane.String()}
+}
+
+// StreamPlans returns the plans of the groups of all streams that callers can take up again.
+func (d *Directory) StreamPlans() map[origin.Group]origin.Plan {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	plans := make(map[origin.Group]origin.Plan)
+	view := d.view.Load()
+	if view == nil {
+		return plans
+	}
+	for i := range view.Index.Catalog.Routes {
+		r := &view.Index.Catalog.Routes[i]
+		if !r.Resumable {
+			continue
+		}
+		for _, split := range r.Splits {
+			pool, group := d.pools[split.Service], StreamGroup(view.Index, r, split.Service)
+			if _, done := plans[group]; pool == nil || done {
+				continue
+			}
+			plans[group] = origin.NewPlan(pool.VersionCounts(placement.LaneOf(view.Index, r, view.Index.Service(split.Service))))
+		}
+	}
+	return plans
+}
--- a/acaciad/origins/registry.go
+++ b/acaciad/origins/registry.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -20,29 +18,24 @@
 const (
 	// writeInterval is the time between two writes of a report, and writeSpread is added for
 	// each daemon, since all of them write at the same times.
-	writeInterval = 400 * time.Millisecond
-	writeSpread   = 10 * time.Millisecond
+	writeInterval = 100 * time.Millisecond
+	writeSpread   = 5 * time.Millisecond
 	// retryInterval is the time from a failed call to the next attempt.
 	retryInterval = 500 * time.Millisecond
-	// expiryInterval is how often versions are looked for that are no longer remembered.
-	expiryInterval = 5 * time.Second
 	// callTimeout bounds a call of the store.
 	callTimeout = 1500 * time.Millisecond
 	// readInterval is the least time between two reads of all reports, and readSpread is added
 	// for each daemon.
 	readInterval = 150 * time.Millisecond
 	readSpread   = 3 * time.Millisecond
-	// lookupTime is how long a lookup waits for the report of the daemon that began the
-	// stream.
+	// lookupTime is how long a lookup waits until the reports of all daemons lead to the same
+	// version.
 	lookupTime = 1200 * time.Millisecond
 	// maxListAge is the age up to which the list of servers counts as up to date. It allows for a
 	// connection to the store that fell silent.
 	maxListAge = 5 * time.Second
 )
 
-// maxRemoved is the number of reports of VMs that are gone which are deleted at once.
-const maxRemoved = 16
-
 // Registry knows the origins of streams. It is safe for concurrent use. Its exported fields
 // must not change once it is used.
 type Registry struct {
@@ -68,8 +61,6 @@
 	ledger *origin.Ledger
 	// changed states that the row is to be written.
 	changed bool
-	// written are the versions in the row.
-	written map[string][]origin.Version
 	// reading is the latest read of all reports, which may have ended.
 	reading *reading
 }
@@ -92,39 +83,16 @@
 	}
 }
 
-// SetListed replaces the versions of the listed servers of each service.
-func (r *Registry) SetListed(versions map[string][]origin.Version, now time.Time) {
+// SetPlans replaces the plans by the servers that are listed. They are used once others can
+// read them.
+func (r *Registry) SetPlans(plans map[origin.Group]origin.Plan) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ledger.SetListed(versions, now)
-	r.scheduleVersionsLocked(now)
-}
-
-// scheduleVersionsLocked schedules a write of the row if the versions in it have changed. The
-// caller holds r.mu.
-func (r *Registry) scheduleVersionsLocked(now time.Time) {
-	if !maps.EqualFunc(r.ledger.StreamingVersions(now), r.written, slices.Equal) {
+	if r.ledger.SetPlans(plans) {
 		r.scheduleLocked()
 	}
 }
 
-// Await records that a request was sent to a server of a version, whose first event would
-// begin a stream.
-func (r *Registry) Await(o origin.Origin) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.ledger.Await(o)
-}
-
-// EndAwait records that a request of Await has had its first event, or ended.
-func (r *Registry) EndAwait(o origin.Origin, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.ledger.EndAwait(o); !r.ledger.AllSettled(now) {
-		r.scheduleVersionsLocked(now)
-	}
-}
-
 // HandleRestore has the row written again that the store may have lost, since it was restored
 // from a copy.
 func (r *Registry) HandleRestore() {
@@ -142,38 +110,52 @@
 	}
 }
 
-// Begin records that a request receives a stream that began at an origin.
-func (r *Registry) Begin(stream origin.Stream, o origin.Origin, now time.Time) {
+// Choose returns the version at which a stream of a group is to begin, or false if any will
+// do.
+func (r *Registry) Choose(group origin.Group, stream origin.Stream) (version string, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ledger.Choose(group, stream)
+}
+
+// Begin records that a request receives a stream of a group that began at an origin, or is
+// about to.
+func (r *Registry) Begin(stream origin.Stream, group origin.Group, o origin.Origin, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ledger.Begin(stream, o, now) {
+	if r.ledger.Begin(stream, group, o, now) {
 		r.scheduleLocked()
 	}
 }
 
-// End records that a request of Begin has ended, and whether the caller was sent the whole
-// stream.
+// End records that a request of Begin has ended. complete states that the stream cannot be
+// taken up again.
 func (r *Registry) End(stream origin.Stream, complete bool, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.ledger.End(stream, complete, now)
 }
 
-// Lookup returns the origin of a stream that a caller takes up again. It reads the reports of
-// other daemons if necessary, until lookupTime has passed or ctx is done.
-func (r *Registry) Lookup(ctx context.Context, stream origin.Stream, service string) (o origin.Origin, known bool) {
+// Lookup returns the origin of a stream that a caller takes up again and that began since a
+// time. It reads the reports of other daemons if necessary, until lookupTime has passed or ctx
+// is done.
+func (r *Registry) Lookup(ctx context.Context, stream origin.Stream, group origin.Group, since time.Time) (o origin.Origin, known bool) {
 	began := time.Now()
-	if o, known = r.resolve(nil, stream, service, began); known {
+	q := origin.Query{Stream: stream, Group: group, Since: since}
+	if o, known = r.resolve(q, (*origin.Ledger).Resolve); known {
 		r.Metrics.count(lookupKnown)
 		return o, true
 	}
 	for after := began; ctx.Err() == nil; after = time.Now() {
 		reports, err := r.read(ctx, after)
 		if err == nil {
-			if o, known = r.resolve(reports, stream, service, time.Now()); known {
-				r.Metrics.count(lookupReported)
-				return o, true
-			}
+			o, known = r.resolve(q, func(l *origin.Ledger, q origin.Query) (origin.Origin, bool) { return l.ResolveAmong(reports, q) })
+		} else {
+			o, known = r.resolve(q, (*origin.Ledger).ResolveByPlan)
+		}
+		if known {
+			r.Metrics.count(lookupReported)
+			return o, true
 		}
 		if time.Since(began) > lookupTime {
 			break
@@ -184,16 +166,12 @@
 	return origin.Origin{}, false
 }
 
-// resolve returns the origin of a stream by what this daemon knows and, unless they are nil,
-// by the reports of all daemons.
-func (r *Registry) resolve(reports []origin.Report, stream origin.Stream, service string, now time.Time) (origin.Origin, bool) {
-	fresh := r.ListAge(now) <= maxListAge
+// resolve has the ledger resolve a query.
+func (r *Registry) resolve(q origin.Query, how func(*origin.Ledger, origin.Query) (origin.Origin, bool)) (origin.Origin, bool) {
+	q.Fresh = r.ListAge(time.Now()) <= maxListAge
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if reports == nil {
-		return r.ledger.Resolve(stream, service, fresh, now)
-	}
-	return r.ledger.ResolveAmong(reports, stream, service, fresh, now)
+	return how(r.ledger, q)
 }
 
 // readInterval returns the least time between two reads of all reports.
@@ -246,7 +224,7 @@
 	rows, err := r.Table.List(ctx, &table.ListPayload{Prefix: rowPrefix, Limit: maxReports})
 	if err != nil {
 		current.err = err
-		r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot read which versions began streams, will retry")
+		r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot read at which versions streams begin, will retry")
 		return
 	}
 	current.reports = make([]origin.Report, 0, len(rows))
@@ -283,7 +261,6 @@
 		case <-ctx.Done():
 			return
 		case <-r.wake:
-		case <-time.After(expiryInterval):
 		}
 		interval := writeInterval + time.Duration(r.Daemons())*writeSpread
 		if !r.write(ctx) {
@@ -308,64 +285,51 @@
 			r.ledger.Merge(report, time.Now())
 		}
 	}
+	r.scheduleLocked()
 	return true
 }
 
 // write writes the row if it is to be written, and reports whether that succeeded.
 func (r *Registry) write(ctx context.Context) bool {
-	now := time.Now()
 	r.mu.Lock()
-	versions := r.ledger.StreamingVersions(now)
-	changed := !maps.EqualFunc(versions, r.written, slices.Equal)
-	if !r.changed && !changed {
+	if !r.changed {
 		r.mu.Unlock()
 		return true
 	}
-	r.changed, r.written = false, versions
-	report, settled := r.ledger.Report(now), r.ledger.AllSettled(now)
+	r.changed = false
+	report := r.ledger.Report(time.Now())
 	r.mu.Unlock()
+	if len(report.Groups) == 0 {
+		return true
+	}
 	value, err := encodeReport(report)
 	if err == nil {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		_, err = r.Table.Commit(callCtx, &table.CommitPayload{Writes: []*table.Write{{Key: rowPrefix + r.VM, Value: value}}})
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if err != nil {
 		if ctx.Err() == nil {
-			r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot write which versions began the streams of this VM, will retry")
+			r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot write at which versions streams begin, will retry")
 		}
-		r.mu.Lock()
-		defer r.mu.Unlock()
 		r.scheduleLocked()
 		return false
 	}
-	if changed && settled {
-		r.removeOutdated(ctx, versions, now)
+	if r.ledger.SetReported(report) || r.ledger.PlansChanged() {
+		r.scheduleLocked()
 	}
+	r.logPlans(report)
 	return true
 }
 
-// removeOutdated deletes the rows of VMs that are gone, which have versions that are no
-// longer in service.
-func (r *Registry) removeOutdated(ctx context.Context, versions map[string][]origin.Version, now time.Time) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	rows, err := r.Table.List(ctx, &table.ListPayload{Prefix: rowPrefix, Limit: maxReports})
-	if err != nil {
-		return // another daemon will
-	}
-	removed := 0
-	for _, row := range rows {
-		report, ok := r.parse(row)
-		if ok && !report.Outdated(versions, now) || removed == maxRemoved || row.Key == rowPrefix+r.VM {
-			continue
-		}
-		removed++
-		_, err := r.Table.Commit(ctx, &table.CommitPayload{
-			Conditions: []*table.Condition{{Key: row.Key, Version: row.Version}}, Writes: []*table.Write{{Key: row.Key, Delete: true}},
-		})
-		if err != nil && platformapi.AsConflict(err) == nil {
-			r.Logger.WithField("error", platformapi.Reason(err)).WithField("row", row.Key).Info("cannot delete an outdated report of streams, another daemon will")
+// logPlans logs the plans of a report that have changed.
+func (r *Registry) logPlans(report origin.Report) {
+	for group, known := range report.Groups {
+		if known.Since.Equal(report.At) {
+			r.Logger.WithFields(logrus.Fields{"service": group.Service, "lane": group.Lane, "plan": known.Plan.String()}).
+				Info("streams begin at other versions")
 		}
 	}
 }
--- a/acaciad/origins/registry_test.go
+++ b/acaciad/origins/registry_test.go
@@ -34,8 +34,18 @@
 	return f
 }
 
-// start starts a registry that knows the versions v1 and v2, and returns a function that
-// ends it.
+// group is the group of all streams of the tests.
+var group = origin.Group{Service: "llm", Lane: "urgent"}
+
+// plans returns the plans for the given numbers of servers of versions.
+func plans(servers map[string]int) map[origin.Group]origin.Plan {
+	return map[origin.Group]origin.Plan{group: origin.NewPlan(servers)}
+}
+
+// both has two versions with equal shares.
+var both = map[string]int{"v1": 4, "v2": 4}
+
+// start starts a registry with a plan for both versions, and returns a function that ends it.
 func (f *fixture) start(vm string) (*origins.Registry, func()) {
 	logger := logrus.New()
 	logger.SetOutput(f.log)
@@ -49,7 +59,7 @@
 		r.Run(ctx)
 	}()
 	f.Cleanup(stop)
-	r.SetListed(map[string][]origin.Version{"llm": {{Name: "v1", Open: true}, {Name: "v2", Open: true}}}, time.Now())
+	r.SetPlans(plans(both))
 	return r, func() { stop(); <-done }
 }
 
@@ -58,90 +68,150 @@
 
 // version returns the version that a registry finds for a stream, or an empty string.
 func (f *fixture) version(r *origins.Registry, id string) string {
-	found, _ := r.Lookup(f.Context(), stream(id), "llm")
+	found, _ := r.Lookup(f.Context(), stream(id), group, time.Now().Add(-origin.Memory))
 	return found.Version
 }
 
+// waitForPlan waits until a registry uses a plan.
+func (f *fixture) waitForPlan(r *origins.Registry) {
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if _, ok := r.Choose(group, 1); ok {
+			return
+		}
+		f.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+}
+
+// begin begins a stream at the version that the plan tells.
+func (f *fixture) begin(r *origins.Registry, id string) string {
+	version, ok := r.Choose(group, stream(id))
+	f.Assert(ok, qt.IsTrue)
+	r.Begin(stream(id), group, origin.Origin{Service: "llm", Version: version}, time.Now())
+	return version
+}
+
+// TestStreamOfAnotherDaemon has streams that begin where the plan tells, and others.
 func TestStreamOfAnotherDaemon(t *testing.T) {
 	f := newFixture(t)
 	one, _ := f.start("vm-1")
 	two, _ := f.start("vm-2")
+	f.waitForPlan(one)
+	f.waitForPlan(two)
+	versions := make(map[string]string)
 	for i := range 20 {
-		one.Begin(stream(fmt.Sprint(i)), origin.Origin{Service: "llm", Version: fmt.Sprint("v", 1+i%2)}, time.Now())
-		one.End(stream(fmt.Sprint(i)), false, time.Now())
+		id := fmt.Sprint(i)
+		versions[id] = f.begin(one, id)
 	}
-	for i := range 20 {
-		f.Check(f.version(two, fmt.Sprint(i)), qt.Equals, fmt.Sprint("v", 1+i%2))
+	one.Begin(stream("other"), group, origin.Origin{Service: "llm", Version: "v0"}, time.Now())
+	one.Begin(stream("moved"), group, origin.Origin{Service: "llm-2", Version: "v1"}, time.Now())
+	versions["other"], versions["moved"] = "v0", "v1"
+	time.Sleep(300 * time.Millisecond)
+	for id, version := range versions {
+		f.Check(f.version(two, id), qt.Equals, version, qt.Commentf("stream %s", id))
 	}
-	f.Check(f.version(two, "unknown"), qt.Equals, "")
-	found, known := two.Lookup(f.Context(), origin.StreamID("account-b", "1"), "llm")
-	f.Check(known, qt.IsFalse, qt.Commentf("a stream of another account: %v", found))
+	found, _ := two.Lookup(f.Context(), stream("moved"), group, time.Now().Add(-origin.Memory))
+	f.Check(found.Service, qt.Equals, "llm-2")
 }
 
-// TestStreamsAreRememberedAfterAllRestarted restarts all daemons, which begin other streams
-// at once.
-func TestStreamsAreRememberedAfterAllRestarted(t *testing.T) {
+// TestStreamsThatBeganJustBeforeAllWereKilled ends all daemons at once, right after streams
+// began, and starts them again with other plans.
+func TestStreamsThatBeganJustBeforeAllWereKilled(t *testing.T) {
 	f := newFixture(t)
 	one, stopOne := f.start("vm-1")
-	_, stopTwo := f.start("vm-2")
-	one.Begin(stream("a"), origin.Origin{Service: "llm", Version: "v2"}, time.Now())
-	f.waitForRow("vm-1")
+	two, stopTwo := f.start("vm-2")
+	f.waitForPlan(one)
+	f.waitForPlan(two)
 	stopOne()
 	stopTwo()
+	versions := make(map[string]string)
+	for i := range 40 {
+		id := fmt.Sprint(i)
+		versions[id] = f.begin(one, id) // the daemons write nothing any more
+	}
 	one, _ = f.start("vm-1")
-	one.Begin(stream("b"), origin.Origin{Service: "llm", Version: "v1"}, time.Now())
-	two, _ := f.start("vm-2")
-	f.Check(f.version(two, "a"), qt.Equals, "v2")
-	f.Check(f.version(two, "b"), qt.Equals, "v1")
-	f.Check(f.version(one, "a"), qt.Equals, "v2")
+	two, _ = f.start("vm-2")
+	for id, version := range versions {
+		f.Check(f.version(two, id), qt.Equals, version)
+	}
+	for _, r := range []*origins.Registry{one, two} {
+		r.SetPlans(plans(map[string]int{"v2": 6, "v3": 2}))
+	}
+	f.eventually(func() bool {
+		for i := range 100 {
+			for _, r := range []*origins.Registry{one, two} {
+				if version, _ := r.Choose(group, stream(fmt.Sprint(i))); version == "v1" {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	began := time.Now()
+	for id, version := range versions {
+		if found := f.version(two, id); found != "" {
+			f.Check(found, qt.Equals, version)
+		}
+		if time.Since(began) > 5*time.Second {
+			break // each that is unknown takes a second
+		}
+	}
 }
 
-// waitForRow waits for the row of a VM.
-func (f *fixture) waitForRow(vm string) {
-	for end := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-		rows, err := f.table.Get(f.Context(), &table.GetPayload{Keys: []string{"stream-origins/" + vm}})
-		if err == nil && len(rows) == 1 {
-			return
-		}
+// eventually waits until a condition holds.
+func (f *fixture) eventually(condition func() bool) {
+	for end := time.Now().Add(10 * time.Second); !condition(); time.Sleep(5 * time.Millisecond) {
 		f.Assert(time.Now().Before(end), qt.IsTrue)
 	}
 }
 
-// TestLookupWithoutStore makes the store unavailable: what the daemon knows itself is found,
-// and all else is unknown within a bounded time.
+// TestLookupWithoutStore makes the store unavailable. What the daemon knows itself is found, and
+// what follows from a plan that has been in use for long enough; all else is unknown within a
+// bounded time.
 func TestLookupWithoutStore(t *testing.T) {
 	f := newFixture(t)
 	r, _ := f.start("vm-1")
-	r.Begin(stream("a"), origin.Origin{Service: "llm", Version: "v2"}, time.Now())
-	f.waitForRow("vm-1")
+	f.waitForPlan(r)
+	r.Begin(stream("a"), group, origin.Origin{Service: "llm", Version: "v9"}, time.Now())
+	time.Sleep(200 * time.Millisecond)
 	f.store.SetFault(func(string, string) platformtest.Fault { return platformtest.Unavailable })
-	f.Check(f.version(r, "a"), qt.Equals, "v2")
+	f.Check(f.version(r, "a"), qt.Equals, "v9")
 	began := time.Now()
 	f.Check(f.version(r, "b"), qt.Equals, "")
 	f.Check(time.Since(began) < 5*time.Second, qt.IsTrue)
+	expected, _ := r.Choose(group, stream("b"))
+	found, _ := r.Lookup(f.Context(), stream("b"), group, time.Now().Add(3*time.Second))
+	f.Check(found.Version, qt.Equals, expected)
+	r.ListAge = func(time.Time) time.Duration { return time.Minute }
+	_, known := r.Lookup(f.Context(), stream("b"), group, time.Now().Add(3*time.Second))
+	f.Check(known, qt.IsFalse, qt.Commentf("the list of servers is out of date"))
 }
 
 // TestInvalidRows has rows that cannot be read. They are logged with their key, and the
 // others are read.
 func TestInvalidRows(t *testing.T) {
 	f := newFixture(t)
-	for key, value := range map[string]string{
-		"cut":    `{"at-ms":1,"services":{"llm":{"v1":{"open":true,"stre`,
-		"nested": strings.Repeat(`{"services":`, 15_000) + strings.Repeat("}", 15_000),
-		"range":  `{"at-ms":1e400,"services":{}}`,
-		"bytes":  `{"at-ms":1,"services":{"llm":{"v1":{"streams":"AAAA"}}}}`,
-		"type":   `{"at-ms":1,"services":[]}`,
+	invalid := map[string]string{
+		"cut":    `{"at-ms":1,"groups":[{"service":"llm","la`,
+		"nested": strings.Repeat(`{"groups":`, 15_000) + strings.Repeat("}", 15_000),
+		"range":  `{"at-ms":1e400,"groups":[]}`,
+		"weight": `{"at-ms":1,"groups":[{"service":"llm","lane":"urgent","plan":[{"version":"v1","weight":1000000000}]}]}`,
+		"bytes":  `{"at-ms":1,"exceptions":[{"service":"llm","version":"v1","streams":"AAAA"}]}`,
+		"type":   `{"at-ms":1,"groups":{}}`,
 		"empty":  ``,
-	} {
+	}
+	for key, value := range invalid {
 		_, err := f.table.Commit(f.Context(), &table.CommitPayload{Writes: []*table.Write{{Key: "stream-origins/" + key, Value: []byte(value)}}})
 		f.Assert(err, qt.IsNil)
 	}
 	one, _ := f.start("vm-1")
-	one.Begin(stream("a"), origin.Origin{Service: "llm", Version: "v2"}, time.Now())
+	f.waitForPlan(one)
+	expected := f.begin(one, "a")
 	two, stop := f.start("vm-2")
-	f.Check(f.version(two, "a"), qt.Equals, "v2")
+	f.waitForPlan(two)
+	f.Check(f.version(two, "a"), qt.Equals, expected)
+	f.Check(f.version(two, "b"), qt.Not(qt.Equals), "")
 	stop()
-	for _, key := range []string{"cut", "nested", "range", "bytes", "type", "empty"} {
-		f.Check(strings.Contains(f.log.String(), "stream-origins/"+key), qt.IsTrue, qt.Commentf("%s", key))
+	for key := range invalid {
+		f.Check(strings.Count(f.log.String(), "stream-origins/"+key), qt.Equals, 1, qt.Commentf("%s", key))
 	}
 }
--- a/acaciad/origins/rows.go
+++ b/acaciad/origins/rows.go
@@ -16,58 +16,122 @@
 // streamBytes is the encoded size of a stream.
 const streamBytes = 8
 
+// maxWeight bounds the weight of a version in a plan that is read.
+const maxWeight = 1000
+
 // errInvalidRow is returned for a row that cannot be read.
 var errInvalidRow = merry.Sentinel("origins: invalid row")
 
 // storedReport is the value of a row.
 type storedReport struct {
-	AtMS     int64                               `json:"at-ms"`
-	Services map[string]map[string]storedVersion `json:"services"`
+	AtMS       int64             `json:"at-ms"`
+	Groups     []storedGroup     `json:"groups"`
+	Exceptions []storedException `json:"exceptions,omitempty"`
+}
+
+// storedGroup is the report of a group.
+type storedGroup struct {
+	Service string             `json:"service"`
+	Lane    string             `json:"lane"`
+	Plan    []storedShare      `json:"plan"`
+	SinceMS int64              `json:"since-ms"`
+	Former  []storedFormerPlan `json:"former,omitempty"`
+}
+
+// storedShare is a share of a plan.
+type storedShare struct {
+	Version string `json:"version"`
+	Weight  int    `json:"weight"`
+}
+
+// storedFormerPlan is a former plan.
+type storedFormerPlan struct {
+	Plan    []storedShare `json:"plan"`
+	UntilMS int64         `json:"until-ms"`
 }
 
-// storedVersion is what a row tells of a version. Streams are encoded one after the other, in
-// little-endian order.
-type storedVersion struct {
-	Open    bool   `json:"open,omitempty"`
-	Streams []byte `json:"streams,omitempty"`
+// storedException has the streams that began at an origin. They are encoded one after the
+// other, in little-endian order.
+type storedException struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+	Streams []byte `json:"streams"`
 }
 
 // encodeReport returns the value of the row for a report.
 func encodeReport(r origin.Report) ([]byte, error) {
-	s := storedReport{AtMS: r.At.UnixMilli(), Services: make(map[string]map[string]storedVersion)}
-	for service, versions := range r.Services {
-		s.Services[service] = make(map[string]storedVersion)
-		for version, reported := range versions {
-			stored := storedVersion{Open: reported.Open}
-			for _, stream := range reported.Streams {
-				stored.Streams = binary.LittleEndian.AppendUint64(stored.Streams, uint64(stream))
-			}
-			s.Services[service][version] = stored
+	s := storedReport{AtMS: r.At.UnixMilli()}
+	for group, known := range r.Groups {
+		stored := storedGroup{Service: group.Service, Lane: group.Lane, Plan: encodePlan(known.Plan), SinceMS: known.Since.UnixMilli()}
+		for _, former := range known.Former {
+			stored.Former = append(stored.Former, storedFormerPlan{Plan: encodePlan(former.Plan), UntilMS: former.Until.UnixMilli()})
+		}
+		s.Groups = append(s.Groups, stored)
+	}
+	for o, streams := range r.Exceptions {
+		stored := storedException{Service: o.Service, Version: o.Version}
+		for _, stream := range streams {
+			stored.Streams = binary.LittleEndian.AppendUint64(stored.Streams, uint64(stream))
 		}
+		s.Exceptions = append(s.Exceptions, stored)
 	}
 	return json.Marshal(s)
 }
 
+// encodePlan returns the stored form of a plan.
+func encodePlan(p origin.Plan) []storedShare {
+	shares := make([]storedShare, len(p))
+	for i, share := range p {
+		shares[i] = storedShare{Version: share.Version, Weight: share.Weight}
+	}
+	return shares
+}
+
 // parseReport parses the value of a row.
 func parseReport(data []byte) (origin.Report, error) {
 	var s storedReport
 	if err := json.Unmarshal(data, &s); err != nil {
 		return origin.Report{}, merry.Wrap(errInvalidRow, merry.WithCause(err))
 	}
-	r := origin.Report{At: time.UnixMilli(s.AtMS), Services: make(map[string]map[string]origin.Reported)}
-	for service, versions := range s.Services {
-		r.Services[service] = make(map[string]origin.Reported)
-		for version, stored := range versions {
-			encoded := stored.Streams
-			if len(encoded)%streamBytes != 0 {
-				return origin.Report{}, merry.Wrap(errInvalidRow, merry.AppendMessagef("%d bytes of streams of version %q", len(encoded), version))
-			}
-			streams := make([]origin.Stream, 0, len(encoded)/streamBytes)
-			for ; len(encoded) > 0; encoded = encoded[streamBytes:] {
-				streams = append(streams, origin.Stream(binary.LittleEndian.Uint64(encoded)))
+	r := origin.Report{
+		At: time.UnixMilli(s.AtMS), Groups: make(map[origin.Group]origin.GroupReport), Exceptions: make(map[origin.Origin][]origin.Stream),
+	}
+	for _, stored := range s.Groups {
+		plan, err := parsePlan(stored.Plan)
+		if err != nil {
+			return origin.Report{}, err
+		}
+		known := origin.GroupReport{Plan: plan, Since: time.UnixMilli(stored.SinceMS)}
+		for _, former := range stored.Former {
+			if plan, err = parsePlan(former.Plan); err != nil {
+				return origin.Report{}, err
 			}
-			r.Services[service][version] = origin.Reported{Open: stored.Open, Streams: streams}
+			known.Former = append(known.Former, origin.FormerPlan{Plan: plan, Until: time.UnixMilli(former.UntilMS)})
 		}
+		r.Groups[origin.Group{Service: stored.Service, Lane: stored.Lane}] = known
+	}
+	for _, stored := range s.Exceptions {
+		encoded := stored.Streams
+		if len(encoded)%streamBytes != 0 {
+			return origin.Report{}, merry.Wrap(errInvalidRow, merry.AppendMessagef("%d bytes of streams of version %q", len(encoded), stored.Version))
+		}
+		streams := make([]origin.Stream, 0, len(encoded)/streamBytes)
+		for ; len(encoded) > 0; encoded = encoded[streamBytes:] {
+			streams = append(streams, origin.Stream(binary.LittleEndian.Uint64(encoded)))
+		}
+		r.Exceptions[origin.Origin{Service: stored.Service, Version: stored.Version}] = streams
 	}
 	return r, nil
 }
+
+// parsePlan parses a plan.
+func parsePlan(shares []storedShare) (origin.Plan, error) {
+	p := make(origin.Plan, len(shares))
+	for i, share := range shares {
+		if share.Weight <= 0 || share.Weight > maxWeight {
+			return nil, merry.Wrap(errInvalidRow, merry.AppendMessagef("weight %d of version %q", share.Weight, share.Version))
+		}
+		p[i] = origin.Share{Version: share.Version, Weight: share.Weight}
+	}
+	return p, nil
+}
--- a/acaciad/proxy/events.go
+++ b/acaciad/proxy/events.go
@@ -73,7 +73,7 @@
 	x.streamSource = reservation
 	reservation.MarkPromptRead(time.Now())
 	x.recordUsage()
-	x.beginStream(reservation)
+	x.bindToVersion(reservation)
 	x.runMove = x.watchForMove(ctx, reservation, func() { response.Body.Close() })
 	if x.status != 0 {
 		return
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -173,13 +173,16 @@
 	// connectionReused states that the connection of the current attempt had carried
 	// another request before.
 	connectionReused bool
-	// stream identifies the stream, and origin is where it began, once receiving is set.
-	stream    origin.Stream
-	origin    origin.Origin
-	receiving bool
-	// endAwait is called when the first event of an attempt that begins a stream has been
-	// recorded, and when the attempt ends.
-	endAwait func()
+	// stream identifies a stream that can be taken up again, and group is its group.
+	stream origin.Stream
+	group  origin.Group
+	// origin is where the stream began or is to begin.
+	origin origin.Origin
+	// planned states that a new stream is to begin at the version of origin, and receiving
+	// that the caller has had an event of the stream, also from another daemon.
+	planned, receiving bool
+	// recorded states that the handler's Origins have a record of the stream.
+	recorded bool
 	// lastEventID is the id of the last complete event sent to the caller.
 	lastEventID string
 	// eventCount is the number of events sent to the caller.
@@ -230,7 +233,7 @@
 	}
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline())
 	defer cancel()
-	x.service = h.Directory.PickService(x.route)
+	x.service = x.pickService()
 	refused := x.findOrigin(ctx)
 	x.requirements = x.newRequirements(index.Service(x.service))
 	if refused != nil {
@@ -263,7 +266,7 @@
 		Lane:             placement.LaneOf(x.view.Index, x.route, s),
 		PromptTokens:     x.metadata.Work.PromptTokens,
 		FirstEventTarget: x.route.LatencyTarget,
-		OnlyVersion:      x.receiving,
+		OnlyVersion:      x.planned || x.receiving,
 		Version:          x.origin.Version,
 	}
 	if required.Generates {
--- a/acaciad/proxy/harness_test.go
+++ b/acaciad/proxy/harness_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
-	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -18,7 +17,6 @@
 	"acaciapath.example/acaciad/origins"
 	"acaciapath.example/acaciad/proxy"
 	"acaciapath.example/core/catalog"
-	"acaciapath.example/core/origin"
 	"acaciapath.example/core/quarantine"
 	"acaciapath.example/core/replica"
 	"acaciapath.example/core/retry"
@@ -130,19 +128,12 @@
 func (f *fixture) registerServer(id, service, address string) {
 	f.specs = append(f.specs, replica.Spec{Name: id, Address: address, FailureDomain: "z", Serves: []string{service}, Slots: 8})
 	f.directory.SetServers(f.specs, time.Now())
-	f.setVersions()
+	f.setPlans()
 }
 
-// setVersions passes on which versions are listed.
-func (f *fixture) setVersions() {
-	versions := make(map[string][]origin.Version)
-	for _, spec := range f.specs {
-		listed := origin.Version{Name: spec.Version, Open: true}
-		if service := spec.Serves[0]; !slices.Contains(versions[service], listed) {
-			versions[service] = append(versions[service], listed)
-		}
-	}
-	f.handler.Origins.SetListed(versions, time.Now())
+// setPlans passes on at which versions streams are to begin.
+func (f *fixture) setPlans() {
+	f.handler.Origins.SetPlans(f.directory.StreamPlans())
 }
 
 // newOrigins returns a registry of streams with a store of its own.
--- a/acaciad/proxy/origin.go
+++ b/acaciad/proxy/origin.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"acaciapath.example/acaciad/directory"
@@ -11,64 +11,82 @@
 	"acaciapath.example/core/origin"
 )
 
-// findOrigin finds out which version began the stream that the caller takes up again, if it
-// does. It returns the refusal if that is not known, or if the route no longer leads to the
-// service of the stream.
+// pickService picks the service that runs the request. All attempts of a stream that can be
+// taken up again go to the same one, unless the weights of the route change.
+func (x *exchange) pickService() string {
+	if !x.route.Resumable {
+		return x.handler.Directory.PickService(x.route)
+	}
+	first := x.metadata.AttemptID
+	if x.takesUp() {
+		first = x.metadata.Resumes
+	}
+	x.stream = origin.StreamID(x.accountName(), first)
+	return x.route.PickService(rand.New(rand.NewPCG(uint64(x.stream), 0)))
+}
+
+// takesUp reports whether the caller takes a stream up again.
+func (x *exchange) takesUp() bool { return x.route.Resumable && x.metadata.LastEventID != "" }
+
+// findOrigin finds out which version began the stream that the caller takes up again, or is to
+// begin a new one. It returns the refusal if that is not known, or if the route no longer leads
+// to the service of the stream.
 func (x *exchange) findOrigin(ctx context.Context) *refusal {
-	if !x.route.Resumable || x.metadata.LastEventID == "" {
+	if !x.route.Resumable {
+		return nil
+	}
+	x.group = directory.StreamGroup(x.view.Index, x.route, x.service)
+	if !x.takesUp() {
+		x.origin.Version, x.planned = x.handler.Origins.Choose(x.group, x.stream)
 		return nil
 	}
-	x.stream = origin.StreamID(x.accountName(), x.metadata.Resumes)
-	found, known := x.handler.Origins.Lookup(ctx, x.stream, x.service)
+	found, known := x.handler.Origins.Lookup(ctx, x.stream, x.group, x.streamSince())
 	if !known {
 		return unknownOrigin
 	}
 	if !slices.ContainsFunc(x.route.Splits, func(s catalog.Split) bool { return s.Service == found.Service }) {
 		return noSuchVersion
 	}
-	x.service = found.Service
-	x.receive(found)
+	x.service, x.receiving = found.Service, true
+	x.beginStream(found)
 	return nil
 }
 
-// awaitStream records that an attempt whose first event would begin a stream is sent, and
-// returns a function that records its first event or its end.
-func (x *exchange) awaitStream(version string) func() {
-	if x.receiving || !x.route.Resumable {
-		return func() {}
-	}
-	awaited := origin.Origin{Service: x.service, Version: version}
-	x.handler.Origins.Await(awaited)
-	return sync.OnceFunc(func() { x.handler.Origins.EndAwait(awaited, time.Now()) })
-}
+// sinceMargin allows for callers that wait longer than their route's timeout, and for the
+// clocks of VMs.
+const sinceMargin = 4 * time.Second
 
-// beginStream records at the first event from a backend server which version began the
-// stream.
-func (x *exchange) beginStream(reservation *directory.Reservation) {
-	if x.receiving {
-		return
+// streamSince returns the earliest time at which the stream can have begun that the caller
+// takes up again: callers wait no longer than their route's timeout.
+func (x *exchange) streamSince() time.Time {
+	waited := origin.Memory
+	if left := x.metadata.Timeout; left > 0 && left < x.route.Timeout {
+		waited = min(waited, x.route.Timeout-left+sinceMargin)
 	}
-	x.stream = origin.StreamID(x.accountName(), x.metadata.AttemptID)
-	x.receive(origin.Origin{Service: x.service, Version: reservation.Spec.Version})
-	x.requirements.OnlyVersion, x.requirements.Version = true, x.origin.Version
-	x.endAwait()
+	return x.arrived.Add(-waited)
 }
 
-// receive records that the caller receives a stream that began at an origin.
-func (x *exchange) receive(o origin.Origin) {
-	x.origin, x.receiving = o, true
-	if x.route.Resumable {
-		x.handler.Origins.Begin(x.stream, o, time.Now())
-	}
+// beginStream records where the stream began, or is about to begin.
+func (x *exchange) beginStream(o origin.Origin) {
+	x.endStream(time.Now())
+	x.origin, x.recorded = o, true
+	x.handler.Origins.Begin(x.stream, x.group, o, time.Now())
 }
 
 // endStream records the end of the stream.
 func (x *exchange) endStream(now time.Time) {
-	if x.receiving && x.route.Resumable {
-		x.handler.Origins.End(x.stream, x.outcome == outcomeServed, now)
+	if x.recorded {
+		x.recorded = false
+		x.handler.Origins.End(x.stream, !x.receiving || x.outcome == outcomeServed, now)
 	}
 }
 
+// bindToVersion binds the stream to the version of its first event.
+func (x *exchange) bindToVersion(reservation *directory.Reservation) {
+	x.receiving = true
+	x.requirements.OnlyVersion, x.requirements.Version = true, reservation.Spec.Version
+}
+
 // accountName returns the name of the client account, or an empty string.
 func (x *exchange) accountName() string {
 	if x.account == nil {
--- a/acaciad/proxy/origin_test.go
+++ b/acaciad/proxy/origin_test.go
@@ -33,8 +33,8 @@
 	one, two := f.startServer("i-1", "llm", 5), f.startServer("i-2", "llm", 5)
 	f.specs[0].Version, f.specs[1].Version = "v1", "v2"
 	f.directory.SetServers(f.specs, time.Now())
-	f.setVersions()
-	f.handler.Origins.Begin(origin.StreamID("account-b", "id-0"), origin.Origin{Service: "llm", Version: "v1"}, time.Now())
+	f.setPlans()
+	f.handler.Origins.Begin(origin.StreamID("account-b", "id-0"), origin.Group{Service: "llm", Lane: "patient"}, origin.Origin{Service: "llm", Version: "v1"}, time.Now())
 	for _, resumes := range []string{"", "id-9", "id-0", strings.Repeat("x", 10_000), "\t\x80"} {
 		r := f.request(f.Context(), http.MethodPost, "/reply/", "x")
 		r.Header.Set("X-Deadline-Ms", "10000")
@@ -56,7 +56,7 @@
 	s := f.startServer("i-1", "llm", 5)
 	f.specs[0].Version = "v2"
 	f.directory.SetServers(f.specs, time.Now())
-	f.handler.Origins.Begin(origin.StreamID("account-a", "id-0"), origin.Origin{Service: "llm", Version: "v1"}, time.Now())
+	f.handler.Origins.Begin(origin.StreamID("account-a", "id-0"), origin.Group{Service: "llm", Lane: "patient"}, origin.Origin{Service: "llm", Version: "v1"}, time.Now())
 	r := f.request(f.Context(), http.MethodPost, "/reply/", "x")
 	r.Header.Set("Last-Event-Id", "3")
 	r.Header.Set("Resumes", "id-0")
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -11,6 +11,7 @@
 
 	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/core/catalog"
+	"acaciapath.example/core/origin"
 	"acaciapath.example/platform"
 
 	"github.com/sirupsen/logrus"
@@ -111,7 +112,7 @@
 		return nil
 	}
 	now := time.Now()
-	reservation := x.handler.Directory.Reserve(x.service, x.requirements, now)
+	reservation := x.reserve(now)
 	if reservation == nil {
 		return nil
 	}
@@ -122,6 +123,23 @@
 	return reservation
 }
 
+// reserve reserves a slot. A stream that has not begun goes to a server of another version if
+// the one at which it is to begin has none that did not fail.
+func (x *exchange) reserve(now time.Time) *directory.Reservation {
+	reservation := x.handler.Directory.Reserve(x.service, x.requirements, now)
+	if x.receiving || !x.requirements.OnlyVersion {
+		return reservation
+	}
+	if reservation != nil {
+		if !slices.Contains(x.requirements.FailedServers, reservation.Spec.Name) {
+			return reservation
+		}
+		reservation.Finish(directory.Neutral, now)
+	}
+	x.requirements.OnlyVersion = false
+	return x.handler.Directory.Reserve(x.service, x.requirements, now)
+}
+
 // spendRetry takes one retry from the budget and reports whether it had one.
 func (x *exchange) spendRetry(now time.Time) bool {
 	return x.handler.Metrics.recordSpend(budgetRetry, x.handler.RetryBudgets.Spend(x.service, now))
@@ -180,7 +198,7 @@
 	if len(x.attempts) > 0 {
 		return notRun
 	}
-	if x.requirements.OnlyVersion {
+	if x.receiving {
 		return noSuchVersion
 	}
 	return noBackendServer
@@ -216,8 +234,9 @@
 	a := &x.attempts[len(x.attempts)-1]
 	began := time.Now()
 	x.runProgress = runProgress{sent: began}
-	x.endAwait = x.awaitStream(reservation.Spec.Version)
-	defer x.endAwait()
+	if x.route.Resumable && !x.receiving {
+		x.beginStream(origin.Origin{Service: x.service, Version: reservation.Spec.Version})
+	}
 	response, r := x.send(ctx, reservation)
 	if response == nil {
 		x.runProgress.lost = true
--- a/core/origin/ledger.go
+++ b/core/origin/ledger.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Memory is how long a stream that broke off may be taken up again, and how long a version is
-// remembered whose servers are gone. It exceeds the time for which callers wait.
+// Memory is how long a stream that broke off may be taken up again. It exceeds the time for
+// which callers wait.
 const Memory = 20 * time.Second
 
 // Limits of what a daemon remembers and reports.
@@ -16,170 +16,98 @@
 	maxStreams = 1 << 15
 	// maxReported is the number of streams in a report. A row of the store holds 64 KB.
 	maxReported = 4096
-	// outdatedAfter is the age from which a report with versions that are no longer in
-	// service can be deleted.
-	outdatedAfter = 2 * time.Minute
+	// maxFormer is the number of former plans of a group.
+	maxFormer = 8
 )
 
+// followTime is the time within which daemons follow a change of plans. It allows for one that
+// is cut off from the store and from others for a while.
+const followTime = 10 * time.Second
+
+// clockError bounds the difference between the clocks of VMs.
+const clockError = 2 * time.Second
+
 // Origin is where a stream began.
 type Origin struct {
 	// Service is the service, and Version the software version of the server.
 	Service, Version string
 }
 
-// Version is a version of the servers of a service.
-type Version struct {
-	Name string
-	// Open states that streams can begin at it.
-	Open bool
+// Group identifies streams with the same plan.
+type Group struct {
+	Service, Lane string
 }
 
 // progress is what is known of a stream.
 type progress struct {
 	Origin
+	group Group
 	// runs is the number of requests of this daemon that are receiving the stream.
 	runs int
-	// complete states that the caller has been sent the whole stream.
+	// complete states that it cannot be taken up again.
 	complete bool
-	// at is when the stream began, or when it broke off here.
+	// at is when it began, or when it broke off here.
 	at time.Time
 }
 
-// Ledger is what a daemon knows about versions and streams. It is not safe for concurrent
-// use.
+// Ledger is what a daemon knows about plans and streams. It is not safe for concurrent use.
 type Ledger struct {
-	// since is when the first list of servers was read, or zero.
-	since time.Time
-	// listed are the versions of the listed servers of each service.
-	listed map[string][]Version
-	// awaited counts the requests at each version whose first event has not arrived.
-	awaited map[Origin]int
-	// inherited is when the versions at which streams could begin before a restart were
-	// learned.
-	inherited map[Origin]time.Time
-	// seen is when each version of a service was listed last.
-	seen    map[string]map[string]time.Time
-	streams map[Stream]*progress
-	// streaming are the services that have had streams.
-	streaming map[string]bool
+	// plans are the plans by the servers that are listed now.
+	plans map[Group]Plan
+	// reported are the plans in the report of this daemon, which are in use.
+	reported map[Group]GroupReport
+	// startedAt is when the daemon started, if it has a report from before.
+	startedAt time.Time
+	streams   map[Stream]*progress
 	// idle is the number of streams that are not running.
 	idle int
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger {
-	return &Ledger{
-		awaited: make(map[Origin]int), inherited: make(map[Origin]time.Time),
-		seen: make(map[string]map[string]time.Time), streams: make(map[Stream]*progress), streaming: make(map[string]bool),
-	}
-}
+func NewLedger() *Ledger { return &Ledger{streams: make(map[Stream]*progress)} }
 
-// SetListed replaces the versions of the listed servers of each service.
-func (l *Ledger) SetListed(listed map[string][]Version, now time.Time) {
-	if l.since.IsZero() {
-		l.since = now
-	}
-	for _, lists := range []map[string][]Version{l.listed, listed} {
-		for service, versions := range lists {
-			for _, v := range versions {
-				l.markSeen(service, v.Name, now)
-			}
-		}
-	}
-	l.listed = listed
-}
-
-// Await records that a request was sent to a server of a version, whose first event would
-// begin a stream.
-func (l *Ledger) Await(o Origin) { l.awaited[o]++ }
-
-// EndAwait records that a request of Await has had its first event, or ended.
-func (l *Ledger) EndAwait(o Origin) {
-	if l.awaited[o]--; l.awaited[o] <= 0 {
-		delete(l.awaited, o)
-	}
-}
-
-// opens reports whether streams that have not been reported can have begun at a version.
-func (l *Ledger) opens(o Origin, now time.Time) bool {
-	if at, ok := l.inherited[o]; ok && now.Sub(at) < Memory || l.awaited[o] > 0 {
-		return true
-	}
-	return slices.Contains(l.listed[o.Service], Version{Name: o.Version, Open: true})
-}
-
-// markSeen records that a version of a service is in service.
-func (l *Ledger) markSeen(service, version string, now time.Time) {
-	if l.seen[service] == nil {
-		l.seen[service] = make(map[string]time.Time)
-	}
-	l.seen[service][version] = now
-}
-
-// Versions returns the versions of a service that are in service or were lately, sorted.
-func (l *Ledger) Versions(service string, now time.Time) []string {
-	var versions []string
-	for _, v := range l.listed[service] {
-		versions = append(versions, v.Name)
-	}
-	for version, at := range l.seen[service] {
-		if now.Sub(at) < Memory && !slices.Contains(versions, version) {
-			versions = append(versions, version)
-		}
-	}
-	slices.Sort(versions)
-	return versions
+// SetPlans replaces the plans by the servers that are listed. It reports whether others must
+// be told before they are used.
+func (l *Ledger) SetPlans(plans map[Group]Plan) bool {
+	l.plans = plans
+	return l.PlansChanged()
 }
 
-// StreamingVersions returns Versions of all services that have had streams, and whether
-// streams can begin at them that are not reported.
-func (l *Ledger) StreamingVersions(now time.Time) map[string][]Version {
-	all := make(map[string][]Version)
-	for service := range l.streaming {
-		for _, version := range l.Versions(service, now) {
-			all[service] = append(all[service], Version{Name: version, Open: l.opens(Origin{Service: service, Version: version}, now)})
+// PlansChanged reports whether a plan differs from the one in use. A group without servers
+// keeps its plan.
+func (l *Ledger) PlansChanged() bool {
+	for group, plan := range l.plans {
+		if len(plan) > 0 && !slices.Equal(plan, l.reported[group].Plan) {
+			return true
 		}
 	}
-	return all
+	return false
 }
 
-// IsSettled reports whether streams of a service can have begun and can begin at one version
-// only, so that they need not be reported.
-func (l *Ledger) IsSettled(service string, now time.Time) bool {
-	versions := l.Versions(service, now)
-	return len(versions) == 1 && l.opens(Origin{Service: service, Version: versions[0]}, now)
+// Choose returns the version at which a stream of a group is to begin, or false if any will do,
+// since the daemon has not reported a plan yet.
+func (l *Ledger) Choose(group Group, stream Stream) (version string, ok bool) {
+	return l.reported[group].Plan.Pick(stream)
 }
 
-// AllSettled reports whether IsSettled holds for all services that have had streams.
-func (l *Ledger) AllSettled(now time.Time) bool {
-	for service := range l.streaming {
-		if !l.IsSettled(service, now) {
-			return false
-		}
-	}
-	return true
-}
-
-// Begin records that a request receives a stream that began at an origin. It reports whether
-// others should be told.
-func (l *Ledger) Begin(stream Stream, o Origin, now time.Time) bool {
-	first := !l.streaming[o.Service]
-	l.streaming[o.Service] = true
+// Begin records that a request receives a stream of a group that began at an origin, or is
+// about to. It reports whether others must be told, since the plan does not tell it.
+func (l *Ledger) Begin(stream Stream, group Group, o Origin, now time.Time) bool {
 	s := l.streams[stream]
 	if s == nil {
-		s = &progress{Origin: o}
+		s = &progress{}
 		l.add(stream, s)
 	}
 	if s.runs == 0 {
 		l.idle--
 	}
 	s.runs++
-	s.complete, s.at = false, now
-	return first || !l.IsSettled(o.Service, now)
+	s.group, s.Origin, s.complete, s.at = group, o, false, now
+	return l.isException(stream, s)
 }
 
-// End records that a request of Begin has ended. complete states that the caller has been
-// sent the whole stream.
+// End records that a request of Begin has ended. complete states that the stream cannot be
+// taken up again, because the caller was sent all of it or none.
 func (l *Ledger) End(stream Stream, complete bool, now time.Time) {
 	s := l.streams[stream]
 	if s == nil || s.runs == 0 {
@@ -192,6 +120,12 @@
 	}
 }
 
+// isException reports whether the origin of a stream does not follow from the plan in use.
+func (l *Ledger) isException(stream Stream, s *progress) bool {
+	version, ok := l.reported[s.group].Plan.Pick(stream)
+	return !s.complete && (!ok || version != s.Version || s.Service != s.group.Service)
+}
+
 // add adds a stream that is not running.
 func (l *Ledger) add(stream Stream, s *progress) {
 	if l.idle >= maxStreams {
@@ -222,51 +156,81 @@
 	}
 }
 
-// Resolve returns the origin of a stream, as far as this daemon knows it. service is the one
-// that the caller's request is meant for, and fresh states that the list of servers is up to
-// date.
-func (l *Ledger) Resolve(stream Stream, service string, fresh bool, now time.Time) (o Origin, known bool) {
-	if s := l.streams[stream]; s != nil {
+// Query asks for the origin of a stream.
+type Query struct {
+	Stream Stream
+	// Group is the group of the stream.
+	Group Group
+	// Since is the earliest time at which the stream can have begun.
+	Since time.Time
+	// Fresh states that the list of servers is up to date.
+	Fresh bool
+}
+
+// Resolve returns the origin of a stream, as far as this daemon knows it without the reports
+// of others.
+func (l *Ledger) Resolve(q Query) (o Origin, known bool) {
+	if s := l.streams[q.Stream]; s != nil {
 		return s.Origin, true
 	}
-	if !fresh || l.since.IsZero() || now.Sub(l.since) < Memory {
+	r := l.reported[q.Group]
+	if !q.Fresh || len(r.Plan) != 1 || !l.PlanHolds(q.Group, q.Since.Add(-followTime)) {
 		return Origin{}, false
 	}
-	return only(service, l.Versions(service, now))
+	return Origin{Service: q.Group.Service, Version: r.Plan[0].Version}, true
+}
+
+// PlanHolds reports whether the plan of a group has been in use since a time, and the listed
+// servers do not change it.
+func (l *Ledger) PlanHolds(group Group, since time.Time) bool {
+	r := l.reported[group]
+	if len(r.Plan) == 0 || r.Since.After(since) || len(l.plans[group]) > 0 && !slices.Equal(l.plans[group], r.Plan) {
+		return false
+	}
+	return !slices.ContainsFunc(r.Former, func(f FormerPlan) bool { return f.Until.After(since) })
 }
 
-// ResolveAmong does the same with the reports of all daemons. If no report has the stream, and
-// streams can begin at one version only on all of them, it is the one that began the stream.
-func (l *Ledger) ResolveAmong(reports []Report, stream Stream, service string, fresh bool, now time.Time) (o Origin, known bool) {
-	if o, known = l.Resolve(stream, service, fresh, now); known {
+// ResolveByPlan returns the origin of a stream by the plan in use, if it has been in use for
+// long enough that all daemons have it that are not cut off. Reports are not needed, unless
+// the version had no server when the stream began.
+func (l *Ledger) ResolveByPlan(q Query) (o Origin, known bool) {
+	if o, known = l.Resolve(q); known || !q.Fresh || !l.PlanHolds(q.Group, q.Since.Add(-clockError)) {
+		return o, known
+	}
+	version, ok := l.reported[q.Group].Plan.Pick(q.Stream)
+	return Origin{Service: q.Group.Service, Version: version}, ok
+}
+
+// ResolveAmong returns the origin of a stream by the reports of all daemons.
+func (l *Ledger) ResolveAmong(reports []Report, q Query) (o Origin, known bool) {
+	if o, known = l.Resolve(q); known {
 		return o, true
 	}
-	var open []string
-	for _, version := range l.Versions(service, now) {
-		if l.opens(Origin{Service: service, Version: version}, now) {
-			open = append(open, version)
+	for _, r := range reports {
+		if o, known = r.find(q.Stream); known {
+			return o, true
+		}
+	}
+	var versions []string
+	add := func(p Plan) {
+		if version, ok := p.Pick(q.Stream); ok && !slices.Contains(versions, version) {
+			versions = append(versions, version)
 		}
 	}
 	for _, r := range reports {
-		if o, known = r.find(stream); known {
-			return o, true
+		group, ok := r.Groups[q.Group]
+		if !ok || r.isSuperseded(reports, q) {
+			continue
 		}
-		for version, reported := range r.Services[service] {
-			if reported.Open && !slices.Contains(open, version) {
-				open = append(open, version)
+		add(group.Plan)
+		for _, former := range group.Former {
+			if former.Until.After(q.Since) {
+				add(former.Plan)
 			}
 		}
 	}
-	if !fresh || l.since.IsZero() {
-		return Origin{}, false
-	}
-	return only(service, open)
-}
-
-// only returns the origin of all streams of a service with one version.
-func only(service string, versions []string) (Origin, bool) {
 	if len(versions) != 1 {
 		return Origin{}, false
 	}
-	return Origin{Service: service, Version: versions[0]}, true
+	return Origin{Service: q.Group.Service, Version: versions[0]}, true
 }
--- a/core/origin/ledger_test.go
+++ b/core/origin/ledger_test.go
@@ -10,106 +10,155 @@
 	qt "github.com/frankban/quicktest"
 )
 
-var morning = time.Date(2026, 12, 5, 9, 0, 0, 0, time.UTC)
+var (
+	morning = time.Date(2026, 12, 5, 9, 0, 0, 0, time.UTC)
+	group   = origin.Group{Service: "llm", Lane: "urgent"}
+)
 
 // at returns the time s seconds after the beginning of a test.
 func at(s float64) time.Time { return morning.Add(time.Duration(s * float64(time.Second))) }
 
-// listed returns the versions of the servers of the service llm. Those in brackets drain.
-func listed(versions ...string) map[string][]origin.Version {
-	list := map[string][]origin.Version{}
-	for _, v := range versions {
-		if v[0] == '(' {
-			list["llm"] = append(list["llm"], origin.Version{Name: v[1 : len(v)-1]})
-			continue
-		}
-		list["llm"] = append(list["llm"], origin.Version{Name: v, Open: true})
-	}
-	return list
-}
-
 // v returns an origin in the service llm.
 func v(version string) origin.Origin { return origin.Origin{Service: "llm", Version: version} }
 
+// use has a ledger use the plan for the given numbers of servers.
+func use(l *origin.Ledger, servers map[string]int, now time.Time) {
+	l.SetPlans(map[origin.Group]origin.Plan{group: origin.NewPlan(servers)})
+	l.SetReported(l.Report(now))
+}
+
 // resolve returns the version that a ledger resolves a stream to with the reports of others.
-func resolve(l *origin.Ledger, stream origin.Stream, now time.Time, others ...*origin.Ledger) string {
-	var reports []origin.Report
-	for _, other := range others {
-		reports = append(reports, other.Report(now))
-	}
-	found, _ := l.ResolveAmong(reports, stream, "llm", true, now)
+// The stream began since a time.
+func resolve(l *origin.Ledger, stream origin.Stream, since time.Time, reports ...origin.Report) string {
+	found, _ := l.ResolveAmong(reports, origin.Query{Stream: stream, Group: group, Since: since, Fresh: true})
 	return found.Version
 }
 
+func TestPlan(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(origin.NewPlan(nil), qt.HasLen, 0)
+	_, ok := origin.NewPlan(map[string]int{"v1": 0}).Pick(7)
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(origin.NewPlan(map[string]int{"v1": 7}), qt.DeepEquals, origin.NewPlan(map[string]int{"v1": 12}))
+	c.Assert(origin.NewPlan(map[string]int{"v1": 6, "v2": 2, "v3": 100}).String(), qt.Equals, "v1:1,v2:1,v3:7")
+	one, two := origin.NewPlan(map[string]int{"v1": 6, "v2": 2}), origin.NewPlan(map[string]int{"v1": 5, "v2": 3})
+	first, moved := 0, 0
+	for i := range 10_000 {
+		stream := origin.StreamID("a", fmt.Sprint(i))
+		before, _ := one.Pick(stream)
+		after, _ := two.Pick(stream)
+		if before == "v1" {
+			first++
+		}
+		if before != after {
+			moved++
+		}
+	}
+	c.Assert(first > 7300 && first < 7700, qt.IsTrue, qt.Commentf("%d of 10000 at the version with three quarters", first))
+	c.Assert(moved < 2600, qt.IsTrue, qt.Commentf("%d of 10000 have another version", moved))
+}
+
+// TestPickIsFixed checks that the choice does not change between builds: daemons of two builds
+// must choose the same version.
+func TestPickIsFixed(t *testing.T) {
+	p := origin.NewPlan(map[string]int{"v1": 4, "v1.1": 4, "v2": 4})
+	picks := ""
+	for i := range 12 {
+		version, _ := p.Pick(origin.StreamID("account", fmt.Sprint(i)))
+		picks += version + " "
+	}
+	qt.Assert(t, picks, qt.Equals, "v1 v2 v1 v1 v2 v1 v1 v2 v2 v1 v2 v2 ")
+}
+
 func TestOnlyVersionInService(t *testing.T) {
 	c := qt.New(t)
 	l := origin.NewLedger()
-	_, known := l.Resolve(7, "llm", true, at(0))
+	query := func(since float64, fresh bool) origin.Query {
+		return origin.Query{Stream: 7, Group: group, Since: at(since), Fresh: fresh}
+	}
+	_, known := l.Resolve(query(100, true))
 	c.Assert(known, qt.IsFalse)
-	l.SetListed(listed("v1"), at(0))
-	_, known = l.Resolve(7, "llm", true, at(1))
-	c.Assert(known, qt.IsFalse) // others may have been in service before
-	found, known := l.Resolve(7, "llm", true, at(25))
+	use(l, map[string]int{"v1": 4}, at(0))
+	_, known = l.Resolve(query(5, true))
+	c.Assert(known, qt.IsFalse) // others may have had another plan
+	found, known := l.Resolve(query(11, true))
 	c.Assert(known, qt.IsTrue)
 	c.Assert(found, qt.Equals, v("v1"))
-	_, known = l.Resolve(7, "llm", false, at(25))
+	_, known = l.Resolve(query(11, false))
 	c.Assert(known, qt.IsFalse) // the list is out of date
-	l.SetListed(listed("v2"), at(26))
-	_, known = l.Resolve(7, "llm", true, at(44))
-	c.Assert(known, qt.IsFalse)
-	found, _ = l.Resolve(7, "llm", true, at(47))
-	c.Assert(found, qt.Equals, v("v2"))
+	l.SetPlans(map[origin.Group]origin.Plan{group: origin.NewPlan(map[string]int{"v2": 4})})
+	_, known = l.Resolve(query(11, true))
+	c.Assert(known, qt.IsFalse) // the plan is about to change
 }
 
-// TestStreamInNoReport has a stream that began after the last report of its daemon.
-func TestStreamInNoReport(t *testing.T) {
+// TestExceptions has streams that begin elsewhere than the plan tells, and others that began
+// under an earlier plan.
+func TestExceptions(t *testing.T) {
 	c := qt.New(t)
 	one, two := origin.NewLedger(), origin.NewLedger()
-	for _, l := range []*origin.Ledger{one, two} {
-		l.SetListed(listed("v1", "v2"), at(0))
-		l.Begin(1, v("v1"), at(1))
-	}
-	c.Assert(resolve(two, 9, at(2), one), qt.Equals, "")
-	for _, l := range []*origin.Ledger{one, two} {
-		l.SetListed(listed("(v1)", "v2"), at(3))
-	}
-	c.Assert(resolve(two, 9, at(4), one), qt.Equals, "v2")
-	one.Await(v("v1"))
-	c.Assert(resolve(two, 9, at(4), one), qt.Equals, "", qt.Commentf("a request at v1 has had no event"))
-	one.EndAwait(v("v1"))
-	c.Assert(resolve(two, 9, at(4), one), qt.Equals, "v2")
-	again := origin.NewLedger()
-	again.Merge(one.Report(at(4)), at(5))
-	again.SetListed(listed("v3"), at(5))
-	two.SetListed(listed("v3"), at(5))
-	c.Assert(resolve(two, 9, at(6), again), qt.Equals, "", qt.Commentf("it may have begun before the restart"))
-	c.Assert(resolve(two, 1, at(6), again), qt.Equals, "v1")
+	use(one, map[string]int{"v1": 4}, at(0))
+	use(two, map[string]int{"v1": 4}, at(0))
+	c.Assert(one.Begin(1, group, v("v1"), at(1)), qt.IsFalse)
+	c.Assert(one.Begin(2, group, v("v0"), at(1)), qt.IsTrue)
+	c.Assert(one.Report(at(2)).Exceptions, qt.DeepEquals, map[origin.Origin][]origin.Stream{v("v0"): {2}})
+	use(one, map[string]int{"v2": 4}, at(3))
+	c.Assert(one.Report(at(3)).Exceptions, qt.HasLen, 2)
+	reports := []origin.Report{one.Report(at(4)), two.Report(at(4))}
+	c.Assert(resolve(two, 1, at(0), reports...), qt.Equals, "v1")
+	c.Assert(resolve(two, 2, at(0), reports...), qt.Equals, "v0")
+	c.Assert(resolve(two, 3, at(0), reports...), qt.Equals, "", qt.Commentf("the plans differ"))
+	use(two, map[string]int{"v2": 4}, at(4))
+	reports[1] = two.Report(at(4))
+	c.Assert(resolve(two, 3, at(0), reports...), qt.Equals, "v2")
+	one.End(1, true, at(5))
+	one.End(2, false, at(5))
+	c.Assert(one.Report(at(6)).Exceptions, qt.DeepEquals, map[origin.Origin][]origin.Stream{v("v0"): {2}})
+	c.Assert(one.Report(at(30)).Exceptions, qt.HasLen, 0)
 }
 
-func TestStreamsAreReportedBeforeTheirVersionIsClosed(t *testing.T) {
+// TestStreamThatBeganBeforeTheRestart has a daemon restart that has begun streams it does not
+// know any more.
+func TestStreamThatBeganBeforeTheRestart(t *testing.T) {
 	c := qt.New(t)
+	before := origin.NewLedger()
+	use(before, map[string]int{"v1": 4}, at(0))
 	l := origin.NewLedger()
-	l.SetListed(listed("v1"), at(0))
-	l.Begin(1, v("v1"), at(1))
-	c.Assert(l.Report(at(1)).Services["llm"]["v1"], qt.DeepEquals, origin.Reported{Open: true})
-	l.SetListed(listed("(v1)"), at(2))
-	c.Assert(l.Report(at(2)).Services["llm"]["v1"], qt.DeepEquals, origin.Reported{Streams: []origin.Stream{1}})
-	l.End(1, true, at(3))
-	c.Assert(l.Report(at(3)).Services["llm"]["v1"], qt.DeepEquals, origin.Reported{})
+	l.Merge(before.Report(at(0)), at(30))
+	version, _ := l.Choose(group, 1)
+	c.Assert(version, qt.Equals, "v1")
+	use(l, map[string]int{"v2": 4}, at(31))
+	c.Assert(resolve(l, 1, at(25), l.Report(at(32))), qt.Equals, "", qt.Commentf("it may have begun before the restart"))
+	c.Assert(resolve(l, 1, at(31), l.Report(at(32))), qt.Equals, "v2")
+	again := origin.NewLedger()
+	again.Merge(l.Report(at(32)), at(40))
+	c.Assert(resolve(again, 1, at(25), again.Report(at(40))), qt.Equals, "")
+	c.Assert(resolve(again, 1, at(31), again.Report(at(40))), qt.Equals, "v2")
+}
+
+// TestReportOfDaemonThatIsGone has a daemon that does not follow a change of plans.
+func TestReportOfDaemonThatIsGone(t *testing.T) {
+	c := qt.New(t)
+	gone, l := origin.NewLedger(), origin.NewLedger()
+	use(gone, map[string]int{"v1": 4}, at(0))
+	use(l, map[string]int{"v1": 4}, at(0))
+	use(l, map[string]int{"v2": 4}, at(100))
+	reports := []origin.Report{gone.Report(at(0)), l.Report(at(112))}
+	c.Assert(resolve(l, 1, at(105), reports...), qt.Equals, "")
+	c.Assert(resolve(l, 1, at(110), reports...), qt.Equals, "v2")
 }
 
 func TestMemoryIsBounded(t *testing.T) {
 	c := qt.New(t)
 	l := origin.NewLedger()
-	l.SetListed(listed("v1", "v2"), at(0))
+	use(l, map[string]int{"v1": 4}, at(0))
 	for i := range 100_000 {
 		stream := origin.StreamID("a", fmt.Sprint(i))
-		l.Begin(stream, v("v1"), at(1))
+		l.Begin(stream, group, v("v2"), at(1))
 		l.End(stream, false, at(1+float64(i)/1e6))
 	}
-	c.Assert(len(l.Report(at(2)).Services["llm"]["v1"].Streams), qt.Equals, 4096)
-	found, _ := l.Resolve(origin.StreamID("a", "99999"), "llm", true, at(2))
-	c.Assert(found, qt.Equals, v("v1"))
-	_, known := l.Resolve(origin.StreamID("a", "0"), "llm", true, at(2))
+	c.Assert(l.Report(at(2)).Exceptions[v("v2")], qt.HasLen, 4096)
+	found, _ := l.Resolve(origin.Query{Stream: origin.StreamID("a", "99999"), Group: group})
+	c.Assert(found, qt.Equals, v("v2"))
+	_, known := l.Resolve(origin.Query{Stream: origin.StreamID("a", "0"), Group: group})
 	c.Assert(known, qt.IsFalse)
 }
--- a/core/origin/report.go
+++ b/core/origin/report.go
@@ -22,90 +22,116 @@
 type Report struct {
 	// At is when it was written, by the wall clock of the daemon's VM.
 	At time.Time
-	// Services has the versions of the servers of each service with streams that were in
-	// service lately.
-	Services map[string]map[string]Reported
+	// Groups has the plans of all groups with servers.
+	Groups map[Group]GroupReport
+	// Exceptions are the streams that can be taken up again and whose origins do not follow
+	// from the plans.
+	Exceptions map[Origin][]Stream
 }
 
-// Reported is what a daemon tells of a version.
-type Reported struct {
-	// Open states that streams can begin at the version that are not in the report.
-	Open bool
-	// Streams are those that the version began and that may be taken up again.
-	Streams []Stream
+// GroupReport is what a daemon tells of a group.
+type GroupReport struct {
+	// Plan is in use since Since.
+	Plan  Plan
+	Since time.Time
+	// Former are the plans that were in use before a restart of the daemon. Streams that
+	// began under them are not known to it.
+	Former []FormerPlan
 }
 
-// find returns the origin of a stream, if the report has it.
+// FormerPlan is a plan that was in use until Until.
+type FormerPlan struct {
+	Plan  Plan
+	Until time.Time
+}
+
+// find returns the origin of a stream if it is an exception.
 func (r Report) find(stream Stream) (Origin, bool) {
-	for service, versions := range r.Services {
-		for version, reported := range versions {
-			if slices.Contains(reported.Streams, stream) {
-				return Origin{Service: service, Version: version}, true
-			}
+	for o, streams := range r.Exceptions {
+		if slices.Contains(streams, stream) {
+			return o, true
 		}
 	}
 	return Origin{}, false
 }
 
-// Outdated reports whether a report has versions that are not among the given ones of their
-// service and is so old that its daemon is gone, or has nothing to tell about them.
-func (r Report) Outdated(versions map[string][]Version, now time.Time) bool {
-	if now.Sub(r.At) < outdatedAfter {
-		return false
-	}
-	for service, known := range versions {
-		for version := range r.Services[service] {
-			if !slices.ContainsFunc(known, func(v Version) bool { return v.Name == version }) {
-				return true
-			}
-		}
-	}
-	return false
+// isSuperseded reports whether the daemon of a report has not followed a change of the plan
+// of a group for so long before a stream began that it must be gone.
+func (r Report) isSuperseded(reports []Report, q Query) bool {
+	own := r.Groups[q.Group]
+	return slices.ContainsFunc(reports, func(other Report) bool {
+		group, ok := other.Groups[q.Group]
+		return ok && !slices.Equal(group.Plan, own.Plan) && group.Since.After(r.At.Add(clockError)) &&
+			!group.Since.Add(followTime).After(q.Since)
+	})
 }
 
-// Report returns what others need to know. Beyond maxReported streams, the latest are kept.
+// Report returns what others need to know. Beyond maxReported exceptions, the latest are kept.
 func (l *Ledger) Report(now time.Time) Report {
 	l.expire(now)
-	r := Report{At: now, Services: make(map[string]map[string]Reported)}
-	for service, versions := range l.StreamingVersions(now) {
-		r.Services[service] = make(map[string]Reported)
-		for _, v := range versions {
-			r.Services[service][v.Name] = Reported{Open: v.Open}
+	r := Report{At: now, Groups: make(map[Group]GroupReport), Exceptions: make(map[Origin][]Stream)}
+	for group, known := range l.reported {
+		r.Groups[group] = known
+	}
+	for group, plan := range l.plans {
+		if len(plan) > 0 {
+			r.Groups[group] = l.reported[group].next(plan, l.startedAt, now)
 		}
 	}
-	var reported []Stream
+	var exceptions []Stream
 	for stream, s := range l.streams {
-		if !s.complete && !l.IsSettled(s.Service, now) {
-			reported = append(reported, stream)
+		if version, ok := r.Groups[s.group].Plan.Pick(stream); !s.complete && (!ok || version != s.Version || s.Service != s.group.Service) {
+			exceptions = append(exceptions, stream)
 		}
 	}
-	slices.SortFunc(reported, func(a, b Stream) int {
+	slices.SortFunc(exceptions, func(a, b Stream) int {
 		return cmp.Or(l.streams[b].at.Compare(l.streams[a].at), cmp.Compare(a, b))
 	})
-	for _, stream := range reported[:min(len(reported), maxReported)] {
-		s := l.streams[stream]
-		reported := r.Services[s.Service][s.Version]
-		reported.Streams = append(reported.Streams, stream)
-		r.Services[s.Service][s.Version] = reported
+	for _, stream := range exceptions[:min(len(exceptions), maxReported)] {
+		o := l.streams[stream].Origin
+		r.Exceptions[o] = append(r.Exceptions[o], stream)
 	}
 	return r
 }
 
-// Merge adds the report of this VM from before a restart. Streams that began after it are not
-// known.
+// next returns the report of a group when its plan is replaced. The streams that began under
+// the old plan before the daemon started are not known, so that it becomes a former plan.
+func (g GroupReport) next(plan Plan, startedAt, now time.Time) GroupReport {
+	if slices.Equal(plan, g.Plan) {
+		return g
+	}
+	n := GroupReport{Plan: plan, Since: now}
+	for _, former := range g.Former {
+		if now.Sub(former.Until) < Memory {
+			n.Former = append(n.Former, former)
+		}
+	}
+	if len(g.Plan) > 0 && g.Since.Before(startedAt) && now.Sub(startedAt) < Memory {
+		n.Former = append(n.Former, FormerPlan{Plan: g.Plan, Until: startedAt})
+	}
+	n.Former = n.Former[max(len(n.Former)-maxFormer, 0):]
+	return n
+}
+
+// SetReported records that others can read a report of this daemon, so that its plans are in
+// use. It reports whether streams have begun since that it lacks.
+func (l *Ledger) SetReported(r Report) bool {
+	l.reported = r.Groups
+	for stream, s := range l.streams {
+		if !s.at.Before(r.At) && l.isException(stream, s) {
+			return true
+		}
+	}
+	return false
+}
+
+// Merge adds the report of this VM from before a restart, whose plans stay in use.
 func (l *Ledger) Merge(r Report, now time.Time) {
-	for service, versions := range r.Services {
-		l.streaming[service] = true
-		for version, reported := range versions {
-			o := Origin{Service: service, Version: version}
-			l.markSeen(service, version, now)
-			if reported.Open {
-				l.inherited[o] = now
-			}
-			for _, stream := range reported.Streams {
-				if _, known := l.streams[stream]; !known {
-					l.add(stream, &progress{Origin: o, at: now})
-				}
+	l.startedAt, l.reported = now, r.Groups
+	for o, streams := range r.Exceptions {
+		for _, stream := range streams {
+			if _, known := l.streams[stream]; !known {
+				l.add(stream, &progress{Origin: o, group: Group{Service: o.Service}, at: now})
 			}
 		}
 	}
--- a/core/origin/sim_test.go
+++ b/core/origin/sim_test.go
@@ -13,13 +13,12 @@
 )
 
 const (
-	simStep    = 20 * time.Millisecond
-	simDay     = 150 * time.Second
-	simService = "llm"
+	simStep = 20 * time.Millisecond
+	simDay  = 150 * time.Second
 	// listLag is the longest time from a change of the servers to its knowledge on a VM in
-	// touch, and writeGap that from a stream to its report.
-	listLag  = 800 * time.Millisecond
-	writeGap = 500 * time.Millisecond
+	// touch, and writeTime that from a report to its knowledge in the store.
+	listLag   = 800 * time.Millisecond
+	writeTime = 100 * time.Millisecond
 	// lookupTime is how long a daemon looks for the version of a stream.
 	lookupTime = 1200 * time.Millisecond
 	// patience is how long callers take up streams.
@@ -28,7 +27,8 @@
 
 // simVersion is a version of the servers.
 type simVersion struct {
-	name string
+	name    string
+	servers int
 	// drainsAt is when its servers drain, and gone when they are gone.
 	drainsAt, gone time.Duration
 	startsAt       time.Duration
@@ -40,9 +40,14 @@
 	// upAt is when the daemon starts, and cutUntil the end of its cut from all others.
 	upAt, cutUntil time.Duration
 	// listedAt is when its list of servers was read.
-	listedAt, nextWrite time.Duration
-	listed              []simVersion
-	streams             []*simStream
+	listedAt time.Duration
+	listed   []simVersion
+	streams  []*simStream
+	// changed states that the row is to be written, and written is when the report in
+	// writing arrives, unless it is nil.
+	changed bool
+	written time.Duration
+	writing *origin.Report
 }
 
 // simStream is a stream.
@@ -94,7 +99,7 @@
 	for _, stream := range vm.streams {
 		s.breakOff(stream)
 	}
-	*vm = simVM{upAt: upAt, nextWrite: upAt}
+	*vm = simVM{upAt: upAt, changed: true}
 }
 
 // breakOff breaks a stream off.
@@ -135,17 +140,29 @@
 	if connected && s.now >= vm.listedAt {
 		vm.listedAt = s.now + time.Duration(s.random.Int64N(int64(listLag)))
 		vm.listed = s.list()
-		versions := make(map[string][]origin.Version)
+		servers := make(map[string]int)
 		for _, v := range vm.listed {
-			versions[simService] = append(versions[simService], origin.Version{Name: v.name, Open: s.now < v.drainsAt})
+			if s.now < v.drainsAt {
+				servers[v.name] = v.servers
+			}
 		}
-		vm.ledger.SetListed(versions, s.clock())
+		plans := map[origin.Group]origin.Plan{group: origin.NewPlan(servers)}
+		vm.changed = vm.ledger.SetPlans(plans) || vm.changed
 	}
 	s.advanceStreams(i)
-	if connected && s.now >= vm.nextWrite {
-		vm.nextWrite = s.now + time.Duration(s.random.Int64N(int64(writeGap)))
-		s.rows[i] = vm.ledger.Report(s.clock())
+	switch {
+	case !connected:
+		vm.writing = nil
+	case vm.writing != nil && s.now >= vm.written:
+		s.rows[i] = *vm.writing
+		vm.changed = vm.ledger.SetReported(*vm.writing) || vm.changed
+		vm.writing = nil
+	case vm.writing == nil && vm.changed:
+		report := vm.ledger.Report(s.clock())
+		vm.changed, vm.writing = false, &report
+		vm.written = s.now + time.Duration(s.random.Int64N(int64(writeTime)))
 	}
+	vm.changed = vm.changed || vm.writing == nil && vm.ledger.PlansChanged()
 }
 
 // advanceStreams sends requests, begins and ends streams, and breaks off those whose server
@@ -153,28 +170,16 @@
 func (s *simulation) advanceStreams(i int) {
 	vm := s.vms[i]
 	if len(vm.listed) > 0 && s.happens(4) {
-		v := vm.listed[s.random.IntN(len(vm.listed))]
-		if s.now < v.drainsAt && s.now < v.gone {
-			s.lastStream++
-			begins := s.now + time.Duration(s.random.Int64N(int64(time.Second)))
-			vm.streams = append(vm.streams, &simStream{
-				id: origin.StreamID("a", fmt.Sprint(s.lastStream)), version: v.name, vm: i, sent: s.now,
-				beginsAt: begins, endsAt: begins + time.Duration(s.random.ExpFloat64()*float64(2*time.Second)),
-			})
-			vm.ledger.Await(origin.Origin{Service: simService, Version: v.name})
-		}
+		s.send(i)
 	}
 	vm.streams = slices.DeleteFunc(vm.streams, func(stream *simStream) bool {
-		o := origin.Origin{Service: simService, Version: stream.version}
 		gone := !slices.ContainsFunc(s.list(), func(v simVersion) bool { return v.name == stream.version })
 		switch {
 		case !stream.begun && gone:
-			vm.ledger.EndAwait(o)
+			vm.ledger.End(stream.id, true, s.clock())
 			return true
 		case !stream.begun && s.now >= stream.beginsAt:
 			stream.begun = true
-			vm.ledger.Begin(stream.id, o, s.clock())
-			vm.ledger.EndAwait(o)
 		case stream.begun && s.now >= stream.endsAt:
 			vm.ledger.End(stream.id, true, s.clock())
 			return true
@@ -187,6 +192,31 @@
 	})
 }
 
+// send sends a request to a server of the version that the plan tells, or of another one if
+// that has no server or, in one of fifty cases, takes no request.
+func (s *simulation) send(i int) {
+	vm := s.vms[i]
+	s.lastStream++
+	id := origin.StreamID("a", fmt.Sprint(s.lastStream))
+	v := vm.listed[s.random.IntN(len(vm.listed))]
+	if planned, ok := vm.ledger.Choose(group, id); ok && s.random.IntN(50) > 0 {
+		if at := slices.IndexFunc(vm.listed, func(v simVersion) bool { return v.name == planned }); at >= 0 {
+			v = vm.listed[at]
+		}
+	}
+	if s.now >= v.gone || s.now >= v.drainsAt+listLag {
+		return
+	}
+	begins := s.now + time.Duration(s.random.Int64N(int64(time.Second)))
+	vm.streams = append(vm.streams, &simStream{
+		id: id, version: v.name, vm: i, sent: s.now,
+		beginsAt: begins, endsAt: begins + time.Duration(s.random.ExpFloat64()*float64(2*time.Second)),
+	})
+	if vm.ledger.Begin(id, group, origin.Origin{Service: group.Service, Version: v.name}, s.clock()) {
+		vm.changed = true
+	}
+}
+
 // serves reports whether servers of a version take requests.
 func (s *simulation) serves(version string) bool {
 	return slices.ContainsFunc(s.list(), func(v simVersion) bool { return v.name == version && s.now < v.drainsAt })
@@ -214,14 +244,18 @@
 		}
 		inTouch := s.now > vm.upAt+4*time.Second && s.now > vm.cutUntil+4*time.Second
 		stream.counts = stream.counts || inTouch && s.serves(stream.version)
-		fresh, connected := s.now-vm.listedAt < 5*time.Second, s.now >= vm.cutUntil
-		found, known := vm.ledger.Resolve(stream.id, simService, fresh, s.clock())
-		if !known && connected {
+		connected := s.now >= vm.cutUntil
+		q := origin.Query{
+			Stream: stream.id, Group: group, Fresh: s.now-vm.listedAt < 5*time.Second,
+			Since: s.start.Add(stream.sent - time.Duration(s.random.Int64N(int64(2*time.Second)))),
+		}
+		found, known := vm.ledger.ResolveByPlan(q)
+		if connected {
 			var reports []origin.Report
 			for _, r := range s.rows {
 				reports = append(reports, r)
 			}
-			found, known = vm.ledger.ResolveAmong(reports, stream.id, simService, fresh, s.clock())
+			found, known = vm.ledger.ResolveAmong(reports, q)
 		}
 		if known && found.Version != stream.version {
 			s.wrong++
@@ -242,7 +276,7 @@
 			v.gone = v.drainsAt + 2500*time.Millisecond
 		}
 	}
-	s.versions = append(s.versions, simVersion{name: name, startsAt: s.now, drainsAt: 2 * simDay, gone: 2 * simDay})
+	s.versions = append(s.versions, simVersion{name: name, servers: 1 + s.random.IntN(12), startsAt: s.now, drainsAt: 2 * simDay, gone: 2 * simDay})
 }
 
 // simulate plays a day.
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -155,10 +155,18 @@
 // platform evicts cheap ones and such streams often cannot be resumed. The result depends only on the list of
 // servers and the shares, so that all daemons choose the same servers.
 func (p *Pool) assignLanes() {
-	domains := make(map[string][]*Server)
 	for _, s := range p.Servers {
 		s.Lane = Patient
-		if !s.isExcluded() {
+	}
+	p.divideLanes((*Server).isExcluded, func(s *Server, lane Lane) { s.Lane = lane })
+}
+
+// divideLanes divides the servers that are not excluded among the lanes. It calls assign for
+// each that is not for patient requests.
+func (p *Pool) divideLanes(excluded func(*Server) bool, assign func(*Server, Lane)) {
+	domains := make(map[string][]*Server)
+	for _, s := range p.Servers {
+		if !excluded(s) {
 			domains[s.Spec.FailureDomain] = append(domains[s.Spec.FailureDomain], s)
 		}
 	}
@@ -170,10 +178,10 @@
 		shortPauses := min(int(math.Ceil(p.Shares.ShortPauses*n)), len(servers))
 		urgent := min(shortPauses+int(math.Round(p.Shares.Urgent*n)), len(servers))
 		for _, s := range servers[:shortPauses] {
-			s.Lane = ShortPauses
+			assign(s, ShortPauses)
 		}
 		for _, s := range servers[shortPauses:urgent] {
-			s.Lane = Urgent
+			assign(s, Urgent)
 		}
 	}
 }
