core/origin: plans change together and rarely

After a restart of all, all daemons wrote at once, before they knew their collectors, and the store refused them.

Change: shares are followed at once only where servers would be overloaded, otherwise at multiples of 10 s of the wall clock; versions with few servers have none. A lookup ends when later reports cannot tell more, and uses a read of the last 0.2 s. The first write after a restart waits for 1 to 2.5 s, as the old row stays in force.

--- a/acaciad/daemon/directory_updater.go
+++ b/acaciad/daemon/directory_updater.go
@@ -216,6 +216,6 @@
 // updatePlans passes on at which versions streams are to begin.
 func (u *directoryUpdater) updatePlans() {
 	if u.origins != nil {
-		u.origins.SetPlans(u.directory.StreamPlans())
+		u.origins.SetListed(u.directory.StreamServers(), time.Now())
 	}
 }
--- a/acaciad/directory/stream_plans.go
+++ b/acaciad/directory/stream_plans.go
@@ -12,14 +12,15 @@
 	return origin.Group{Service: service, Lane: lane.String()}
 }
 
-// StreamPlans returns the plans of the groups of all streams that callers can take up again.
-func (d *Directory) StreamPlans() map[origin.Group]origin.Plan {
+// StreamServers returns the servers for the groups of all streams that callers can take up
+// again.
+func (d *Directory) StreamServers() map[origin.Group]origin.Servers {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	plans := make(map[origin.Group]origin.Plan)
+	servers := make(map[origin.Group]origin.Servers)
 	view := d.view.Load()
 	if view == nil {
-		return plans
+		return servers
 	}
 	for i := range view.Index.Catalog.Routes {
 		r := &view.Index.Catalog.Routes[i]
@@ -28,11 +29,12 @@
 		}
 		for _, split := range r.Splits {
 			pool, group := d.pools[split.Service], StreamGroup(view.Index, r, split.Service)
-			if _, done := plans[group]; pool == nil || done {
+			if _, done := servers[group]; pool == nil || done {
 				continue
 			}
-			plans[group] = origin.NewPlan(pool.VersionCounts(placement.LaneOf(view.Index, r, view.Index.Service(split.Service))))
+			counts := pool.VersionCounts(placement.LaneOf(view.Index, r, view.Index.Service(split.Service)))
+			servers[group] = origin.Servers{Plan: origin.NewPlan(counts), Mixed: pool.HasVersions()}
 		}
 	}
-	return plans
+	return servers
 }
--- a/acaciad/origins/registry.go
+++ b/acaciad/origins/registry.go
@@ -20,14 +20,24 @@
 	// each daemon, since all of them write at the same times.
 	writeInterval = 100 * time.Millisecond
 	writeSpread   = 5 * time.Millisecond
+	// planInterval is the time between changes of plans that can wait. They come at multiples
+	// of it by the wall clock, so that all daemons change their plans together.
+	planInterval = 10 * time.Second
+	// startDelay is the time from a restart to the first write, and startSpread is its random
+	// part. Many daemons may start together, and until then the row from before is in force.
+	startDelay  = time.Second
+	startSpread = 1500 * time.Millisecond
 	// retryInterval is the time from a failed call to the next attempt.
-	retryInterval = 500 * time.Millisecond
+	retryInterval = time.Second
 	// callTimeout bounds a call of the store.
 	callTimeout = 1500 * time.Millisecond
 	// readInterval is the least time between two reads of all reports, and readSpread is added
 	// for each daemon.
 	readInterval = 150 * time.Millisecond
 	readSpread   = 3 * time.Millisecond
+	// maxReadAge is the age up to which an earlier read is used. The streams of callers that
+	// return at once began earlier.
+	maxReadAge = 200 * time.Millisecond
 	// lookupTime is how long a lookup waits until the reports of all daemons lead to the same
 	// version.
 	lookupTime = 1200 * time.Millisecond
@@ -61,6 +71,8 @@
 	ledger *origin.Ledger
 	// changed states that the row is to be written.
 	changed bool
+	// plansDue is when the plans by the listed servers are used, or zero if they are.
+	plansDue time.Time
 	// reading is the latest read of all reports, which may have ended.
 	reading *reading
 }
@@ -83,16 +95,44 @@
 	}
 }
 
-// SetPlans replaces the plans by the servers that are listed. They are used once others can
+// SetListed replaces the servers that are listed. The plans by them are used once others can
 // read them.
-func (r *Registry) SetPlans(plans map[origin.Group]origin.Plan) {
+func (r *Registry) SetListed(listed map[origin.Group]origin.Servers, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ledger.SetPlans(plans) {
+	if r.ledger.SetListed(listed, now) {
+		r.usePlansLocked()
+		return
+	}
+	if r.plansDue.IsZero() {
+		r.plansDue = now.Round(0).Truncate(planInterval).Add(planInterval)
+		r.wakeLocked()
+	}
+}
+
+// usePlansLocked has the plans by the listed servers used. The caller holds r.mu.
+func (r *Registry) usePlansLocked() {
+	r.plansDue = time.Time{}
+	if r.ledger.UsePlans() {
 		r.scheduleLocked()
 	}
 }
 
+// usePlans has the plans by the listed servers used if that is due, and returns the time until
+// it is.
+func (r *Registry) usePlans(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.plansDue.IsZero() {
+		return planInterval
+	}
+	if left := r.plansDue.Sub(now.Round(0)); left > 0 {
+		return left
+	}
+	r.usePlansLocked()
+	return planInterval
+}
+
 // HandleRestore has the row written again that the store may have lost, since it was restored
 // from a copy.
 func (r *Registry) HandleRestore() {
@@ -104,6 +144,11 @@
 // scheduleLocked schedules a write of the row. The caller holds r.mu.
 func (r *Registry) scheduleLocked() {
 	r.changed = true
+	r.wakeLocked()
+}
+
+// wakeLocked wakes Run.
+func (r *Registry) wakeLocked() {
 	select {
 	case r.wake <- struct{}{}:
 	default:
@@ -146,10 +191,14 @@
 		r.Metrics.count(lookupKnown)
 		return o, true
 	}
-	for after := began; ctx.Err() == nil; after = time.Now() {
+	for after := began.Add(-maxReadAge); ctx.Err() == nil; after = time.Now() {
 		reports, err := r.read(ctx, after)
+		final := false
 		if err == nil {
-			o, known = r.resolve(q, func(l *origin.Ledger, q origin.Query) (origin.Origin, bool) { return l.ResolveAmong(reports, q) })
+			o, known = r.resolve(q, func(l *origin.Ledger, q origin.Query) (o origin.Origin, known bool) {
+				o, known, final = l.ResolveAmong(reports, q)
+				return o, known
+			})
 		} else {
 			o, known = r.resolve(q, (*origin.Ledger).ResolveByPlan)
 		}
@@ -157,7 +206,7 @@
 			r.Metrics.count(lookupReported)
 			return o, true
 		}
-		if time.Since(began) > lookupTime {
+		if final || time.Since(began) > lookupTime {
 			break
 		}
 		sleep.For(ctx, r.readInterval())
@@ -253,49 +302,64 @@
 // Run writes the row of this daemon when it changes, until ctx is done. It first reads the row
 // from before a restart.
 func (r *Registry) Run(ctx context.Context) {
-	for ctx.Err() == nil && !r.readOwn(ctx) {
+	restarted, err := r.readOwn(ctx)
+	for ; err != nil && ctx.Err() == nil; restarted, err = r.readOwn(ctx) {
 		sleep.For(ctx, retryInterval)
 	}
+	if restarted {
+		sleep.For(ctx, startDelay+rand.N(startSpread))
+	}
 	for ctx.Err() == nil {
+		timer := time.NewTimer(r.usePlans(time.Now()))
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return
 		case <-r.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
+		if !r.isChanged() {
+			continue
 		}
 		interval := writeInterval + time.Duration(r.Daemons())*writeSpread
 		if !r.write(ctx) {
-			interval = retryInterval
+			interval = retryInterval + rand.N(retryInterval)
 		}
 		sleep.For(ctx, interval+rand.N(writeSpread))
 	}
 }
 
-// readOwn reads the row of this VM and reports whether that succeeded.
-func (r *Registry) readOwn(ctx context.Context) bool {
+// readOwn reads the row of this VM and reports whether there is one.
+func (r *Registry) readOwn(ctx context.Context) (found bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	rows, err := r.Table.Get(ctx, &table.GetPayload{Keys: []string{rowPrefix + r.VM}})
 	if err != nil {
-		return false
+		return false, err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, row := range rows {
 		if report, ok := r.parse(row); ok {
 			r.ledger.Merge(report, time.Now())
+			found = true
 		}
 	}
 	r.scheduleLocked()
-	return true
+	return found, nil
+}
+
+// isChanged reports whether the row is to be written.
+func (r *Registry) isChanged() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
 }
 
-// write writes the row if it is to be written, and reports whether that succeeded.
+// write writes the row and reports whether that succeeded.
 func (r *Registry) write(ctx context.Context) bool {
 	r.mu.Lock()
-	if !r.changed {
-		r.mu.Unlock()
-		return true
-	}
 	r.changed = false
 	report := r.ledger.Report(time.Now())
 	r.mu.Unlock()
--- a/acaciad/proxy/origin.go
+++ b/acaciad/proxy/origin.go
@@ -54,7 +54,7 @@
 
 // sinceMargin allows for callers that wait longer than their route's timeout, and for the
 // clocks of VMs.
-const sinceMargin = 4 * time.Second
+const sinceMargin = 2 * time.Second
 
 // streamSince returns the earliest time at which the stream can have begun that the caller
 // takes up again: callers wait no longer than their route's timeout.
--- a/core/origin/ledger.go
+++ b/core/origin/ledger.go
@@ -33,6 +33,14 @@
 	Service, Version string
 }
 
+// Servers tells of the servers that are listed for a group.
+type Servers struct {
+	// Plan is the plan by those that take requests.
+	Plan Plan
+	// Mixed states that not all of them have the same version, those included that drain.
+	Mixed bool
+}
+
 // Group identifies streams with the same plan.
 type Group struct {
 	Service, Lane string
@@ -52,7 +60,11 @@
 
 // Ledger is what a daemon knows about plans and streams. It is not safe for concurrent use.
 type Ledger struct {
-	// plans are the plans by the servers that are listed now.
+	// listed are the servers that are listed now, and settledSince is since when those of a
+	// group have one version.
+	listed       map[Group]Servers
+	settledSince map[Group]time.Time
+	// plans are the plans that are to be used.
 	plans map[Group]Plan
 	// reported are the plans in the report of this daemon, which are in use.
 	reported map[Group]GroupReport
@@ -64,12 +76,32 @@
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{streams: make(map[Stream]*progress)} }
+func NewLedger() *Ledger {
+	return &Ledger{settledSince: make(map[Group]time.Time), streams: make(map[Stream]*progress)}
+}
+
+// SetListed replaces the servers that are listed. It reports whether plans by them must be
+// used at once: there is none for a group yet, or the one in use is very different.
+func (l *Ledger) SetListed(listed map[Group]Servers, now time.Time) (urgent bool) {
+	for group, servers := range listed {
+		if _, settled := l.settledSince[group]; servers.Mixed {
+			delete(l.settledSince, group)
+		} else if !settled {
+			l.settledSince[group] = now
+		}
+		urgent = urgent || len(servers.Plan) > 0 && servers.Plan.isUrgent(l.reported[group].Plan)
+	}
+	l.listed = listed
+	return urgent
+}
 
-// SetPlans replaces the plans by the servers that are listed. It reports whether others must
-// be told before they are used.
-func (l *Ledger) SetPlans(plans map[Group]Plan) bool {
-	l.plans = plans
+// UsePlans has the plans by the listed servers used. It reports whether others must be told
+// before.
+func (l *Ledger) UsePlans() bool {
+	l.plans = make(map[Group]Plan)
+	for group, servers := range l.listed {
+		l.plans[group] = servers.Plan
+	}
 	return l.PlansChanged()
 }
 
@@ -84,10 +116,14 @@
 	return false
 }
 
-// Choose returns the version at which a stream of a group is to begin, or false if any will do,
-// since the daemon has not reported a plan yet.
+// Choose returns the version at which a stream of a group is to begin, or false if there is no
+// plan. Before its first report, a daemon uses the plan by the listed servers, which others
+// have as well.
 func (l *Ledger) Choose(group Group, stream Stream) (version string, ok bool) {
-	return l.reported[group].Plan.Pick(stream)
+	if version, ok = l.reported[group].Plan.Pick(stream); ok {
+		return version, true
+	}
+	return l.listed[group].Plan.Pick(stream)
 }
 
 // Begin records that a request receives a stream of a group that began at an origin, or is
@@ -173,8 +209,9 @@
 	if s := l.streams[q.Stream]; s != nil {
 		return s.Origin, true
 	}
-	r := l.reported[q.Group]
-	if !q.Fresh || len(r.Plan) != 1 || !l.PlanHolds(q.Group, q.Since.Add(-followTime)) {
+	r, since := l.reported[q.Group], q.Since.Add(-followTime)
+	settledSince, settled := l.settledSince[q.Group]
+	if !q.Fresh || !settled || settledSince.After(since) || len(r.Plan) != 1 || !l.PlanHolds(q.Group, since) {
 		return Origin{}, false
 	}
 	return Origin{Service: q.Group.Service, Version: r.Plan[0].Version}, true
@@ -184,34 +221,37 @@
 // servers do not change it.
 func (l *Ledger) PlanHolds(group Group, since time.Time) bool {
 	r := l.reported[group]
-	if len(r.Plan) == 0 || r.Since.After(since) || len(l.plans[group]) > 0 && !slices.Equal(l.plans[group], r.Plan) {
+	if len(r.Plan) == 0 || r.Since.After(since) || !slices.Equal(l.listed[group].Plan, r.Plan) {
 		return false
 	}
 	return !slices.ContainsFunc(r.Former, func(f FormerPlan) bool { return f.Until.After(since) })
 }
 
 // ResolveByPlan returns the origin of a stream by the plan in use, if it has been in use for
-// long enough that all daemons have it that are not cut off. Reports are not needed, unless
-// the version had no server when the stream began.
+// long enough that all daemons have it. Reports are not needed, unless the version had no
+// server when the stream began.
 func (l *Ledger) ResolveByPlan(q Query) (o Origin, known bool) {
-	if o, known = l.Resolve(q); known || !q.Fresh || !l.PlanHolds(q.Group, q.Since.Add(-clockError)) {
+	if o, known = l.Resolve(q); known || !q.Fresh || !l.PlanHolds(q.Group, q.Since.Add(-followTime)) {
 		return o, known
 	}
 	version, ok := l.reported[q.Group].Plan.Pick(q.Stream)
 	return Origin{Service: q.Group.Service, Version: version}, ok
 }
 
-// ResolveAmong returns the origin of a stream by the reports of all daemons.
-func (l *Ledger) ResolveAmong(reports []Report, q Query) (o Origin, known bool) {
+// ResolveAmong returns the origin of a stream by the reports of all daemons. final states that
+// later reports will not tell more, since all daemons use the same plan.
+func (l *Ledger) ResolveAmong(reports []Report, q Query) (o Origin, known, final bool) {
 	if o, known = l.Resolve(q); known {
-		return o, true
+		return o, true, true
 	}
 	for _, r := range reports {
 		if o, known = r.find(q.Stream); known {
-			return o, true
+			return o, true, true
 		}
 	}
 	var versions []string
+	var plan Plan
+	final = true
 	add := func(p Plan) {
 		if version, ok := p.Pick(q.Stream); ok && !slices.Contains(versions, version) {
 			versions = append(versions, version)
@@ -223,6 +263,8 @@
 			continue
 		}
 		add(group.Plan)
+		final = final && (plan == nil || slices.Equal(plan, group.Plan))
+		plan = group.Plan
 		for _, former := range group.Former {
 			if former.Until.After(q.Since) {
 				add(former.Plan)
@@ -230,7 +272,7 @@
 		}
 	}
 	if len(versions) != 1 {
-		return Origin{}, false
+		return Origin{}, false, final && len(versions) > 0
 	}
-	return Origin{Service: q.Group.Service, Version: versions[0]}, true
+	return Origin{Service: q.Group.Service, Version: versions[0]}, true, true
 }
--- a/core/origin/plan.go
+++ b/core/origin/plan.go
@@ -12,7 +12,7 @@
 )
 
 // planShares is the sum of the weights of a plan, roughly. Small differences between the
-// numbers of servers do not change it.
+// numbers of servers do not change it, and versions with few servers have no part.
 const planShares = 8
 
 // Plan tells at which version each stream of a group begins. Daemons with equal plans choose
@@ -43,9 +43,8 @@
 	}
 	var p Plan
 	for _, version := range slices.Sorted(maps.Keys(servers)) {
-		if n := servers[version]; n > 0 {
-			weight := math.Round(planShares * float64(n) / float64(total))
-			p = append(p, Share{Version: version, Weight: max(int(weight), 1)})
+		if weight := math.Round(planShares * float64(servers[version]) / float64(total)); weight > 0 {
+			p = append(p, Share{Version: version, Weight: int(weight)})
 		}
 	}
 	if len(p) == 1 {
@@ -54,6 +53,37 @@
 	return p
 }
 
+// maxDifference is the difference between the shares of a version in two plans up to which
+// servers are not overloaded by the other plan.
+const maxDifference = 0.25
+
+// isUrgent reports whether servers that the plan fits would be overloaded by the plan in use.
+func (p Plan) isUrgent(used Plan) bool {
+	if len(used) == 0 {
+		return true
+	}
+	shares := p.shares()
+	for version, share := range used.shares() {
+		if shares[version] == 0 || share-shares[version] > maxDifference {
+			return true
+		}
+	}
+	return false
+}
+
+// shares returns the part of the streams that begin at each version.
+func (p Plan) shares() map[string]float64 {
+	total := 0
+	for _, s := range p {
+		total += s.Weight
+	}
+	shares := make(map[string]float64)
+	for _, s := range p {
+		shares[s.Version] = float64(s.Weight) / float64(total)
+	}
+	return shares
+}
+
 // Pick returns the version at which a stream begins, or false if there is none. Few streams
 // have another one if the weights change a little.
 func (p Plan) Pick(stream Stream) (version string, ok bool) {
--- a/core/placement/versions.go
+++ b/core/placement/versions.go
@@ -22,3 +22,14 @@
 	}
 	return ofLane
 }
+
+// HasVersions reports whether not all listed servers have the same version, those included
+// that drain.
+func (p *Pool) HasVersions() bool {
+	for _, s := range p.Servers {
+		if s.Spec.Version != p.Servers[0].Spec.Version {
+			return true
+		}
+	}
+	return false
+}
