acaciad/daemon: requests that run at the end of a shutdown get an answer

Cause: the shutdown waited for running requests and then left them to the end of the process; a request whose body came late was passed on whatever time was left.

Change: requests that come later than 3.6 s after SIGTERM, when new connections have had time to send their first one, are refused as not run; at the end of the time for serving, those still running get 502, or 503 if they did not run, before the process exits.

Evidence: TestRequestsLateInTheGrace failed before (last answer 5.1 s after the exit, which is a cut connection outside of a test; 4 of 4 late requests passed on) and passes.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -105,10 +105,14 @@
 	// draining is done when the shutdown begins.
 	draining      context.Context
 	startDraining context.CancelFunc
-	// streamsEnd is done when it is too late for another stream before the shutdown ends.
-	streamsEnd context.Context
-	endStreams context.CancelFunc
-	mu         sync.Mutex // guards updater and peers
+	// streamsEnd is done when it is too late for another stream before the shutdown ends,
+	// and requestsEnd when it is for any request.
+	streamsEnd, requestsEnd context.Context
+	endStreams, endRequests context.CancelFunc
+	// ending is done when running requests get their final answer.
+	ending context.Context
+	end    context.CancelFunc
+	mu     sync.Mutex // guards updater and peers
 	// peers are the daemons among which the limits of backend servers are divided.
 	peers placement.Peers
 }
@@ -124,6 +128,8 @@
 	d.directory.SetPeers(d.peers, now)
 	d.draining, d.startDraining = context.WithCancel(context.Background())
 	d.streamsEnd, d.endStreams = context.WithCancel(context.Background())
+	d.requestsEnd, d.endRequests = context.WithCancel(context.Background())
+	d.ending, d.end = context.WithCancel(context.Background())
 	d.registry = prometheus.NewRegistry()
 	d.storeTransport = neighbours.NewTransport(platform.NewStoreTransport(), s.FailureDomain, neighbours.NewMetrics(d.registry), logger,
 		rand.New(rand.NewPCG(uint64(now.UnixNano()), 2)))
@@ -219,6 +225,8 @@
 		MoveBudgets:  proxy.NewBudgets(moveBudget(s, now)),
 		Draining:     d.draining,
 		StreamsEnd:   d.streamsEnd,
+		RequestsEnd:  d.requestsEnd,
+		Ending:       d.ending,
 	}
 	engines.OnStatement = d.handler.HearAt
 	return d
--- a/acaciad/daemon/shutdown.go
+++ b/acaciad/daemon/shutdown.go
@@ -16,6 +16,12 @@
 	// lateStreamDelay is how long after that requests for streams are still accepted, on
 	// connections that were opened before. A later stream would often be cut.
 	lateStreamDelay = 300 * time.Millisecond
+	// lateRequestDelay is the same for all requests. Until then, connections that were opened
+	// last have had time to send their first one.
+	lateRequestDelay = 1100 * time.Millisecond
+	// finalAnswerTime is reserved for the final answers of requests that are still running
+	// when finalWriteTime begins.
+	finalAnswerTime = 200 * time.Millisecond
 	// killMargin is the time between the exit of the process and the time at which the
 	// platform would kill it.
 	killMargin = 700 * time.Millisecond
@@ -34,7 +40,7 @@
 	deadline := began.Add(d.settings.ShutdownGrace - killMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	servingCtx, stopServing := context.WithDeadline(ctx, deadline.Add(-finalWriteTime))
+	servingCtx, stopServing := context.WithDeadline(ctx, deadline.Add(-finalWriteTime+finalAnswerTime))
 	defer stopServing()
 	leaseReleased := make(chan struct{})
 	go func() {
@@ -46,6 +52,8 @@
 	}()
 	sleep.For(servingCtx, stopAcceptingDelay)
 	time.AfterFunc(lateStreamDelay, d.endStreams)
+	time.AfterFunc(lateRequestDelay, d.endRequests)
+	time.AfterFunc(time.Until(deadline.Add(-finalWriteTime)), d.end)
 	if err := callers.Shutdown(servingCtx); err != nil {
 		d.logger.WithError(err).Warn("shutdown deadline reached, aborting running requests")
 	}
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -85,8 +85,12 @@
 	MoveBudgets *Budgets
 	// Draining is done when the daemon begins to shut down.
 	Draining context.Context
-	// StreamsEnd is done once the daemon will stop too soon for another stream.
-	StreamsEnd context.Context
+	// StreamsEnd is done once the daemon will stop too soon for another stream, and
+	// RequestsEnd for any other request.
+	StreamsEnd, RequestsEnd context.Context
+	// Ending is done when the daemon is about to stop, and running requests get their final
+	// answer.
+	Ending context.Context
 }
 
 var _ http.Handler = (*Handler)(nil)
@@ -132,6 +136,7 @@
 	notRun            = &refusal{status: http.StatusServiceUnavailable, reason: "not-run", retryAfter: retryAfterFailure}
 	mayHaveRun        = &refusal{status: http.StatusBadGateway, reason: "may-have-run"}
 	timeoutMayHaveRun = &refusal{status: http.StatusGatewayTimeout, reason: "timeout"}
+	endedMayHaveRun   = &refusal{status: http.StatusBadGateway, reason: "shut-down-may-have-run"}
 	timeoutNotRun     = &refusal{status: http.StatusServiceUnavailable, reason: "timeout-not-run"}
 )
 
@@ -229,14 +234,18 @@
 	if index.RequiresKey(x.route) && x.account == nil {
 		return unknownKey
 	}
-	if x.route.Kind == catalog.Stream && h.StreamsEnd.Err() != nil {
+	if x.comesTooLate() {
 		return shuttingDown
 	}
 	if refused := x.readBody(index.Catalog.Limits.BodyBytes); refused != nil {
 		return refused
 	}
+	if x.comesTooLate() {
+		return shuttingDown
+	}
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline())
 	defer cancel()
+	defer context.AfterFunc(h.Ending, cancel)()
 	x.service = x.pickService()
 	refused := x.findOrigin(ctx)
 	x.requirements = x.newRequirements(index.Service(x.service))
@@ -253,6 +262,11 @@
 	return x.run(ctx)
 }
 
+// comesTooLate reports whether the daemon will stop too soon for the request.
+func (x *exchange) comesTooLate() bool {
+	return x.handler.RequestsEnd.Err() != nil || x.route.Kind == catalog.Stream && x.handler.StreamsEnd.Err() != nil
+}
+
 // deadline returns the time by which the answer must be sent.
 func (x *exchange) deadline() time.Time {
 	timeout := x.route.Timeout
--- a/acaciad/proxy/harness_test.go
+++ b/acaciad/proxy/harness_test.go
@@ -102,6 +102,8 @@
 		MoveBudgets:  proxy.NewBudgets(retry.Budget{Burst: burst, Available: burst}),
 		Draining:     draining,
 		StreamsEnd:   streamsEnd,
+		RequestsEnd:  context.Background(),
+		Ending:       context.Background(),
 	}
 	f.frontend = httptest.NewServer(f.handler)
 	c.Cleanup(func() {
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -158,7 +158,12 @@
 	case x.status != 0:
 		panic(http.ErrAbortHandler) // a stream that has begun must not look complete
 	case x.mayHaveExecuted || x.lastMayHaveRun():
+		if x.handler.Ending.Err() != nil {
+			return endedMayHaveRun
+		}
 		return timeoutMayHaveRun
+	case x.handler.Ending.Err() != nil:
+		return shuttingDown
 	}
 	return timeoutNotRun
 }
