--- a/acaciapath/explain/cause.go
+++ b/acaciapath/explain/cause.go
@@ -17,7 +17,7 @@
 	"stream-version-unknown":     "the caller took up a stream while servers of several software versions served, and no VM had reported which of them began it",
 	"stream-version-not-serving": "the caller took up a stream whose software version has no server left that takes requests",
 	"servers-limited":            "all backend servers of the service name limits of requests a second, and this VM's part of them was used up",
-	"shut-down-may-have-run": "the VM stopped while a backend server was running the request",
+	"shut-down-may-have-run":     "the VM stopped while a backend server was running the request",
 	"shutting-down":              "the VM was about to stop, too soon for the request",
 	"catalog-unknown":            "the VM had not read the configuration yet",
 	"route-unknown":              "no route of the configuration in force matches the host and the path",
