core/quarantine: accused requests do not crowd parts of prompts out of reports

Cause: reports and memory had one bound for crashes under parts and under requests.

Change: each kind has its own bound, and crashes under parts are ordered by time again.

--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -74,9 +74,7 @@
 	}
 	s := l.suspects[p.ID]
 	if s == nil {
-		if len(l.suspects) >= maxSuspects {
-			l.dropOldestSuspect()
-		}
+		l.dropOldestSuspect(p.Whole)
 		s = &suspect{depth: p.Depth, whole: p.Whole}
 		s.ownSoundAt, _ = l.sound.get(p.ID)
 		s.soundAt = s.ownSoundAt
@@ -85,14 +83,22 @@
 	return s.add(c)
 }
 
-// dropOldestSuspect forgets the part that is not quarantined and was accused least
-// recently, if possible one that was accused only once.
-func (l *Ledger) dropOldestSuspect() {
+// dropOldestSuspect forgets the part, or the whole request, that is not quarantined and was
+// accused least recently, if there are maxSuspects of them. Of whole requests, one that was
+// accused only once is forgotten first.
+func (l *Ledger) dropOldestSuspect(whole bool) {
+	if len(l.suspects) < maxSuspects {
+		return
+	}
 	var oldest uint64
 	var at time.Time
-	repeated := true
+	repeated, n := true, 0
 	for id, s := range l.suspects {
-		last, several := s.crashes[len(s.crashes)-1].At, len(s.crashes) > 1
+		if s.whole != whole {
+			continue
+		}
+		n++
+		last, several := s.crashes[len(s.crashes)-1].At, !whole || len(s.crashes) > 1
 		if l.quarantined[id] != nil || several && !repeated {
 			continue
 		}
@@ -100,7 +106,9 @@
 			oldest, at, repeated = id, last, several
 		}
 	}
-	delete(l.suspects, oldest)
+	if n >= maxSuspects {
+		delete(l.suspects, oldest)
+	}
 }
 
 // RecordSound records that a run with the given parts, which began at began, survived its
--- a/core/quarantine/report.go
+++ b/core/quarantine/report.go
@@ -45,35 +45,44 @@
 }
 
 // Report returns what this daemon has seen and others need: the crashes that its sound
-// runs do not disprove, and the sound runs that disprove a crash. Beyond maxReported of
-// either, those of parts with several crashes are kept, then the latest.
+// runs do not disprove, and the sound runs that disprove a crash. Beyond maxReported of a
+// kind, the latest are kept, but those of requests with several crashes before others.
 func (l *Ledger) Report() Report {
 	var r Report
+	var ofRequests []Accusation
 	repeated := make(map[uint64]bool)
 	for id, s := range l.suspects {
 		repeated[id] = len(s.crashes) > 1
+		list := &r.Accusations
+		if s.whole {
+			list = &ofRequests
+		}
 		for _, c := range s.crashes {
 			if c.Own && c.At.After(s.soundAt) {
-				r.Accusations = append(r.Accusations, Accusation{Part: Part{ID: id, Depth: s.depth, Whole: s.whole}, Server: c.Server, At: c.At})
+				*list = append(*list, Accusation{Part: Part{ID: id, Depth: s.depth, Whole: s.whole}, Server: c.Server, At: c.At})
 			}
 		}
 		if len(s.crashes) > 0 && !s.ownSoundAt.Before(s.crashes[0].At) {
 			r.SoundRuns = append(r.SoundRuns, SoundRun{Part: id, Began: s.ownSoundAt})
 		}
 	}
-	slices.SortFunc(r.Accusations, func(a, b Accusation) int {
+	latest := func(a, b Accusation) int {
+		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Part.ID, b.Part.ID), cmp.Compare(a.Server, b.Server))
+	}
+	slices.SortFunc(r.Accusations, latest)
+	slices.SortFunc(ofRequests, func(a, b Accusation) int {
 		if repeated[a.Part.ID] != repeated[b.Part.ID] {
 			if repeated[a.Part.ID] {
 				return -1
 			}
 			return 1
 		}
-		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Part.ID, b.Part.ID), cmp.Compare(a.Server, b.Server))
+		return latest(a, b)
 	})
 	slices.SortFunc(r.SoundRuns, func(a, b SoundRun) int {
 		return cmp.Or(b.Began.Compare(a.Began), cmp.Compare(a.Part, b.Part))
 	})
-	r.Accusations = r.Accusations[:min(len(r.Accusations), maxReported)]
+	r.Accusations = append(r.Accusations[:min(len(r.Accusations), maxReported)], ofRequests[:min(len(ofRequests), maxReported)]...)
 	r.SoundRuns = r.SoundRuns[:min(len(r.SoundRuns), maxReported)]
 	return r
 }
@@ -85,7 +94,7 @@
 	if l.settings.Crashes == 0 {
 		return nil, false
 	}
-	for _, a := range r.Accusations[:min(len(r.Accusations), maxReported)] {
+	for _, a := range r.Accusations[:min(len(r.Accusations), 2*maxReported)] {
 		l.accuse(a.Part, Crash{Server: a.Server, At: present(a.At, now), Own: own}, now)
 		if s := l.suspects[a.Part.ID]; s != nil && !s.ownSoundAt.Before(a.At) {
 			tell = true
--- a/core/quarantine/settings.go
+++ b/core/quarantine/settings.go
@@ -66,7 +66,7 @@
 
 // Limits of what a daemon remembers.
 const (
-	// maxSuspects is the number of accused parts and requests.
+	// maxSuspects is the number of accused parts, and of accused requests.
 	maxSuspects = 1024
 	// maxCrashes is the number of crashes of each accused part.
 	maxCrashes = 64
@@ -77,6 +77,7 @@
 	maxSound = 4096
 	// maxParts is the number of parts of a prompt that are considered.
 	maxParts = 64
-	// maxReported is the number of crashes, and of sound parts, in a report.
+	// maxReported is the number of crashes under parts, of crashes under requests, and of
+	// sound runs, in a report.
 	maxReported = 64
 )
