--- a/acaciad/origins/registry.go
+++ b/acaciad/origins/registry.go
@@ -31,19 +31,6 @@
 	retryInterval = time.Second
 	// callTimeout bounds a call of the store.
 	callTimeout = 1500 * time.Millisecond
-	// readInterval is the least time between two reads of all reports, and readSpread is added
-	// for each daemon.
-	readInterval = 150 * time.Millisecond
-	readSpread   = 3 * time.Millisecond
-	// maxReadAge is the age up to which an earlier read is used. The streams of callers that
-	// return at once began earlier.
-	maxReadAge = 200 * time.Millisecond
-	// lookupTime is how long a lookup waits until the reports of all daemons lead to the same
-	// version.
-	lookupTime = 1200 * time.Millisecond
-	// maxListAge is the age up to which the list of servers counts as up to date. It allows for a
-	// connection to the store that fell silent.
-	maxListAge = 5 * time.Second
 )
 
 // Registry knows the origins of streams. It is safe for concurrent use. Its exported fields
@@ -77,15 +64,6 @@
 	reading *reading
 }
 
-// reading is a read of all reports.
-type reading struct {
-	began time.Time
-	// done is closed when the read has ended, and reports and err are set.
-	done    chan struct{}
-	reports []origin.Report
-	err     error
-}
-
 // NewRegistry returns a registry that knows no streams, whose exported fields must be set
 // before use.
 func NewRegistry() *Registry {
@@ -181,112 +159,6 @@
 	r.ledger.End(stream, complete, now)
 }
 
-// Lookup returns the origin of a stream that a caller takes up again and that began since a
-// time. It reads the reports of other daemons if necessary, until lookupTime has passed or ctx
-// is done.
-func (r *Registry) Lookup(ctx context.Context, stream origin.Stream, group origin.Group, since time.Time) (o origin.Origin, known bool) {
-	began := time.Now()
-	q := origin.Query{Stream: stream, Group: group, Since: since}
-	if o, known = r.resolve(q, (*origin.Ledger).Resolve); known {
-		r.Metrics.count(lookupKnown)
-		return o, true
-	}
-	for after := began.Add(-maxReadAge); ctx.Err() == nil; after = time.Now() {
-		reports, err := r.read(ctx, after)
-		final := false
-		if err == nil {
-			o, known = r.resolve(q, func(l *origin.Ledger, q origin.Query) (o origin.Origin, known bool) {
-				o, known, final = l.ResolveAmong(reports, q)
-				return o, known
-			})
-		} else {
-			o, known = r.resolve(q, (*origin.Ledger).ResolveByPlan)
-		}
-		if known {
-			r.Metrics.count(lookupReported)
-			return o, true
-		}
-		if final || time.Since(began) > lookupTime {
-			break
-		}
-		sleep.For(ctx, r.readInterval())
-	}
-	r.Metrics.count(lookupUnknown)
-	return origin.Origin{}, false
-}
-
-// resolve has the ledger resolve a query.
-func (r *Registry) resolve(q origin.Query, how func(*origin.Ledger, origin.Query) (origin.Origin, bool)) (origin.Origin, bool) {
-	q.Fresh = r.ListAge(time.Now()) <= maxListAge
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return how(r.ledger, q)
-}
-
-// readInterval returns the least time between two reads of all reports.
-func (r *Registry) readInterval() time.Duration {
-	return readInterval + time.Duration(r.Daemons())*readSpread
-}
-
-// read returns all reports as of after or later. Lookups share a read.
-func (r *Registry) read(ctx context.Context, after time.Time) ([]origin.Report, error) {
-	for ctx.Err() == nil {
-		r.mu.Lock()
-		current := r.reading
-		if current == nil || current.began.Before(after) && current.ended() {
-			wait := time.Duration(0)
-			if current != nil {
-				wait = r.readInterval() - time.Since(current.began)
-			}
-			current = &reading{began: time.Now().Add(max(wait, 0)), done: make(chan struct{})}
-			r.reading = current
-			go r.readAll(current)
-		}
-		r.mu.Unlock()
-		select {
-		case <-ctx.Done():
-		case <-current.done:
-			if !current.began.Before(after) {
-				return current.reports, current.err
-			}
-		}
-	}
-	return nil, ctx.Err()
-}
-
-// ended reports whether the read has ended.
-func (r *reading) ended() bool {
-	select {
-	case <-r.done:
-		return true
-	default:
-		return false
-	}
-}
-
-// readAll reads all reports once the read may begin.
-func (r *Registry) readAll(current *reading) {
-	defer close(current.done)
-	time.Sleep(time.Until(current.began))
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	rows, err := r.Table.List(ctx, &table.ListPayload{Prefix: rowPrefix, Limit: maxReports})
-	if err != nil {
-		current.err = err
-		r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot read at which versions streams begin, will retry")
-		return
-	}
-	current.reports = make([]origin.Report, 0, len(rows))
-	for _, row := range rows {
-		if report, ok := r.parse(row); ok {
-			current.reports = append(current.reports, report)
-		}
-	}
-}
-
-// maxReports is the number of reports that are read.
-const maxReports = 2000
-
 // parse parses a row, and logs one that is invalid, once.
 func (r *Registry) parse(row *table.Row) (origin.Report, bool) {
 	report, err := parseReport(row.Value)
--- a/acaciad/origins/registry_test.go
+++ b/acaciad/origins/registry_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -24,11 +25,31 @@
 	*qt.C
 	store *platformtest.Store
 	table *platform.Table
-	log   *bytes.Buffer
+	log   *logBuffer
+}
+
+// logBuffer is an output of several loggers.
+type logBuffer struct {
+	mu  sync.Mutex
+	out bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.out.Write(p)
+}
+
+// String returns what was logged.
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.out.String()
 }
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{C: qt.New(t), store: platformtest.NewStore(), log: &bytes.Buffer{}}
+	f := &fixture{C: qt.New(t), store: platformtest.NewStore(), log: &logBuffer{}}
 	f.Cleanup(f.store.Close)
 	f.table = &platform.Table{Store: platform.NewStore(f.store.Address(), time.Second, platform.NewStoreTransport())}
 	return f
