core/usage: windows before the first report stay a range

Billed accounts saw (TestUsageAcrossRestores, listed): after restorations of the store, requests of windows before the first one that was ever reported are in no report.

Cause: announcements say which windows may have been reported by the first and the last of them. And the totals in the announcement were always those of the last window, so that a failed report of an earlier one could not be told from one that was accepted.

Change: windows before the first one are settled from the latest to the earliest; the totals are those of the window that was announced last, whichever it is; a reporter that comes back after a restoration repeats a report of unknown fate at once, and writes the totals of windows that were reported late again as well.

--- a/acaciad/control/reported.go
+++ b/acaciad/control/reported.go
@@ -35,7 +35,7 @@
 	First time.Time `json:"first,omitzero"`
 	// Through is the start of the last one.
 	Through time.Time `json:"through"`
-	// Totals is the digest of the totals of that window, if they are known.
+	// Totals is the digest of the totals that were announced last, if they are known.
 	Totals string `json:"totals,omitempty"`
 	// Epoch is the epoch of the store in which a daemon vouched for it.
 	Epoch uint64 `json:"epoch,omitempty"`
@@ -100,14 +100,14 @@
 // Announce tells the other daemons that a window is about to be reported.
 func (r *Reported) Announce(ctx context.Context, a usage.Announcement) error {
 	r.mu.Lock()
-	a = r.last.Merge(a)
+	a = r.last.Extend(a)
 	r.mu.Unlock()
 	if err := r.write(ctx, a); err != nil {
 		return err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.last = r.last.Merge(a)
+	r.last = r.last.Extend(a)
 	return nil
 }
 
--- a/core/usage/announcement.go
+++ b/core/usage/announcement.go
@@ -9,11 +9,18 @@
 	First time.Time
 	// Window is the start of the last window that was announced, or zero if none was.
 	Window time.Time
-	// Totals is the digest of the totals that are about to be reported (Window.Digest). It
-	// is empty if they are not known.
+	// Totals is the digest of the totals that are about to be reported (Window.Digest). These
+	// are of Window, or of First if that was announced last. It is empty if they are not known.
 	Totals string
 }
 
+// Extend returns what is known once next is announced after a.
+func (a Announcement) Extend(next Announcement) Announcement {
+	merged := a.Merge(next)
+	merged.Totals = next.Totals
+	return merged
+}
+
 // Merge returns what is known from both a and b.
 func (a Announcement) Merge(b Announcement) Announcement {
 	if a.Window.IsZero() {
@@ -26,7 +33,7 @@
 	if b.First.Before(first) {
 		first = b.First
 	}
-	if b.Window.After(a.Window) {
+	if b.Window.After(a.Window) || b.Window.Equal(a.Window) && b.First.Before(a.First) {
 		a = b
 	}
 	a.First = first
--- a/core/usage/announcement_test.go
+++ b/core/usage/announcement_test.go
@@ -26,6 +26,10 @@
 		c.Check(test.a.Merge(test.b), qt.DeepEquals, test.want)
 		c.Check(test.b.Merge(test.a), qt.DeepEquals, test.want)
 	}
+	earlier := usage.Announcement{First: at(1), Window: at(5), Totals: at(1).String()}
+	c.Check(announced(2, 5).Extend(announced(1, 1)), qt.DeepEquals, earlier)
+	c.Check(announced(2, 5).Merge(earlier), qt.DeepEquals, earlier)
+	c.Check(earlier.Merge(announced(2, 5)), qt.DeepEquals, earlier)
 	c.Check(announced(2, 5).Covers(at(1)), qt.IsFalse)
 	c.Check(announced(2, 5).Covers(at(2)), qt.IsTrue)
 	c.Check(announced(2, 5).Covers(at(5)), qt.IsTrue)
--- a/core/usage/recover.go
+++ b/core/usage/recover.go
@@ -8,6 +8,8 @@
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/core/lease"
 	"acaciapath.example/core/platformapi"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // Limits of what is remembered for the case that the table is restored from a backup.
@@ -27,14 +29,20 @@
 	return r.Epoch()
 }
 
-// remember remembers the totals of a window whose report was accepted.
-func (r *Reporter) remember(window *Window) {
+// remember remembers the totals of a window whose report was accepted. progress is that from
+// before.
+func (r *Reporter) remember(window *Window, progress Progress) {
+	r.pending = nil
 	i, found := slices.BinarySearchFunc(r.reported, window.Start, func(w *Window, start time.Time) int { return w.Start.Compare(start) })
 	if found {
 		return
 	}
 	r.reported = slices.Insert(r.reported, i, window)
+	if !window.Start.After(progress.LastWindow) {
+		r.reportedLate[window.Start] = true
+	}
 	if len(r.reported) > maxReportedWindows {
+		delete(r.reportedLate, r.reported[0].Start)
 		r.reported = slices.Delete(r.reported, 0, 1)
 	}
 }
@@ -49,11 +57,10 @@
 	return a
 }
 
-// lastReported returns the windows that must not be settled again. If the last window that
-// was announced is pending here with the totals that were announced, it is not among them
-// but returned as repeat, since its report can be repeated. known is false if that is not
-// known yet.
-func (r *Reporter) lastReported(progress Progress, length time.Duration) (last Announcement, repeat *Window, known bool) {
+// lastReported returns the windows that may have been reported. If the window that was
+// announced last is pending here with the totals that were announced, its report can be
+// repeated, and it is returned as well. known is false if that is not known yet.
+func (r *Reporter) lastReported(progress Progress) (last Announcement, repeat *Window, known bool) {
 	through := progress.LastWindow
 	if n := len(r.reported); n > 0 && r.reported[n-1].Start.After(through) {
 		through = r.reported[n-1].Start
@@ -62,34 +69,33 @@
 		return Announcement{Window: through}, nil, true
 	}
 	last, known = r.Reported.Last()
-	if !last.Window.After(through) {
-		last.Window = through
-		return last, nil, known
+	if r.pending != nil && r.pending.Digest() == last.Totals {
+		repeat = r.pending
 	}
-	if p := r.pending; p != nil && p.Start.Equal(last.Window) && p.Digest() == last.Totals {
-		last.Window = WindowStart(p.Start.Add(-length), length)
-		return last, p, known
+	if through.After(last.Window) {
+		last.Window = through
 	}
-	return last, nil, known
+	return last, repeat, known
 }
 
 // recover writes again what the table lost when it was restored from a backup since the
 // progress was recorded: the totals of the windows that this process remembers, and the
-// closures of all that were reported. Parts of reported windows are deleted, because they
-// are counted. known is false if it is not known yet which windows these are.
-func (r *Reporter) recover(ctx context.Context, now time.Time, progress Progress, version uint64, length time.Duration) (known bool, err error) {
+// closures of all that were reported. A report that may have failed is sent again, and its
+// window is returned as repeat. Parts of reported windows are deleted, because they are
+// counted. known is false if it is not known yet which windows these are.
+func (r *Reporter) recover(ctx context.Context, now time.Time, progress Progress, version uint64, length time.Duration) (repeat *Window, known bool, err error) {
 	epoch := r.epoch()
-	last, repeat, known := r.lastReported(progress, length)
+	last, repeat, known := r.lastReported(progress)
 	if !known {
-		return false, nil
+		return nil, false, nil
 	}
-	return true, r.holder.Do(ctx, func(ctx context.Context, grant *lease.Grant) error {
+	return repeat, true, r.holder.Do(ctx, func(ctx context.Context, grant *lease.Grant) error {
 		remembered := slices.Clone(r.reported)
 		if repeat != nil {
 			remembered = append(remembered, repeat)
 		}
 		for _, window := range remembered {
-			if !window.Start.After(progress.LastWindow) {
+			if !window.Start.After(progress.LastWindow) && !r.reportedLate[window.Start] && window != repeat {
 				continue
 			}
 			// Writers whose parts are rejected look for the totals.
@@ -103,6 +109,12 @@
 				return err
 			}
 		}
+		if repeat != nil {
+			if err := r.sendReport(ctx, repeat, grant); err != nil {
+				return merry.Prepend(err, "usage: repeat report of window")
+			}
+			r.remember(repeat, progress)
+		}
 		if err := r.closeReported(ctx, progress.LastWindow, last, length, grant); err != nil {
 			return err
 		}
--- a/core/usage/reporter.go
+++ b/core/usage/reporter.go
@@ -50,7 +50,7 @@
 	// is false if that is not known yet.
 	Last() (last Announcement, known bool)
 	// Announce tells the other processes that a window is about to be reported, together
-	// with what is known of earlier ones (Announcement.Merge).
+	// with what is known of earlier ones (Announcement.Extend).
 	Announce(ctx context.Context, a Announcement) error
 }
 
@@ -78,6 +78,8 @@
 	notBefore time.Time
 	// reported are the latest windows whose reports by this process were accepted, sorted.
 	reported []*Window
+	// reportedLate are those of them that were reported after later ones.
+	reportedLate map[time.Time]bool
 	// pending is the window that this process has fixed or read last, if it does not know
 	// that its report was accepted, or nil.
 	pending *Window
@@ -86,7 +88,7 @@
 // NewReporter returns a Reporter that reads and writes rows and sends reports to
 // usage, under the lease of holder.
 func NewReporter(rows table.Service, usage usageport.Service, holder LeaseHolder) *Reporter {
-	return &Reporter{table: rows, usage: usage, holder: holder, lastWritten: make(map[string]time.Time)}
+	return &Reporter{table: rows, usage: usage, holder: holder, lastWritten: make(map[string]time.Time), reportedLate: make(map[time.Time]bool)}
 }
 
 // Settle closes, fixes and reports the earliest window that is due, and returns it,
@@ -103,8 +105,9 @@
 	}
 	epoch := r.epoch()
 	if progress.Epoch < epoch {
-		if known, err := r.recover(ctx, now, progress, version, max(billing.Window, MinWindow)); !known || err != nil {
-			return nil, err
+		repeat, known, err := r.recover(ctx, now, progress, version, max(billing.Window, MinWindow))
+		if !known || err != nil || repeat != nil {
+			return repeat, err
 		}
 		if progress, version, err = r.progress(ctx); err != nil || progress.Epoch < epoch {
 			return nil, err
@@ -114,7 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
-	start, due := NextWindow(progress.LastWindow, first, now, billing)
+	start, due := NextWindow(progress.LastWindow, r.contiguous(first, billing), now, billing)
 	if !due && !start.IsZero() && r.SettleWhenComplete && !now.Before(start.Add(billing.Window)) {
 		skipAbsent := now.Sub(start) >= absentAfterWindows*billing.Window
 		if due, err = r.isComplete(ctx, start, skipAbsent); err != nil {
@@ -147,8 +150,7 @@
 	}); err != nil {
 		return nil, merry.Prepend(err, "usage: report window")
 	}
-	r.pending = nil
-	r.remember(window)
+	r.remember(window, progress)
 	r.recordWriters(window, billing.Window)
 	if err := r.finish(ctx, window, progress, version); err != nil {
 		return window, err
@@ -237,6 +239,20 @@
 	return next, !now.Before(next.Add(length + billing.Grace))
 }
 
+// contiguous returns the window to settle for parts of the window that starts at first. Windows
+// before the first one that was announced are settled from the latest to the earliest, so that
+// announcements cover no window that was not announced.
+func (r *Reporter) contiguous(first time.Time, billing config.Billing) time.Time {
+	if r.Reported == nil {
+		return first
+	}
+	if last, _ := r.Reported.Last(); first.Before(last.First) && !first.IsZero() {
+		length := max(billing.Window, MinWindow)
+		return WindowStart(last.First.Add(-length), length)
+	}
+	return first
+}
+
 // progress returns the stored Progress and the version of its row, or zero values if
 // there is none.
 func (r *Reporter) progress(ctx context.Context) (Progress, uint64, error) {
--- a/core/usage/restore_test.go
+++ b/core/usage/restore_test.go
@@ -35,7 +35,7 @@
 	if f == faultUnavailable || f == faultDelayed {
 		return errNoReply
 	}
-	a.last = a.last.Merge(next)
+	a.last = a.last.Extend(next)
 	if f != faultNone {
 		return errNoReply
 	}
@@ -263,6 +263,7 @@
 		{name: "vms=1,restores=60", vms: 1, most: 60, seed: "4"},
 		{name: "vms=3,restores=60", vms: 3, most: 60, seed: "1"},
 		{name: "report-of-an-earlier-window-fails", vms: 1, most: 60, seed: "537170"},
+		{name: "windows-before-the-first-report", vms: 1, most: 60, seed: "9248221"},
 	} {
 		vms := test.vms
 		t.Run(test.name, func(t *testing.T) {
