core/quarantine: no sound part is accused by chance while engines end of other causes

A part that was accused four times in a row by chance was compared only with the engines that ended since the first of these, of which there are few. And evidence settled in 0.6 s, while reports are read every 0.75 s, so that the crashes under the part that explains the evidence were still unread.

Change: engines that ended in the 10 s before count as well, those under the part itself left out; evidence settles in 0.85 s.

--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -225,9 +225,9 @@
 }
 
 // isSufficient reports whether the accusations of a part suffice to quarantine it. A part
-// under which less than two thirds of the engines ended that ended meanwhile needs more,
-// since in such a time a sound part is accused several times in a row by chance. A whole
-// request runs on one server at a time, so that this does not happen to it.
+// under which less than two thirds of the engines ended that ended meanwhile, or shortly
+// before, needs more, since in such a time a sound part is accused several times in a row by
+// chance. A whole request runs on one server at a time, so that this does not happen to it.
 func (l *Ledger) isSufficient(s *suspect, crashes []Crash, explained map[string]bool) bool {
 	if s.whole {
 		return len(crashes) >= l.settings.RequestCrashes
@@ -239,15 +239,19 @@
 	if moments >= l.settings.Crashes+moreCrashes {
 		return true
 	}
-	ends := make(map[string]bool)
-	for _, s := range l.suspects {
-		for _, c := range s.crashes {
-			if !c.At.Before(crashes[0].At) && !explained[c.Server] {
-				ends[c.Server] = true
+	under := make(map[string]bool)
+	for _, c := range s.crashes {
+		under[c.Server] = true
+	}
+	others, since := make(map[string]bool), crashes[0].At.Add(-lookback)
+	for _, other := range l.suspects {
+		for _, c := range other.crashes {
+			if !c.At.Before(since) && !explained[c.Server] && !under[c.Server] {
+				others[c.Server] = true
 			}
 		}
 	}
-	return 3*len(crashes) >= 2*len(ends)
+	return len(crashes) >= 2*len(others)
 }
 
 // explainedServers returns the servers that ended under quarantined parts.
--- a/core/quarantine/settings.go
+++ b/core/quarantine/settings.go
@@ -52,9 +52,13 @@
 	// moreCrashes is the number of further crashes that are needed while most engines end
 	// under other prompts.
 	moreCrashes = 2
-	// settleTime is the time from the evidence to the quarantine. Within it, other
-	// daemons report sound runs of a part that many requests have.
-	settleTime = 600 * time.Millisecond
+	// settleTime is the time from the evidence to the quarantine. Within it, reports of other
+	// daemons are read, with sound runs of a part that many requests have and with crashes
+	// under another part that explains the evidence.
+	settleTime = 850 * time.Millisecond
+	// lookback is the time before the first of the crashes under a part in which the ends of
+	// other engines tell how many end meanwhile of other causes.
+	lookback = 10 * time.Second
 	// expiryInterval is how often old evidence is looked for.
 	expiryInterval = 30 * time.Second
 	// trialTime is how long the daemon that tries a part again has for the trial.
