acaciad/crashreports: an older deletion does not lift a quarantine whose row is being written

Change: a deletion counts only if the row's version is known or nothing is being written. If another daemon has lifted the quarantine of the same part, its sound runs come by reports.

--- a/acaciad/crashreports/exchange.go
+++ b/acaciad/crashreports/exchange.go
@@ -341,8 +341,11 @@
 		return
 	}
 	if row.Deleted {
-		g.endLocked(part)
-		return
+		_, written := g.versions[part]
+		if w, pending := g.writes[part]; written || !pending || w.remove {
+			g.endLocked(part)
+		}
+		return // an older row's, if the first one of this quarantine is being written
 	}
 	q, err := parseQuarantine(part, row.Data)
 	if err != nil {
--- a/acaciad/crashreports/guard_test.go
+++ b/acaciad/crashreports/guard_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"acaciapath.example/acaciad/crashreports"
+	tablegen "acaciapath.example/core/gen/table"
 	"acaciapath.example/core/quarantine"
 	"acaciapath.example/platform"
 	"acaciapath.example/platform/platformtest"
@@ -25,6 +26,8 @@
 	*qt.C
 	store    *platformtest.Store
 	settings quarantine.Settings
+	// wrap wraps the table of a guard, unless it is nil.
+	wrap func(*platform.Table) tablegen.Service
 }
 
 func newTable(t *testing.T) *table {
@@ -49,7 +52,11 @@
 	store := platform.NewStore(s.store.Address(), time.Second, platform.NewStoreTransport())
 	g := &guard{Guard: crashreports.NewGuard(s.settings, registry), stop: stop}
 	g.VM, g.Logger, g.Metrics = vm, logger, crashreports.NewMetrics(registry)
-	g.Table = &platform.Table{Store: store, Name: platform.TableReports}
+	inner := &platform.Table{Store: store, Name: platform.TableReports}
+	g.Table = inner
+	if s.wrap != nil {
+		g.Table = s.wrap(inner)
+	}
 	go g.Run(ctx)
 	go func() {
 		for ctx.Err() == nil {
@@ -198,6 +205,52 @@
 	}
 }
 
+// slowTable is a table whose answers to writes of a row wait until answer is closed.
+type slowTable struct {
+	*platform.Table
+	committed chan struct{}
+	answer    chan struct{}
+}
+
+func (t *slowTable) Commit(ctx context.Context, p *tablegen.CommitPayload) ([]*tablegen.Row, error) {
+	rows, err := t.Table.Commit(ctx, p)
+	for _, w := range p.Writes {
+		if w.Key == "quarantine/7" {
+			select {
+			case t.committed <- struct{}{}:
+			default:
+			}
+			<-t.answer
+		}
+	}
+	return rows, err
+}
+
+// TestOldDeletionWhileRowIsWritten has a daemon receive an older deletion of the row that it
+// has written, before the answer of the store to its write. It must go on to refuse the part.
+func TestOldDeletionWhileRowIsWritten(t *testing.T) {
+	s := newTable(t)
+	var slow *slowTable
+	s.wrap = func(inner *platform.Table) tablegen.Service {
+		slow = &slowTable{Table: inner, committed: make(chan struct{}, 1), answer: make(chan struct{})}
+		return slow
+	}
+	g := s.start("vm-1")
+	for i := range 4 {
+		g.crash(i, 7)
+	}
+	select {
+	case <-slow.committed:
+	case <-time.After(waitLimit):
+		s.Fatal("the row is not written")
+	}
+	g.Apply([]platform.Row{{Key: "quarantine/7", Version: 1, Deleted: true}}, false, 1)
+	s.Check(g.refuses(7), qt.IsTrue)
+	close(slow.answer)
+	time.Sleep(200 * time.Millisecond) // several reads of the table
+	s.Check(g.refuses(7), qt.IsTrue)
+}
+
 // TestOneTrialOfAllDaemons lets a quarantine run out while several daemons get requests
 // with the part. One request of all may be sent, and if its engine ends as well, no other
 // one for twice as long.
