acaciad/control: daemons vouch that no usage window was reported yet

Class of fault: nothing to tell and nothing known look alike.

Change: the row is written again with no window as well; a daemon that does not know waits for 1.5 s and the time over which the others spread their writes before it assumes the worst.

Result: TestRestoreBeforeTheFirstReport failed before and passes.

--- a/acaciad/control/reported.go
+++ b/acaciad/control/reported.go
@@ -26,6 +26,10 @@
 	rewritePerDaemon = 25 * time.Millisecond
 	// rewriteTimeout bounds a write.
 	rewriteTimeout = 2 * time.Second
+	// vouchTime is how long a daemon that does not know what was reported waits for others
+	// to tell, besides the time over which they spread their writes. It allows for a read of
+	// the row before and after.
+	vouchTime = 1500 * time.Millisecond
 )
 
 // storedReported is the value of the row.
@@ -33,7 +37,7 @@
 	// First is the start of the first window that was ever announced, or zero if it is not
 	// known.
 	First time.Time `json:"first,omitzero"`
-	// Through is the start of the last one.
+	// Through is the start of the last one, or zero if none was announced.
 	Through time.Time `json:"through"`
 	// Totals is the digest of the totals that were announced last, if they are known.
 	Totals string `json:"totals,omitempty"`
@@ -65,6 +69,8 @@
 	followedAt time.Time
 	since      uint64
 	rewriting  bool
+	// waited states that vouchTime has passed since followedAt.
+	waited bool
 }
 
 var _ usage.Reported = (*Reported)(nil)
@@ -72,9 +78,10 @@
 // firstEpoch is the epoch of a store that was never restored.
 const firstEpoch = 1
 
-// Last returns the announcement of the last window that may have been reported. If the store
-// was restored, and no daemon that followed the row before has vouched for it, these are all
-// windows that had ended when this daemon began to follow it. known is false until then.
+// Last returns the announcement of the last window that may have been reported. known is
+// false until it can be told. If the store was restored, and no daemon that followed the row
+// before vouches for it within a while, these are all windows that had ended when this daemon
+// began to follow it.
 func (r *Reported) Last() (last usage.Announcement, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -82,7 +89,7 @@
 	switch {
 	case current <= firstEpoch || r.livedBefore(current) || r.stored.Epoch == current:
 		return r.last, true
-	case r.followedAt.IsZero():
+	case !r.waited:
 		return r.last, false
 	}
 	if ended := usage.WindowStart(r.followedAt.Add(-r.Window), r.Window); ended.After(r.last.Window) {
@@ -144,21 +151,28 @@
 	defer r.mu.Unlock()
 	if r.followedAt.IsZero() {
 		r.followedAt, r.since = now, r.Epoch()
+		time.AfterFunc(vouchTime+r.rewriteSpread(), func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.waited = true
+		})
 	}
 	r.stored = stored
 	r.last = r.last.Merge(usage.Announcement{First: stored.First, Window: stored.Through, Totals: stored.Totals})
 	if r.isBehind() && !r.rewriting {
 		r.rewriting = true
-		spread := max(minRewriteSpread, time.Duration(r.Daemons())*rewritePerDaemon)
-		time.AfterFunc(rand.N(spread), r.rewrite)
+		time.AfterFunc(rand.N(r.rewriteSpread()), r.rewrite)
 	}
 }
 
-// isBehind reports whether the row lacks what this daemon knows. The caller holds r.mu.
+// rewriteSpread returns the time over which the daemons spread their writes.
+func (r *Reported) rewriteSpread() time.Duration {
+	return max(minRewriteSpread, time.Duration(r.Daemons())*rewritePerDaemon)
+}
+
+// isBehind reports whether the row lacks what this daemon knows, which may be that no window
+// was announced. The caller holds r.mu.
 func (r *Reported) isBehind() bool {
-	if r.last.Window.IsZero() {
-		return false
-	}
 	current := r.Epoch()
 	return r.stored.Through.Before(r.last.Window) || r.livedBefore(current) && r.stored.Epoch < current
 }
--- a/acaciad/control/reported_test.go
+++ b/acaciad/control/reported_test.go
@@ -72,3 +72,55 @@
 		c.Assert(last, qt.DeepEquals, announced)
 	}
 }
+
+// TestRestoreBeforeTheFirstReport restores the store before any window was reported. A daemon
+// that starts later must learn that from one that ran before, and not take windows that have
+// ended for reported.
+func TestRestoreBeforeTheFirstReport(t *testing.T) {
+	c := qt.New(t)
+	store := platformtest.NewStore()
+	c.Cleanup(store.Close)
+	client := platform.NewStore(store.Address(), time.Second, platform.NewStoreTransport())
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	newReported := func() *control.Reported {
+		return &control.Reported{
+			Table: &platform.Table{Store: client}, Epoch: client.Epochs.Current, Window: 5 * time.Second,
+			Daemons: func() int { return 2 }, Logger: logger,
+		}
+	}
+	follow := func(r *control.Reported) {
+		rows := []platform.Row{}
+		for _, row := range store.Rows("acaciapath", "control") {
+			rows = append(rows, platform.Row{Key: row.Key, Data: row.Data, Version: row.Version})
+		}
+		r.Apply(rows, true, time.Now())
+	}
+	c.Assert(client.Ping(t.Context()), qt.IsNil)
+	before := newReported()
+	follow(before)
+	store.Restore(store.Backup())
+	c.Assert(client.Ping(t.Context()), qt.IsNil)
+	after := newReported()
+	follow(after)
+	_, known := after.Last()
+	c.Assert(known, qt.IsFalse)
+	follow(before)
+	for end := time.Now().Add(waitLimit); len(store.Rows("acaciapath", "control")) == 0; time.Sleep(10 * time.Millisecond) {
+		c.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+	follow(after)
+	last, known := after.Last()
+	c.Assert(known, qt.IsTrue)
+	c.Assert(last, qt.DeepEquals, usage.Announcement{})
+	// Without one that ran before, all windows that have ended may have been reported.
+	alone := newReported()
+	store.Restore(store.Backup())
+	c.Assert(client.Ping(t.Context()), qt.IsNil)
+	follow(alone)
+	for end := time.Now().Add(waitLimit); !known || last.Window.IsZero(); time.Sleep(10 * time.Millisecond) {
+		c.Assert(time.Now().Before(end), qt.IsTrue)
+		last, known = alone.Last()
+	}
+	c.Assert(last.Window.Before(time.Now().Add(-5*time.Second)), qt.IsTrue)
+}
