core/usage: marks of adopted parts survive restorations

Change: a writer remembers the adopted parts that were reported, and inserts their marks again after each restoration before anything else.

Result: TestReportedPartIsNotAdoptedAgainAfterRestores failed before (11 requests counted again, twice) and passes.

--- a/acaciad/soak/soak_test.go
+++ b/acaciad/soak/soak_test.go
@@ -31,6 +31,12 @@
 	703, // SIGHUP killed a daemon that had just started
 }
 
+// restoreRegressions is the same for TestSoakWithRestores.
+var restoreRegressions = []uint64{
+	3112, // nobody knew after restorations that no usage window had been reported yet
+	3117, // usage was reported twice, not traced
+}
+
 // settleTimeout bounds the time that daemons take to follow the platform, and to report
 // usage, once there are no more faults.
 const settleTimeout = 15 * time.Second
@@ -54,8 +60,11 @@
 // to some seconds old.
 func TestSoakWithRestores(t *testing.T) {
 	binary := build(t, t.TempDir())
+	seeds := restoreRegressions
 	for i := range *restoreSeedCount {
-		seed := *firstSeed + uint64(i)
+		seeds = append(seeds, *firstSeed+uint64(i))
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(qt.New(t), binary, seed, daemonCount, true) })
 	}
 }
--- a/core/usage/adopt.go
+++ b/core/usage/adopt.go
@@ -109,6 +109,30 @@
 	}
 }
 
+// flushMarks inserts the marks again that the table has lost. Without them, a part that its
+// origin or another process sends again would be adopted once more. The caller holds w.flushMu.
+func (w *Writer) flushMarks(ctx context.Context) error {
+	for {
+		w.mu.Lock()
+		marks := w.lostMarks
+		w.mu.Unlock()
+		if len(marks) == 0 {
+			return nil
+		}
+		_, err := w.table.Commit(ctx, &table.CommitPayload{
+			Conditions: []*table.Condition{{Key: marks[0]}}, Writes: []*table.Write{{Key: marks[0], Value: []byte("{}")}},
+		})
+		if err != nil && platformapi.AsConflict(err) == nil {
+			return merry.Prepend(err, "usage: write mark of adopted part")
+		}
+		w.mu.Lock()
+		if len(w.lostMarks) > 0 && w.lostMarks[0] == marks[0] {
+			w.lostMarks = w.lostMarks[1:]
+		}
+		w.mu.Unlock()
+	}
+}
+
 // writeAdopted inserts the usage of an adopted part into an open window. It returns nil
 // once the usage is counted, here or elsewhere.
 func (w *Writer) writeAdopted(ctx context.Context, adopted *adoptedPart, now time.Time, length time.Duration) error {
--- a/core/usage/adopt_test.go
+++ b/core/usage/adopt_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"strings"
 	"testing"
 	"time"
@@ -114,6 +115,33 @@
 	c.Assert(requestsIn(service), qt.DeepEquals, map[string]uint64{usage.FormatWindowStart(start.Add(2 * length)): 11})
 }
 
+// TestReportedPartIsNotAdoptedAgainAfterRestores has a VM adopt a part, which is reported, and
+// the table restored twice from a backup without it. Another VM that gets the same part each
+// time must not count it again.
+func TestReportedPartIsNotAdoptedAgainAfterRestores(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	service := newFakeTable()
+	commit := partCommit("vm-0", partOf(11))
+	closeWindow(service, start)
+	backup := maps.Clone(service.rows)
+	first := usage.NewWriter(service, "vm-1", "a")
+	c.Assert(first.Adopt(commit), qt.IsNil)
+	c.Assert(first.Flush(ctx, start.Add(length), length), qt.IsNil)
+	c.Assert(totalRequests(service), qt.Equals, uint64(11))
+	reported := usage.Announcement{First: start, Window: start.Add(length)}
+	for i, vm := range []string{"vm-2", "vm-3"} {
+		service.rows = maps.Clone(backup)
+		first.HandleRestore(reported, length)
+		now := start.Add(time.Duration(2+i) * length)
+		c.Assert(first.Flush(ctx, now, length), qt.IsNil)
+		w := usage.NewWriter(service, vm, "a")
+		c.Assert(w.Adopt(commit), qt.IsNil)
+		c.Assert(w.Flush(ctx, now, length), qt.IsNil)
+		c.Check(totalRequests(service), qt.Equals, uint64(0))
+	}
+}
+
 // TestAdoptRejectsOtherCommits checks that only commits that insert a part are adopted,
 // and that their number is bounded.
 func TestAdoptRejectsOtherCommits(t *testing.T) {
--- a/core/usage/writer.go
+++ b/core/usage/writer.go
@@ -51,7 +51,10 @@
 	adopted []adoptedPart
 	// adoptedWritten are the latest of them that were written.
 	adoptedWritten []adoptedPart
-	sequence       uint64
+	// lostMarks are the marks of those that were reported, and which the table may have lost
+	// because it was restored from a backup.
+	lostMarks []string
+	sequence  uint64
 	// earliestOpen is the start of the earliest window that is not known to be
 	// closed.
 	earliestOpen time.Time
@@ -127,6 +130,9 @@
 func (w *Writer) Flush(ctx context.Context, now time.Time, length time.Duration) error {
 	w.flushMu.Lock()
 	defer w.flushMu.Unlock()
+	if err := w.flushMarks(ctx); err != nil {
+		return err
+	}
 	for w.hasAgain() {
 		if err := w.send(ctx, w.nextPart(now, length), length); err != nil {
 			return err
@@ -169,12 +175,18 @@
 		}
 	}
 	w.inserted = nil
+	var reported []adoptedPart
+	w.lostMarks = nil
 	for _, adopted := range w.adoptedWritten {
-		if !last.Covers(adopted.written) && len(w.adopted) < maxAdoptedParts {
+		switch {
+		case last.Covers(adopted.written):
+			reported = append(reported, adopted)
+			w.lostMarks = append(w.lostMarks, adopted.marks...)
+		case len(w.adopted) < maxAdoptedParts:
 			w.adopted = append(w.adopted, adopted)
 		}
 	}
-	w.adoptedWritten = nil
+	w.adoptedWritten = reported
 }
 
 // hasAgain reports whether parts wait to be inserted again.
