acaciad/origins: a stale list of servers does not tell where a stream began

Cause: a daemon whose list of servers had one version for long answered from it alone if the list was at most 5 s old, which it is on a VM that was cut off 4 s ago; and the refusal named a time to come back although nothing is learnt by then.

A stream that the reports cannot tell gets 503 without Retry-After; if they could not be read, the outcome is stream-version-not-known-yet, with one.

Evidence: TestListFromBeforeNewVersion failed before (v1 instead of unknown). TestStreamOfUnknownVersion asked for a Retry-After in any case; it now asks for none where the store answered, and for one where it did not.

--- a/acaciad/origins/lookup.go
+++ b/acaciad/origins/lookup.go
@@ -22,9 +22,9 @@
 	// lookupTime is how long a lookup waits until the reports of all daemons lead to the same
 	// version.
 	lookupTime = 1200 * time.Millisecond
-	// maxListAge is the age up to which the list of servers counts as up to date. It allows for a
-	// connection to the store that fell silent.
-	maxListAge = 5 * time.Second
+	// maxListAge is the age up to which the list of servers counts as up to date. On a VM that
+	// was cut off since, it lacks versions at which other daemons begin streams.
+	maxListAge = time.Second
 	// maxReports is the number of reports that are read.
 	maxReports = 2000
 )
@@ -40,16 +40,19 @@
 
 // Lookup returns the origin of a stream that a caller takes up again and that began since a
 // time. It reads the reports of other daemons if necessary, until lookupTime has passed or ctx
-// is done.
-func (r *Registry) Lookup(ctx context.Context, stream origin.Stream, group origin.Group, since time.Time) (o origin.Origin, known bool) {
+// is done. If the origin is not known, err states why the reports could not be read; without
+// an error, it will not be known later either.
+func (r *Registry) Lookup(ctx context.Context, stream origin.Stream, group origin.Group, since time.Time) (o origin.Origin, known bool, err error) {
 	began := time.Now()
 	q := origin.Query{Stream: stream, Group: group, Since: since}
 	if o, known = r.resolve(q, (*origin.Ledger).Resolve); known {
 		r.Metrics.count(lookupKnown)
-		return o, true
+		return o, true, nil
 	}
+	err = ctx.Err()
 	for after := began.Add(-maxReadAge); ctx.Err() == nil; after = time.Now() {
-		reports, err := r.read(ctx, after)
+		var reports []origin.Report
+		reports, err = r.read(ctx, after)
 		final := false
 		if err == nil {
 			o, known = r.resolve(q, func(l *origin.Ledger, q origin.Query) (o origin.Origin, known bool) {
@@ -61,7 +64,7 @@
 		}
 		if known {
 			r.Metrics.count(lookupReported)
-			return o, true
+			return o, true, nil
 		}
 		if final || time.Since(began) > lookupTime {
 			break
@@ -69,7 +72,7 @@
 		sleep.For(ctx, r.readInterval())
 	}
 	r.Metrics.count(lookupUnknown)
-	return origin.Origin{}, false
+	return origin.Origin{}, false, err
 }
 
 // resolve has the ledger resolve a query.
--- a/acaciad/origins/registry_test.go
+++ b/acaciad/origins/registry_test.go
@@ -89,7 +89,7 @@
 
 // version returns the version that a registry finds for a stream, or an empty string.
 func (f *fixture) version(r *origins.Registry, id string) string {
-	found, _ := r.Lookup(f.Context(), stream(id), group, time.Now().Add(-origin.Memory))
+	found, _, _ := r.Lookup(f.Context(), stream(id), group, time.Now().Add(-origin.Memory))
 	return found.Version
 }
 
@@ -129,7 +129,7 @@
 	for id, version := range versions {
 		f.Check(f.version(two, id), qt.Equals, version, qt.Commentf("stream %s", id))
 	}
-	found, _ := two.Lookup(f.Context(), stream("moved"), group, time.Now().Add(-origin.Memory))
+	found, _, _ := two.Lookup(f.Context(), stream("moved"), group, time.Now().Add(-origin.Memory))
 	f.Check(found.Service, qt.Equals, "llm-2")
 }
 
@@ -199,11 +199,43 @@
 	f.Check(f.version(r, "b"), qt.Equals, "")
 	f.Check(time.Since(began) < 5*time.Second, qt.IsTrue)
 	expected, _ := r.Choose(group, stream("b"))
-	found, _ := r.Lookup(f.Context(), stream("b"), group, time.Now().Add(11*time.Second))
+	found, _, _ := r.Lookup(f.Context(), stream("b"), group, time.Now().Add(11*time.Second))
 	f.Check(found.Version, qt.Equals, expected)
 	r.ListAge = func(time.Time) time.Duration { return time.Minute }
-	_, known := r.Lookup(f.Context(), stream("b"), group, time.Now().Add(11*time.Second))
+	_, known, err := r.Lookup(f.Context(), stream("b"), group, time.Now().Add(11*time.Second))
 	f.Check(known, qt.IsFalse, qt.Commentf("the list of servers is out of date"))
+	f.Check(err, qt.IsNotNil)
+}
+
+// TestListFromBeforeNewVersion has a daemon whose list of servers is two seconds old and has one
+// version for long, while another daemon begins streams at a new one.
+func TestListFromBeforeNewVersion(t *testing.T) {
+	f := newFixture(t)
+	one, _ := f.start("vm-1")
+	one.SetListed(listed(map[string]int{"v1": 4}), time.Now())
+	f.waitForRow(one)
+	f.eventually(func() bool {
+		version, _ := one.Choose(group, stream("b"))
+		return version == "v1"
+	})
+	two, _ := f.start("vm-2")
+	two.SetListed(listed(map[string]int{"v2": 4}), time.Now())
+	f.waitForRow(two)
+	f.eventually(func() bool {
+		version, _ := two.Choose(group, stream("b"))
+		return version == "v2"
+	})
+	since := time.Now().Add(11 * time.Second)
+	found, _, _ := one.Lookup(f.Context(), stream("b"), group, since)
+	f.Assert(found.Version, qt.Equals, "v1")
+	one.ListAge = func(time.Time) time.Duration { return 2 * time.Second }
+	_, known, err := one.Lookup(f.Context(), stream("b"), group, since)
+	f.Check(known, qt.IsFalse)
+	f.Check(err, qt.IsNil)
+	f.store.SetFault(func(string, string) platformtest.Fault { return platformtest.Unavailable })
+	_, known, err = one.Lookup(f.Context(), stream("b"), group, since)
+	f.Check(known, qt.IsFalse)
+	f.Check(err, qt.IsNotNil)
 }
 
 // TestInvalidRows has rows that cannot be read. They are logged with their key, and the
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -42,10 +42,9 @@
 	retryAfterNoCatalog = 500 * time.Millisecond
 	// retryAfterFailure is sent when no backend server accepted the request.
 	retryAfterFailure = 300 * time.Millisecond
-	// retryAfterUnknownOrigin is sent when the version that began a stream is not known, or
-	// has no server. Daemons that were cut off know more once they are back, and servers
-	// that crashed start again.
-	retryAfterUnknownOrigin = 2 * time.Second
+	// retryAfterOrigin is sent when the store cannot tell yet which version began a stream, or
+	// the version has no server. Servers that crashed start again.
+	retryAfterOrigin = 2 * time.Second
 	// minRetryAfterQuarantine is the least value while a request or a prompt part is
 	// quarantined.
 	minRetryAfterQuarantine = time.Second
@@ -125,8 +124,9 @@
 // Refusals that do not depend on the request.
 var (
 	unknownCatalog    = &refusal{status: http.StatusServiceUnavailable, reason: "catalog-unknown", retryAfter: retryAfterNoCatalog}
-	unknownOrigin     = &refusal{status: http.StatusServiceUnavailable, reason: "stream-version-unknown", retryAfter: retryAfterUnknownOrigin}
-	noSuchVersion     = &refusal{status: http.StatusServiceUnavailable, reason: "stream-version-not-serving", retryAfter: retryAfterUnknownOrigin}
+	unknownOrigin     = &refusal{status: http.StatusServiceUnavailable, reason: "stream-version-unknown"}
+	originNotKnownYet = &refusal{status: http.StatusServiceUnavailable, reason: "stream-version-not-known-yet", retryAfter: retryAfterOrigin}
+	noSuchVersion     = &refusal{status: http.StatusServiceUnavailable, reason: "stream-version-not-serving", retryAfter: retryAfterOrigin}
 	shuttingDown      = &refusal{status: http.StatusServiceUnavailable, reason: "shutting-down", retryAfter: retryAfterFailure}
 	unknownRoute      = &refusal{status: http.StatusNotFound, reason: "route-unknown"}
 	unknownKey        = &refusal{status: http.StatusUnauthorized, reason: "key-unknown"}
--- a/acaciad/proxy/harness_test.go
+++ b/acaciad/proxy/harness_test.go
@@ -41,6 +41,8 @@
 	startDrain context.CancelFunc
 	endStreams context.CancelFunc
 	specs      []replica.Spec
+	// originStore is the store through which the origins of streams are exchanged.
+	originStore *platformtest.Store
 }
 
 // testCatalog returns a catalog with a route of each kind. All routes except
@@ -77,7 +79,8 @@
 // budgets.
 func newFixture(t *testing.T, burst float64) *fixture {
 	c := qt.New(t)
-	f := &fixture{C: c, directory: directory.New("z", time.Second, rand.New(rand.NewPCG(1, 2)))}
+	f := &fixture{C: c, directory: directory.New("z", time.Second, rand.New(rand.NewPCG(1, 2))), originStore: platformtest.NewStore()}
+	c.Cleanup(f.originStore.Close)
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	draining, startDrain := context.WithCancel(context.Background())
@@ -93,7 +96,7 @@
 		Client:       proxy.NewClient(),
 		Guard:        guard,
 		Limits:       limits,
-		Origins:      newOrigins(c, logger),
+		Origins:      newOrigins(f.originStore, logger),
 		Meter:        usage.NewMeter(),
 		Metrics:      proxy.NewMetrics(prometheus.NewRegistry()),
 		Logger:       logger,
@@ -138,10 +141,8 @@
 	f.handler.Origins.SetListed(f.directory.StreamServers(), time.Now())
 }
 
-// newOrigins returns a registry of streams with a store of its own.
-func newOrigins(c *qt.C, logger *logrus.Logger) *origins.Registry {
-	store := platformtest.NewStore()
-	c.Cleanup(store.Close)
+// newOrigins returns a registry of streams.
+func newOrigins(store *platformtest.Store, logger *logrus.Logger) *origins.Registry {
 	r := origins.NewRegistry()
 	r.VM, r.Logger, r.Metrics = "vm", logger, origins.NewMetrics(prometheus.NewRegistry())
 	r.Table = &platform.Table{Store: platform.NewStore(store.Address(), time.Second, platform.NewStoreTransport())}
--- a/acaciad/proxy/origin.go
+++ b/acaciad/proxy/origin.go
@@ -40,8 +40,11 @@
 		x.origin.Version, x.planned = x.handler.Origins.Choose(x.group, x.stream)
 		return nil
 	}
-	found, known := x.handler.Origins.Lookup(ctx, x.stream, x.group, x.streamSince())
-	if !known {
+	found, known, err := x.handler.Origins.Lookup(ctx, x.stream, x.group, x.streamSince())
+	switch {
+	case err != nil:
+		return originNotKnownYet
+	case !known:
 		return unknownOrigin
 	}
 	if !slices.ContainsFunc(x.route.Splits, func(s catalog.Split) bool { return s.Service == found.Service }) {
--- a/acaciad/proxy/origin_test.go
+++ b/acaciad/proxy/origin_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"acaciapath.example/core/origin"
+	"acaciapath.example/platform/platformtest"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -26,7 +27,8 @@
 }
 
 // TestStreamOfUnknownVersion has callers take up streams that no daemon knows while servers of
-// two versions serve: they are told that nothing ran, and the servers get no request.
+// two versions serve: they are told that nothing ran, and the servers get no request. They are
+// told when to come back only if the store, which is away at the end, may tell more by then.
 func TestStreamOfUnknownVersion(t *testing.T) {
 	f := newFixture(t, 2)
 	f.loadCatalog()
@@ -35,7 +37,7 @@
 	f.directory.SetServers(f.specs, time.Now())
 	f.setVersions()
 	f.handler.Origins.Begin(origin.StreamID("account-b", "id-0"), origin.Group{Service: "llm", Lane: "patient"}, origin.Origin{Service: "llm", Version: "v1"}, time.Now())
-	for _, resumes := range []string{"", "id-9", "id-0", strings.Repeat("x", 10_000), "\t\x80"} {
+	takeUp := func(resumes string) answer {
 		r := f.request(f.Context(), http.MethodPost, "/reply/", "x")
 		r.Header.Set("X-Deadline-Ms", "10000")
 		r.Header.Set("Last-Event-Id", "3")
@@ -43,9 +45,17 @@
 		a := f.do(r)
 		f.Assert(a.err, qt.IsNil)
 		f.Check(a.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%.20q", resumes))
+		return a
+	}
+	for _, resumes := range []string{"", "id-9", "id-0", strings.Repeat("x", 10_000), "\t\x80"} {
+		a := takeUp(resumes)
 		f.Check(a.body, qt.Equals, "stream-version-unknown\n")
-		f.Check(a.header.Get("Retry-After") != "", qt.IsTrue)
+		f.Check(a.header.Get("Retry-After"), qt.Equals, "")
 	}
+	f.originStore.SetFault(func(string, string) platformtest.Fault { return platformtest.Unavailable })
+	a := takeUp("id-9")
+	f.Check(a.body, qt.Equals, "stream-version-not-known-yet\n")
+	f.Check(a.header.Get("Retry-After") != "", qt.IsTrue)
 	f.Check(receivedCount(one, two), qt.Equals, 0)
 }
 
