--- a/acaciad/crashreports/guard.go
+++ b/acaciad/crashreports/guard.go
@@ -226,28 +226,16 @@
 // logChange logs and counts a change of a quarantine.
 func (g *Guard) logChange(change string, q quarantine.Quarantine) {
 	g.Metrics.changes.WithLabelValues(change).Inc()
+	id, ended, begun := "part", "prompt part no longer quarantined, its requests are sent again", "prompt part quarantined, its requests are refused"
 	if q.Whole {
-		g.logRequestChange(change, q)
-		return
-	}
-	entry := g.Logger.WithFields(logrus.Fields{"part": formatPart(q.Part), "change": change})
-	if q.Until.IsZero() {
-		entry.Warn("prompt part no longer quarantined, its requests are sent again")
-		return
+		id, ended, begun = "request-key", "request no longer quarantined, it is sent again", "request quarantined, it is refused"
 	}
-	entry.WithFields(logrus.Fields{"crashes": q.Crashes, "first": q.First.UTC(), "until": q.Until.UTC()}).
-		Warn("prompt part quarantined, its requests are refused")
-}
-
-// logRequestChange logs a change of the quarantine of a whole request.
-func (g *Guard) logRequestChange(change string, q quarantine.Quarantine) {
-	entry := g.Logger.WithFields(logrus.Fields{"request-key": formatPart(q.Part), "change": change})
+	entry := g.Logger.WithFields(logrus.Fields{id: formatPart(q.Part), "change": change})
 	if q.Until.IsZero() {
-		entry.Warn("request no longer quarantined, it is sent again")
+		entry.Warn(ended)
 		return
 	}
-	entry.WithFields(logrus.Fields{"crashes": q.Crashes, "first": q.First.UTC(), "until": q.Until.UTC()}).
-		Warn("request quarantined, it is refused")
+	entry.WithFields(logrus.Fields{"crashes": q.Crashes, "first": q.First.UTC(), "until": q.Until.UTC()}).Warn(begun)
 }
 
 // formatParts returns the ids of parts of a prompt in hexadecimal form.
--- a/core/origin/ledger.go
+++ b/core/origin/ledger.go
@@ -139,7 +139,7 @@
 	}
 	s.runs++
 	s.group, s.Origin, s.complete, s.at = group, o, false, now
-	return l.isException(stream, s)
+	return s.isException(stream, l.reported[s.group].Plan)
 }
 
 // End records that a request of Begin has ended. complete states that the stream cannot be
@@ -156,9 +156,9 @@
 	}
 }
 
-// isException reports whether the origin of a stream does not follow from the plan in use.
-func (l *Ledger) isException(stream Stream, s *progress) bool {
-	version, ok := l.reported[s.group].Plan.Pick(stream)
+// isException reports whether the origin of a stream does not follow from the plan of its group.
+func (s *progress) isException(stream Stream, plan Plan) bool {
+	version, ok := plan.Pick(stream)
 	return !s.complete && (!ok || version != s.Version || s.Service != s.group.Service)
 }
 
--- a/core/origin/report.go
+++ b/core/origin/report.go
@@ -80,7 +80,7 @@
 	}
 	var exceptions []Stream
 	for stream, s := range l.streams {
-		if version, ok := r.Groups[s.group].Plan.Pick(stream); !s.complete && (!ok || version != s.Version || s.Service != s.group.Service) {
+		if s.isException(stream, r.Groups[s.group].Plan) {
 			exceptions = append(exceptions, stream)
 		}
 	}
@@ -118,7 +118,7 @@
 func (l *Ledger) SetReported(r Report) bool {
 	l.reported = r.Groups
 	for stream, s := range l.streams {
-		if !s.at.Before(r.At) && l.isException(stream, s) {
+		if !s.at.Before(r.At) && s.isException(stream, l.reported[s.group].Plan) {
 			return true
 		}
 	}
