core/quarantine: requests that are accused alike are refused together

Change: whole requests under which exactly the same servers ended are quarantined together, 8 at most. Where another crash tells them apart, only that one is.

--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -164,16 +164,45 @@
 		if crashes == nil {
 			break
 		}
-		q := &Quarantine{
-			Part: part, Whole: l.suspects[part].whole, First: crashes[0].At, Crashes: len(crashes),
-			Since: now, Until: now.Add(l.settings.Hold), Hold: l.settings.Hold,
+		for _, id := range l.accusedAlike(part, crashes) {
+			q := &Quarantine{
+				Part: id, Whole: l.suspects[id].whole, First: crashes[0].At, Crashes: len(crashes),
+				Since: now, Until: now.Add(l.settings.Hold), Hold: l.settings.Hold,
+			}
+			l.quarantined[id] = q
+			added = append(added, *q)
 		}
-		l.quarantined[part] = q
-		added = append(added, *q)
 	}
 	return added, forgotten
 }
 
+// accusedAlike returns a part, and if it is a whole request some of the others under which the
+// same servers ended, sorted. Requests that are sent again together cannot be told apart, and
+// each may be the one that ends servers.
+func (l *Ledger) accusedAlike(part uint64, crashes []Crash) []uint64 {
+	alike := []uint64{part}
+	if !l.suspects[part].whole {
+		return alike
+	}
+	explained := l.explainedServers()
+	for id, s := range l.suspects {
+		if id == part || !s.whole || l.quarantined[id] != nil {
+			continue
+		}
+		list := s.accusations(explained)
+		same := len(list) == len(crashes) && !slices.ContainsFunc(list, func(c Crash) bool {
+			return !slices.ContainsFunc(crashes, func(o Crash) bool { return o.Server == c.Server })
+		})
+		if same {
+			alike = append(alike, id)
+		}
+	}
+	slices.Sort(alike[1:])
+	alike = alike[:min(len(alike), maxAlike)]
+	slices.Sort(alike)
+	return alike
+}
+
 // NextEvaluation returns the time until Evaluate may have a different result without
 // further news, or 0 if there is none.
 func (l *Ledger) NextEvaluation(now time.Time) time.Duration {
--- a/core/quarantine/request_test.go
+++ b/core/quarantine/request_test.go
@@ -62,6 +62,27 @@
 	c.Assert(quarantinedAfter(l, at(3000)), qt.DeepEquals, []uint64{9})
 }
 
+// TestRequestsThatAreSentAgainTogether has two requests run on the same three servers, under
+// which these end. Only a later crash tells them apart.
+func TestRequestsThatAreSentAgainTogether(t *testing.T) {
+	c := qt.New(t)
+	for _, crashing := range []uint64{8, 9} {
+		l := quarantine.NewLedger(quarantine.DefaultSettings())
+		for _, ms := range []int{0, 300, 600} {
+			crashes(l, request(8), ms)
+			crashes(l, request(9), ms)
+		}
+		c.Assert(quarantinedAfter(l, at(3000)), qt.DeepEquals, []uint64{8, 9})
+		l = quarantine.NewLedger(quarantine.DefaultSettings())
+		for _, ms := range []int{0, 300, 600} {
+			crashes(l, request(8), ms)
+			crashes(l, request(9), ms)
+		}
+		crashes(l, request(crashing), 900)
+		c.Assert(quarantinedAfter(l, at(3000)), qt.DeepEquals, []uint64{crashing})
+	}
+}
+
 func TestSoundRunOfRequest(t *testing.T) {
 	c := qt.New(t)
 	l := quarantine.NewLedger(quarantine.DefaultSettings())
--- a/core/quarantine/settings.go
+++ b/core/quarantine/settings.go
@@ -74,6 +74,9 @@
 	maxSuspects = 1024
 	// maxCrashes is the number of crashes of each accused part.
 	maxCrashes = 64
+	// maxAlike is the number of requests that are quarantined together since they are accused
+	// alike.
+	maxAlike = 8
 	// maxQuarantined is the number of quarantined parts.
 	maxQuarantined = 256
 	// maxSound is the number of parts, in each of two generations, whose sound runs are
