entryd/scheduler: a request that was cancelled is not started

Cause: at the drain timeout all requests are cancelled together. The running one gives its slot back, which starts the waiting one; if that sees its slot before its cancellation, it is sent to the backend server.

Change: a request whose context is done gives its slot back.

Evidence: TestRequestsCancelledTogether failed before (a slot for a cancelled request) and passes; TestDrainTimeout 640 times, 16 at once, with the race detector: none failed.

--- a/entryd/scheduler/scheduler.go
+++ b/entryd/scheduler/scheduler.go
@@ -238,6 +238,16 @@
 // if the request is still waiting after the maximum wait of its class, or the
 // cause of ctx if ctx is done; the request has been finished then.
 func (p *localHolder) wait(ctx context.Context) (*Assignment, error) {
+	assignment, err := p.waitUntilStarted(ctx)
+	if err == nil && ctx.Err() != nil { // the slots of requests that were cancelled together
+		p.Finish(dispatch.Result{})
+		return nil, context.Cause(ctx)
+	}
+	return assignment, err
+}
+
+// waitUntilStarted is like wait, but may return an assignment though ctx is done.
+func (p *localHolder) waitUntilStarted(ctx context.Context) (*Assignment, error) {
 	select {
 	case <-p.ticket.Value.started:
 		return p.assignment(), nil
