core/origin: plans that a restored store lacks are not taken for the latest

Change: a row has the epoch of the store in which it was written. If no row of a daemon that ran before the restoration has the present epoch, each listed version is possible as well as those of the plans.

Evidence: TestPlansThatTheCopyLacks failed before (v1 for streams that began at v2) and passes.

--- a/acaciad/origins/lookup.go
+++ b/acaciad/origins/lookup.go
@@ -77,7 +77,7 @@
 
 // resolve has the ledger resolve a query.
 func (r *Registry) resolve(q origin.Query, how func(*origin.Ledger, origin.Query) (origin.Origin, bool)) (origin.Origin, bool) {
-	q.Fresh = r.ListAge(time.Now()) <= maxListAge
+	q.Fresh, q.Epoch = r.ListAge(time.Now()) <= maxListAge, r.Epoch()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return how(r.ledger, q)
--- a/acaciad/origins/registry.go
+++ b/acaciad/origins/registry.go
@@ -40,6 +40,8 @@
 	VM string
 	// Table stores the rows.
 	Table table.Service
+	// Epoch returns the epoch of the store.
+	Epoch func() uint64
 	// Daemons returns the number of daemons, or 0 if it is not known.
 	Daemons func() int
 	// ListAge returns the age of the list of servers.
@@ -68,7 +70,7 @@
 // before use.
 func NewRegistry() *Registry {
 	return &Registry{
-		Daemons: func() int { return 0 }, ListAge: func(time.Time) time.Duration { return 0 },
+		Epoch: func() uint64 { return firstEpoch }, Daemons: func() int { return 0 }, ListAge: func(time.Time) time.Duration { return 0 },
 		wake: make(chan struct{}, 1), ledger: origin.NewLedger(),
 	}
 }
@@ -212,12 +214,17 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	written := uint64(firstEpoch)
 	for _, row := range rows {
 		if report, ok := r.parse(row); ok {
 			r.ledger.Merge(report, time.Now())
-			found = true
+			written, found = report.Epoch, true
 		}
 	}
+	if written < r.Epoch() {
+		r.ledger.RecordLostReports(written, time.Now())
+		time.AfterFunc(origin.Memory, r.HandleRestore) // the report is complete then
+	}
 	r.scheduleLocked()
 	return found, nil
 }
@@ -234,6 +241,7 @@
 	r.mu.Lock()
 	r.changed = false
 	report := r.ledger.Report(time.Now())
+	report.Epoch = r.ledger.Epoch(r.Epoch(), report.At)
 	r.mu.Unlock()
 	if len(report.Groups) == 0 {
 		return true
--- a/acaciad/origins/registry_test.go
+++ b/acaciad/origins/registry_test.go
@@ -72,6 +72,7 @@
 	logger.SetOutput(f.log)
 	r := origins.NewRegistry()
 	r.VM, r.Table, r.Logger = vm, f.table, logger
+	r.Epoch = f.table.Store.Epochs.Current
 	r.Metrics = origins.NewMetrics(prometheus.NewRegistry())
 	ctx, stop := context.WithCancel(f.Context())
 	done := make(chan struct{})
@@ -177,6 +178,67 @@
 	}
 }
 
+// TestPlansThatTheCopyLacks restores the store from a copy that lacks the latest plans, and ends
+// all daemons, or all but one. No stream may be taken for one of another version, and those
+// where the copy and the daemon that lives agree are known.
+func TestPlansThatTheCopyLacks(t *testing.T) {
+	for _, lives := range []bool{false, true} {
+		t.Run(fmt.Sprintf("one lives=%v", lives), func(t *testing.T) {
+			f := newFixture(t)
+			one, stopOne := f.start("vm-1")
+			two, stopTwo := f.start("vm-2")
+			uses := func(version string) func() bool {
+				return func() bool {
+					for i := range 40 {
+						for _, r := range []*origins.Registry{one, two} {
+							if v, _ := r.Choose(group, stream(fmt.Sprint(i))); v == version {
+								return true
+							}
+						}
+					}
+					return false
+				}
+			}
+			for _, r := range []*origins.Registry{one, two} {
+				r.SetListed(listed(map[string]int{"v1": 4}), time.Now())
+			}
+			f.eventually(func() bool { return !uses("v2")() })
+			f.waitForRow(one)
+			f.waitForRow(two)
+			backup := f.store.Backup()
+			for _, r := range []*origins.Registry{one, two} {
+				r.SetListed(listed(both), time.Now())
+			}
+			f.eventually(uses("v2"))
+			time.Sleep(500 * time.Millisecond) // both use it
+			versions := make(map[string]string)
+			for i := range 12 {
+				id := fmt.Sprint(i)
+				versions[id] = f.begin(two, id)
+			}
+			stopTwo()
+			if !lives {
+				stopOne()
+			}
+			f.store.Restore(backup)
+			f.Assert(f.table.Store.Ping(f.Context()), qt.IsNil)
+			if lives {
+				one.HandleRestore()
+			} else {
+				one, _ = f.start("vm-1")
+			}
+			two, _ = f.start("vm-2")
+			f.waitForRow(two)
+			for id, version := range versions {
+				found := f.version(two, id)
+				if found != "" || lives && version == "v1" {
+					f.Check(found, qt.Equals, version)
+				}
+			}
+		})
+	}
+}
+
 // eventually waits until a condition holds.
 func (f *fixture) eventually(condition func() bool) {
 	for end := time.Now().Add(10 * time.Second); !condition(); time.Sleep(5 * time.Millisecond) {
--- a/acaciad/origins/rows.go
+++ b/acaciad/origins/rows.go
@@ -13,6 +13,9 @@
 // rowPrefix precedes the name of a VM in the key of its row.
 const rowPrefix = "stream-origins/"
 
+// firstEpoch is the epoch of a store that was never restored.
+const firstEpoch = 1
+
 // streamBytes is the encoded size of a stream.
 const streamBytes = 8
 
@@ -25,6 +28,7 @@
 // storedReport is the value of a row.
 type storedReport struct {
 	AtMS       int64             `json:"at-ms"`
+	Epoch      uint64            `json:"epoch,omitempty"`
 	Groups     []storedGroup     `json:"groups"`
 	Exceptions []storedException `json:"exceptions,omitempty"`
 }
@@ -60,7 +64,7 @@
 
 // encodeReport returns the value of the row for a report.
 func encodeReport(r origin.Report) ([]byte, error) {
-	s := storedReport{AtMS: r.At.UnixMilli()}
+	s := storedReport{AtMS: r.At.UnixMilli(), Epoch: r.Epoch}
 	for group, known := range r.Groups {
 		stored := storedGroup{Service: group.Service, Lane: group.Lane, Plan: encodePlan(known.Plan), SinceMS: known.Since.UnixMilli()}
 		for _, former := range known.Former {
@@ -94,7 +98,7 @@
 		return origin.Report{}, merry.Wrap(errInvalidRow, merry.WithCause(err))
 	}
 	r := origin.Report{
-		At: time.UnixMilli(s.AtMS), Groups: make(map[origin.Group]origin.GroupReport), Exceptions: make(map[origin.Origin][]origin.Stream),
+		At: time.UnixMilli(s.AtMS), Epoch: max(s.Epoch, firstEpoch), Groups: make(map[origin.Group]origin.GroupReport), Exceptions: make(map[origin.Origin][]origin.Stream),
 	}
 	for _, stored := range s.Groups {
 		plan, err := parsePlan(stored.Plan)
--- a/core/origin/ledger.go
+++ b/core/origin/ledger.go
@@ -70,7 +70,11 @@
 	reported map[Group]GroupReport
 	// startedAt is when the daemon started, if it has a report from before.
 	startedAt time.Time
-	streams   map[Stream]*progress
+	// lostBefore is when this daemon started if reports from before are lost, which is what
+	// lostEpoch is the epoch of.
+	lostBefore time.Time
+	lostEpoch  uint64
+	streams    map[Stream]*progress
 	// idle is the number of streams that are not running.
 	idle int
 }
@@ -201,6 +205,8 @@
 	Since time.Time
 	// Fresh states that the list of servers is up to date.
 	Fresh bool
+	// Epoch is the epoch of the table.
+	Epoch uint64
 }
 
 // Resolve returns the origin of a stream, as far as this daemon knows it without the reports
@@ -221,7 +227,7 @@
 // servers do not change it.
 func (l *Ledger) PlanHolds(group Group, since time.Time) bool {
 	r := l.reported[group]
-	if len(r.Plan) == 0 || r.Since.After(since) || !slices.Equal(l.listed[group].Plan, r.Plan) {
+	if len(r.Plan) == 0 || r.Since.After(since) || since.Before(l.lostBefore) || !slices.Equal(l.listed[group].Plan, r.Plan) {
 		return false
 	}
 	return !slices.ContainsFunc(r.Former, func(f FormerPlan) bool { return f.Until.After(since) })
@@ -239,7 +245,9 @@
 }
 
 // ResolveAmong returns the origin of a stream by the reports of all daemons. final states that
-// later reports will not tell more, since all daemons use the same plan.
+// later reports will not tell more, since all daemons use the same plan. If the table was
+// restored from a backup, and no daemon that ran before has reported since, all listed versions
+// are possible too.
 func (l *Ledger) ResolveAmong(reports []Report, q Query) (o Origin, known, final bool) {
 	if o, known = l.Resolve(q); known {
 		return o, true, true
@@ -251,6 +259,7 @@
 	}
 	var versions []string
 	var plan Plan
+	complete := false
 	final = true
 	add := func(p Plan) {
 		if version, ok := p.Pick(q.Stream); ok && !slices.Contains(versions, version) {
@@ -262,6 +271,7 @@
 		if !ok || r.isSuperseded(reports, q) {
 			continue
 		}
+		complete = complete || r.Epoch >= q.Epoch
 		add(group.Plan)
 		final = final && (plan == nil || slices.Equal(plan, group.Plan))
 		plan = group.Plan
@@ -271,6 +281,13 @@
 			}
 		}
 	}
+	if !complete {
+		// All daemons may have had another plan that the table has lost.
+		for _, share := range l.listed[q.Group].Plan {
+			add(Plan{share})
+		}
+		final = false
+	}
 	if len(versions) != 1 {
 		return Origin{}, false, final && len(versions) > 0
 	}
--- a/core/origin/report.go
+++ b/core/origin/report.go
@@ -22,6 +22,10 @@
 type Report struct {
 	// At is when it was written, by the wall clock of the daemon's VM.
 	At time.Time
+	// Epoch is the epoch of the table (core/epoch) in which it was written. It is an earlier
+	// one if the daemon started since, and streams may have begun before under plans that the
+	// table has lost.
+	Epoch uint64
 	// Groups has the plans of all groups with servers.
 	Groups map[Group]GroupReport
 	// Exceptions are the streams that can be taken up again and whose origins do not follow
@@ -125,6 +129,20 @@
 	return false
 }
 
+// RecordLostReports records that the table was restored from a backup after it had the report
+// of this VM from before a restart, which was written in the given epoch.
+func (l *Ledger) RecordLostReports(epoch uint64, now time.Time) {
+	l.lostEpoch, l.lostBefore = epoch, now
+}
+
+// Epoch returns the epoch of a report of this daemon, if that of the table is current.
+func (l *Ledger) Epoch(current uint64, now time.Time) uint64 {
+	if now.Sub(l.lostBefore) < Memory {
+		return l.lostEpoch
+	}
+	return current
+}
+
 // Merge adds the report of this VM from before a restart, whose plans stay in use.
 func (l *Ledger) Merge(r Report, now time.Time) {
 	l.startedAt, l.reported = now, r.Groups
