acaciad/neighbours: reads held by neighbours are sent directly once the store is reachable

Cause: while a VM is cut off from the store, its feeds are held by a neighbour. The VM came back, and the neighbour was cut off in turn; the held call waited for its timeout, 5.2 s, although the store was reachable directly. When the direct path fails, pending direct reads are canceled and sent again; the opposite was missing.

Change: when the direct path is restored, reads that are pending at neighbours are canceled and sent directly.

Evidence: TestHeldReadOfNeighbourThatIsCutOff failed before and passes.

--- a/acaciad/neighbours/neighbours_test.go
+++ b/acaciad/neighbours/neighbours_test.go
@@ -115,6 +115,42 @@
 	}
 }
 
+// TestHeldReadOfNeighbourThatIsCutOff has a neighbour fall silent that holds a call of a feed,
+// after the direct path to the store is restored. The call must be sent directly, and not wait
+// for its timeout.
+func TestHeldReadOfNeighbourThatIsCutOff(t *testing.T) {
+	p := newPair(t)
+	link, err := relay.New("127.0.0.1:0")
+	p.Assert(err, qt.IsNil)
+	p.Cleanup(func() { _ = link.Close() })
+	link.SetTarget(strings.TrimPrefix(p.neighbour.URL, "http://"))
+	p.transport.SetNeighbours([]detour.Neighbour{{Address: link.Address(), FailureDomain: "z"}})
+	p.cutOff()
+	p.Assert(p.directClient.Ping(p.Context()), qt.IsNotNil)
+	p.Assert(p.rowCount(), qt.Equals, 1)
+	changed := make(chan int, 1)
+	go func() {
+		rows, err := p.client.Changes(p.Context(), "servers", epoch.Join(1, 1), 5*time.Second)
+		if err == nil {
+			changed <- len(rows.Rows)
+		}
+	}()
+	time.Sleep(100 * time.Millisecond)
+	link.SetFaults(relay.Faults{DropToTarget: true, DropFromTarget: true})
+	p.storeLink.SetFaults(relay.Faults{})
+	p.storeLink.CloseConnections()
+	for end := time.Now().Add(10 * time.Second); p.directClient.Ping(p.Context()) != nil; time.Sleep(10 * time.Millisecond) {
+		p.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+	p.store.Write("servers", "i-2", "x")
+	select {
+	case n := <-changed:
+		p.Assert(n, qt.Equals, 1)
+	case <-time.After(2 * time.Second):
+		p.Fatal("the held call was not sent directly")
+	}
+}
+
 // TestRefusedDaemonUsesNeighbour has the store refuse the calls of one VM. Since it did
 // not execute them, even a write may be sent through the neighbour at once.
 func TestRefusedDaemonUsesNeighbour(t *testing.T) {
--- a/acaciad/neighbours/transport.go
+++ b/acaciad/neighbours/transport.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,9 +40,10 @@
 	random   *rand.Rand
 	// collector selects the daemon that commits the writes of this one.
 	collector collectorChoice
-	// directReads holds the pending reads on the direct path, which are canceled
-	// when that path starts to fail.
-	directReads map[*http.Request]context.CancelFunc
+	// directReads and relayedReads hold the pending reads on the direct path and through
+	// neighbours. They are canceled and sent again when the direct path starts to fail, and
+	// when it is restored.
+	directReads, relayedReads map[*http.Request]context.CancelFunc
 }
 
 var _ http.RoundTripper = (*Transport)(nil)
@@ -51,7 +54,7 @@
 	return &Transport{
 		Base: base, Metrics: metrics, Logger: logger, random: random, OnDirectFailure: func(time.Time) {},
 		selector:    detour.Selector{FailureDomain: failureDomain},
-		directReads: make(map[*http.Request]context.CancelFunc),
+		directReads: make(map[*http.Request]context.CancelFunc), relayedReads: make(map[*http.Request]context.CancelFunc),
 	}
 }
 
@@ -159,8 +162,13 @@
 	}
 	t.mu.Lock()
 	alternative := t.selector.PickNeighbour(time.Now(), t.random)
+	if via != detour.Direct && !t.selector.DirectFailing() {
+		alternative = detour.Direct
+	} else if alternative == detour.Direct {
+		alternative = via
+	}
 	t.mu.Unlock()
-	if alternative == detour.Direct || alternative == via {
+	if alternative == via {
 		return response, err
 	}
 	resent, copyErr := cloneRequest(r)
@@ -202,26 +210,25 @@
 // send sends a call and records the result. via is the address of a neighbour, or
 // detour.Direct.
 func (t *Transport) send(r *http.Request, via string) (*http.Response, error) {
-	out := r
+	ctx, cancel := context.WithCancel(r.Context())
+	out, pending := r.WithContext(ctx), t.directReads
 	if via != detour.Direct {
-		out = r.Clone(r.Context())
+		out, pending = r.Clone(ctx), t.relayedReads
 		out.URL.Host, out.Host = via, via
-		response, err := t.Base.RoundTrip(out)
-		t.recordResult(r, via, response, err)
-		return response, err
 	}
-	ctx, cancel := context.WithCancel(r.Context())
-	out = r.WithContext(ctx)
 	if r.Method == http.MethodGet {
 		t.mu.Lock()
-		t.directReads[out] = cancel
+		pending[out] = cancel
 		t.mu.Unlock()
 	}
 	response, err := t.Base.RoundTrip(out)
 	t.mu.Lock()
-	delete(t.directReads, out)
+	delete(pending, out)
 	t.mu.Unlock()
-	t.recordResult(r, via, response, err)
+	if via == detour.Direct {
+		out = r // a direct read that was canceled here has failed
+	}
+	t.recordResult(out, via, response, err)
 	if err != nil {
 		cancel()
 		return nil, err
@@ -243,8 +250,8 @@
 }
 
 // recordResult records the result of a call that was sent via a neighbour or directly.
-// When the direct path starts to fail, it cancels the pending direct reads. It ignores
-// calls that their caller canceled, but not calls that timed out.
+// When the direct path starts to fail, it cancels the pending direct reads, and when it is
+// restored the relayed ones. It ignores calls that were canceled, but not calls that timed out.
 func (t *Transport) recordResult(r *http.Request, via string, response *http.Response, err error) {
 	if err != nil && context.Cause(r.Context()) == context.Canceled {
 		return
@@ -260,9 +267,10 @@
 		restored = t.selector.Succeeded(via)
 	}
 	if lost {
-		for _, cancel := range t.directReads {
-			cancels = append(cancels, cancel)
-		}
+		cancels = slices.Collect(maps.Values(t.directReads))
+	}
+	if restored {
+		cancels = slices.Collect(maps.Values(t.relayedReads))
 	}
 	t.mu.Unlock()
 	for _, cancel := range cancels {
