acaciad/origins: no stream begins while a plan that moves it is being written

Cause: a new plan is used once its write is answered. Streams that began by the old one after the store had the new one were told by the next write, a second later on hundreds of VMs; all VMs were killed before it.

Change: a stream for which the plan in use and the one that is being written lead to different versions waits for the answer, for 0.3 s at most.

--- a/acaciad/origins/registry.go
+++ b/acaciad/origins/registry.go
@@ -31,6 +31,9 @@
 	retryInterval = time.Second
 	// callTimeout bounds a call of the store.
 	callTimeout = 1500 * time.Millisecond
+	// chooseWait bounds how long a stream that is about to begin waits for a change of plans
+	// that is being written. The store usually answers in less.
+	chooseWait = 300 * time.Millisecond
 )
 
 // Registry knows the origins of streams. It is safe for concurrent use. Its exported fields
@@ -64,6 +67,9 @@
 	plansDue time.Time
 	// reading is the latest read of all reports, which may have ended.
 	reading *reading
+	// writing is the report that is being written, and written is closed once it is, or nil.
+	writing *origin.Report
+	written chan struct{}
 }
 
 // NewRegistry returns a registry that knows no streams, whose exported fields must be set
@@ -136,8 +142,28 @@
 }
 
 // Choose returns the version at which a stream of a group is to begin, or false if any will
-// do.
-func (r *Registry) Choose(group origin.Group, stream origin.Stream) (version string, ok bool) {
+// do. While a plan is being written that leads to another version than the one in use, it waits,
+// for chooseWait at most: if the VM is killed, others cannot tell which of them was in use.
+func (r *Registry) Choose(ctx context.Context, group origin.Group, stream origin.Stream) (version string, ok bool) {
+	r.mu.Lock()
+	version, ok = r.ledger.Choose(group, stream)
+	changes := false
+	if r.writing != nil && ok {
+		next, planned := r.writing.Groups[group].Plan.Pick(stream)
+		changes = planned && next != version
+	}
+	written := r.written
+	r.mu.Unlock()
+	if !changes {
+		return version, ok
+	}
+	timer := time.NewTimer(chooseWait)
+	defer timer.Stop()
+	select {
+	case <-written:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.ledger.Choose(group, stream)
@@ -248,12 +274,19 @@
 	}
 	value, err := encodeReport(report)
 	if err == nil {
+		r.mu.Lock()
+		r.writing, r.written = &report, make(chan struct{})
+		r.mu.Unlock()
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		_, err = r.Table.Commit(callCtx, &table.CommitPayload{Writes: []*table.Write{{Key: rowPrefix + r.VM, Value: value}}})
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.writing != nil {
+		close(r.written)
+		r.writing = nil
+	}
 	if err != nil {
 		if ctx.Err() == nil {
 			r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot write at which versions streams begin, will retry")
--- a/acaciad/origins/registry_test.go
+++ b/acaciad/origins/registry_test.go
@@ -67,11 +67,14 @@
 var both = map[string]int{"v1": 4, "v2": 4}
 
 // start starts a registry with a plan for both versions, and returns a function that ends it.
-func (f *fixture) start(vm string) (*origins.Registry, func()) {
+func (f *fixture) start(vm string) (*origins.Registry, func()) { return f.startWith(vm, f.table) }
+
+// startWith is like start, with another table.
+func (f *fixture) startWith(vm string, rows table.Service) (*origins.Registry, func()) {
 	logger := logrus.New()
 	logger.SetOutput(f.log)
 	r := origins.NewRegistry()
-	r.VM, r.Table, r.Logger = vm, f.table, logger
+	r.VM, r.Table, r.Logger = vm, rows, logger
 	r.Epoch = f.table.Store.Epochs.Current
 	r.Metrics = origins.NewMetrics(prometheus.NewRegistry())
 	ctx, stop := context.WithCancel(f.Context())
@@ -105,7 +108,7 @@
 
 // begin begins a stream at the version that the plan tells.
 func (f *fixture) begin(r *origins.Registry, id string) string {
-	version, ok := r.Choose(group, stream(id))
+	version, ok := r.Choose(context.Background(), group, stream(id))
 	f.Assert(ok, qt.IsTrue)
 	r.Begin(stream(id), group, origin.Origin{Service: "llm", Version: version}, time.Now())
 	return version
@@ -160,7 +163,7 @@
 	f.eventually(func() bool {
 		for i := range 100 {
 			for _, r := range []*origins.Registry{one, two} {
-				if version, _ := r.Choose(group, stream(fmt.Sprint(i))); version == "v1" {
+				if version, _ := r.Choose(context.Background(), group, stream(fmt.Sprint(i))); version == "v1" {
 					return false
 				}
 			}
@@ -191,7 +194,7 @@
 				return func() bool {
 					for i := range 40 {
 						for _, r := range []*origins.Registry{one, two} {
-							if v, _ := r.Choose(group, stream(fmt.Sprint(i))); v == version {
+							if v, _ := r.Choose(context.Background(), group, stream(fmt.Sprint(i))); v == version {
 								return true
 							}
 						}
@@ -239,6 +242,48 @@
 	}
 }
 
+// slowTable is a table whose answers to commits are late.
+type slowTable struct {
+	*platform.Table
+	delay time.Duration
+}
+
+func (t *slowTable) Commit(ctx context.Context, p *table.CommitPayload) ([]*table.Row, error) {
+	rows, err := t.Table.Commit(ctx, p)
+	time.Sleep(t.delay)
+	return rows, err
+}
+
+// TestStreamsThatBeginWhilePlanIsWritten ends a daemon after the store has its new plan, and
+// before the daemon knows that. Streams that began meanwhile must not be taken for others.
+func TestStreamsThatBeginWhilePlanIsWritten(t *testing.T) {
+	f := newFixture(t)
+	r, stop := f.start("vm-1")
+	r.SetListed(listed(map[string]int{"v1": 4}), time.Now())
+	f.eventually(func() bool {
+		version, _ := r.Choose(f.Context(), group, stream("a"))
+		return version == "v1"
+	})
+	time.Sleep(300 * time.Millisecond) // nothing is left to write
+	stop()
+	slow, stopSlow := f.startWith("vm-1", &slowTable{Table: f.table, delay: 150 * time.Millisecond})
+	slow.SetListed(listed(map[string]int{"v1": 4}), time.Now())
+	time.Sleep(3500 * time.Millisecond) // the first write after a restart is late
+	slow.SetListed(listed(map[string]int{"v2": 4}), time.Now())
+	f.eventually(func() bool {
+		rows, err := f.table.Get(f.Context(), &table.GetPayload{Keys: []string{"stream-origins/vm-1"}})
+		return err == nil && len(rows) == 1 && strings.Contains(string(rows[0].Value), `"plan":[{"version":"v2"`)
+	})
+	version := f.begin(slow, "b")
+	stopSlow()
+	other, _ := f.start("vm-2")
+	other.SetListed(listed(map[string]int{"v2": 4}), time.Now())
+	f.waitForRow(other)
+	found, known, _ := other.Lookup(f.Context(), stream("b"), group, time.Now())
+	f.Check(known, qt.IsTrue)
+	f.Check(found.Version, qt.Equals, version)
+}
+
 // eventually waits until a condition holds.
 func (f *fixture) eventually(condition func() bool) {
 	for end := time.Now().Add(10 * time.Second); !condition(); time.Sleep(5 * time.Millisecond) {
@@ -260,7 +305,7 @@
 	began := time.Now()
 	f.Check(f.version(r, "b"), qt.Equals, "")
 	f.Check(time.Since(began) < 5*time.Second, qt.IsTrue)
-	expected, _ := r.Choose(group, stream("b"))
+	expected, _ := r.Choose(context.Background(), group, stream("b"))
 	found, _, _ := r.Lookup(f.Context(), stream("b"), group, time.Now().Add(11*time.Second))
 	f.Check(found.Version, qt.Equals, expected)
 	r.ListAge = func(time.Time) time.Duration { return time.Minute }
@@ -277,14 +322,14 @@
 	one.SetListed(listed(map[string]int{"v1": 4}), time.Now())
 	f.waitForRow(one)
 	f.eventually(func() bool {
-		version, _ := one.Choose(group, stream("b"))
+		version, _ := one.Choose(context.Background(), group, stream("b"))
 		return version == "v1"
 	})
 	two, _ := f.start("vm-2")
 	two.SetListed(listed(map[string]int{"v2": 4}), time.Now())
 	f.waitForRow(two)
 	f.eventually(func() bool {
-		version, _ := two.Choose(group, stream("b"))
+		version, _ := two.Choose(context.Background(), group, stream("b"))
 		return version == "v2"
 	})
 	since := time.Now().Add(11 * time.Second)
--- a/acaciad/proxy/origin.go
+++ b/acaciad/proxy/origin.go
@@ -37,7 +37,7 @@
 	}
 	x.group = directory.StreamGroup(x.view.Index, x.route, x.service)
 	if !x.takesUp() {
-		x.origin.Version, x.planned = x.handler.Origins.Choose(x.group, x.stream)
+		x.origin.Version, x.planned = x.handler.Origins.Choose(ctx, x.group, x.stream)
 		return nil
 	}
 	found, known, err := x.handler.Origins.Lookup(ctx, x.stream, x.group, x.streamSince())
