--- a/controld/daemon/daemon.go
+++ b/controld/daemon/daemon.go
@@ -190,6 +190,7 @@
 		Watcher: d.watcher,
 		Clock:   d.now,
 		Random:  mathrand.New(mathrand.NewPCG(seed, 1)),
+		Logger:  d.logger,
 	})
 }
 
--- a/core/peer/heartbeats/heartbeats.go
+++ b/core/peer/heartbeats/heartbeats.go
@@ -14,6 +14,7 @@
 	"acaciapath.example/core/revision"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -48,6 +49,8 @@
 	// OnPeriod is called with the current view at the start of each period; it
 	// may be nil.
 	OnPeriod func(*membership.View)
+	// Logger logs failures to tell others that this daemon leaves; it may be nil.
+	Logger *logrus.Entry
 }
 
 // Runner exchanges the heartbeats of one daemon. It is safe for concurrent use.
@@ -243,12 +246,14 @@
 	var wait sync.WaitGroup
 	for _, probe := range probes {
 		wait.Go(func() {
-			// A daemon that does not receive this finds out by its own
-			// heartbeats.
-			_ = r.pool.Call(probe.To.Address, func(c *peer.Client) error {
+			err := r.pool.Call(probe.To.Address, func(c *peer.Client) error {
 				_, err := c.Heartbeat(ctx, probe.Request)
 				return err
 			})
+			if err != nil && r.options.Logger != nil {
+				r.options.Logger.WithError(err).WithField("daemon", probe.To.Address).
+					Info("cannot tell a daemon that this one leaves, it will find out by its own heartbeats")
+			}
 		})
 	}
 	wait.Wait()
--- a/entryd/daemon/peers.go
+++ b/entryd/daemon/peers.go
@@ -54,5 +54,6 @@
 		Clock:    d.options.Clock,
 		Random:   mathrand.New(mathrand.NewPCG(seed, 1)),
 		OnPeriod: func(view *membership.View) { d.scheduler.SetLimitShare(view.LimitShare) },
+		Logger:   d.logger,
 	})
 }
