Read again as a newcomer: one epoch.First, comments, set-up of tests

core/lease, acaciad/control and acaciad/origins each had the first epoch; origins kept a write in two fields; comments of five places read twice. TestHundredsWriteReportedRowAgain and TestRestoreBeforeTheFirstReport share their set-up, and two tests of neighbours a held read. Behaviour is as before.

--- a/acaciad/control/reported.go
+++ b/acaciad/control/reported.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"acaciapath.example/core/epoch"
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/core/platformapi"
 	"acaciapath.example/core/usage"
@@ -75,9 +76,6 @@
 
 var _ usage.Reported = (*Reported)(nil)
 
-// firstEpoch is the epoch of a store that was never restored.
-const firstEpoch = 1
-
 // Last returns the announcement of the last window that may have been reported. known is
 // false until it can be told. If the store was restored, and no daemon that followed the row
 // before vouches for it within a while, these are all windows that had ended when this daemon
@@ -87,7 +85,7 @@
 	defer r.mu.Unlock()
 	current := r.Epoch()
 	switch {
-	case current <= firstEpoch || r.livedBefore(current) || r.stored.Epoch == current:
+	case current <= epoch.First || r.livedBefore(current) || r.stored.Epoch == current:
 		return r.last, true
 	case !r.waited:
 		return r.last, false
--- a/acaciad/control/reported_test.go
+++ b/acaciad/control/reported_test.go
@@ -14,6 +14,25 @@
 	"github.com/sirupsen/logrus"
 )
 
+// newReported returns what one of several daemons knows of reported windows, of 5 s each.
+func newReported(client *platform.Store, daemons int) *control.Reported {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return &control.Reported{
+		Table: &platform.Table{Store: client}, Epoch: client.Epochs.Current, Window: 5 * time.Second,
+		Daemons: func() int { return daemons }, Logger: logger,
+	}
+}
+
+// follow has a daemon read the row of reported windows.
+func follow(r *control.Reported, store *platformtest.Store) {
+	rows := []platform.Row{}
+	for _, row := range store.Rows("acaciapath", "control") {
+		rows = append(rows, platform.Row{Key: row.Key, Data: row.Data, Version: row.Version})
+	}
+	r.Apply(rows, true, time.Now())
+}
+
 // TestHundredsWriteReportedRowAgain restores the store, and hundreds of daemons see that the
 // row of reported windows is lost. Few of them may write it: a part of the store takes 200
 // transactions a second.
@@ -30,25 +49,16 @@
 	c.Cleanup(store.Close)
 	client := platform.NewStore(store.Address(), time.Second, platform.NewStoreTransport())
 	backup := store.Backup()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	all := make([]*control.Reported, daemons)
 	for i := range all {
-		all[i] = &control.Reported{
-			Table: &platform.Table{Store: client}, Epoch: client.Epochs.Current, Window: 5 * time.Second,
-			Daemons: func() int { return daemons }, Logger: logger,
-		}
+		all[i] = newReported(client, daemons)
 	}
 	window := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	announced := usage.Announcement{First: window, Window: window, Totals: "x"}
 	c.Assert(all[0].Announce(t.Context(), announced), qt.IsNil)
 	followAll := func() {
 		for _, r := range all {
-			rows := []platform.Row{}
-			for _, row := range store.Rows("acaciapath", "control") {
-				rows = append(rows, platform.Row{Key: row.Key, Data: row.Data, Version: row.Version})
-			}
-			r.Apply(rows, true, time.Now())
+			follow(r, store)
 		}
 	}
 	followAll()
@@ -81,43 +91,28 @@
 	store := platformtest.NewStore()
 	c.Cleanup(store.Close)
 	client := platform.NewStore(store.Address(), time.Second, platform.NewStoreTransport())
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	newReported := func() *control.Reported {
-		return &control.Reported{
-			Table: &platform.Table{Store: client}, Epoch: client.Epochs.Current, Window: 5 * time.Second,
-			Daemons: func() int { return 2 }, Logger: logger,
-		}
-	}
-	follow := func(r *control.Reported) {
-		rows := []platform.Row{}
-		for _, row := range store.Rows("acaciapath", "control") {
-			rows = append(rows, platform.Row{Key: row.Key, Data: row.Data, Version: row.Version})
-		}
-		r.Apply(rows, true, time.Now())
-	}
 	c.Assert(client.Ping(t.Context()), qt.IsNil)
-	before := newReported()
-	follow(before)
+	before := newReported(client, 2)
+	follow(before, store)
 	store.Restore(store.Backup())
 	c.Assert(client.Ping(t.Context()), qt.IsNil)
-	after := newReported()
-	follow(after)
+	after := newReported(client, 2)
+	follow(after, store)
 	_, known := after.Last()
 	c.Assert(known, qt.IsFalse)
-	follow(before)
+	follow(before, store)
 	for end := time.Now().Add(waitLimit); len(store.Rows("acaciapath", "control")) == 0; time.Sleep(10 * time.Millisecond) {
 		c.Assert(time.Now().Before(end), qt.IsTrue)
 	}
-	follow(after)
+	follow(after, store)
 	last, known := after.Last()
 	c.Assert(known, qt.IsTrue)
 	c.Assert(last, qt.DeepEquals, usage.Announcement{})
 	// Without one that ran before, all windows that have ended may have been reported.
-	alone := newReported()
+	alone := newReported(client, 2)
 	store.Restore(store.Backup())
 	c.Assert(client.Ping(t.Context()), qt.IsNil)
-	follow(alone)
+	follow(alone, store)
 	for end := time.Now().Add(waitLimit); !known || last.Window.IsZero(); time.Sleep(10 * time.Millisecond) {
 		c.Assert(time.Now().Before(end), qt.IsTrue)
 		last, known = alone.Last()
--- a/acaciad/crashreports/exchange.go
+++ b/acaciad/crashreports/exchange.go
@@ -341,11 +341,13 @@
 		return
 	}
 	if row.Deleted {
-		_, written := g.versions[part]
-		if w, pending := g.writes[part]; written || !pending || w.remove {
+		// While the first row of a quarantine is being written, its version is not known, and
+		// the deletion is that of an older row.
+		_, versionKnown := g.versions[part]
+		if w, pending := g.writes[part]; versionKnown || !pending || w.remove {
 			g.endLocked(part)
 		}
-		return // an older row's, if the first one of this quarantine is being written
+		return
 	}
 	q, err := parseQuarantine(part, row.Data)
 	if err != nil {
--- a/acaciad/neighbours/neighbours_test.go
+++ b/acaciad/neighbours/neighbours_test.go
@@ -71,6 +71,19 @@
 	p.storeLink.SetFaults(relay.Faults{DropToTarget: true, DropFromTarget: true})
 }
 
+// holdRead has the first daemon read changes, for which the store holds the call, and returns a
+// channel that receives their number.
+func (p *pair) holdRead() <-chan int {
+	changed := make(chan int, 1)
+	go func() {
+		rows, err := p.client.Changes(p.Context(), "servers", epoch.Join(1, 1), 5*time.Second)
+		if err == nil {
+			changed <- len(rows.Rows)
+		}
+	}()
+	return changed
+}
+
 // rowCount returns the number of rows that the first daemon reads, or -1 if it cannot.
 func (p *pair) rowCount() int {
 	rows, err := p.client.Snapshot(p.Context(), "servers")
@@ -86,13 +99,7 @@
 func TestCutOffDaemonReadsThroughNeighbour(t *testing.T) {
 	p := newPair(t)
 	p.Assert(p.rowCount(), qt.Equals, 1)
-	changed := make(chan int, 1)
-	go func() {
-		rows, err := p.client.Changes(p.Context(), "servers", epoch.Join(1, 1), 5*time.Second)
-		if err == nil {
-			changed <- len(rows.Rows)
-		}
-	}()
+	changed := p.holdRead()
 	time.Sleep(50 * time.Millisecond)
 	p.cutOff()
 	p.Assert(p.directClient.Ping(p.Context()), qt.IsNotNil)
@@ -128,13 +135,7 @@
 	p.cutOff()
 	p.Assert(p.directClient.Ping(p.Context()), qt.IsNotNil)
 	p.Assert(p.rowCount(), qt.Equals, 1)
-	changed := make(chan int, 1)
-	go func() {
-		rows, err := p.client.Changes(p.Context(), "servers", epoch.Join(1, 1), 5*time.Second)
-		if err == nil {
-			changed <- len(rows.Rows)
-		}
-	}()
+	changed := p.holdRead()
 	time.Sleep(100 * time.Millisecond)
 	link.SetFaults(relay.Faults{DropToTarget: true, DropFromTarget: true})
 	p.storeLink.SetFaults(relay.Faults{})
--- a/acaciad/neighbours/transport.go
+++ b/acaciad/neighbours/transport.go
@@ -40,9 +40,9 @@
 	random   *rand.Rand
 	// collector selects the daemon that commits the writes of this one.
 	collector collectorChoice
-	// directReads and relayedReads hold the pending reads on the direct path and through
-	// neighbours. They are canceled and sent again when the direct path starts to fail, and
-	// when it is restored.
+	// directReads holds the pending reads on the direct path, which are canceled and sent again
+	// when that path starts to fail, and relayedReads those through neighbours, when it is
+	// restored.
 	directReads, relayedReads map[*http.Request]context.CancelFunc
 }
 
--- a/acaciad/origins/registry.go
+++ b/acaciad/origins/registry.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"acaciapath.example/core/epoch"
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/core/origin"
 	"acaciapath.example/core/platformapi"
@@ -67,16 +68,22 @@
 	plansDue time.Time
 	// reading is the latest read of all reports, which may have ended.
 	reading *reading
-	// writing is the report that is being written, and written is closed once it is, or nil.
-	writing *origin.Report
-	written chan struct{}
+	// writing is the report that is being written, or nil.
+	writing *reportWrite
+}
+
+// reportWrite is the write of a report.
+type reportWrite struct {
+	report origin.Report
+	// done is closed when the write has ended.
+	done chan struct{}
 }
 
 // NewRegistry returns a registry that knows no streams, whose exported fields must be set
 // before use.
 func NewRegistry() *Registry {
 	return &Registry{
-		Epoch: func() uint64 { return firstEpoch }, Daemons: func() int { return 0 }, ListAge: func(time.Time) time.Duration { return 0 },
+		Epoch: func() uint64 { return epoch.First }, Daemons: func() int { return 0 }, ListAge: func(time.Time) time.Duration { return 0 },
 		wake: make(chan struct{}, 1), ledger: origin.NewLedger(),
 	}
 }
@@ -147,12 +154,11 @@
 func (r *Registry) Choose(ctx context.Context, group origin.Group, stream origin.Stream) (version string, ok bool) {
 	r.mu.Lock()
 	version, ok = r.ledger.Choose(group, stream)
-	changes := false
-	if r.writing != nil && ok {
-		next, planned := r.writing.Groups[group].Plan.Pick(stream)
+	write, changes := r.writing, false
+	if write != nil && ok {
+		next, planned := write.report.Groups[group].Plan.Pick(stream)
 		changes = planned && next != version
 	}
-	written := r.written
 	r.mu.Unlock()
 	if !changes {
 		return version, ok
@@ -160,7 +166,7 @@
 	timer := time.NewTimer(chooseWait)
 	defer timer.Stop()
 	select {
-	case <-written:
+	case <-write.done:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -240,7 +246,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	written := uint64(firstEpoch)
+	written := uint64(epoch.First)
 	for _, row := range rows {
 		if report, ok := r.parse(row); ok {
 			r.ledger.Merge(report, time.Now())
@@ -275,7 +281,7 @@
 	value, err := encodeReport(report)
 	if err == nil {
 		r.mu.Lock()
-		r.writing, r.written = &report, make(chan struct{})
+		r.writing = &reportWrite{report: report, done: make(chan struct{})}
 		r.mu.Unlock()
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
@@ -284,7 +290,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.writing != nil {
-		close(r.written)
+		close(r.writing.done)
 		r.writing = nil
 	}
 	if err != nil {
--- a/acaciad/origins/rows.go
+++ b/acaciad/origins/rows.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"acaciapath.example/core/epoch"
 	"acaciapath.example/core/origin"
 
 	"github.com/ansel1/merry/v2"
@@ -13,9 +14,6 @@
 // rowPrefix precedes the name of a VM in the key of its row.
 const rowPrefix = "stream-origins/"
 
-// firstEpoch is the epoch of a store that was never restored.
-const firstEpoch = 1
-
 // streamBytes is the encoded size of a stream.
 const streamBytes = 8
 
@@ -98,7 +96,7 @@
 		return origin.Report{}, merry.Wrap(errInvalidRow, merry.WithCause(err))
 	}
 	r := origin.Report{
-		At: time.UnixMilli(s.AtMS), Epoch: max(s.Epoch, firstEpoch), Groups: make(map[origin.Group]origin.GroupReport), Exceptions: make(map[origin.Origin][]origin.Stream),
+		At: time.UnixMilli(s.AtMS), Epoch: max(s.Epoch, epoch.First), Groups: make(map[origin.Group]origin.GroupReport), Exceptions: make(map[origin.Origin][]origin.Stream),
 	}
 	for _, stored := range s.Groups {
 		plan, err := parsePlan(stored.Plan)
--- a/core/epoch/version.go
+++ b/core/epoch/version.go
@@ -2,6 +2,9 @@
 
 import "fmt"
 
+// First is the epoch of a store that was never restored.
+const First = 1
+
 // versionBits is the number of bits of a joined version that hold the store's own version.
 // The others hold the epoch: the store would have to be restored a million times, or to
 // reach 10^13 versions, to exceed them.
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -210,14 +210,11 @@
 	return l.rowKnown && l.row.Holder == l.terms.Holder && l.row.Epoch == l.epoch
 }
 
-// firstEpoch is the epoch of a table that was never restored.
-const firstEpoch = 1
-
 // isVacant reports whether the last known row shows that no process holds the lease. After
 // the table was restored, a missing row does not show it.
 func (l *Lease) isVacant() bool {
 	if l.version == 0 {
-		return l.epoch <= firstEpoch
+		return l.epoch <= epoch.First
 	}
 	return l.row.Holder == "" && l.row.Epoch == l.epoch
 }
--- a/core/origin/ledger.go
+++ b/core/origin/ledger.go
@@ -70,8 +70,8 @@
 	reported map[Group]GroupReport
 	// startedAt is when the daemon started, if it has a report from before.
 	startedAt time.Time
-	// lostBefore is when this daemon started if reports from before are lost, which is what
-	// lostEpoch is the epoch of.
+	// lostBefore is when this daemon started if the table may have lost reports from before,
+	// and lostEpoch the epoch of the one that it had.
 	lostBefore time.Time
 	lostEpoch  uint64
 	streams    map[Stream]*progress
--- a/entryd/scheduler/scheduler.go
+++ b/entryd/scheduler/scheduler.go
@@ -239,7 +239,8 @@
 // cause of ctx if ctx is done; the request has been finished then.
 func (p *localHolder) wait(ctx context.Context) (*Assignment, error) {
 	assignment, err := p.waitUntilStarted(ctx)
-	if err == nil && ctx.Err() != nil { // the slots of requests that were cancelled together
+	if err == nil && ctx.Err() != nil {
+		// The slot is that of a request that was cancelled together with this one.
 		p.Finish(dispatch.Result{})
 		return nil, context.Cause(ctx)
 	}
