--- a/review/fleet/chat.go
+++ b/review/fleet/chat.go
@@ -5,13 +5,23 @@
 	"time"
 )
 
-// Figures of the sheet's pattern-chat: 57 events with pauses of at most 150 ms, 15,000 ms.
-const (
-	ChatEvents  = 57
-	ChatPause   = 140 * time.Millisecond
-	ChatTimeout = 15 * time.Second
-	// ChatService is the service of the streams.
-	ChatService = "asistente"
+// ChatService is the service of the streams.
+const ChatService = "asistente"
+
+// Sheet has the figures of a kind of request.
+type Sheet struct {
+	// Aim, Gap and Timeout are the targets of the first event and of a pause, and how long
+	// clients wait.
+	Aim, Gap, Timeout time.Duration
+	// Events is the number of events of an answer, and Pause the time before each.
+	Events int
+	Pause  time.Duration
+}
+
+// Sheets of calcetin-ruta.
+var (
+	PatternChat    = Sheet{Aim: 500 * time.Millisecond, Gap: 150 * time.Millisecond, Timeout: 15 * time.Second, Events: 57, Pause: 140 * time.Millisecond}
+	CurationLetter = Sheet{Aim: 2 * time.Second, Gap: 600 * time.Millisecond, Timeout: 12 * time.Second, Events: 40, Pause: 240 * time.Millisecond}
 )
 
 // startDelay is the time from the start of the machines to that of the traffic.
@@ -28,29 +38,46 @@
 type Deployment struct {
 	Store *Store
 	Cloud *Cloud
+	// Sheet has the figures of the streams.
+	Sheet Sheet
 	// Quito, Guayaquil, Cuenca1 and Cuenca2 are the machines.
 	Quito, Guayaquil, Cuenca1, Cuenca2 *Daemon
+
+	version int
+	routes  []any
+}
+
+// NewDeployment starts the platform, with a desired state that has one route for streams of a
+// sheet. StartDaemons starts the machines.
+func NewDeployment(run *Run, sheet Sheet) *Deployment {
+	d := &Deployment{Store: NewStore(run), Cloud: NewCloud(run), Sheet: sheet}
+	d.AddRoute(run, "chat", sheet)
+	return d
 }
 
-// NewDeployment starts the platform. StartDaemons starts the machines.
-func NewDeployment(run *Run) *Deployment {
-	d := &Deployment{Store: NewStore(run), Cloud: NewCloud(run)}
+// versionStep is the step between two versions of the desired state.
+const versionStep = 3
+
+// AddRoute writes a desired state with one more route to the service.
+func (d *Deployment) AddRoute(run *Run, name string, sheet Sheet) {
+	d.version += versionStep
+	d.routes = append(d.routes, map[string]any{
+		"name": name, "host": "shop.example", "prefix": "/" + name + "/", "type": "streaming", "sessionAffinity": true, "streamResume": true,
+		"timeoutMs": sheet.Timeout.Milliseconds(), "targetLatencyMs": sheet.Aim.Milliseconds(), "gapTargetMs": sheet.Gap.Milliseconds(),
+		"priority": 0, "service": ChatService, "maxAttempts": 2,
+	})
 	d.Store.Write("op", "config", map[string]any{
-		"version": 3,
-		"routes": []any{map[string]any{
-			"name": "chat", "host": "shop.example", "prefix": "/chat/", "type": "streaming", "sessionAffinity": true, "streamResume": true,
-			"timeoutMs": ChatTimeout.Milliseconds(), "targetLatencyMs": 500, "gapTargetMs": 150, "priority": 0, "service": ChatService, "maxAttempts": 2,
-		}},
+		"version": d.version, "routes": d.routes,
 		"services": []any{map[string]any{"name": ChatService, "healthPath": "/healthz", "runtime": map[string]any{"slots": 64, "kvCapacity": 639748, "stride": 3}}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 5000, "idleTimeoutMs": 30000},
 		"tenants":  []any{map[string]any{"name": "tenant-a", "apiKeys": []string{"key-a"}}},
 	})
-	return d
+	run.Logf("desired state %d acknowledged, with route %s", d.version, name)
 }
 
 // NewChatEngine starts a replica of the service.
 func (d *Deployment) NewChatEngine(run *Run, id, zone, version string) *Engine {
-	return NewEngine(run, d.Store, id, ChatService, zone, version, ChatEvents, ChatPause)
+	return NewEngine(run, d.Store, id, ChatService, zone, version, d.Sheet.Events, d.Sheet.Pause)
 }
 
 // StartDaemons starts the machines, and waits until traffic may start.
@@ -92,7 +119,7 @@
 // again to others in turn, until the stream is complete or the client no longer waits.
 func (d *Deployment) Chat(run *Run, i int, first *Daemon, later ...*Daemon) *Stream {
 	s := &Stream{
-		Name: fmt.Sprintf("chat-%d", i), Host: "shop.example", Path: fmt.Sprintf("/chat/%d", i), Key: "key-a", Deadline: time.Now().Add(ChatTimeout),
+		Name: fmt.Sprintf("chat-%d", i), Host: "shop.example", Path: fmt.Sprintf("/chat/%d", i), Key: "key-a", Deadline: time.Now().Add(d.Sheet.Timeout),
 	}
 	s.Receive(run, first)
 	for n := 0; !s.Complete && time.Until(s.Deadline) > time.Second; n++ {
@@ -125,3 +152,33 @@
 	}
 	return mixed > mostMixed
 }
+
+// leastTaken is the number of streams that are taken up again from which LOST judges.
+const leastTaken = 12
+
+// CheckTakenUp reports whether LOST is broken: of 12 or more streams that clients take up again
+// at machines in touch, the share that goes on is under half of the share of new streams that
+// begin.
+func CheckTakenUp(run *Run, again, begun []*Stream) bool {
+	taken, onward, fresh := 0, 0, 0
+	for _, s := range again {
+		run.Logf("stream %s events=%d versions=%v complete=%t went-on=%t", s.Name, s.Events, s.Versions, s.Complete, s.Onward)
+		if s.Events > 0 && s.attempts > 1 {
+			taken++
+			if s.Onward {
+				onward++
+			}
+		}
+	}
+	for _, s := range begun {
+		run.Logf("new stream %s events=%d versions=%v complete=%t", s.Name, s.Events, s.Versions, s.Complete)
+		if s.Events > 0 {
+			fresh++
+		}
+	}
+	run.Logf("taken-up-again=%d of which went-on=%d; new=%d of which begun=%d", taken, onward, len(begun), fresh)
+	if taken < leastTaken || fresh == 0 {
+		run.Impossible("too few streams were taken up again, or none began")
+	}
+	return 2*onward*len(begun) < fresh*taken
+}
--- a/review/fleet/client.go
+++ b/review/fleet/client.go
@@ -28,6 +28,8 @@
 	Complete bool
 	// Gaps is the number of events that were missing or came twice.
 	Gaps int
+	// Onward states that an event arrived after the stream was taken up again.
+	Onward bool
 	// RetryAfter is the Retry-After of the last refusal, or 0.
 	RetryAfter time.Duration
 
@@ -88,6 +90,7 @@
 				s.First = attempt
 			}
 			s.Events = id
+			s.Onward = s.Onward || s.attempts > 1
 			received++
 			version := strings.TrimPrefix(strings.Fields(data)[0], "version=")
 			if n := len(s.Versions); n == 0 || s.Versions[n-1] != version {
--- a/review/fleet/run.go
+++ b/review/fleet/run.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -38,6 +39,9 @@
 
 	began time.Time
 
+	// ports are those that freePort has returned.
+	ports map[int]bool
+
 	mu     sync.Mutex
 	record *bufio.Writer
 	file   *os.File
@@ -56,7 +60,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitImpossible)
 	}
-	run := &Run{Trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), file: file, record: bufio.NewWriter(file)}
+	run := &Run{Trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), ports: make(map[int]bool), file: file, record: bufio.NewWriter(file)}
 	if run.Dir, err = os.MkdirTemp("", "review-"); err != nil {
 		run.Impossible("temporary folder: %v", err)
 	}
@@ -159,12 +163,30 @@
 	return listener.Addr().String()
 }
 
-// freePort returns a port on which nothing listens.
+// Ports of daemons lie below those that the kernel gives to outgoing connections, so that a
+// port stays free while its daemon is restarted.
+const (
+	lowestPort  = 12_000
+	highestPort = 30_000
+	// portTries is the number of ports that are tried.
+	portTries = 1000
+)
+
+// freePort returns a port on which nothing listens, and which was not returned before.
 func (r *Run) freePort() int {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		r.Impossible("listen: %v", err)
+	for range portTries {
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		if r.ports[port] {
+			continue
+		}
+		listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = listener.Close() // nothing was accepted
+		r.ports[port] = true
+		return port
 	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
+	r.Impossible("no free port")
+	return 0
 }
--- a/review/fleet/store.go
+++ b/review/fleet/store.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"net/http"
@@ -38,6 +39,8 @@
 	version uint64
 	era     uint64
 	changed chan struct{}
+	away    bool
+	delay   time.Duration
 }
 
 // Copy is what a Store held at some time.
@@ -54,10 +57,26 @@
 	mux.HandleFunc("POST /acaciapath/rows-tx", s.transact)
 	mux.HandleFunc("GET /acaciapath/rows-get", s.get)
 	mux.HandleFunc("GET /acaciapath/rows-feed", s.changes)
-	s.Address = run.serve(mux)
+	s.Address = run.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		away := s.away
+		s.mu.Unlock()
+		if away {
+			panic(http.ErrAbortHandler) // the channel is reset
+		}
+		mux.ServeHTTP(w, r)
+	}))
 	return s
 }
 
+// SetAway makes the store unavailable, or available again. Calls that wait are reset.
+func (s *Store) SetAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+	s.wake()
+}
+
 // Write writes a row of the operator or of a replica.
 func (s *Store) Write(table, key string, content any) {
 	data, err := json.Marshal(content)
@@ -76,6 +95,13 @@
 	s.put([]row{{Table: table, Key: key, Deleted: true}})
 }
 
+// SetDelay makes transactions take longer by a time.
+func (s *Store) SetDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
 // Copy returns a copy of what the store holds.
 func (s *Store) Copy() *Copy {
 	s.mu.Lock()
@@ -83,12 +109,28 @@
 	return &Copy{rows: maps.Clone(s.rows), feed: slices.Clone(s.feed), version: s.version}
 }
 
-// Restore replaces what the store holds by a copy, and begins the next era.
+// Restore replaces what the store holds by a copy, and begins the next era. What the operator
+// and the replicas wrote since is written again.
 func (s *Store) Restore(c *Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.rows
 	s.rows, s.feed, s.version = maps.Clone(c.rows), slices.Clone(c.feed), c.version
 	s.era++
+	var again []row
+	for path, known := range before {
+		if copied, ok := s.rows[path]; (known.Table == "op" || known.Table == "servers") && (!ok || !bytes.Equal(copied.Data, known.Data)) {
+			again = append(again, row{Table: known.Table, Part: known.Part, Key: known.Key, Data: known.Data})
+		}
+	}
+	for path, copied := range s.rows {
+		if _, ok := before[path]; (copied.Table == "op" || copied.Table == "servers") && !ok {
+			again = append(again, row{Table: copied.Table, Part: copied.Part, Key: copied.Key, Deleted: true})
+		}
+	}
+	for _, r := range again {
+		s.put([]row{r})
+	}
 	s.wake()
 }
 
@@ -151,7 +193,10 @@
 			return
 		}
 	}
-	time.Sleep(txnTime)
+	s.mu.Lock()
+	delay := s.delay
+	s.mu.Unlock()
+	time.Sleep(txnTime + delay)
 	s.mu.Lock()
 	status := http.StatusOK
 	var current []row
@@ -216,7 +261,7 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for waiting := true; ; {
 		s.mu.Lock()
-		a, changed, gone := answer{Version: s.version, era: s.era}, s.changed, after > s.version
+		a, changed, gone, away := answer{Version: s.version, era: s.era}, s.changed, after > s.version, s.away
 		for _, known := range s.feed {
 			if known.Table == q.Get("table") && *known.Version > after {
 				a.Rows = append(a.Rows, known)
@@ -224,6 +269,8 @@
 		}
 		s.mu.Unlock()
 		switch {
+		case away:
+			panic(http.ErrAbortHandler)
 		case gone:
 			send(w, http.StatusGone, answer{era: a.era})
 			return
