--- a/review/1/main.go
+++ b/review/1/main.go
@@ -35,7 +35,7 @@
 		zone := []string{"quito-a", "guayaquil-a", "cuenca-a"}[i%3]
 		d.NewChatEngine(run, fmt.Sprintf("i-%d", i), zone, []string{"v1", "v2"}[i/3%2])
 	}
-	d.StartDaemons(run)
+	d.StartDaemons(run, "guayaquil-a")
 	start := time.Now()
 	until := func(at time.Duration) { time.Sleep(time.Until(start.Add(at))) }
 
@@ -43,7 +43,7 @@
 	var clients sync.WaitGroup
 	list := make([]*fleet.Stream, streams)
 	for i := range list {
-		clients.Go(func() { list[i] = d.Chat(run, i, d.Quito, d.Guayaquil, d.Cuenca1) })
+		clients.Go(func() { list[i] = d.Chat(run, i, d.Quito, d.Second, d.Cuenca1) })
 	}
 	until(changeAt)
 	if run.Trouble {
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -39,7 +39,7 @@
 	for i, zone := range []string{"quito-a", "guayaquil-a", "cuenca-a", "quito-a", "guayaquil-a", "cuenca-a"} {
 		old = append(old, d.NewChatEngine(run, fmt.Sprintf("i-old-%d", i), zone, "v1"))
 	}
-	d.StartDaemons(run)
+	d.StartDaemons(run, "guayaquil-a")
 	start := time.Now()
 	until := func(at time.Duration) { time.Sleep(time.Until(start.Add(at))) }
 
@@ -58,7 +58,7 @@
 	var clients sync.WaitGroup
 	again, begun := make([]*fleet.Stream, streams), make([]*fleet.Stream, streams)
 	for i := range again {
-		clients.Go(func() { again[i] = d.Chat(run, i, d.Quito, d.Guayaquil, d.Cuenca1) })
+		clients.Go(func() { again[i] = d.Chat(run, i, d.Quito, d.Second, d.Cuenca1) })
 	}
 	until(termAt)
 	clients.Go(func() {
@@ -67,7 +67,7 @@
 	})
 	until(newAt)
 	for i := range begun {
-		daemons := []*fleet.Daemon{d.Guayaquil, d.Cuenca1}
+		daemons := []*fleet.Daemon{d.Second, d.Cuenca1}
 		clients.Go(func() { begun[i] = d.Chat(run, streams+i, daemons[i%2], daemons[1-i%2]) })
 	}
 	clients.Wait()
--- a/review/fleet/chat.go
+++ b/review/fleet/chat.go
@@ -40,8 +40,9 @@
 	Cloud *Cloud
 	// Sheet has the figures of the streams.
 	Sheet Sheet
-	// Quito, Guayaquil, Cuenca1 and Cuenca2 are the machines.
-	Quito, Guayaquil, Cuenca1, Cuenca2 *Daemon
+	// Quito, Second, Cuenca1 and Cuenca2 are the machines. Second is in a zone of its own or
+	// in that of Quito.
+	Quito, Second, Cuenca1, Cuenca2 *Daemon
 
 	version int
 	routes  []any
@@ -80,14 +81,15 @@
 	return NewEngine(run, d.Store, id, ChatService, zone, version, d.Sheet.Events, d.Sheet.Pause)
 }
 
-// StartDaemons starts the machines, and waits until traffic may start.
-func (d *Deployment) StartDaemons(run *Run) {
+// StartDaemons starts the machines, the second one in a given zone, and waits until traffic may
+// start.
+func (d *Deployment) StartDaemons(run *Run, second string) {
 	began := time.Now()
 	d.Quito = NewDaemon(run, "edge-quito-a-1", "quito-a", d.Store, d.Cloud)
-	d.Guayaquil = NewDaemon(run, "edge-guayaquil-a-1", "guayaquil-a", d.Store, d.Cloud)
+	d.Second = NewDaemon(run, "edge-"+second+"-2", second, d.Store, d.Cloud)
 	d.Cuenca1 = NewDaemon(run, "edge-cuenca-a-1", "cuenca-a", d.Store, d.Cloud)
 	d.Cuenca2 = NewDaemon(run, "edge-cuenca-a-2", "cuenca-a", d.Store, d.Cloud)
-	for _, daemon := range []*Daemon{d.Quito, d.Guayaquil, d.Cuenca1, d.Cuenca2} {
+	for _, daemon := range []*Daemon{d.Quito, d.Second, d.Cuenca1, d.Cuenca2} {
 		run.Await(readyLimit, daemon.Name+" ready", daemon.IsReady)
 	}
 	time.Sleep(time.Until(began.Add(startDelay)))
@@ -97,30 +99,29 @@
 // CutCuenca cuts both machines of the zone cuenca-a off from the platform.
 func (d *Deployment) CutCuenca(run *Run) {
 	run.Logf("zone cuenca-a is cut off from the platform")
-	for _, daemon := range []*Daemon{d.Cuenca1, d.Cuenca2} {
-		daemon.StoreLink.Cut()
-		daemon.CloudLink.Cut()
-	}
+	d.Cuenca1.Cut()
+	d.Cuenca2.Cut()
 }
 
 // HealCuenca ends the cut.
 func (d *Deployment) HealCuenca(run *Run) {
 	run.Logf("zone cuenca-a reaches the platform")
-	for _, daemon := range []*Daemon{d.Cuenca1, d.Cuenca2} {
-		daemon.StoreLink.Heal()
-		daemon.CloudLink.Heal()
-	}
+	d.Cuenca1.Heal()
+	d.Cuenca2.Heal()
 }
 
 // retryPause is how long a client waits after a refusal without Retry-After.
 const retryPause = 500 * time.Millisecond
 
+// NewStream returns a stream that a client is about to ask for.
+func (d *Deployment) NewStream(name string) *Stream {
+	return &Stream{Name: name, Host: "shop.example", Path: "/chat/" + name, Key: "key-a", Deadline: time.Now().Add(d.Sheet.Timeout)}
+}
+
 // Chat receives a stream: the first attempt goes to one machine, and those that take it up
 // again to others in turn, until the stream is complete or the client no longer waits.
 func (d *Deployment) Chat(run *Run, i int, first *Daemon, later ...*Daemon) *Stream {
-	s := &Stream{
-		Name: fmt.Sprintf("chat-%d", i), Host: "shop.example", Path: fmt.Sprintf("/chat/%d", i), Key: "key-a", Deadline: time.Now().Add(d.Sheet.Timeout),
-	}
+	s := d.NewStream(fmt.Sprintf("chat-%d", i))
 	s.Receive(run, first)
 	for n := 0; !s.Complete && time.Until(s.Deadline) > time.Second; n++ {
 		if s.Receive(run, later[n%len(later)]) == 503 {
--- a/review/fleet/daemon.go
+++ b/review/fleet/daemon.go
@@ -140,6 +140,18 @@
 	<-exited
 }
 
+// Cut cuts the machine off from the platform.
+func (d *Daemon) Cut() {
+	d.StoreLink.Cut()
+	d.CloudLink.Cut()
+}
+
+// Heal ends the cut.
+func (d *Daemon) Heal() {
+	d.StoreLink.Heal()
+	d.CloudLink.Heal()
+}
+
 // IsReady reports whether the daemon says that it is ready.
 func (d *Daemon) IsReady() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/fleet/link.go
+++ b/review/fleet/link.go
@@ -17,6 +17,8 @@
 	mu   sync.Mutex
 	cut  bool
 	open chan struct{} // closed while the link is not cut
+	// generation counts the calls of Lose.
+	generation int
 }
 
 // NewLink starts a link to a target.
@@ -59,34 +61,56 @@
 	}
 }
 
-// wait waits until the link is not cut.
-func (l *Link) wait() {
+// Lose has the target lose power: bytes that are held up are lost, and channels are reset once
+// the link is not cut.
+func (l *Link) Lose() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.generation++
+}
+
+// state returns the generation of channels that are opened now.
+func (l *Link) state() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.generation
+}
+
+// wait waits until the link is not cut, and reports whether a channel of a generation is
+// still open then.
+func (l *Link) wait(generation int) bool {
 	l.mu.Lock()
 	open := l.open
 	l.mu.Unlock()
 	<-open
+	return l.state() == generation
 }
 
 func (l *Link) pass(from net.Conn) {
 	defer from.Close()
-	l.wait()
+	generation := l.state()
+	if !l.wait(generation) {
+		return
+	}
 	to, err := net.DialTimeout("tcp4", l.target, time.Second)
 	if err != nil {
 		return
 	}
 	defer to.Close()
 	done := make(chan struct{}, 2)
-	go l.copy(to, from, done)
-	go l.copy(from, to, done)
+	go l.copy(to, from, generation, done)
+	go l.copy(from, to, generation, done)
 	<-done
 }
 
 // copy passes bytes on in one direction until it ends.
-func (l *Link) copy(to, from net.Conn, done chan<- struct{}) {
+func (l *Link) copy(to, from net.Conn, generation int, done chan<- struct{}) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		l.wait()
+		if !l.wait(generation) {
+			n, err = 0, io.ErrUnexpectedEOF
+		}
 		if n > 0 {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = io.ErrClosedPipe
--- a/review/fleet/store.go
+++ b/review/fleet/store.go
@@ -40,7 +40,6 @@
 	era     uint64
 	changed chan struct{}
 	away    bool
-	delay   time.Duration
 }
 
 // Copy is what a Store held at some time.
@@ -95,13 +94,6 @@
 	s.put([]row{{Table: table, Key: key, Deleted: true}})
 }
 
-// SetDelay makes transactions take longer by a time.
-func (s *Store) SetDelay(delay time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.delay = delay
-}
-
 // Copy returns a copy of what the store holds.
 func (s *Store) Copy() *Copy {
 	s.mu.Lock()
@@ -193,10 +185,7 @@
 			return
 		}
 	}
-	s.mu.Lock()
-	delay := s.delay
-	s.mu.Unlock()
-	time.Sleep(txnTime + delay)
+	time.Sleep(txnTime)
 	s.mu.Lock()
 	status := http.StatusOK
 	var current []row
