--- a/review/1/main.go
+++ b/review/1/main.go
@@ -43,7 +43,7 @@
 	var clients sync.WaitGroup
 	list := make([]*fleet.Stream, streams)
 	for i := range list {
-		clients.Go(func() { list[i] = d.Chat(run, i, d.Quito, d.Second, d.Cuenca1) })
+		clients.Go(func() { list[i] = d.Chat(run, i, d.Quito, []*fleet.Daemon{d.Second, d.Cuenca1}[i%2]) })
 	}
 	until(changeAt)
 	if run.Trouble {
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -20,24 +20,28 @@
 	drainTime = 3 * time.Second
 	// streamsAt is when streams begin at the machine that is restarted, after the last
 	// replica was replaced.
-	streamsAt = 21 * time.Second
-	termAt    = 22 * time.Second
+	streamsAt = 18 * time.Second
+	termAt    = 19 * time.Second
 	// newAt is when as many new streams begin at the machines where the others are taken
 	// up again.
-	newAt = 29 * time.Second
+	newAt = 26 * time.Second
 )
 
 // streams is the number of streams that are taken up again, and of new ones beside them.
 // LOST judges 12 or more.
-const streams = 24
+const streams = 48
 
 func main() { fleet.Main(play) }
 
 func play(run *fleet.Run) bool {
 	d := fleet.NewDeployment(run, fleet.PatternChat)
+	zones := []string{"quito-a", "guayaquil-a", "cuenca-a"}
 	var old []*fleet.Engine
-	for i, zone := range []string{"quito-a", "guayaquil-a", "cuenca-a", "quito-a", "guayaquil-a", "cuenca-a"} {
-		old = append(old, d.NewChatEngine(run, fmt.Sprintf("i-old-%d", i), zone, "v1"))
+	for i, zone := range zones {
+		old = append(old, d.NewChatEngine(run, fmt.Sprintf("i-one-%d", i), zone, "v1"))
+	}
+	for i, zone := range zones {
+		d.NewChatEngine(run, fmt.Sprintf("i-two-%d", i), zone, "v2")
 	}
 	d.StartDaemons(run, "guayaquil-a")
 	start := time.Now()
@@ -49,8 +53,8 @@
 		d.Cuenca2.Stop()
 	}
 	until(releaseAt)
-	for i, e := range old { // planned: a release, one replica after the other
-		d.NewChatEngine(run, fmt.Sprintf("i-new-%d", i), e.Zone, "v2")
+	for i, e := range old { // planned: a release of half of the replicas, one after the other
+		d.NewChatEngine(run, fmt.Sprintf("i-three-%d", i), e.Zone, "v3")
 		e.Drain(drainTime)
 		time.Sleep(releaseGap)
 	}
@@ -58,7 +62,7 @@
 	var clients sync.WaitGroup
 	again, begun := make([]*fleet.Stream, streams), make([]*fleet.Stream, streams)
 	for i := range again {
-		clients.Go(func() { again[i] = d.Chat(run, i, d.Quito, d.Second, d.Cuenca1) })
+		clients.Go(func() { again[i] = d.Chat(run, i, d.Quito, []*fleet.Daemon{d.Second, d.Cuenca1}[i%2]) })
 	}
 	until(termAt)
 	clients.Go(func() {
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,9 +28,7 @@
 	copyInterval = 250 * time.Millisecond
 	// awayTime is how long the store is away in the drill.
 	awayTime = 800 * time.Millisecond
-	// healAfter is the time from the return of the store to the end of the first cut.
-	healAfter = 300 * time.Millisecond
-	// secondCut is the length of the cut of the other machines.
+	// secondCut is the length of the cut of the other zone.
 	secondCut = 12 * time.Second
 	// end is how long the case goes on after the drill.
 	end = 40 * time.Second
@@ -42,6 +41,26 @@
 // short is the sheet of the requests: short answers, of which many are counted.
 var short = fleet.Sheet{Aim: 500 * time.Millisecond, Gap: 150 * time.Millisecond, Timeout: 6 * time.Second, Events: 3, Pause: 20 * time.Millisecond}
 
+// zone is the machines of a zone.
+type zone struct {
+	name          string
+	first, second *fleet.Daemon
+}
+
+// cut cuts the zone off from the platform.
+func (z zone) cut(run *fleet.Run) {
+	run.Logf("zone %s is cut off from the platform", z.name)
+	z.first.Cut()
+	z.second.Cut()
+}
+
+// heal ends the cut.
+func (z zone) heal(run *fleet.Run) {
+	run.Logf("zone %s is no longer cut off", z.name)
+	z.first.Heal()
+	z.second.Heal()
+}
+
 // stored is a copy of the store and when it was made.
 type stored struct {
 	at   time.Time
@@ -69,32 +88,31 @@
 	run.Await(4*window, "two windows reported", func() bool { return len(reports(run, d.Cloud)) >= 2 })
 	first := time.Now().Truncate(window).Add(window)
 	time.Sleep(time.Until(first.Add(cutAfter)))
+	cut, other := zone{"cuenca-a", d.Cuenca1, d.Cuenca2}, zone{"quito-a", d.Quito, d.Second}
+	if calls := d.Cloud.Calls(); strings.HasPrefix(calls[len(calls)-1].Holder, "edge-"+cut.name) {
+		cut, other = other, cut // the holder's zone goes on reporting
+	}
 	if run.Trouble {
-		d.CutCuenca(run)
+		cut.cut(run)
 	}
 	id := first.UnixNano() / int64(window)
-	run.Await(window+reportLimit, "the window reported", func() bool { return len(reports(run, d.Cloud)[id]) > 0 })
+	run.Await(reportLimit, "the window reported", func() bool { return len(reports(run, d.Cloud)[id]) > 0 })
 	run.Logf("window %d was reported", id)
 	if run.Trouble {
-		run.Logf("the other machines are cut off from the platform")
-		d.Quito.Cut()
-		d.Second.Cut()
 		run.Logf("drill: the store is away")
 		d.Store.SetAway(true)
 		for _, daemon := range []*fleet.Daemon{d.Quito, d.Second, d.Cuenca1, d.Cuenca2} {
 			daemon.StoreLink.Lose()
 		}
+		other.cut(run)
+		cut.heal(run)
 		restored := <-copies
 		time.Sleep(awayTime)
 		d.Store.Restore(restored.copy)
 		d.Store.SetAway(false)
 		run.Logf("drill: the store is back from a copy that is %s old", time.Since(restored.at).Round(time.Millisecond))
-		time.Sleep(healAfter)
-		d.HealCuenca(run)
-		time.Sleep(secondCut - awayTime - healAfter)
-		d.Quito.Heal()
-		d.Second.Heal()
-		run.Logf("the other machines reach the platform")
+		time.Sleep(secondCut - awayTime)
+		other.heal(run)
 	}
 	time.Sleep(end)
 	close(stop)
--- a/review/fleet/chat.go
+++ b/review/fleet/chat.go
@@ -96,6 +96,13 @@
 	run.Logf("traffic starts")
 }
 
+// StartMore starts one more machine in each of the zones quito-a and guayaquil-a. It is called
+// before StartDaemons.
+func (d *Deployment) StartMore(run *Run) {
+	NewDaemon(run, "edge-quito-a-3", "quito-a", d.Store, d.Cloud)
+	NewDaemon(run, "edge-guayaquil-a-3", "guayaquil-a", d.Store, d.Cloud)
+}
+
 // CutCuenca cuts both machines of the zone cuenca-a off from the platform.
 func (d *Deployment) CutCuenca(run *Run) {
 	run.Logf("zone cuenca-a is cut off from the platform")
@@ -110,23 +117,17 @@
 	d.Cuenca2.Heal()
 }
 
-// retryPause is how long a client waits after a refusal without Retry-After.
-const retryPause = 500 * time.Millisecond
-
 // NewStream returns a stream that a client is about to ask for.
 func (d *Deployment) NewStream(name string) *Stream {
 	return &Stream{Name: name, Host: "shop.example", Path: "/chat/" + name, Key: "key-a", Deadline: time.Now().Add(d.Sheet.Timeout)}
 }
 
-// Chat receives a stream: the first attempt goes to one machine, and those that take it up
-// again to others in turn, until the stream is complete or the client no longer waits.
-func (d *Deployment) Chat(run *Run, i int, first *Daemon, later ...*Daemon) *Stream {
+// Chat receives a stream: the first attempt goes to one machine, and if the stream breaks off,
+// the client's one retry (the sheet) to another.
+func (d *Deployment) Chat(run *Run, i int, first, retry *Daemon) *Stream {
 	s := d.NewStream(fmt.Sprintf("chat-%d", i))
-	s.Receive(run, first)
-	for n := 0; !s.Complete && time.Until(s.Deadline) > time.Second; n++ {
-		if s.Receive(run, later[n%len(later)]) == 503 {
-			time.Sleep(max(s.RetryAfter, retryPause))
-		}
+	if s.Receive(run, first); !s.Complete {
+		s.Receive(run, retry)
 	}
 	return s
 }
--- a/review/fleet/client.go
+++ b/review/fleet/client.go
@@ -30,8 +30,6 @@
 	Gaps int
 	// Onward states that an event arrived after the stream was taken up again.
 	Onward bool
-	// RetryAfter is the Retry-After of the last refusal, or 0.
-	RetryAfter time.Duration
 
 	attempts int
 }
@@ -68,8 +66,6 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		after, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64) // none counts as 0
-		s.RetryAfter = time.Duration(after * float64(time.Second))
 		run.Logf("client gets status=%d attempt=%s retry-after=%s", response.StatusCode, attempt, response.Header.Get("Retry-After"))
 		return response.StatusCode
 	}
--- a/review/fleet/engine.go
+++ b/review/fleet/engine.go
@@ -141,13 +141,23 @@
 
 func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
+	e.mu.Lock()
+	state := e.state
+	e.mu.Unlock()
+	if state == "draining" {
+		h.Set("Server-Leaving", "1")
+	}
 	switch {
 	case r.URL.Path == "/healthz":
 		h.Set("X-Replica-Id", e.ID)
+		if state == "draining" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	case r.URL.Path == "/acaciapath/report":
 		h.Set("Content-Type", "application/json")
-		_, _ = io.WriteString(w, `{"phase":"mixed","modelList":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":0,"waiting":0,"running":0,"kvUsedCount":0,"kvTotalCount":600000,"cacheHandles":0}`)
+		_, _ = fmt.Fprintf(w, `{"phase":"mixed","modelList":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":0,"waiting":0,`+
+			`"running":0,"kvUsedCount":0,"kvTotalCount":600000,"cacheHandles":0,"state":%q,"born":%d}`, state, e.born)
 		return
 	}
 	id := r.Header.Get("X-Attempt-Id")
