--- a/review/3/main.go
+++ b/review/3/main.go
@@ -104,14 +104,14 @@
 		for _, daemon := range []*fleet.Daemon{d.Quito, d.Second, d.Cuenca1, d.Cuenca2} {
 			daemon.StoreLink.Lose()
 		}
-		other.cut(run)
-		cut.heal(run)
 		restored := <-copies
 		time.Sleep(awayTime)
+		other.cut(run)
+		cut.heal(run)
 		d.Store.Restore(restored.copy)
 		d.Store.SetAway(false)
 		run.Logf("drill: the store is back from a copy that is %s old", time.Since(restored.at).Round(time.Millisecond))
-		time.Sleep(secondCut - awayTime)
+		time.Sleep(secondCut)
 		other.heal(run)
 	}
 	time.Sleep(end)
