core/origin: one plan of versions for a service

Cause: plans were kept for each lane, and a stream was looked up in the plan of the lane that its route had in the revision in force when it was taken up. The logs of the case: begun under the plan v1:4,v2:4 of the lane patient, looked up in v2:1 of the lane urgent, which the route had since the revision. Routes with a longer prefix, other pauses and other timeouts had the same fault; the timeout of the route also bounded the age of the stream.

Change: a service has one plan, which neither lane nor route affects. Lanes get servers of all versions in proportion. Streams may be as old as origin.Memory. Rows of daemons with a plan for each lane count for all lanes.

--- a/acaciad/daemon/stream_version_test.go
+++ b/acaciad/daemon/stream_version_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -30,17 +31,26 @@
 
 func newVersionedFleet(t *testing.T) *versionedFleet {
 	f := &versionedFleet{deployment: newDeployment(t), engines: make(map[string]*httptest.Server)}
+	f.writeConfig(3, askRoute())
+	return f
+}
+
+// askRoute returns the route of the streams.
+func askRoute() map[string]any {
+	return map[string]any{
+		"name": "ask", "host": "shop.example", "prefix": "/ask/", "type": "streaming", "sessionAffinity": true,
+		"timeoutMs": 20000, "targetLatencyMs": 500, "service": "llm", "maxAttempts": 3, "streamResume": true,
+	}
+}
+
+// writeConfig writes a configuration with the given routes.
+func (f *versionedFleet) writeConfig(version int, routes ...map[string]any) {
 	f.store.Write("op", "config", map[string]any{
-		"version": 3,
-		"routes": []any{map[string]any{
-			"name": "ask", "host": "shop.example", "prefix": "/ask/", "type": "streaming", "sessionAffinity": true,
-			"timeoutMs": 20000, "targetLatencyMs": 500, "service": "llm", "maxAttempts": 3, "streamResume": true,
-		}},
+		"version": version, "routes": routes,
 		"services": []any{map[string]any{"name": "llm", "healthPath": "/healthz", "runtime": map[string]any{"slots": 64, "kvCapacity": 500000, "stride": 3}}},
 		"limits":   map[string]any{"maxBodyBytes": 1000},
 		"tenants":  []any{map[string]any{"name": "account-a", "apiKeys": []string{"k"}}},
 	})
-	return f
 }
 
 // startEngine starts an engine of a version and lists it.
@@ -99,7 +109,7 @@
 func (s *callerStream) receive(d *runningDaemon, attempt string, most int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.settings.CallersAddress+"/ask/7", strings.NewReader("x"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.settings.CallersAddress+"/ask/7/x", strings.NewReader("x"))
 	if err != nil {
 		return
 	}
@@ -269,6 +279,47 @@
 	f.checkVersions(streams, "v1", "v2")
 }
 
+// TestStreamsGoOnAtTheirVersionAfterRoutesChange has a configuration change the lane, the
+// route or the timeout of streams before they break off. They went on at the version that
+// their route had by then (ORDER).
+func TestStreamsGoOnAtTheirVersionAfterRoutesChange(t *testing.T) {
+	with := func(changes map[string]any) map[string]any {
+		route := askRoute()
+		maps.Copy(route, changes)
+		return route
+	}
+	other := map[string]any{"name": "other", "prefix": "/other/", "targetLatencyMs": 5000}
+	for name, test := range map[string]struct {
+		before, after []map[string]any
+	}{
+		"a more patient route is added":      {[]map[string]any{askRoute()}, []map[string]any{askRoute(), with(other)}},
+		"a more patient route is removed":    {[]map[string]any{askRoute(), with(other)}, []map[string]any{askRoute()}},
+		"the route allows only short pauses": {[]map[string]any{askRoute(), with(other)}, []map[string]any{with(map[string]any{"gapTargetMs": 100}), with(other)}},
+		"a longer prefix with another target is added": {
+			[]map[string]any{askRoute(), with(other)},
+			[]map[string]any{askRoute(), with(other), with(map[string]any{"name": "ask-7", "prefix": "/ask/7/", "targetLatencyMs": 5000})},
+		},
+		"the timeout is shorter": {[]map[string]any{askRoute()}, []map[string]any{with(map[string]any{"timeoutMs": 16000}), with(other)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newVersionedFleet(t)
+			f.writeConfig(3, test.before...)
+			for id, version := range map[string]string{"a-1": "v1", "a-2": "v1", "b-1": "v2", "b-2": "v2"} {
+				f.startEngine(id, version)
+			}
+			daemons := f.startDaemons(3)
+			streams := newStreams(48)
+			receiveAll(streams, daemons[:1], "first", 30)
+			f.writeConfig(4, test.after...)
+			time.Sleep(2 * time.Second) // all daemons use it
+			daemons[0].stop()
+			receiveAll(streams, daemons[1:], "second", streamEvents)
+			f.checkVersions(streams, "v1", "v2")
+		})
+	}
+}
+
 // newStreams returns streams that have not begun.
 func newStreams(n int) []*callerStream {
 	streams := make([]*callerStream, n)
--- a/acaciad/origins/lookup.go
+++ b/acaciad/origins/lookup.go
@@ -39,12 +39,12 @@
 }
 
 // Lookup returns the origin of a stream that a caller takes up again and that began since a
-// time. It reads the reports of other daemons if necessary, until lookupTime has passed or ctx
+// time. service is the service that this daemon picks for it. Lookup reads the reports of other daemons if necessary, until lookupTime has passed or ctx
 // is done. If the origin is not known, err states why the reports could not be read; without
 // an error, it will not be known later either.
-func (r *Registry) Lookup(ctx context.Context, stream origin.Stream, group origin.Group, since time.Time) (o origin.Origin, known bool, err error) {
+func (r *Registry) Lookup(ctx context.Context, stream origin.Stream, service string, since time.Time) (o origin.Origin, known bool, err error) {
 	began := time.Now()
-	q := origin.Query{Stream: stream, Group: group, Since: since}
+	q := origin.Query{Stream: stream, Service: service, Since: since}
 	if o, known = r.resolve(q, (*origin.Ledger).Resolve); known {
 		r.Metrics.count(lookupKnown)
 		return o, true, nil
--- a/acaciad/origins/registry.go
+++ b/acaciad/origins/registry.go
@@ -90,7 +90,7 @@
 
 // SetListed replaces the servers that are listed. The plans by them are used once others can
 // read them.
-func (r *Registry) SetListed(listed map[origin.Group]origin.Servers, now time.Time) {
+func (r *Registry) SetListed(listed map[string]origin.Servers, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.ledger.SetListed(listed, now) {
@@ -148,15 +148,15 @@
 	}
 }
 
-// Choose returns the version at which a stream of a group is to begin, or false if any will
+// Choose returns the version at which a stream is to begin at a service, or false if any will
 // do. While a plan is being written that leads to another version than the one in use, it waits,
 // for chooseWait at most: if the VM is killed, others cannot tell which of them was in use.
-func (r *Registry) Choose(ctx context.Context, group origin.Group, stream origin.Stream) (version string, ok bool) {
+func (r *Registry) Choose(ctx context.Context, service string, stream origin.Stream) (version string, ok bool) {
 	r.mu.Lock()
-	version, ok = r.ledger.Choose(group, stream)
+	version, ok = r.ledger.Choose(service, stream)
 	write, changes := r.writing, false
 	if write != nil && ok {
-		next, planned := write.report.Groups[group].Plan.Pick(stream)
+		next, planned := write.report.Plans[service].Plan.Pick(stream)
 		changes = planned && next != version
 	}
 	r.mu.Unlock()
@@ -172,15 +172,15 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.ledger.Choose(group, stream)
+	return r.ledger.Choose(service, stream)
 }
 
-// Begin records that a request receives a stream of a group that began at an origin, or is
-// about to.
-func (r *Registry) Begin(stream origin.Stream, group origin.Group, o origin.Origin, now time.Time) {
+// Begin records that a request receives a stream that began at an origin, or is about to.
+// picked is the service that this daemon picked for it.
+func (r *Registry) Begin(stream origin.Stream, picked string, o origin.Origin, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ledger.Begin(stream, group, o, now) {
+	if r.ledger.Begin(stream, picked, o, now) {
 		r.scheduleLocked()
 	}
 }
@@ -275,7 +275,7 @@
 	report := r.ledger.Report(time.Now())
 	report.Epoch = r.ledger.Epoch(r.Epoch(), report.At)
 	r.mu.Unlock()
-	if len(report.Groups) == 0 {
+	if len(report.Plans) == 0 {
 		return true
 	}
 	value, err := encodeReport(report)
@@ -309,9 +309,9 @@
 
 // logPlans logs the plans of a report that have changed.
 func (r *Registry) logPlans(report origin.Report) {
-	for group, known := range report.Groups {
+	for service, known := range report.Plans {
 		if known.Since.Equal(report.At) {
-			r.Logger.WithFields(logrus.Fields{"service": group.Service, "lane": group.Lane, "plan": known.Plan.String()}).
+			r.Logger.WithFields(logrus.Fields{"service": service, "plan": known.Plan.String()}).
 				Info("streams begin at other versions")
 		}
 	}
--- a/acaciad/origins/registry_test.go
+++ b/acaciad/origins/registry_test.go
@@ -55,12 +55,12 @@
 	return f
 }
 
-// group is the group of all streams of the tests.
-var group = origin.Group{Service: "llm", Lane: "urgent"}
+// service is the service of all streams of the tests.
+const service = "llm"
 
 // listed returns the given numbers of servers of versions.
-func listed(servers map[string]int) map[origin.Group]origin.Servers {
-	return map[origin.Group]origin.Servers{group: {Plan: origin.NewPlan(servers), Mixed: len(servers) > 1}}
+func listed(servers map[string]int) map[string]origin.Servers {
+	return map[string]origin.Servers{service: {Plan: origin.NewPlan(servers), Mixed: len(servers) > 1}}
 }
 
 // both has two versions with equal shares.
@@ -93,7 +93,7 @@
 
 // version returns the version that a registry finds for a stream, or an empty string.
 func (f *fixture) version(r *origins.Registry, id string) string {
-	found, _, _ := r.Lookup(f.Context(), stream(id), group, time.Now().Add(-origin.Memory))
+	found, _, _ := r.Lookup(f.Context(), stream(id), service, time.Now().Add(-origin.Memory))
 	return found.Version
 }
 
@@ -108,9 +108,9 @@
 
 // begin begins a stream at the version that the plan tells.
 func (f *fixture) begin(r *origins.Registry, id string) string {
-	version, ok := r.Choose(context.Background(), group, stream(id))
+	version, ok := r.Choose(context.Background(), service, stream(id))
 	f.Assert(ok, qt.IsTrue)
-	r.Begin(stream(id), group, origin.Origin{Service: "llm", Version: version}, time.Now())
+	r.Begin(stream(id), service, origin.Origin{Service: "llm", Version: version}, time.Now())
 	return version
 }
 
@@ -126,14 +126,14 @@
 		id := fmt.Sprint(i)
 		versions[id] = f.begin(one, id)
 	}
-	one.Begin(stream("other"), group, origin.Origin{Service: "llm", Version: "v0"}, time.Now())
-	one.Begin(stream("moved"), group, origin.Origin{Service: "llm-2", Version: "v1"}, time.Now())
+	one.Begin(stream("other"), service, origin.Origin{Service: "llm", Version: "v0"}, time.Now())
+	one.Begin(stream("moved"), service, origin.Origin{Service: "llm-2", Version: "v1"}, time.Now())
 	versions["other"], versions["moved"] = "v0", "v1"
 	time.Sleep(500 * time.Millisecond)
 	for id, version := range versions {
 		f.Check(f.version(two, id), qt.Equals, version, qt.Commentf("stream %s", id))
 	}
-	found, _, _ := two.Lookup(f.Context(), stream("moved"), group, time.Now().Add(-origin.Memory))
+	found, _, _ := two.Lookup(f.Context(), stream("moved"), service, time.Now().Add(-origin.Memory))
 	f.Check(found.Service, qt.Equals, "llm-2")
 }
 
@@ -163,7 +163,7 @@
 	f.eventually(func() bool {
 		for i := range 100 {
 			for _, r := range []*origins.Registry{one, two} {
-				if version, _ := r.Choose(context.Background(), group, stream(fmt.Sprint(i))); version == "v1" {
+				if version, _ := r.Choose(context.Background(), service, stream(fmt.Sprint(i))); version == "v1" {
 					return false
 				}
 			}
@@ -194,7 +194,7 @@
 				return func() bool {
 					for i := range 40 {
 						for _, r := range []*origins.Registry{one, two} {
-							if v, _ := r.Choose(context.Background(), group, stream(fmt.Sprint(i))); v == version {
+							if v, _ := r.Choose(context.Background(), service, stream(fmt.Sprint(i))); v == version {
 								return true
 							}
 						}
@@ -261,7 +261,7 @@
 	r, stop := f.start("vm-1")
 	r.SetListed(listed(map[string]int{"v1": 4}), time.Now())
 	f.eventually(func() bool {
-		version, _ := r.Choose(f.Context(), group, stream("a"))
+		version, _ := r.Choose(f.Context(), service, stream("a"))
 		return version == "v1"
 	})
 	time.Sleep(300 * time.Millisecond) // nothing is left to write
@@ -279,7 +279,7 @@
 	other, _ := f.start("vm-2")
 	other.SetListed(listed(map[string]int{"v2": 4}), time.Now())
 	f.waitForRow(other)
-	found, known, _ := other.Lookup(f.Context(), stream("b"), group, time.Now())
+	found, known, _ := other.Lookup(f.Context(), stream("b"), service, time.Now())
 	f.Check(known, qt.IsTrue)
 	f.Check(found.Version, qt.Equals, version)
 }
@@ -298,18 +298,18 @@
 	f := newFixture(t)
 	r, _ := f.start("vm-1")
 	f.waitForRow(r)
-	r.Begin(stream("a"), group, origin.Origin{Service: "llm", Version: "v9"}, time.Now())
+	r.Begin(stream("a"), service, origin.Origin{Service: "llm", Version: "v9"}, time.Now())
 	time.Sleep(500 * time.Millisecond)
 	f.store.SetFault(func(string, string) platformtest.Fault { return platformtest.Unavailable })
 	f.Check(f.version(r, "a"), qt.Equals, "v9")
 	began := time.Now()
 	f.Check(f.version(r, "b"), qt.Equals, "")
 	f.Check(time.Since(began) < 5*time.Second, qt.IsTrue)
-	expected, _ := r.Choose(context.Background(), group, stream("b"))
-	found, _, _ := r.Lookup(f.Context(), stream("b"), group, time.Now().Add(11*time.Second))
+	expected, _ := r.Choose(context.Background(), service, stream("b"))
+	found, _, _ := r.Lookup(f.Context(), stream("b"), service, time.Now().Add(11*time.Second))
 	f.Check(found.Version, qt.Equals, expected)
 	r.ListAge = func(time.Time) time.Duration { return time.Minute }
-	_, known, err := r.Lookup(f.Context(), stream("b"), group, time.Now().Add(11*time.Second))
+	_, known, err := r.Lookup(f.Context(), stream("b"), service, time.Now().Add(11*time.Second))
 	f.Check(known, qt.IsFalse, qt.Commentf("the list of servers is out of date"))
 	f.Check(err, qt.IsNotNil)
 }
@@ -322,29 +322,51 @@
 	one.SetListed(listed(map[string]int{"v1": 4}), time.Now())
 	f.waitForRow(one)
 	f.eventually(func() bool {
-		version, _ := one.Choose(context.Background(), group, stream("b"))
+		version, _ := one.Choose(context.Background(), service, stream("b"))
 		return version == "v1"
 	})
 	two, _ := f.start("vm-2")
 	two.SetListed(listed(map[string]int{"v2": 4}), time.Now())
 	f.waitForRow(two)
 	f.eventually(func() bool {
-		version, _ := two.Choose(context.Background(), group, stream("b"))
+		version, _ := two.Choose(context.Background(), service, stream("b"))
 		return version == "v2"
 	})
 	since := time.Now().Add(11 * time.Second)
-	found, _, _ := one.Lookup(f.Context(), stream("b"), group, since)
+	found, _, _ := one.Lookup(f.Context(), stream("b"), service, since)
 	f.Assert(found.Version, qt.Equals, "v1")
 	one.ListAge = func(time.Time) time.Duration { return 2 * time.Second }
-	_, known, err := one.Lookup(f.Context(), stream("b"), group, since)
+	_, known, err := one.Lookup(f.Context(), stream("b"), service, since)
 	f.Check(known, qt.IsFalse)
 	f.Check(err, qt.IsNil)
 	f.store.SetFault(func(string, string) platformtest.Fault { return platformtest.Unavailable })
-	_, known, err = one.Lookup(f.Context(), stream("b"), group, since)
+	_, known, err = one.Lookup(f.Context(), stream("b"), service, since)
 	f.Check(known, qt.IsFalse)
 	f.Check(err, qt.IsNotNil)
 }
 
+// TestRowOfEarlierBuild has a VM with a daemon of an earlier build, which has a plan for each
+// lane. Only streams at which all plans have the same version are known.
+func TestRowOfEarlierBuild(t *testing.T) {
+	f := newFixture(t)
+	row := fmt.Sprintf(`{"at-ms":%d,"groups":[{"service":"llm","lane":"patient","plan":[{"version":"v1","weight":4},{"version":"v2","weight":4}]},`+
+		`{"service":"llm","lane":"urgent","plan":[{"version":"v2","weight":1}]}]}`, time.Now().UnixMilli())
+	_, err := f.table.Commit(f.Context(), &table.CommitPayload{Writes: []*table.Write{{Key: "stream-origins/vm-0", Value: []byte(row)}}})
+	f.Assert(err, qt.IsNil)
+	r, _ := f.start("vm-1")
+	f.waitForRow(r)
+	planned := make(map[string]bool)
+	for i := range 12 {
+		version, _ := r.Choose(f.Context(), service, stream(fmt.Sprint(i)))
+		planned[version] = true
+		if version == "v1" {
+			version = ""
+		}
+		f.Check(f.version(r, fmt.Sprint(i)), qt.Equals, version)
+	}
+	f.Check(planned, qt.HasLen, 2)
+}
+
 // TestInvalidRows has rows that cannot be read. They are logged with their key, and the
 // others are read.
 func TestInvalidRows(t *testing.T) {
--- a/acaciad/origins/rows.go
+++ b/acaciad/origins/rows.go
@@ -23,6 +23,10 @@
 // errInvalidRow is returned for a row that cannot be read.
 var errInvalidRow = merry.Sentinel("origins: invalid row")
 
+// lanePlanTime is how long the plan of another lane counts after the row was written. Daemons of
+// earlier builds have several plans for a service.
+const lanePlanTime = 24 * time.Hour
+
 // storedReport is the value of a row.
 type storedReport struct {
 	AtMS       int64             `json:"at-ms"`
@@ -31,10 +35,9 @@
 	Exceptions []storedException `json:"exceptions,omitempty"`
 }
 
-// storedGroup is the report of a group.
+// storedGroup is the report of the plan of a service.
 type storedGroup struct {
 	Service string             `json:"service"`
-	Lane    string             `json:"lane"`
 	Plan    []storedShare      `json:"plan"`
 	SinceMS int64              `json:"since-ms"`
 	Former  []storedFormerPlan `json:"former,omitempty"`
@@ -63,8 +66,8 @@
 // encodeReport returns the value of the row for a report.
 func encodeReport(r origin.Report) ([]byte, error) {
 	s := storedReport{AtMS: r.At.UnixMilli(), Epoch: r.Epoch}
-	for group, known := range r.Groups {
-		stored := storedGroup{Service: group.Service, Lane: group.Lane, Plan: encodePlan(known.Plan), SinceMS: known.Since.UnixMilli()}
+	for service, known := range r.Plans {
+		stored := storedGroup{Service: service, Plan: encodePlan(known.Plan), SinceMS: known.Since.UnixMilli()}
 		for _, former := range known.Former {
 			stored.Former = append(stored.Former, storedFormerPlan{Plan: encodePlan(former.Plan), UntilMS: former.Until.UnixMilli()})
 		}
@@ -96,21 +99,26 @@
 		return origin.Report{}, merry.Wrap(errInvalidRow, merry.WithCause(err))
 	}
 	r := origin.Report{
-		At: time.UnixMilli(s.AtMS), Epoch: max(s.Epoch, epoch.First), Groups: make(map[origin.Group]origin.GroupReport), Exceptions: make(map[origin.Origin][]origin.Stream),
+		At: time.UnixMilli(s.AtMS), Epoch: max(s.Epoch, epoch.First), Plans: make(map[string]origin.PlanReport), Exceptions: make(map[origin.Origin][]origin.Stream),
 	}
 	for _, stored := range s.Groups {
 		plan, err := parsePlan(stored.Plan)
 		if err != nil {
 			return origin.Report{}, err
 		}
-		known := origin.GroupReport{Plan: plan, Since: time.UnixMilli(stored.SinceMS)}
+		known, again := r.Plans[stored.Service]
+		if again {
+			known.Former = append(known.Former, origin.FormerPlan{Plan: plan, Until: r.At.Add(lanePlanTime)})
+		} else {
+			known.Plan, known.Since = plan, time.UnixMilli(stored.SinceMS)
+		}
 		for _, former := range stored.Former {
 			if plan, err = parsePlan(former.Plan); err != nil {
 				return origin.Report{}, err
 			}
 			known.Former = append(known.Former, origin.FormerPlan{Plan: plan, Until: time.UnixMilli(former.UntilMS)})
 		}
-		r.Groups[origin.Group{Service: stored.Service, Lane: stored.Lane}] = known
+		r.Plans[stored.Service] = known
 	}
 	for _, stored := range s.Exceptions {
 		encoded := stored.Streams
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -182,9 +182,10 @@
 	// connectionReused states that the connection of the current attempt had carried
 	// another request before.
 	connectionReused bool
-	// stream identifies a stream that can be taken up again, and group is its group.
-	stream origin.Stream
-	group  origin.Group
+	// stream identifies a stream that can be taken up again, and pickedService is the service
+	// that was picked for it. It goes on at the service that began it.
+	stream        origin.Stream
+	pickedService string
 	// origin is where the stream began or is to begin.
 	origin origin.Origin
 	// planned states that a new stream is to begin at the version of origin, and receiving
--- a/acaciad/proxy/origin.go
+++ b/acaciad/proxy/origin.go
@@ -35,12 +35,12 @@
 	if !x.route.Resumable {
 		return nil
 	}
-	x.group = directory.StreamGroup(x.view.Index, x.route, x.service)
+	x.pickedService = x.service
 	if !x.takesUp() {
-		x.origin.Version, x.planned = x.handler.Origins.Choose(ctx, x.group, x.stream)
+		x.origin.Version, x.planned = x.handler.Origins.Choose(ctx, x.service, x.stream)
 		return nil
 	}
-	found, known, err := x.handler.Origins.Lookup(ctx, x.stream, x.group, x.streamSince())
+	found, known, err := x.handler.Origins.Lookup(ctx, x.stream, x.service, x.arrived.Add(-origin.Memory))
 	switch {
 	case err != nil:
 		return originNotKnownYet
@@ -55,25 +55,11 @@
 	return nil
 }
 
-// sinceMargin allows for callers that wait longer than their route's timeout, and for the
-// clocks of VMs.
-const sinceMargin = 2 * time.Second
-
-// streamSince returns the earliest time at which the stream can have begun that the caller
-// takes up again: callers wait no longer than their route's timeout.
-func (x *exchange) streamSince() time.Time {
-	waited := origin.Memory
-	if left := x.metadata.Timeout; left > 0 && left < x.route.Timeout {
-		waited = min(waited, x.route.Timeout-left+sinceMargin)
-	}
-	return x.arrived.Add(-waited)
-}
-
 // beginStream records where the stream began, or is about to begin.
 func (x *exchange) beginStream(o origin.Origin) {
 	x.endStream(time.Now())
 	x.origin, x.recorded = o, true
-	x.handler.Origins.Begin(x.stream, x.group, o, time.Now())
+	x.handler.Origins.Begin(x.stream, x.pickedService, o, time.Now())
 }
 
 // endStream records the end of the stream.
--- a/acaciad/proxy/origin_test.go
+++ b/acaciad/proxy/origin_test.go
@@ -36,7 +36,7 @@
 	f.specs[0].Version, f.specs[1].Version = "v1", "v2"
 	f.directory.SetServers(f.specs, time.Now())
 	f.setVersions()
-	f.handler.Origins.Begin(origin.StreamID("account-b", "id-0"), origin.Group{Service: "llm", Lane: "patient"}, origin.Origin{Service: "llm", Version: "v1"}, time.Now())
+	f.handler.Origins.Begin(origin.StreamID("account-b", "id-0"), "llm", origin.Origin{Service: "llm", Version: "v1"}, time.Now())
 	takeUp := func(resumes string) answer {
 		r := f.request(f.Context(), http.MethodPost, "/reply/", "x")
 		r.Header.Set("X-Deadline-Ms", "10000")
@@ -66,7 +66,7 @@
 	s := f.startServer("i-1", "llm", 5)
 	f.specs[0].Version = "v2"
 	f.directory.SetServers(f.specs, time.Now())
-	f.handler.Origins.Begin(origin.StreamID("account-a", "id-0"), origin.Group{Service: "llm", Lane: "patient"}, origin.Origin{Service: "llm", Version: "v1"}, time.Now())
+	f.handler.Origins.Begin(origin.StreamID("account-a", "id-0"), "llm", origin.Origin{Service: "llm", Version: "v1"}, time.Now())
 	r := f.request(f.Context(), http.MethodPost, "/reply/", "x")
 	r.Header.Set("Last-Event-Id", "3")
 	r.Header.Set("Resumes", "id-0")
--- a/core/origin/ledger.go
+++ b/core/origin/ledger.go
@@ -16,7 +16,7 @@
 	maxStreams = 1 << 15
 	// maxReported is the number of streams in a report. A row of the store holds 64 KB.
 	maxReported = 4096
-	// maxFormer is the number of former plans of a group.
+	// maxFormer is the number of former plans of a service.
 	maxFormer = 8
 )
 
@@ -33,7 +33,7 @@
 	Service, Version string
 }
 
-// Servers tells of the servers that are listed for a group.
+// Servers tells of the servers that are listed for a service.
 type Servers struct {
 	// Plan is the plan by those that take requests.
 	Plan Plan
@@ -41,15 +41,11 @@
 	Mixed bool
 }
 
-// Group identifies streams with the same plan.
-type Group struct {
-	Service, Lane string
-}
-
 // progress is what is known of a stream.
 type progress struct {
 	Origin
-	group Group
+	// picked is the service that the daemon picked for the stream.
+	picked string
 	// runs is the number of requests of this daemon that are receiving the stream.
 	runs int
 	// complete states that it cannot be taken up again.
@@ -61,13 +57,13 @@
 // Ledger is what a daemon knows about plans and streams. It is not safe for concurrent use.
 type Ledger struct {
 	// listed are the servers that are listed now, and settledSince is since when those of a
-	// group have one version.
-	listed       map[Group]Servers
-	settledSince map[Group]time.Time
+	// service have one version. All maps of plans are by service.
+	listed       map[string]Servers
+	settledSince map[string]time.Time
 	// plans are the plans that are to be used.
-	plans map[Group]Plan
+	plans map[string]Plan
 	// reported are the plans in the report of this daemon, which are in use.
-	reported map[Group]GroupReport
+	reported map[string]PlanReport
 	// startedAt is when the daemon started, if it has a report from before.
 	startedAt time.Time
 	// lostBefore is when this daemon started if the table may have lost reports from before,
@@ -81,19 +77,19 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{settledSince: make(map[Group]time.Time), streams: make(map[Stream]*progress)}
+	return &Ledger{settledSince: make(map[string]time.Time), streams: make(map[Stream]*progress)}
 }
 
 // SetListed replaces the servers that are listed. It reports whether plans by them must be
-// used at once: there is none for a group yet, or the one in use is very different.
-func (l *Ledger) SetListed(listed map[Group]Servers, now time.Time) (urgent bool) {
-	for group, servers := range listed {
-		if _, settled := l.settledSince[group]; servers.Mixed {
-			delete(l.settledSince, group)
+// used at once: there is none for a service yet, or the one in use is very different.
+func (l *Ledger) SetListed(listed map[string]Servers, now time.Time) (urgent bool) {
+	for service, servers := range listed {
+		if _, settled := l.settledSince[service]; servers.Mixed {
+			delete(l.settledSince, service)
 		} else if !settled {
-			l.settledSince[group] = now
+			l.settledSince[service] = now
 		}
-		urgent = urgent || len(servers.Plan) > 0 && servers.Plan.isUrgent(l.reported[group].Plan)
+		urgent = urgent || len(servers.Plan) > 0 && servers.Plan.isUrgent(l.reported[service].Plan)
 	}
 	l.listed = listed
 	return urgent
@@ -102,37 +98,37 @@
 // UsePlans has the plans by the listed servers used. It reports whether others must be told
 // before.
 func (l *Ledger) UsePlans() bool {
-	l.plans = make(map[Group]Plan)
-	for group, servers := range l.listed {
-		l.plans[group] = servers.Plan
+	l.plans = make(map[string]Plan)
+	for service, servers := range l.listed {
+		l.plans[service] = servers.Plan
 	}
 	return l.PlansChanged()
 }
 
-// PlansChanged reports whether a plan differs from the one in use. A group without servers
-// keeps its plan.
+// PlansChanged reports whether a plan differs from the one in use. A service without
+// servers keeps its plan.
 func (l *Ledger) PlansChanged() bool {
-	for group, plan := range l.plans {
-		if len(plan) > 0 && !slices.Equal(plan, l.reported[group].Plan) {
+	for service, plan := range l.plans {
+		if len(plan) > 0 && !slices.Equal(plan, l.reported[service].Plan) {
 			return true
 		}
 	}
 	return false
 }
 
-// Choose returns the version at which a stream of a group is to begin, or false if there is no
-// plan. Before its first report, a daemon uses the plan by the listed servers, which others
+// Choose returns the version at which a stream is to begin at a service, or false if there is
+// no plan. Before its first report, a daemon uses the plan by the listed servers, which others
 // have as well.
-func (l *Ledger) Choose(group Group, stream Stream) (version string, ok bool) {
-	if version, ok = l.reported[group].Plan.Pick(stream); ok {
+func (l *Ledger) Choose(service string, stream Stream) (version string, ok bool) {
+	if version, ok = l.reported[service].Plan.Pick(stream); ok {
 		return version, true
 	}
-	return l.listed[group].Plan.Pick(stream)
+	return l.listed[service].Plan.Pick(stream)
 }
 
-// Begin records that a request receives a stream of a group that began at an origin, or is
-// about to. It reports whether others must be told, since the plan does not tell it.
-func (l *Ledger) Begin(stream Stream, group Group, o Origin, now time.Time) bool {
+// Begin records that a request receives a stream that began at an origin, or is about to.
+// picked is the service that this daemon picked for it. It reports whether others must be told, since the plan does not tell it.
+func (l *Ledger) Begin(stream Stream, picked string, o Origin, now time.Time) bool {
 	s := l.streams[stream]
 	if s == nil {
 		s = &progress{}
@@ -142,8 +138,8 @@
 		l.idle--
 	}
 	s.runs++
-	s.group, s.Origin, s.complete, s.at = group, o, false, now
-	return s.isException(stream, l.reported[s.group].Plan)
+	s.picked, s.Origin, s.complete, s.at = picked, o, false, now
+	return s.isException(stream, l.reported[s.picked].Plan)
 }
 
 // End records that a request of Begin has ended. complete states that the stream cannot be
@@ -160,10 +156,11 @@
 	}
 }
 
-// isException reports whether the origin of a stream does not follow from the plan of its group.
+// isException reports whether the origin of a stream does not follow from the plan of the service
+// that was picked for it.
 func (s *progress) isException(stream Stream, plan Plan) bool {
 	version, ok := plan.Pick(stream)
-	return !s.complete && (!ok || version != s.Version || s.Service != s.group.Service)
+	return !s.complete && (!ok || version != s.Version || s.Service != s.picked)
 }
 
 // add adds a stream that is not running.
@@ -199,8 +196,8 @@
 // Query asks for the origin of a stream.
 type Query struct {
 	Stream Stream
-	// Group is the group of the stream.
-	Group Group
+	// Service is the service that this daemon picks for the stream.
+	Service string
 	// Since is the earliest time at which the stream can have begun.
 	Since time.Time
 	// Fresh states that the list of servers is up to date.
@@ -215,19 +212,19 @@
 	if s := l.streams[q.Stream]; s != nil {
 		return s.Origin, true
 	}
-	r, since := l.reported[q.Group], q.Since.Add(-followTime)
-	settledSince, settled := l.settledSince[q.Group]
-	if !q.Fresh || !settled || settledSince.After(since) || len(r.Plan) != 1 || !l.PlanHolds(q.Group, since) {
+	r, since := l.reported[q.Service], q.Since.Add(-followTime)
+	settledSince, settled := l.settledSince[q.Service]
+	if !q.Fresh || !settled || settledSince.After(since) || len(r.Plan) != 1 || !l.PlanHolds(q.Service, since) {
 		return Origin{}, false
 	}
-	return Origin{Service: q.Group.Service, Version: r.Plan[0].Version}, true
+	return Origin{Service: q.Service, Version: r.Plan[0].Version}, true
 }
 
-// PlanHolds reports whether the plan of a group has been in use since a time, and the listed
+// PlanHolds reports whether the plan of a service has been in use since a time, and the listed
 // servers do not change it.
-func (l *Ledger) PlanHolds(group Group, since time.Time) bool {
-	r := l.reported[group]
-	if len(r.Plan) == 0 || r.Since.After(since) || since.Before(l.lostBefore) || !slices.Equal(l.listed[group].Plan, r.Plan) {
+func (l *Ledger) PlanHolds(service string, since time.Time) bool {
+	r := l.reported[service]
+	if len(r.Plan) == 0 || r.Since.After(since) || since.Before(l.lostBefore) || !slices.Equal(l.listed[service].Plan, r.Plan) {
 		return false
 	}
 	return !slices.ContainsFunc(r.Former, func(f FormerPlan) bool { return f.Until.After(since) })
@@ -237,11 +234,11 @@
 // long enough that all daemons have it. Reports are not needed, unless the version had no
 // server when the stream began.
 func (l *Ledger) ResolveByPlan(q Query) (o Origin, known bool) {
-	if o, known = l.Resolve(q); known || !q.Fresh || !l.PlanHolds(q.Group, q.Since.Add(-followTime)) {
+	if o, known = l.Resolve(q); known || !q.Fresh || !l.PlanHolds(q.Service, q.Since.Add(-followTime)) {
 		return o, known
 	}
-	version, ok := l.reported[q.Group].Plan.Pick(q.Stream)
-	return Origin{Service: q.Group.Service, Version: version}, ok
+	version, ok := l.reported[q.Service].Plan.Pick(q.Stream)
+	return Origin{Service: q.Service, Version: version}, ok
 }
 
 // ResolveAmong returns the origin of a stream by the reports of all daemons. final states that
@@ -267,15 +264,15 @@
 		}
 	}
 	for _, r := range reports {
-		group, ok := r.Groups[q.Group]
+		p, ok := r.Plans[q.Service]
 		if !ok || r.isSuperseded(reports, q) {
 			continue
 		}
 		complete = complete || r.Epoch >= q.Epoch
-		add(group.Plan)
-		final = final && (plan == nil || slices.Equal(plan, group.Plan))
-		plan = group.Plan
-		for _, former := range group.Former {
+		add(p.Plan)
+		final = final && (plan == nil || slices.Equal(plan, p.Plan))
+		plan = p.Plan
+		for _, former := range p.Former {
 			if former.Until.After(q.Since) {
 				add(former.Plan)
 			}
@@ -283,7 +280,7 @@
 	}
 	if !complete {
 		// All daemons may have had another plan that the table has lost.
-		for _, share := range l.listed[q.Group].Plan {
+		for _, share := range l.listed[q.Service].Plan {
 			add(Plan{share})
 		}
 		final = false
@@ -291,5 +288,5 @@
 	if len(versions) != 1 {
 		return Origin{}, false, final && len(versions) > 0
 	}
-	return Origin{Service: q.Group.Service, Version: versions[0]}, true, true
+	return Origin{Service: q.Service, Version: versions[0]}, true, true
 }
--- a/core/origin/ledger_test.go
+++ b/core/origin/ledger_test.go
@@ -10,10 +10,10 @@
 	qt "github.com/frankban/quicktest"
 )
 
-var (
-	morning = time.Date(2026, 12, 5, 9, 0, 0, 0, time.UTC)
-	group   = origin.Group{Service: "llm", Lane: "urgent"}
-)
+// service is the service of all streams of the tests.
+const service = "llm"
+
+var morning = time.Date(2026, 12, 5, 9, 0, 0, 0, time.UTC)
 
 // at returns the time s seconds after the beginning of a test.
 func at(s float64) time.Time { return morning.Add(time.Duration(s * float64(time.Second))) }
@@ -22,8 +22,8 @@
 func v(version string) origin.Origin { return origin.Origin{Service: "llm", Version: version} }
 
 // listed returns the given numbers of servers of versions.
-func listed(servers map[string]int) map[origin.Group]origin.Servers {
-	return map[origin.Group]origin.Servers{group: {Plan: origin.NewPlan(servers), Mixed: len(servers) > 1}}
+func listed(servers map[string]int) map[string]origin.Servers {
+	return map[string]origin.Servers{service: {Plan: origin.NewPlan(servers), Mixed: len(servers) > 1}}
 }
 
 // use has a ledger use the plan for the given numbers of servers.
@@ -36,7 +36,7 @@
 // resolve returns the version that a ledger resolves a stream to with the reports of others.
 // The stream began since a time.
 func resolve(l *origin.Ledger, stream origin.Stream, since time.Time, reports ...origin.Report) string {
-	found, _, _ := l.ResolveAmong(reports, origin.Query{Stream: stream, Group: group, Since: since, Fresh: true})
+	found, _, _ := l.ResolveAmong(reports, origin.Query{Stream: stream, Service: service, Since: since, Fresh: true})
 	return found.Version
 }
 
@@ -95,7 +95,7 @@
 	c := qt.New(t)
 	l := origin.NewLedger()
 	query := func(since float64, fresh bool) origin.Query {
-		return origin.Query{Stream: 7, Group: group, Since: at(since), Fresh: fresh}
+		return origin.Query{Stream: 7, Service: service, Since: at(since), Fresh: fresh}
 	}
 	_, known := l.Resolve(query(100, true))
 	c.Assert(known, qt.IsFalse)
@@ -124,8 +124,8 @@
 	one, two := origin.NewLedger(), origin.NewLedger()
 	use(one, map[string]int{"v1": 4}, at(0))
 	use(two, map[string]int{"v1": 4}, at(0))
-	c.Assert(one.Begin(1, group, v("v1"), at(1)), qt.IsFalse)
-	c.Assert(one.Begin(2, group, v("v0"), at(1)), qt.IsTrue)
+	c.Assert(one.Begin(1, service, v("v1"), at(1)), qt.IsFalse)
+	c.Assert(one.Begin(2, service, v("v0"), at(1)), qt.IsTrue)
 	c.Assert(one.Report(at(2)).Exceptions, qt.DeepEquals, map[origin.Origin][]origin.Stream{v("v0"): {2}})
 	use(one, map[string]int{"v2": 4}, at(3))
 	c.Assert(one.Report(at(3)).Exceptions, qt.HasLen, 2)
@@ -133,7 +133,7 @@
 	c.Assert(resolve(two, 1, at(0), reports...), qt.Equals, "v1")
 	c.Assert(resolve(two, 2, at(0), reports...), qt.Equals, "v0")
 	c.Assert(resolve(two, 3, at(0), reports...), qt.Equals, "", qt.Commentf("the plans differ"))
-	_, _, final := two.ResolveAmong(reports, origin.Query{Stream: 3, Group: group})
+	_, _, final := two.ResolveAmong(reports, origin.Query{Stream: 3, Service: service})
 	c.Assert(final, qt.IsFalse)
 	use(two, map[string]int{"v2": 4}, at(4))
 	reports[1] = two.Report(at(4))
@@ -152,11 +152,11 @@
 	use(before, map[string]int{"v1": 4}, at(0))
 	l := origin.NewLedger()
 	l.Merge(before.Report(at(0)), at(30))
-	version, _ := l.Choose(group, 1)
+	version, _ := l.Choose(service, 1)
 	c.Assert(version, qt.Equals, "v1")
 	use(l, map[string]int{"v2": 4}, at(31))
 	c.Assert(resolve(l, 1, at(25), l.Report(at(32))), qt.Equals, "", qt.Commentf("it may have begun before the restart"))
-	_, _, final := l.ResolveAmong([]origin.Report{l.Report(at(32))}, origin.Query{Stream: 1, Group: group, Since: at(25)})
+	_, _, final := l.ResolveAmong([]origin.Report{l.Report(at(32))}, origin.Query{Stream: 1, Service: service, Since: at(25)})
 	c.Assert(final, qt.IsTrue)
 	c.Assert(resolve(l, 1, at(31), l.Report(at(32))), qt.Equals, "v2")
 	again := origin.NewLedger()
@@ -183,12 +183,12 @@
 	use(l, map[string]int{"v1": 4}, at(0))
 	for i := range 100_000 {
 		stream := origin.StreamID("a", fmt.Sprint(i))
-		l.Begin(stream, group, v("v2"), at(1))
+		l.Begin(stream, service, v("v2"), at(1))
 		l.End(stream, false, at(1+float64(i)/1e6))
 	}
 	c.Assert(l.Report(at(2)).Exceptions[v("v2")], qt.HasLen, 4096)
-	found, _ := l.Resolve(origin.Query{Stream: origin.StreamID("a", "99999"), Group: group})
+	found, _ := l.Resolve(origin.Query{Stream: origin.StreamID("a", "99999"), Service: service})
 	c.Assert(found, qt.Equals, v("v2"))
-	_, known := l.Resolve(origin.Query{Stream: origin.StreamID("a", "0"), Group: group})
+	_, known := l.Resolve(origin.Query{Stream: origin.StreamID("a", "0"), Service: service})
 	c.Assert(known, qt.IsFalse)
 }
--- a/core/origin/plan.go
+++ b/core/origin/plan.go
@@ -15,8 +15,8 @@
 // numbers of servers do not change it, and versions with few servers have no part.
 const planShares = 8
 
-// Plan tells at which version each stream of a group begins. Daemons with equal plans choose
-// the same version for a stream. The zero value is the plan of a group without servers.
+// Plan tells at which version each stream of a service begins. Daemons with equal plans choose
+// the same version for a stream. The zero value is the plan of a service without servers.
 type Plan []Share
 
 // Share is the part of the streams that begin at a version.
--- a/core/origin/report.go
+++ b/core/origin/report.go
@@ -26,15 +26,15 @@
 	// one if the daemon started since, and streams may have begun before under plans that the
 	// table has lost.
 	Epoch uint64
-	// Groups has the plans of all groups with servers.
-	Groups map[Group]GroupReport
+	// Plans has the plans of all services with streams that can be taken up again.
+	Plans map[string]PlanReport
 	// Exceptions are the streams that can be taken up again and whose origins do not follow
 	// from the plans.
 	Exceptions map[Origin][]Stream
 }
 
-// GroupReport is what a daemon tells of a group.
-type GroupReport struct {
+// PlanReport is what a daemon tells of the plan of a service.
+type PlanReport struct {
 	// Plan is in use since Since.
 	Plan  Plan
 	Since time.Time
@@ -60,31 +60,31 @@
 }
 
 // isSuperseded reports whether the daemon of a report has not followed a change of the plan
-// of a group for so long before a stream began that it must be gone.
+// of the service for so long before a stream began that it must be gone.
 func (r Report) isSuperseded(reports []Report, q Query) bool {
-	own := r.Groups[q.Group]
+	own := r.Plans[q.Service]
 	return slices.ContainsFunc(reports, func(other Report) bool {
-		group, ok := other.Groups[q.Group]
-		return ok && !slices.Equal(group.Plan, own.Plan) && group.Since.After(r.At.Add(clockError)) &&
-			!group.Since.Add(followTime).After(q.Since)
+		p, ok := other.Plans[q.Service]
+		return ok && !slices.Equal(p.Plan, own.Plan) && p.Since.After(r.At.Add(clockError)) &&
+			!p.Since.Add(followTime).After(q.Since)
 	})
 }
 
 // Report returns what others need to know. Beyond maxReported exceptions, the latest are kept.
 func (l *Ledger) Report(now time.Time) Report {
 	l.expire(now)
-	r := Report{At: now, Groups: make(map[Group]GroupReport), Exceptions: make(map[Origin][]Stream)}
-	for group, known := range l.reported {
-		r.Groups[group] = known
+	r := Report{At: now, Plans: make(map[string]PlanReport), Exceptions: make(map[Origin][]Stream)}
+	for service, known := range l.reported {
+		r.Plans[service] = known
 	}
-	for group, plan := range l.plans {
+	for service, plan := range l.plans {
 		if len(plan) > 0 {
-			r.Groups[group] = l.reported[group].next(plan, l.startedAt, now)
+			r.Plans[service] = l.reported[service].next(plan, l.startedAt, now)
 		}
 	}
 	var exceptions []Stream
 	for stream, s := range l.streams {
-		if s.isException(stream, r.Groups[s.group].Plan) {
+		if s.isException(stream, r.Plans[s.picked].Plan) {
 			exceptions = append(exceptions, stream)
 		}
 	}
@@ -98,20 +98,20 @@
 	return r
 }
 
-// next returns the report of a group when its plan is replaced. The streams that began under
+// next returns the report of a service when its plan is replaced. The streams that began under
 // the old plan before the daemon started are not known, so that it becomes a former plan.
-func (g GroupReport) next(plan Plan, startedAt, now time.Time) GroupReport {
-	if slices.Equal(plan, g.Plan) {
-		return g
+func (p PlanReport) next(plan Plan, startedAt, now time.Time) PlanReport {
+	if slices.Equal(plan, p.Plan) {
+		return p
 	}
-	n := GroupReport{Plan: plan, Since: now}
-	for _, former := range g.Former {
+	n := PlanReport{Plan: plan, Since: now}
+	for _, former := range p.Former {
 		if now.Sub(former.Until) < Memory {
 			n.Former = append(n.Former, former)
 		}
 	}
-	if len(g.Plan) > 0 && g.Since.Before(startedAt) && now.Sub(startedAt) < Memory {
-		n.Former = append(n.Former, FormerPlan{Plan: g.Plan, Until: startedAt})
+	if len(p.Plan) > 0 && p.Since.Before(startedAt) && now.Sub(startedAt) < Memory {
+		n.Former = append(n.Former, FormerPlan{Plan: p.Plan, Until: startedAt})
 	}
 	n.Former = n.Former[max(len(n.Former)-maxFormer, 0):]
 	return n
@@ -120,9 +120,9 @@
 // SetReported records that others can read a report of this daemon, so that its plans are in
 // use. It reports whether streams have begun since that it lacks.
 func (l *Ledger) SetReported(r Report) bool {
-	l.reported = r.Groups
+	l.reported = r.Plans
 	for stream, s := range l.streams {
-		if !s.at.Before(r.At) && s.isException(stream, l.reported[s.group].Plan) {
+		if !s.at.Before(r.At) && s.isException(stream, l.reported[s.picked].Plan) {
 			return true
 		}
 	}
@@ -143,13 +143,26 @@
 	return current
 }
 
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // Merge adds the report of this VM from before a restart, whose plans stay in use.
 func (l *Ledger) Merge(r Report, now time.Time) {
-	l.startedAt, l.reported = now, r.Groups
+	l.startedAt, l.reported = now, r.Plans
+	for _, p := range r.Plans {
+		for i := range p.Former {
+			p.Former[i].Until = earlier(p.Former[i].Until, now)
+		}
+	}
 	for o, streams := range r.Exceptions {
 		for _, stream := range streams {
 			if _, known := l.streams[stream]; !known {
-				l.add(stream, &progress{Origin: o, group: Group{Service: o.Service}, at: now})
+				l.add(stream, &progress{Origin: o, picked: o.Service, at: now})
 			}
 		}
 	}
--- a/core/origin/sim_test.go
+++ b/core/origin/sim_test.go
@@ -149,7 +149,7 @@
 			}
 		}
 		list := origin.Servers{Plan: origin.NewPlan(servers), Mixed: len(vm.listed) > 1}
-		if vm.ledger.SetListed(map[origin.Group]origin.Servers{group: list}, s.clock()) || s.now%planInterval < listLag {
+		if vm.ledger.SetListed(map[string]origin.Servers{service: list}, s.clock()) || s.now%planInterval < listLag {
 			vm.changed = vm.ledger.UsePlans() || vm.changed
 		}
 	}
@@ -203,7 +203,7 @@
 	s.lastStream++
 	id := origin.StreamID("a", fmt.Sprint(s.lastStream))
 	v := vm.listed[s.random.IntN(len(vm.listed))]
-	if planned, ok := vm.ledger.Choose(group, id); ok && s.random.IntN(50) > 0 {
+	if planned, ok := vm.ledger.Choose(service, id); ok && s.random.IntN(50) > 0 {
 		if at := slices.IndexFunc(vm.listed, func(v simVersion) bool { return v.name == planned }); at >= 0 {
 			v = vm.listed[at]
 		}
@@ -216,7 +216,7 @@
 		id: id, version: v.name, vm: i, sent: s.now,
 		beginsAt: begins, endsAt: begins + time.Duration(s.random.ExpFloat64()*float64(2*time.Second)),
 	})
-	if vm.ledger.Begin(id, group, origin.Origin{Service: group.Service, Version: v.name}, s.clock()) {
+	if vm.ledger.Begin(id, service, origin.Origin{Service: service, Version: v.name}, s.clock()) {
 		vm.changed = true
 	}
 }
@@ -250,7 +250,7 @@
 		stream.counts = stream.counts || inTouch && s.serves(stream.version)
 		connected := s.now >= vm.cutUntil
 		q := origin.Query{
-			Stream: stream.id, Group: group, Fresh: s.now-vm.listedAt < 5*time.Second,
+			Stream: stream.id, Service: service, Fresh: s.now-vm.listedAt < 5*time.Second,
 			Since: s.start.Add(stream.sent - time.Duration(s.random.Int64N(int64(2*time.Second)))),
 		}
 		found, known := vm.ledger.ResolveByPlan(q)
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -161,29 +162,53 @@
 	p.divideLanes((*Server).isExcluded, func(s *Server, lane Lane) { s.Lane = lane })
 }
 
-// divideLanes divides the servers that are not excluded among the lanes. It calls assign for
-// each that is not for patient requests.
+// divideLanes divides the servers that are not excluded among the lanes, so that each lane has
+// servers of all versions. It calls assign for each that is not for patient requests.
 func (p *Pool) divideLanes(excluded func(*Server) bool, assign func(*Server, Lane)) {
 	domains := make(map[string][]*Server)
+	versions := make(map[string]float64)
 	for _, s := range p.Servers {
 		if !excluded(s) {
 			domains[s.Spec.FailureDomain] = append(domains[s.Spec.FailureDomain], s)
+			versions[s.Spec.Version]++
 		}
 	}
-	for _, servers := range domains {
+	taken := make(map[Lane]map[string]float64)
+	for _, domain := range slices.Sorted(maps.Keys(domains)) {
+		servers := domains[domain]
 		slices.SortFunc(servers, func(a, b *Server) int {
 			return cmp.Or(cmp.Compare(kindRank(a), kindRank(b)), cmp.Compare(a.nameHash, b.nameHash))
 		})
 		n := float64(len(servers))
 		shortPauses := min(int(math.Ceil(p.Shares.ShortPauses*n)), len(servers))
 		urgent := min(shortPauses+int(math.Round(p.Shares.Urgent*n)), len(servers))
-		for _, s := range servers[:shortPauses] {
-			assign(s, ShortPauses)
+		for i := range urgent {
+			lane := ShortPauses
+			if i >= shortPauses {
+				lane = Urgent
+			}
+			if taken[lane] == nil {
+				taken[lane] = make(map[string]float64)
+			}
+			moveFirst(servers[i:], func(s *Server) float64 { return (taken[lane][s.Spec.Version] + 0.5) / versions[s.Spec.Version] })
+			taken[lane][servers[i].Spec.Version]++
+			assign(servers[i], lane)
 		}
-		for _, s := range servers[shortPauses:urgent] {
-			assign(s, Urgent)
+	}
+}
+
+// moveFirst moves the first of the servers of the best kind whose version has the lowest part
+// in a lane to the front. The others keep their order.
+func moveFirst(servers []*Server, part func(*Server) float64) {
+	best := 0
+	for i, s := range servers {
+		if kindRank(s) == kindRank(servers[0]) && part(s) < part(servers[best]) {
+			best = i
 		}
 	}
+	s := servers[best]
+	copy(servers[1:best+1], servers[:best])
+	servers[0] = s
 }
 
 // kindRank returns the order in which kinds of servers are assigned to lanes.
--- a/core/placement/pool_test.go
+++ b/core/placement/pool_test.go
@@ -198,6 +198,28 @@
 	c.Assert(shortPauses, qt.Equals, 9)
 }
 
+// TestLanesHaveAllVersions checks that streams which are bound to a version find servers of it
+// in their lane.
+func TestLanesHaveAllVersions(t *testing.T) {
+	c := qt.New(t)
+	specs := fleet(6, config.KindStandard)
+	for i := range specs {
+		specs[i].Version = []string{"v1", "v2"}[i%2]
+	}
+	p := &placement.Pool{Shares: placement.Shares{ShortPauses: 0.2, Urgent: 0.2}}
+	p.Update(specs, start)
+	counts := make(map[placement.Lane]map[string]int)
+	for _, s := range p.Servers {
+		if counts[s.Lane] == nil {
+			counts[s.Lane] = make(map[string]int)
+		}
+		counts[s.Lane][s.Spec.Version]++
+	}
+	for _, lane := range []placement.Lane{placement.Patient, placement.Urgent, placement.ShortPauses} {
+		c.Check(counts[lane], qt.HasLen, 2, qt.Commentf("%s: %v", lane, counts[lane]))
+	}
+}
+
 func TestExcludedServersAreNotChosen(t *testing.T) {
 	c := qt.New(t)
 	specs := fleet(2, config.KindStandard)
