core/origin, acaciad/origins: VMs that are gone make no streams unknown

Cause: the row of a VM stayed as it was when the VM ended, and its plan counted until 10 s after the latest change of plans of the others. The logs show the plan v1:4,v2:4 of the removed VM beside v2:4,v3:4 of the others; it differs for the 30 streams that were refused.

Change: a daemon that is stopped says so in its row. Other rows count for 15 min, and are written again every 4 min. Each daemon reads the plans of the others after a change, and reports streams for which they lead to another version as exceptions. Rows of VMs that are gone are deleted. TestReportOfDaemonThatIsGone asked that a daemon counts as gone after 10 s; it now asks for 15 min, and that streams of the others are known meanwhile.

--- a/acaciad/daemon/shutdown.go
+++ b/acaciad/daemon/shutdown.go
@@ -58,7 +58,13 @@
 		d.logger.WithError(err).Warn("shutdown deadline reached, aborting running requests")
 	}
 	background.stop()
+	originsFinished := make(chan struct{})
+	go func() {
+		defer close(originsFinished)
+		d.origins.Finish(ctx, time.Now())
+	}()
 	d.usage.Finish(ctx)
+	<-originsFinished
 	if d.settings.NeighboursAddress != "" {
 		d.writeQueue.Flush(ctx, d.storeTransport.HandOverWrite)
 		d.neighbours.Remove(ctx)
--- a/acaciad/daemon/stream_version_test.go
+++ b/acaciad/daemon/stream_version_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"acaciapath.example/core/gen/table"
+	"acaciapath.example/platform"
 	"acaciapath.example/platform/platformtest"
 
 	qt "github.com/frankban/quicktest"
@@ -320,6 +322,51 @@
 	}
 }
 
+// TestStreamsGoOnAfterVMIsGone has a VM that is gone for good, stopped or killed, before the
+// servers of one version are replaced. Its row made the versions of streams ambiguous, and most
+// that were taken up again were refused (LOST).
+func TestStreamsGoOnAfterVMIsGone(t *testing.T) {
+	for name, leave := range map[string]func(f *versionedFleet, d *runningDaemon){
+		"stopped": func(f *versionedFleet, d *runningDaemon) {
+			d.stop()
+			f.Assert(<-d.exited, qt.IsNil)
+		},
+		"killed": func(f *versionedFleet, d *runningDaemon) {
+			// Its row stays as it was.
+			rows := &platform.Table{Store: platform.NewStore(f.store.Address(), time.Second, platform.NewStoreTransport())}
+			key := "stream-origins/" + d.settings.Name
+			last, err := rows.Get(f.Context(), &table.GetPayload{Keys: []string{key}})
+			f.Assert(err, qt.IsNil)
+			f.Assert(last, qt.HasLen, 1)
+			d.stop()
+			f.Assert(<-d.exited, qt.IsNil)
+			_, err = rows.Commit(f.Context(), &table.CommitPayload{Writes: []*table.Write{{Key: key, Value: last[0].Value}}})
+			f.Assert(err, qt.IsNil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newVersionedFleet(t)
+			for id, version := range map[string]string{"a-1": "v1", "a-2": "v1", "b-1": "v2", "b-2": "v2"} {
+				f.startEngine(id, version)
+			}
+			daemons := f.startDaemons(4)
+			time.Sleep(time.Second) // all rows are written
+			leave(f, daemons[3])
+			f.startEngine("c-1", "v3")
+			f.startEngine("c-2", "v3")
+			f.store.Remove("servers", "a-1")
+			f.store.Remove("servers", "a-2")
+			time.Sleep(4 * time.Second) // the others have changed their plans
+			streams := newStreams(48)
+			receiveAll(streams, daemons[:1], "first", 30)
+			daemons[0].stop()
+			receiveAll(streams, daemons[1:3], "second", streamEvents)
+			f.checkVersions(streams, "v2", "v3")
+		})
+	}
+}
+
 // newStreams returns streams that have not begun.
 func newStreams(n int) []*callerStream {
 	streams := make([]*callerStream, n)
--- a/acaciad/origins/lookup.go
+++ b/acaciad/origins/lookup.go
@@ -35,7 +35,9 @@
 	// done is closed when the read has ended, and reports and err are set.
 	done    chan struct{}
 	reports []origin.Report
-	err     error
+	// gone are the rows of daemons that are gone.
+	gone []*table.Row
+	err  error
 }
 
 // Lookup returns the origin of a stream that a caller takes up again and that began since a
@@ -51,12 +53,12 @@
 	}
 	err = ctx.Err()
 	for after := began.Add(-maxReadAge); ctx.Err() == nil; after = time.Now() {
-		var reports []origin.Report
-		reports, err = r.read(ctx, after)
+		var latest *reading
+		latest, err = r.readSince(ctx, after)
 		final := false
 		if err == nil {
 			o, known = r.resolve(q, func(l *origin.Ledger, q origin.Query) (o origin.Origin, known bool) {
-				o, known, final = l.ResolveAmong(reports, q)
+				o, known, final = l.ResolveAmong(latest.reports, q)
 				return o, known
 			})
 		} else {
@@ -88,8 +90,8 @@
 	return readInterval + time.Duration(r.Daemons())*readSpread
 }
 
-// read returns all reports as of after or later. Lookups share a read.
-func (r *Registry) read(ctx context.Context, after time.Time) ([]origin.Report, error) {
+// readSince returns all reports as of after or later. Lookups share a read.
+func (r *Registry) readSince(ctx context.Context, after time.Time) (*reading, error) {
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		current := r.reading
@@ -107,7 +109,7 @@
 		case <-ctx.Done():
 		case <-current.done:
 			if !current.began.Before(after) {
-				return current.reports, current.err
+				return current, current.err
 			}
 		}
 	}
@@ -138,8 +140,13 @@
 	}
 	current.reports = make([]origin.Report, 0, len(rows))
 	for _, row := range rows {
-		if report, ok := r.parse(row); ok {
-			current.reports = append(current.reports, report)
+		report, ok := r.parse(row)
+		if !ok {
+			continue
+		}
+		current.reports = append(current.reports, report)
+		if age := current.began.Sub(report.At); age > deleteAge || age > endedDeleteAge && !report.EndedAt.IsZero() {
+			current.gone = append(current.gone, row)
 		}
 	}
 }
--- a/acaciad/origins/registry.go
+++ b/acaciad/origins/registry.go
@@ -28,6 +28,16 @@
 	// part. Many daemons may start together, and until then the row from before is in force.
 	startDelay  = time.Second
 	startSpread = 1500 * time.Millisecond
+	// checkDelay is the time from a change of plans to a read of the plans of the others, and
+	// checkInterval that between two reads while some differ.
+	checkDelay    = 2 * time.Second
+	checkInterval = 5 * time.Second
+	// deleteAge is the age from which rows are deleted that nobody writes any more, and
+	// endedDeleteAge that for daemons that said that they ended.
+	deleteAge      = time.Hour
+	endedDeleteAge = 2 * time.Minute
+	// maxDeletedRows is the number of rows that are deleted in one transaction.
+	maxDeletedRows = 50
 	// retryInterval is the time from a failed call to the next attempt.
 	retryInterval = time.Second
 	// callTimeout bounds a call of the store.
@@ -64,6 +74,9 @@
 	ledger *origin.Ledger
 	// changed states that the row is to be written.
 	changed bool
+	// checkDue is when the plans of the others are to be read, or zero, and refreshDue when the
+	// row is to be written again.
+	checkDue, refreshDue time.Time
 	// plansDue is when the plans by the listed servers are used, or zero if they are.
 	plansDue time.Time
 	// reading is the latest read of all reports, which may have ended.
@@ -129,6 +142,16 @@
 // HandleRestore has the row written again that the store may have lost, since it was restored
 // from a copy.
 func (r *Registry) HandleRestore() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.ledger.HandleRestore(now)
+	r.checkDue = now.Add(checkDelay)
+	r.scheduleLocked()
+}
+
+// handleCompleteReport has the row written again, which is complete now.
+func (r *Registry) handleCompleteReport() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.scheduleLocked()
@@ -216,7 +239,7 @@
 		sleep.For(ctx, startDelay+rand.N(startSpread))
 	}
 	for ctx.Err() == nil {
-		timer := time.NewTimer(r.usePlans(time.Now()))
+		timer := time.NewTimer(min(r.usePlans(time.Now()), r.startDue(time.Now())))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -236,7 +259,8 @@
 	}
 }
 
-// readOwn reads the row of this VM and reports whether there is one.
+// readOwn reads the row of this VM and reports whether there is one by which others still
+// believe streams to begin.
 func (r *Registry) readOwn(ctx context.Context) (found bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -250,17 +274,109 @@
 	for _, row := range rows {
 		if report, ok := r.parse(row); ok {
 			r.ledger.Merge(report, time.Now())
-			written, found = report.Epoch, true
+			written, found = report.Epoch, report.EndedAt.IsZero()
 		}
 	}
+	if found {
+		r.checkDue = time.Now().Add(checkDelay)
+	}
+	if r.Epoch() > epoch.First {
+		r.ledger.HandleRestore(time.Now()) // it may just have been
+	}
 	if written < r.Epoch() {
 		r.ledger.RecordLostReports(written, time.Now())
-		time.AfterFunc(origin.Memory, r.HandleRestore) // the report is complete then
+		time.AfterFunc(origin.Memory, r.handleCompleteReport)
 	}
 	r.scheduleLocked()
 	return found, nil
 }
 
+// startDue begins what is due, a read of the plans of the others or a refresh of the row, and
+// returns the time until something is.
+func (r *Registry) startDue(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	left := planInterval
+	if !r.refreshDue.IsZero() {
+		if !now.Before(r.refreshDue) {
+			r.refreshDue = now.Add(origin.RefreshInterval)
+			r.scheduleLocked()
+		}
+		left = min(left, r.refreshDue.Sub(now))
+	}
+	switch {
+	case r.checkDue.IsZero():
+	case now.Before(r.checkDue):
+		left = min(left, r.checkDue.Sub(now))
+	default:
+		r.checkDue = time.Time{}
+		go r.check(now)
+	}
+	return left
+}
+
+// check reads the plans of the others.
+func (r *Registry) check(now time.Time) {
+	current, err := r.readSince(context.Background(), now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	differ, exceptions := true, false
+	if err == nil {
+		differ, exceptions = r.ledger.SetOthers(current.reports, r.Epoch(), now)
+	}
+	if differ && r.checkDue.IsZero() {
+		r.checkDue = now.Add(checkInterval)
+		r.wakeLocked()
+	}
+	if exceptions {
+		r.scheduleLocked()
+	}
+	if err == nil && len(current.gone) > 0 {
+		go r.deleteRows(current.gone)
+	}
+}
+
+// deleteRows deletes rows that nobody has written since they were read.
+func (r *Registry) deleteRows(rows []*table.Row) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	p := &table.CommitPayload{}
+	for _, row := range rows[:min(len(rows), maxDeletedRows)] {
+		p.Conditions = append(p.Conditions, &table.Condition{Key: row.Key, Version: row.Version})
+		p.Writes = append(p.Writes, &table.Write{Key: row.Key, Delete: true})
+	}
+	if _, err := r.Table.Commit(ctx, p); err != nil {
+		if platformapi.AsConflict(err) == nil { // otherwise another daemon has deleted them
+			r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot delete the reports of daemons that are gone, will retry")
+		}
+		return
+	}
+	r.Logger.WithField("rows", len(p.Writes)).Info("reports of daemons that are gone deleted")
+}
+
+// Finish tells the others that this daemon begins no more streams. Run must have returned.
+func (r *Registry) Finish(ctx context.Context, now time.Time) {
+	r.mu.Lock()
+	report := r.ledger.Report(now)
+	report.Epoch, report.EndedAt = r.ledger.Epoch(r.Epoch(), now), now
+	r.mu.Unlock()
+	value, err := encodeReport(report)
+	if err == nil && len(report.Plans) > 0 {
+		err = r.commit(ctx, value)
+	}
+	if err != nil {
+		r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot tell other daemons that no more streams begin here")
+	}
+}
+
+// commit writes the row.
+func (r *Registry) commit(ctx context.Context, value []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := r.Table.Commit(ctx, &table.CommitPayload{Writes: []*table.Write{{Key: rowPrefix + r.VM, Value: value}}})
+	return err
+}
+
 // isChanged reports whether the row is to be written.
 func (r *Registry) isChanged() bool {
 	r.mu.Lock()
@@ -283,9 +399,7 @@
 		r.mu.Lock()
 		r.writing = &reportWrite{report: report, done: make(chan struct{})}
 		r.mu.Unlock()
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		_, err = r.Table.Commit(callCtx, &table.CommitPayload{Writes: []*table.Write{{Key: rowPrefix + r.VM, Value: value}}})
+		err = r.commit(ctx, value)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -300,9 +414,13 @@
 		r.scheduleLocked()
 		return false
 	}
+	if r.checkDue.IsZero() && r.ledger.MayDiffer(report) {
+		r.checkDue = report.At.Add(checkDelay)
+	}
 	if r.ledger.SetReported(report) || r.ledger.PlansChanged() {
 		r.scheduleLocked()
 	}
+	r.refreshDue = report.At.Add(origin.RefreshInterval)
 	r.logPlans(report)
 	return true
 }
--- a/acaciad/origins/rows.go
+++ b/acaciad/origins/rows.go
@@ -30,6 +30,7 @@
 // storedReport is the value of a row.
 type storedReport struct {
 	AtMS       int64             `json:"at-ms"`
+	EndedMS    int64             `json:"ended-ms,omitempty"`
 	Epoch      uint64            `json:"epoch,omitempty"`
 	Groups     []storedGroup     `json:"groups"`
 	Exceptions []storedException `json:"exceptions,omitempty"`
@@ -66,6 +67,9 @@
 // encodeReport returns the value of the row for a report.
 func encodeReport(r origin.Report) ([]byte, error) {
 	s := storedReport{AtMS: r.At.UnixMilli(), Epoch: r.Epoch}
+	if !r.EndedAt.IsZero() {
+		s.EndedMS = r.EndedAt.UnixMilli()
+	}
 	for service, known := range r.Plans {
 		stored := storedGroup{Service: service, Plan: encodePlan(known.Plan), SinceMS: known.Since.UnixMilli()}
 		for _, former := range known.Former {
@@ -101,6 +105,9 @@
 	r := origin.Report{
 		At: time.UnixMilli(s.AtMS), Epoch: max(s.Epoch, epoch.First), Plans: make(map[string]origin.PlanReport), Exceptions: make(map[origin.Origin][]origin.Stream),
 	}
+	if s.EndedMS > 0 {
+		r.EndedAt = time.UnixMilli(s.EndedMS)
+	}
 	for _, stored := range s.Groups {
 		plan, err := parsePlan(stored.Plan)
 		if err != nil {
--- a/core/origin/ledger.go
+++ b/core/origin/ledger.go
@@ -20,12 +20,17 @@
 	maxFormer = 8
 )
 
-// followTime is the time within which daemons follow a change of plans. It allows for one that
-// is cut off from the store and from others for a while.
+// followTime is the time within which daemons in touch follow a change of plans.
 const followTime = 10 * time.Second
 
-// clockError bounds the difference between the clocks of VMs.
-const clockError = 2 * time.Second
+const (
+	// RefreshInterval is the time after which a daemon writes its report again, even if
+	// nothing has changed.
+	RefreshInterval = 4 * time.Minute
+	// GoneTime is the age from which a report is that of a daemon that is gone. A daemon that is
+	// cut off from the store goes on by its old plan and cannot say so.
+	GoneTime = 15 * time.Minute
+)
 
 // Origin is where a stream began.
 type Origin struct {
@@ -64,12 +69,17 @@
 	plans map[string]Plan
 	// reported are the plans in the report of this daemon, which are in use.
 	reported map[string]PlanReport
+	// others are the plans, by service, by which other daemons may begin streams and which
+	// differ from the one in use. Streams that they lead to another version are exceptions.
+	others map[string][]Plan
 	// startedAt is when the daemon started, if it has a report from before.
 	startedAt time.Time
 	// lostBefore is when this daemon started if the table may have lost reports from before,
 	// and lostEpoch the epoch of the one that it had.
 	lostBefore time.Time
 	lostEpoch  uint64
+	// restoredAt is when the table was last restored from a backup, or zero.
+	restoredAt time.Time
 	streams    map[Stream]*progress
 	// idle is the number of streams that are not running.
 	idle int
@@ -139,7 +149,7 @@
 	}
 	s.runs++
 	s.picked, s.Origin, s.complete, s.at = picked, o, false, now
-	return s.isException(stream, l.reported[s.picked].Plan)
+	return l.isException(stream, s)
 }
 
 // End records that a request of Begin has ended. complete states that the stream cannot be
@@ -156,13 +166,84 @@
 	}
 }
 
-// isException reports whether the origin of a stream does not follow from the plan of the service
-// that was picked for it.
-func (s *progress) isException(stream Stream, plan Plan) bool {
-	version, ok := plan.Pick(stream)
-	return !s.complete && (!ok || version != s.Version || s.Service != s.picked)
+// isException reports whether the origin of a stream does not follow from the plans in use for
+// the service that was picked for it.
+func (l *Ledger) isException(stream Stream, s *progress) bool {
+	return s.isException(stream, l.reported[s.picked].Plan, l.others[s.picked])
+}
+
+// isException reports whether the origin of a stream does not follow from the plan of this daemon
+// and those of others.
+func (s *progress) isException(stream Stream, plan Plan, others []Plan) bool {
+	if s.complete {
+		return false
+	}
+	differs := func(p Plan) bool {
+		version, ok := p.Pick(stream)
+		return !ok || version != s.Version
+	}
+	return s.Service != s.picked || differs(plan) || slices.ContainsFunc(others, differs)
+}
+
+// SetOthers records the plans in the reports of all daemons. It reports whether some differ from
+// the plan in use, so that they must be read again, and whether streams became exceptions.
+func (l *Ledger) SetOthers(reports []Report, current uint64, now time.Time) (differ, exceptions bool) {
+	before := l.others
+	l.others = make(map[string][]Plan)
+	since := now.Add(-Memory)
+	lost := l.lacksPlans(reports, since, current)
+	for service, own := range l.reported {
+		for _, r := range reports {
+			for _, p := range l.possiblePlans(r, service, since, lost) {
+				if !slices.Equal(p, own.Plan) && !slices.ContainsFunc(l.others[service], func(o Plan) bool { return slices.Equal(o, p) }) {
+					l.others[service] = append(l.others[service], p)
+				}
+			}
+		}
+	}
+	for stream, s := range l.streams {
+		plan := l.reported[s.picked].Plan
+		if s.isException(stream, plan, l.others[s.picked]) && !s.isException(stream, plan, before[s.picked]) {
+			exceptions = true
+		}
+	}
+	return len(l.others) > 0, exceptions
+}
+
+// possiblePlans returns the plans by which the daemon of a report may have begun streams of a
+// service since a time. lost states that the table may lack plans of all daemons, so that it may
+// have been any plan.
+func (l *Ledger) possiblePlans(r Report, service string, since time.Time, lost bool) []Plan {
+	known, ok := r.Plans[service]
+	if !ok || r.isGone(since) {
+		return nil
+	}
+	var plans []Plan
+	if r.EndedAt.IsZero() || r.EndedAt.After(since) {
+		plans = append(plans, known.Plan)
+	}
+	for _, former := range known.Former {
+		if former.Until.After(since) {
+			plans = append(plans, former.Plan)
+		}
+	}
+	if lost && len(plans) > 0 {
+		for _, share := range l.listed[service].Plan {
+			plans = append(plans, Plan{share})
+		}
+	}
+	return slices.DeleteFunc(plans, func(p Plan) bool { return len(p) == 0 })
+}
+
+// lacksPlans reports whether the table was restored from a backup after a time, and no daemon
+// that was in touch before has reported since. Its plan is that of all daemons in touch.
+func (l *Ledger) lacksPlans(reports []Report, since time.Time, current uint64) bool {
+	return since.Before(l.restoredAt) && !slices.ContainsFunc(reports, func(r Report) bool { return r.Epoch >= current })
 }
 
+// HandleRestore records that the table was restored from a backup.
+func (l *Ledger) HandleRestore(now time.Time) { l.restoredAt = now }
+
 // add adds a stream that is not running.
 func (l *Ledger) add(stream Stream, s *progress) {
 	if l.idle >= maxStreams {
@@ -231,20 +312,22 @@
 }
 
 // ResolveByPlan returns the origin of a stream by the plan in use, if it has been in use for
-// long enough that all daemons have it. Reports are not needed, unless the version had no
-// server when the stream began.
+// long enough that all daemons in touch have it, and the plans that others had lead to the same
+// version. Reports are not needed, unless the version had no server when the stream began.
 func (l *Ledger) ResolveByPlan(q Query) (o Origin, known bool) {
 	if o, known = l.Resolve(q); known || !q.Fresh || !l.PlanHolds(q.Service, q.Since.Add(-followTime)) {
 		return o, known
 	}
 	version, ok := l.reported[q.Service].Plan.Pick(q.Stream)
-	return Origin{Service: q.Service, Version: version}, ok
+	differs := func(p Plan) bool { other, _ := p.Pick(q.Stream); return other != version }
+	if !ok || slices.ContainsFunc(l.others[q.Service], differs) {
+		return Origin{}, false
+	}
+	return Origin{Service: q.Service, Version: version}, true
 }
 
 // ResolveAmong returns the origin of a stream by the reports of all daemons. final states that
-// later reports will not tell more, since all daemons use the same plan. If the table was
-// restored from a backup, and no daemon that ran before has reported since, all listed versions
-// are possible too.
+// later reports will not tell more, since all daemons use the same plan.
 func (l *Ledger) ResolveAmong(reports []Report, q Query) (o Origin, known, final bool) {
 	if o, known = l.Resolve(q); known {
 		return o, true, true
@@ -256,34 +339,18 @@
 	}
 	var versions []string
 	var plan Plan
-	complete := false
-	final = true
-	add := func(p Plan) {
-		if version, ok := p.Pick(q.Stream); ok && !slices.Contains(versions, version) {
-			versions = append(versions, version)
-		}
-	}
+	lost := l.lacksPlans(reports, q.Since, q.Epoch)
+	final = !lost
 	for _, r := range reports {
-		p, ok := r.Plans[q.Service]
-		if !ok || r.isSuperseded(reports, q) {
-			continue
-		}
-		complete = complete || r.Epoch >= q.Epoch
-		add(p.Plan)
-		final = final && (plan == nil || slices.Equal(plan, p.Plan))
-		plan = p.Plan
-		for _, former := range p.Former {
-			if former.Until.After(q.Since) {
-				add(former.Plan)
+		for _, p := range l.possiblePlans(r, q.Service, q.Since, lost) {
+			if version, ok := p.Pick(q.Stream); ok && !slices.Contains(versions, version) {
+				versions = append(versions, version)
 			}
 		}
-	}
-	if !complete {
-		// All daemons may have had another plan that the table has lost.
-		for _, share := range l.listed[q.Service].Plan {
-			add(Plan{share})
+		if p := r.Plans[q.Service].Plan; len(p) > 0 && r.EndedAt.IsZero() && !r.isGone(q.Since) {
+			final = final && (plan == nil || slices.Equal(plan, p))
+			plan = p
 		}
-		final = false
 	}
 	if len(versions) != 1 {
 		return Origin{}, false, final && len(versions) > 0
--- a/core/origin/ledger_test.go
+++ b/core/origin/ledger_test.go
@@ -165,16 +165,58 @@
 	c.Assert(resolve(again, 1, at(31), again.Report(at(40))), qt.Equals, "v2")
 }
 
-// TestReportOfDaemonThatIsGone has a daemon that does not follow a change of plans.
+// TestReportOfDaemonThatIsGone has a daemon that does not follow a change of plans, since it was
+// killed or is cut off and goes on by its old plan. The streams that the others begin and for which
+// the plans differ are exceptions. Its report counts until it must be gone.
 func TestReportOfDaemonThatIsGone(t *testing.T) {
 	c := qt.New(t)
-	gone, l := origin.NewLedger(), origin.NewLedger()
+	gone, l, reader := origin.NewLedger(), origin.NewLedger(), origin.NewLedger()
 	use(gone, map[string]int{"v1": 4}, at(0))
-	use(l, map[string]int{"v1": 4}, at(0))
+	for _, live := range []*origin.Ledger{l, reader} {
+		use(live, map[string]int{"v1": 4}, at(0))
+		use(live, map[string]int{"v1": 1, "v2": 7}, at(100))
+	}
+	var moved []origin.Stream // those that begin at the new version
+	for stream := origin.Stream(1); len(moved) < 3; stream++ {
+		if version, _ := l.Choose(service, stream); version == "v2" {
+			moved = append(moved, stream)
+		}
+	}
+	reports := func(now float64) []origin.Report {
+		return []origin.Report{gone.Report(at(0)), l.Report(at(now)), reader.Report(at(now))}
+	}
+	c.Assert(resolve(reader, moved[0], at(150), reports(150)...), qt.Equals, "", qt.Commentf("it may have begun at the old plan"))
+	c.Assert(l.Begin(moved[0], service, v("v2"), at(151)), qt.IsFalse)
+	differ, exceptions := l.SetOthers(reports(152), 0, at(152))
+	c.Assert(differ, qt.IsTrue)
+	c.Assert(exceptions, qt.IsTrue)
+	c.Assert(l.Begin(moved[1], service, v("v2"), at(153)), qt.IsTrue)
+	for _, stream := range moved[:2] {
+		c.Assert(resolve(reader, stream, at(150), reports(154)...), qt.Equals, "v2")
+	}
+	over := 100 + origin.GoneTime.Seconds()
+	c.Assert(resolve(reader, moved[2], at(over), reports(over)...), qt.Equals, "v2")
+	differ, _ = l.SetOthers(reports(over+30), 0, at(over+30))
+	c.Assert(differ, qt.IsFalse)
+}
+
+// TestReportOfDaemonThatEnded has a daemon that says that it ends before the plans change.
+func TestReportOfDaemonThatEnded(t *testing.T) {
+	c := qt.New(t)
+	ended, l := origin.NewLedger(), origin.NewLedger()
+	use(ended, map[string]int{"v1": 4}, at(0))
+	last := ended.Report(at(90))
+	last.EndedAt = at(90)
 	use(l, map[string]int{"v2": 4}, at(100))
-	reports := []origin.Report{gone.Report(at(0)), l.Report(at(112))}
-	c.Assert(resolve(l, 1, at(105), reports...), qt.Equals, "")
-	c.Assert(resolve(l, 1, at(110), reports...), qt.Equals, "v2")
+	c.Assert(resolve(l, 1, at(85), last, l.Report(at(101))), qt.Equals, "", qt.Commentf("it may have begun there"))
+	c.Assert(resolve(l, 1, at(91), last, l.Report(at(101))), qt.Equals, "v2")
+	again := origin.NewLedger()
+	again.Merge(last, at(102))
+	_, ok := again.Choose(service, 1)
+	c.Assert(ok, qt.IsFalse, qt.Commentf("others do not believe that it uses its old plan"))
+	use(again, map[string]int{"v2": 4}, at(103))
+	c.Assert(resolve(l, 1, at(85), again.Report(at(103)), l.Report(at(103))), qt.Equals, "")
+	c.Assert(resolve(l, 1, at(91), again.Report(at(103)), l.Report(at(103))), qt.Equals, "v2")
 }
 
 func TestMemoryIsBounded(t *testing.T) {
--- a/core/origin/report.go
+++ b/core/origin/report.go
@@ -22,9 +22,11 @@
 type Report struct {
 	// At is when it was written, by the wall clock of the daemon's VM.
 	At time.Time
+	// EndedAt is when the daemon ended, or zero if it has not, as far as it could tell.
+	EndedAt time.Time
 	// Epoch is the epoch of the table (core/epoch) in which it was written. It is an earlier
-	// one if the daemon started since, and streams may have begun before under plans that the
-	// table has lost.
+	// one if the daemon started since or was cut off before, and streams may have begun before
+	// under plans that the table has lost and the daemon does not know.
 	Epoch uint64
 	// Plans has the plans of all services with streams that can be taken up again.
 	Plans map[string]PlanReport
@@ -59,17 +61,20 @@
 	return Origin{}, false
 }
 
-// isSuperseded reports whether the daemon of a report has not followed a change of the plan
-// of the service for so long before a stream began that it must be gone.
-func (r Report) isSuperseded(reports []Report, q Query) bool {
-	own := r.Plans[q.Service]
-	return slices.ContainsFunc(reports, func(other Report) bool {
-		p, ok := other.Plans[q.Service]
-		return ok && !slices.Equal(p.Plan, own.Plan) && p.Since.After(r.At.Add(clockError)) &&
-			!p.Since.Add(followTime).After(q.Since)
-	})
+// MayDiffer reports whether other daemons may have other plans than those of a report that is
+// about to be used: it replaces a plan, or has several versions.
+func (l *Ledger) MayDiffer(r Report) bool {
+	for service, p := range r.Plans {
+		if p.Since.Equal(r.At) && (len(p.Plan) > 1 || len(p.Former) > 0 || len(l.reported[service].Plan) > 0) {
+			return true
+		}
+	}
+	return false
 }
 
+// isGone reports whether the daemon of a report must have ended long before a time.
+func (r Report) isGone(at time.Time) bool { return at.Sub(r.At) > GoneTime }
+
 // Report returns what others need to know. Beyond maxReported exceptions, the latest are kept.
 func (l *Ledger) Report(now time.Time) Report {
 	l.expire(now)
@@ -84,7 +89,7 @@
 	}
 	var exceptions []Stream
 	for stream, s := range l.streams {
-		if s.isException(stream, r.Plans[s.picked].Plan) {
+		if s.isException(stream, r.Plans[s.picked].Plan, l.others[s.picked]) {
 			exceptions = append(exceptions, stream)
 		}
 	}
@@ -122,7 +127,7 @@
 func (l *Ledger) SetReported(r Report) bool {
 	l.reported = r.Plans
 	for stream, s := range l.streams {
-		if !s.at.Before(r.At) && s.isException(stream, l.reported[s.picked].Plan) {
+		if !s.at.Before(r.At) && l.isException(stream, s) {
 			return true
 		}
 	}
@@ -151,13 +156,19 @@
 	return a
 }
 
-// Merge adds the report of this VM from before a restart, whose plans stay in use.
+// Merge adds the report of this VM from before a restart. Its plans stay in use, unless it tells
+// the others that they are not.
 func (l *Ledger) Merge(r Report, now time.Time) {
-	l.startedAt, l.reported = now, r.Plans
-	for _, p := range r.Plans {
+	l.startedAt = now
+	l.reported = make(map[string]PlanReport)
+	for service, p := range r.Plans {
 		for i := range p.Former {
 			p.Former[i].Until = earlier(p.Former[i].Until, now)
 		}
+		if !r.EndedAt.IsZero() && len(p.Plan) > 0 {
+			p = PlanReport{Former: append(p.Former, FormerPlan{Plan: p.Plan, Until: earlier(r.EndedAt, now)})}
+		}
+		l.reported[service] = p
 	}
 	for o, streams := range r.Exceptions {
 		for _, stream := range streams {
--- a/core/origin/sim_test.go
+++ b/core/origin/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -21,6 +22,8 @@
 	writeTime = 100 * time.Millisecond
 	// planInterval is the time between changes of plans that can wait.
 	planInterval = 10 * time.Second
+	// checkInterval is the time between two reads of the plans of others.
+	checkInterval = 5 * time.Second
 	// lookupTime is how long a daemon looks for the version of a stream.
 	lookupTime = 1200 * time.Millisecond
 	// patience is how long callers take up streams.
@@ -41,6 +44,8 @@
 	ledger *origin.Ledger
 	// upAt is when the daemon starts, and cutUntil the end of its cut from all others.
 	upAt, cutUntil time.Duration
+	// checkAt is when it reads the plans of the others next.
+	checkAt time.Duration
 	// listedAt is when its list of servers was read.
 	listedAt time.Duration
 	listed   []simVersion
@@ -167,6 +172,11 @@
 		vm.written = s.now + time.Duration(s.random.Int64N(int64(writeTime)))
 	}
 	vm.changed = vm.changed || vm.writing == nil && vm.ledger.PlansChanged()
+	if connected && s.now >= vm.checkAt {
+		vm.checkAt = s.now + checkInterval
+		_, exceptions := vm.ledger.SetOthers(slices.Collect(maps.Values(s.rows)), 0, s.clock())
+		vm.changed = vm.changed || exceptions
+	}
 }
 
 // advanceStreams sends requests, begins and ends streams, and breaks off those whose server
