acaciad/control: only a daemon that knows exactly vouches for reported usage windows

Cause: after a restoration each daemon that had followed the row of reported windows vouched for what it had heard, also if it was cut off when the last window was announced, or if the store was lost just after that. The logs of the case: the daemons of cuenca-a write the row with the new epoch and the window before, and report the window again. The row was also written without a condition, so that an older announcement replaced a newer one.

Change: the holder of the lease vouches, at once, or a daemon of which no window had ended that it has not heard of. Others wait for them, and take all windows that had ended for reported if there is none. Writes of the row are conditional. TestRestoreBeforeTheFirstReport asked that any daemon vouches that ran before; no other one than the holder can know that, so it now asks it of the holder, and that others do not.

--- a/acaciad/control/reported.go
+++ b/acaciad/control/reported.go
@@ -27,6 +27,9 @@
 	rewritePerDaemon = 25 * time.Millisecond
 	// rewriteTimeout bounds a write.
 	rewriteTimeout = 2 * time.Second
+	// maxAnnounceAttempts is the number of attempts to write an announcement while others
+	// write the row.
+	maxAnnounceAttempts = 3
 	// vouchTime is how long a daemon that does not know what was reported waits for others
 	// to tell, besides the time over which they spread their writes. It allows for a read of
 	// the row before and after.
@@ -50,80 +53,186 @@
 // follow it through a row of the store, so that some know it when the store is restored
 // from a copy and its reporter is gone. It is safe for concurrent use. Its exported fields
 // must not change once it is used.
+//
+// Only the holder of the lease announces windows, so that it knows exactly which were
+// announced when the store was restored. Any other daemon may have missed the last
+// announcement. It knows exactly only if that cannot be: the next window had not ended.
 type Reported struct {
 	// Table stores the row.
 	Table table.Service
 	// Epoch returns the epoch of the store.
 	Epoch func() uint64
+	// Fence returns the fence of the lease of usage reports, or 0 if this daemon does not
+	// hold it.
+	Fence func() uint64
 	// Window is the length of usage windows.
 	Window time.Duration
 	// Daemons returns the number of daemons, or 0 if it is not known.
 	Daemons func() int
-	// Logger logs failed writes and invalid rows.
+	// Logger logs failed writes and invalid rows, and what is taken for reported.
 	Logger *logrus.Logger
 
 	mu sync.Mutex // guards the fields below
-	// last is the last announcement, and stored what the row has.
-	last   usage.Announcement
-	stored storedReported
-	// followedAt is when the row was first read, in the epoch since, or zero.
-	followedAt time.Time
-	since      uint64
-	rewriting  bool
-	// waited states that vouchTime has passed since followedAt.
-	waited bool
+	// last is the last announcement, and stored what the row has at storedVersion.
+	last          usage.Announcement
+	stored        storedReported
+	storedVersion uint64
+	// readFence is the fence of the lease under which the row was last read or written.
+	readFence uint64
+	// since is the epoch that this daemon has observed, and ended the start of the last
+	// window that had ended by then.
+	since uint64
+	ended time.Time
+	// exact states that last is the last announcement before since.
+	exact bool
+	// waited states that vouchTime has passed since the epoch was observed.
+	waited    bool
+	following bool
+	rewriting bool
 }
 
 var _ usage.Reported = (*Reported)(nil)
 
 // Last returns the announcement of the last window that may have been reported. known is
-// false until it can be told. If the store was restored, and no daemon that followed the row
-// before vouches for it within a while, these are all windows that had ended when this daemon
-// began to follow it.
+// false until it can be told. If the store was restored, and no daemon that knows exactly
+// vouches for it within a while, these are all windows that had ended when this daemon
+// observed that.
 func (r *Reported) Last() (last usage.Announcement, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	current := r.Epoch()
 	switch {
-	case current <= epoch.First || r.livedBefore(current) || r.stored.Epoch == current:
+	case current <= epoch.First:
+		return r.last, true
+	case r.since < current:
+		return r.last, false
+	case r.knowsLocked():
 		return r.last, true
 	case !r.waited:
 		return r.last, false
 	}
-	if ended := usage.WindowStart(r.followedAt.Add(-r.Window), r.Window); ended.After(r.last.Window) {
-		return usage.Announcement{Window: ended}, true
+	if r.ended.After(r.last.Window) {
+		return usage.Announcement{Window: r.ended}, true
 	}
 	return r.last, true
 }
 
-// livedBefore reports whether this daemon followed the row before an epoch. The caller holds
-// r.mu.
-func (r *Reported) livedBefore(current uint64) bool {
-	return !r.followedAt.IsZero() && r.since < current
+// knowsLocked reports whether last covers all windows that were announced before the epoch
+// that was observed. The caller holds r.mu.
+func (r *Reported) knowsLocked() bool { return r.exact || r.stored.Epoch == r.since }
+
+// HandleRestore records that the store was restored from a copy.
+func (r *Reported) HandleRestore(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fence := r.Fence()
+	r.observeLocked(now)
+	r.exact = r.following && (fence != 0 && fence == r.readFence || !r.ended.After(r.last.Window))
+	r.Logger.WithFields(logrus.Fields{
+		"epoch": r.since, "reported-through": usage.FormatWindowStart(r.last.Window),
+		"ended-through": usage.FormatWindowStart(r.ended), "exact": r.exact,
+	}).Info("reported usage windows before the restoration")
+	if r.exact {
+		r.scheduleRewriteLocked(fence != 0)
+	}
 }
 
-// Announce tells the other daemons that a window is about to be reported.
-func (r *Reported) Announce(ctx context.Context, a usage.Announcement) error {
+// observeLocked records the epoch of the store. The caller holds r.mu.
+func (r *Reported) observeLocked(now time.Time) {
+	r.since, r.ended = r.Epoch(), usage.WindowStart(now.Add(-r.Window), r.Window)
+	r.exact, r.waited = false, false
+	observed := r.since
+	time.AfterFunc(vouchTime+r.rewriteSpread(), func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.waited = r.waited || r.since == observed; r.waited && !r.knowsLocked() && r.since > epoch.First {
+			r.Logger.WithFields(logrus.Fields{"epoch": r.since, "ended-through": usage.FormatWindowStart(r.ended)}).
+				Warn("no daemon knows which usage windows were reported before the restoration, taking all that had ended for reported")
+		}
+	})
+}
+
+// Learn reads the row if this daemon has not done so since it acquired the lease. Nobody else
+// announces windows while it holds it.
+func (r *Reported) Learn(ctx context.Context) error {
+	fence := r.Fence()
 	r.mu.Lock()
-	a = r.last.Extend(a)
+	known := fence == 0 || fence == r.readFence
 	r.mu.Unlock()
-	if err := r.write(ctx, a); err != nil {
+	if known {
+		return nil
+	}
+	return r.read(ctx, fence)
+}
+
+// read reads the row under a fence.
+func (r *Reported) read(ctx context.Context, fence uint64) error {
+	rows, err := r.Table.Get(ctx, &table.GetPayload{Keys: []string{reportedKey}})
+	if err != nil {
 		return err
 	}
+	var stored storedReported
+	version := uint64(0)
+	for _, row := range rows {
+		version = row.Version
+		if err := json.Unmarshal(row.Value, &stored); err != nil {
+			r.Logger.WithError(err).WithField("row", reportedKey).Warn("invalid row of reported usage windows ignored")
+		}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.last = r.last.Extend(a)
+	r.mergeLocked(stored, version)
+	r.readFence = fence
 	return nil
 }
 
-// write writes the row.
-func (r *Reported) write(ctx context.Context, a usage.Announcement) error {
-	value, err := json.Marshal(storedReported{First: a.First.UTC(), Through: a.Window.UTC(), Totals: a.Totals, Epoch: r.Epoch()})
+// mergeLocked takes over what the row has at a version. The caller holds r.mu.
+func (r *Reported) mergeLocked(stored storedReported, version uint64) {
+	r.stored, r.storedVersion = stored, version
+	r.last = r.last.Merge(usage.Announcement{First: stored.First, Window: stored.Through, Totals: stored.Totals})
+}
+
+// Announce tells the other daemons that a window is about to be reported.
+func (r *Reported) Announce(ctx context.Context, a usage.Announcement) error {
+	var err error
+	for range maxAnnounceAttempts {
+		if err = r.read(ctx, r.Fence()); err != nil {
+			return err
+		}
+		r.mu.Lock()
+		extended, version := r.last.Extend(a), r.storedVersion
+		r.mu.Unlock()
+		if err = r.write(ctx, extended, r.Epoch(), version); platformapi.AsConflict(err) == nil {
+			return err
+		}
+	}
+	return err
+}
+
+// write writes the row if it still has the given version. known is the epoch up to which a
+// covers all windows that were announced before.
+func (r *Reported) write(ctx context.Context, a usage.Announcement, known, version uint64) error {
+	stored := storedReported{First: a.First.UTC(), Through: a.Window.UTC(), Totals: a.Totals, Epoch: known}
+	value, err := json.Marshal(stored)
 	if err != nil {
 		return err
 	}
-	_, err = r.Table.Commit(ctx, &table.CommitPayload{Writes: []*table.Write{{Key: reportedKey, Value: value}}})
-	return err
+	rows, err := r.Table.Commit(ctx, &table.CommitPayload{
+		Conditions: []*table.Condition{{Key: reportedKey, Version: version}},
+		Writes:     []*table.Write{{Key: reportedKey, Value: value}},
+	})
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last = r.last.Extend(a)
+	for _, row := range rows {
+		if row.Key == reportedKey {
+			r.stored, r.storedVersion = stored, row.Version
+		}
+	}
+	return nil
 }
 
 // Apply applies rows of the table. snapshot states that they are all rows. If the row is
@@ -131,7 +240,7 @@
 // is the current time.
 func (r *Reported) Apply(rows []platform.Row, snapshot bool, now time.Time) {
 	var stored storedReported
-	found := false
+	version, found := uint64(0), false
 	for _, row := range rows {
 		if row.Key != reportedKey || row.Deleted {
 			continue
@@ -140,27 +249,35 @@
 			r.Logger.WithError(err).WithField("row", row.Key).Warn("invalid row of reported usage windows ignored")
 			continue
 		}
-		found = true
+		version, found = row.Version, true
 	}
 	if !found && !snapshot {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.followedAt.IsZero() {
-		r.followedAt, r.since = now, r.Epoch()
-		time.AfterFunc(vouchTime+r.rewriteSpread(), func() {
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			r.waited = true
-		})
-	}
-	r.stored = stored
-	r.last = r.last.Merge(usage.Announcement{First: stored.First, Window: stored.Through, Totals: stored.Totals})
-	if r.isBehind() && !r.rewriting {
-		r.rewriting = true
-		time.AfterFunc(rand.N(r.rewriteSpread()), r.rewrite)
+	if !r.following {
+		r.following = true
+		r.observeLocked(now)
 	}
+	if found && version < r.storedVersion {
+		return // read before this daemon's own write
+	}
+	r.mergeLocked(stored, version)
+	r.scheduleRewriteLocked(false)
+}
+
+// scheduleRewriteLocked schedules a write of the row if it is behind. The caller holds r.mu.
+func (r *Reported) scheduleRewriteLocked(urgent bool) {
+	if !r.isBehindLocked() || r.rewriting {
+		return
+	}
+	r.rewriting = true
+	delay := time.Duration(0)
+	if !urgent {
+		delay = rand.N(r.rewriteSpread())
+	}
+	time.AfterFunc(delay, r.rewrite)
 }
 
 // rewriteSpread returns the time over which the daemons spread their writes.
@@ -168,25 +285,36 @@
 	return max(minRewriteSpread, time.Duration(r.Daemons())*rewritePerDaemon)
 }
 
-// isBehind reports whether the row lacks what this daemon knows, which may be that no window
-// was announced. The caller holds r.mu.
-func (r *Reported) isBehind() bool {
-	current := r.Epoch()
-	return r.stored.Through.Before(r.last.Window) || r.livedBefore(current) && r.stored.Epoch < current
+// isBehindLocked reports whether the row lacks what this daemon knows, which may be that no
+// window was announced. The caller holds r.mu.
+func (r *Reported) isBehindLocked() bool {
+	return r.stored.Through.Before(r.last.Window) || r.exact && r.stored.Epoch < r.since
 }
 
 // rewrite writes the row again unless another daemon has done so.
 func (r *Reported) rewrite() {
 	r.mu.Lock()
-	last, behind := r.last, r.isBehind()
-	r.rewriting = false
+	behind := r.isBehindLocked()
+	r.rewriting = behind
 	r.mu.Unlock()
 	if !behind {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), rewriteTimeout)
 	defer cancel()
-	if err := r.write(ctx, last); err != nil {
+	err := r.read(ctx, r.Fence())
+	r.mu.Lock()
+	last, version, known := r.last, r.storedVersion, r.stored.Epoch
+	behind = r.isBehindLocked()
+	if r.exact {
+		known = r.since
+	}
+	r.rewriting = false
+	r.mu.Unlock()
+	if err == nil && behind {
+		err = r.write(ctx, last, known, version)
+	}
+	if err != nil {
 		r.Logger.WithField("error", platformapi.Reason(err)).
 			Info("cannot write again which usage windows were reported, another daemon or the next report will")
 	}
--- a/acaciad/control/reported_test.go
+++ b/acaciad/control/reported_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -14,14 +15,117 @@
 	"github.com/sirupsen/logrus"
 )
 
-// newReported returns what one of several daemons knows of reported windows, of 5 s each.
+// window is the length of usage windows.
+const window = 5 * time.Second
+
+// newReported returns what one of several daemons knows of reported windows. It does not hold
+// the lease.
 func newReported(client *platform.Store, daemons int) *control.Reported {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	return &control.Reported{
-		Table: &platform.Table{Store: client}, Epoch: client.Epochs.Current, Window: 5 * time.Second,
-		Daemons: func() int { return daemons }, Logger: logger,
+	r := &control.Reported{
+		Table: &platform.Table{Store: client}, Epoch: client.Epochs.Current, Window: window,
+		Fence: func() uint64 { return 0 }, Daemons: func() int { return daemons }, Logger: logger,
+	}
+	client.Epochs.OnRestore(func(_, _ uint64) { r.HandleRestore(time.Now()) })
+	return r
+}
+
+// newHolder is like newReported, for the daemon that holds the lease.
+func newHolder(c *qt.C, client *platform.Store, daemons int) *control.Reported {
+	r := newReported(client, daemons)
+	r.Fence = func() uint64 { return 1 }
+	c.Assert(r.Learn(c.Context()), qt.IsNil)
+	return r
+}
+
+// newClient returns a client of a store, which has noticed its epoch.
+func newClient(c *qt.C, store *platformtest.Store) *platform.Store {
+	client := platform.NewStore(store.Address(), time.Second, platform.NewStoreTransport())
+	c.Assert(client.Ping(c.Context()), qt.IsNil)
+	return client
+}
+
+// eventuallyKnown waits until a daemon knows what was reported.
+func eventuallyKnown(c *qt.C, r *control.Reported) usage.Announcement {
+	last, known := r.Last()
+	for end := time.Now().Add(waitLimit); !known; time.Sleep(10 * time.Millisecond) {
+		c.Assert(time.Now().Before(end), qt.IsTrue)
+		last, known = r.Last()
 	}
+	return last
+}
+
+// announce has a daemon announce a window that ended just now, and returns the announcement.
+func announce(c *qt.C, r *control.Reported, now time.Time) usage.Announcement {
+	start := usage.WindowStart(now.Add(-window), window)
+	a := usage.Announcement{First: start, Window: start, Totals: start.String()}
+	c.Assert(r.Announce(c.Context(), a), qt.IsNil)
+	return a
+}
+
+// TestDaemonThatMissedAnnouncementVouchesForNothing has a daemon that was cut off while a window
+// was announced, and is in touch when the store is back from a copy of before. It vouched that
+// the window was not reported, so that it was reported twice (ONE). If the reporter is in touch
+// later, it tells; otherwise all windows that had ended count as reported.
+func TestDaemonThatMissedAnnouncementVouchesForNothing(t *testing.T) {
+	for _, returns := range []bool{false, true} {
+		t.Run(fmt.Sprintf("reporter returns=%v", returns), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			store := platformtest.NewStore()
+			c.Cleanup(store.Close)
+			client, ownClient := newClient(c, store), newClient(c, store)
+			reporter, cut := newHolder(c, client, 2), newReported(ownClient, 2)
+			earlier := announce(c, reporter, time.Now().Add(-window))
+			follow(reporter, store)
+			follow(cut, store)
+			backup := store.Backup()
+			last := announce(c, reporter, time.Now())
+			store.Restore(backup)
+			c.Assert(ownClient.Ping(c.Context()), qt.IsNil)
+			follow(cut, store)
+			got, known := cut.Last()
+			c.Assert(known, qt.IsFalse, qt.Commentf("vouches for %v, after %v was reported", got, last))
+			if returns {
+				c.Assert(client.Ping(c.Context()), qt.IsNil)
+				for end := time.Now().Add(waitLimit); !known; time.Sleep(10 * time.Millisecond) {
+					c.Assert(time.Now().Before(end), qt.IsTrue)
+					follow(cut, store)
+					got, known = cut.Last()
+				}
+				c.Assert(got, qt.DeepEquals, usage.Announcement{First: earlier.First, Window: last.Window, Totals: last.Totals})
+				return
+			}
+			c.Assert(eventuallyKnown(c, cut).Covers(last.Window), qt.IsTrue)
+		})
+	}
+}
+
+// TestNewerAnnouncementIsNotOverwritten has a daemon write the row again after a restoration,
+// while the new reporter, of which it has not heard, announces a window.
+func TestNewerAnnouncementIsNotOverwritten(t *testing.T) {
+	c := qt.New(t)
+	store := platformtest.NewStore()
+	c.Cleanup(store.Close)
+	client, ownClient := newClient(c, store), newClient(c, store)
+	reporter, other := newHolder(c, client, 2), newReported(ownClient, 2)
+	announce(c, reporter, time.Now().Add(-2*window))
+	backup := store.Backup()
+	announce(c, reporter, time.Now().Add(-window))
+	follow(reporter, store)
+	follow(other, store)
+	store.Restore(backup)
+	c.Assert(ownClient.Ping(c.Context()), qt.IsNil)
+	follow(other, store) // it is to write the row again
+	c.Assert(client.Ping(c.Context()), qt.IsNil)
+	last := announce(c, reporter, time.Now())
+	time.Sleep(time.Second) // more than the spread of the writes
+	fresh := newReported(ownClient, 2)
+	follow(fresh, store)
+	got, known := fresh.Last()
+	c.Assert(known, qt.IsTrue)
+	c.Assert(got.Window, qt.DeepEquals, last.Window)
 }
 
 // follow has a daemon read the row of reported windows.
@@ -47,14 +151,15 @@
 	c := qt.New(t)
 	store := platformtest.NewStore()
 	c.Cleanup(store.Close)
-	client := platform.NewStore(store.Address(), time.Second, platform.NewStoreTransport())
+	client := newClient(c, store)
 	backup := store.Backup()
 	all := make([]*control.Reported, daemons)
 	for i := range all {
 		all[i] = newReported(client, daemons)
 	}
-	window := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	announced := usage.Announcement{First: window, Window: window, Totals: "x"}
+	all[0] = newHolder(c, client, daemons)
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	announced := usage.Announcement{First: start, Window: start, Totals: "x"}
 	c.Assert(all[0].Announce(t.Context(), announced), qt.IsNil)
 	followAll := func() {
 		for _, r := range all {
@@ -84,21 +189,23 @@
 }
 
 // TestRestoreBeforeTheFirstReport restores the store before any window was reported. A daemon
-// that starts later must learn that from one that ran before, and not take windows that have
-// ended for reported.
+// that starts later must learn that from the one that holds the lease since before, and not take
+// windows that have ended for reported. Another one that ran before cannot know that.
 func TestRestoreBeforeTheFirstReport(t *testing.T) {
 	c := qt.New(t)
 	store := platformtest.NewStore()
 	c.Cleanup(store.Close)
-	client := platform.NewStore(store.Address(), time.Second, platform.NewStoreTransport())
-	c.Assert(client.Ping(t.Context()), qt.IsNil)
-	before := newReported(client, 2)
+	client := newClient(c, store)
+	before, other := newHolder(c, client, 2), newReported(client, 2)
 	follow(before, store)
+	follow(other, store)
 	store.Restore(store.Backup())
 	c.Assert(client.Ping(t.Context()), qt.IsNil)
+	_, known := other.Last()
+	c.Assert(known, qt.IsFalse)
 	after := newReported(client, 2)
 	follow(after, store)
-	_, known := after.Last()
+	_, known = after.Last()
 	c.Assert(known, qt.IsFalse)
 	follow(before, store)
 	for end := time.Now().Add(waitLimit); len(store.Rows("acaciapath", "control")) == 0; time.Sleep(10 * time.Millisecond) {
--- a/acaciad/control/usage.go
+++ b/acaciad/control/usage.go
@@ -104,6 +104,7 @@
 // HandleRestore has the parts that the store may have lost written again, because the store
 // was restored from a copy.
 func (u *Usage) HandleRestore() {
+	u.Reported.HandleRestore(time.Now())
 	last, _ := u.Reported.Last()
 	u.Writer.HandleRestore(last, u.Billing.Window)
 	select {
@@ -229,6 +230,11 @@
 // due.
 func (u *Usage) settle(ctx context.Context) bool {
 	now := time.Now()
+	if err := u.Reported.Learn(ctx); err != nil {
+		u.lastFailure.Store(now.UnixNano())
+		u.Logger.WithField("error", platformapi.Reason(err)).Warn("cannot read which usage windows were reported, will retry")
+		return false
+	}
 	window, err := u.Reporter.Settle(ctx, now, u.effectiveBilling(now))
 	switch {
 	case errors.Is(err, lease.ErrNotHeld), errors.Is(err, usage.ErrSuperseded):
