acaciad/origins: a daemon that was cut off does not vouch for plans

Callers would see streams that go on at another version (ORDER).

Cause: after the store was restored from a copy, the row of any daemon that ran before counted as proof that no plan was lost which it does not have. One that was cut off while the others changed their plans cannot know that. With an old list of servers, its versions were taken for all that are possible.

--- a/acaciad/origins/registry.go
+++ b/acaciad/origins/registry.go
@@ -32,6 +32,9 @@
 	// checkInterval that between two reads while some differ.
 	checkDelay    = 2 * time.Second
 	checkInterval = 5 * time.Second
+	// maxTouchAge is the age of the list of servers up to which a daemon counts as in touch
+	// when the store is restored. The store may have been away for a while.
+	maxTouchAge = 5 * time.Second
 	// deleteAge is the age from which rows are deleted that nobody writes any more, and
 	// endedDeleteAge that for daemons that said that they ended.
 	deleteAge      = time.Hour
@@ -146,6 +149,11 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.ledger.HandleRestore(now)
+	if age := r.ListAge(now); age > maxTouchAge {
+		r.ledger.RecordLostReports(r.Epoch()-1, now)
+		time.AfterFunc(origin.Memory, r.handleCompleteReport)
+		r.Logger.WithField("list-age-ms", age.Milliseconds()).Info("not in touch before the store was restored, not telling others which plans were in use")
+	}
 	r.checkDue = now.Add(checkDelay)
 	r.scheduleLocked()
 }
--- a/acaciad/origins/registry_test.go
+++ b/acaciad/origins/registry_test.go
@@ -242,6 +242,54 @@
 	}
 }
 
+// TestCutOffDaemonVouchesForNoPlans restores the store from a copy that lacks the plans by which
+// streams began, while only a daemon lives that was cut off when they were written. It vouched for
+// its old plan, so that streams were taken for those of another version (ORDER).
+func TestCutOffDaemonVouchesForNoPlans(t *testing.T) {
+	f := newFixture(t)
+	one, _ := f.start("vm-1")
+	two, stopTwo := f.start("vm-2")
+	plansFor := func(r *origins.Registry, servers map[string]int, uses string) {
+		r.SetListed(listed(servers), time.Now())
+		f.eventually(func() bool {
+			versions := make(map[string]bool)
+			for i := range 40 {
+				version, _ := r.Choose(f.Context(), service, stream(fmt.Sprint(i)))
+				versions[version] = true
+			}
+			return versions[uses] && len(versions) == len(servers)
+		})
+	}
+	for _, r := range []*origins.Registry{one, two} {
+		plansFor(r, map[string]int{"v1": 4}, "v1")
+	}
+	time.Sleep(500 * time.Millisecond) // nothing is left to write
+	backup := f.store.Backup()
+	one.ListAge = func(time.Time) time.Duration { return 10 * time.Second }
+	plansFor(two, both, "v2")
+	versions := make(map[string]string)
+	for i := range 12 {
+		id := fmt.Sprint(i)
+		versions[id] = f.begin(two, id)
+	}
+	stopTwo()
+	f.store.Restore(backup)
+	f.Assert(f.table.Store.Ping(f.Context()), qt.IsNil)
+	one.HandleRestore()
+	time.Sleep(time.Second) // its row is written
+	check := func(r *origins.Registry) {
+		for id, version := range versions {
+			if found := f.version(r, id); found != "" {
+				f.Check(found, qt.Equals, version)
+			}
+		}
+	}
+	check(one)
+	three, _ := f.start("vm-3")
+	f.waitForRow(three)
+	check(three)
+}
+
 // slowTable is a table whose answers to commits are late.
 type slowTable struct {
 	*platform.Table
--- a/core/origin/ledger.go
+++ b/core/origin/ledger.go
@@ -340,6 +340,9 @@
 	var versions []string
 	var plan Plan
 	lost := l.lacksPlans(reports, q.Since, q.Epoch)
+	if lost && !q.Fresh {
+		return Origin{}, false, false // versions may be listed that this daemon does not know
+	}
 	final = !lost
 	for _, r := range reports {
 		for _, p := range l.possiblePlans(r, q.Service, q.Since, lost) {
