core/lease, acaciad/control: the holder vouches until another one can have acquired the lease

Another process acquires the lease a quarter of its duration after the grant has ended at the earliest. Until then nobody else has announced a window.

--- a/acaciad/control/reported.go
+++ b/acaciad/control/reported.go
@@ -62,8 +62,8 @@
 	Table table.Service
 	// Epoch returns the epoch of the store.
 	Epoch func() uint64
-	// Fence returns the fence of the lease of usage reports, or 0 if this daemon does not
-	// hold it.
+	// Fence returns the fence of the lease of usage reports, or 0 if another daemon may hold
+	// it (lease.Keeper.ExclusiveFence).
 	Fence func() uint64
 	// Window is the length of usage windows.
 	Window time.Duration
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -189,7 +189,7 @@
 	}
 	reports.Store.Epochs = d.store.Epochs
 	d.guard.Table = reports
-	d.usage.Reported = &control.Reported{Table: reports, Epoch: d.store.Epochs.Current, Fence: d.leaseFence, Window: s.UsageWindow, Daemons: d.guard.Daemons, Logger: logger}
+	d.usage.Reported = &control.Reported{Table: reports, Epoch: d.store.Epochs.Current, Fence: d.keeper.ExclusiveFence, Window: s.UsageWindow, Daemons: d.guard.Daemons, Logger: logger}
 	d.usage.Reporter.Reported = d.usage.Reported
 	d.limits = limitreports.NewSharer()
 	d.limits.Table, d.limits.Memory, d.limits.Daemons, d.limits.Logger = reports, options.LimitMemory, d.guard.Daemons, logger
@@ -339,15 +339,6 @@
 	}
 }
 
-// leaseFence returns the fence of the lease of usage reports, or 0 if this daemon does not hold
-// it.
-func (d *Daemon) leaseFence() uint64 {
-	if grant := d.keeper.Held(); grant != nil {
-		return grant.Fence
-	}
-	return 0
-}
-
 // handleRestore has what the store has lost written again, since it was restored from a
 // copy.
 func (d *Daemon) handleRestore(previous, current uint64) {
--- a/core/lease/grant.go
+++ b/core/lease/grant.go
@@ -36,6 +36,12 @@
 	return max(0, g.ValidFor-now.maxElapsed(g.RenewedAt))
 }
 
+// IsExclusive reports whether no other process can have acquired the lease yet. That is longer
+// than MaySend by margin (Terms.Margin). It is false for a nil Grant.
+func (g *Grant) IsExclusive(now Instant, margin time.Duration) bool {
+	return g != nil && now.maxElapsed(g.RenewedAt) < g.ValidFor+margin
+}
+
 // Condition returns the condition to add to writes to the table that only the
 // lease holder may make. It is satisfied until the lease changes hands.
 func (g *Grant) Condition() *table.Condition {
--- a/core/lease/keeper.go
+++ b/core/lease/keeper.go
@@ -85,6 +85,15 @@
 	return nil
 }
 
+// ExclusiveFence returns the fence of the lease if this process held it last and no other one
+// can have acquired it since, otherwise 0.
+func (k *Keeper) ExclusiveFence() uint64 {
+	if grant := k.grant.Load(); grant.IsExclusive(k.clock(), k.terms.Margin()) {
+		return grant.Fence
+	}
+	return 0
+}
+
 // Do calls send with the grant and with a context that ends when the grant does,
 // and returns the error of send. If the process may not send, it returns ErrNotHeld
 // without calling send. After a step that can take long, send must check
--- a/core/lease/keeper_test.go
+++ b/core/lease/keeper_test.go
@@ -106,6 +106,28 @@
 	c.Assert(waitForGrant(c, k).Fence, qt.Equals, uint64(1))
 }
 
+// TestExclusiveFenceEndsBeforeSuccession stops a holder while another process waits for the lease.
+// Its fence stays exclusive after its grant has ended, and no longer once the other one has it.
+func TestExclusiveFenceEndsBeforeSuccession(t *testing.T) {
+	c := qt.New(t)
+	service := newFakeTable()
+	first, stop := runKeeper(c, service, "vm-1/a")
+	waitForGrant(c, first)
+	second, _ := runKeeper(c, service, "vm-2/b")
+	c.Assert(second.ExclusiveFence(), qt.Equals, uint64(0))
+	stop()
+	eventually(c, "the grant has ended", func() bool { return first.Held() == nil })
+	c.Assert(first.ExclusiveFence(), qt.Equals, uint64(1))
+	eventually(c, "another process holds the lease", func() bool {
+		held := second.Held() != nil
+		exclusive := first.ExclusiveFence() != 0
+		c.Assert(held && exclusive, qt.IsFalse)
+		return held
+	})
+	c.Assert(second.ExclusiveFence(), qt.Equals, uint64(2))
+	c.Assert(first.ExclusiveFence(), qt.Equals, uint64(0))
+}
+
 func TestKeeperReleaseLetsCandidateAcquire(t *testing.T) {
 	c := qt.New(t)
 	service := newFakeTable()
