acaciad: tests of endless answers, other callers and engine calls

Operators reported a machine that kept the bytes of a faulty replica, sent without end in a head or a body, and ran out of memory with the requests of others. Reports and copies of runs that never end fail in time (TestEndlessAnswersOfEngineCalls). No fix was needed.

--- a/acaciad/daemon/process_test.go
+++ b/acaciad/daemon/process_test.go
@@ -48,7 +48,14 @@
 
 // startProcess starts a daemon in a process of its own, whose exit cuts its connections.
 func (d *deployment) startProcess(name string) *runningDaemon {
-	r := &runningDaemon{settings: d.newSettings(name, ""), log: &logBuffer{}, exited: make(chan error, 1)}
+	r, _ := d.startProcessWith(d.newSettings(name, ""))
+	return r
+}
+
+// startProcessWith is like startProcess, with other settings. It returns the id of the process
+// as well.
+func (d *deployment) startProcessWith(s platform.Settings) (r *runningDaemon, pid int) {
+	r = &runningDaemon{settings: s, log: &logBuffer{}, exited: make(chan error, 1)}
 	text, err := json.Marshal(r.settings)
 	d.Assert(err, qt.IsNil)
 	command := exec.Command(os.Args[0])
@@ -65,5 +72,5 @@
 		_ = command.Process.Kill() // the process may have ended
 		<-ended
 	})
-	return r
+	return r, command.Process.Pid
 }
--- a/acaciad/daemon/stream_version_test.go
+++ b/acaciad/daemon/stream_version_test.go
@@ -109,6 +109,11 @@
 // receive sends an attempt and receives events until the stream ends, or until there are most
 // of them, when the caller disconnects.
 func (s *callerStream) receive(d *runningDaemon, attempt string, most int) {
+	s.receiveWithin(d, attempt, most, 15*time.Second)
+}
+
+// receiveWithin is like receive, with the time for which the caller waits.
+func (s *callerStream) receiveWithin(d *runningDaemon, attempt string, most int, wait time.Duration) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.settings.CallersAddress+"/ask/7/x", strings.NewReader("x"))
@@ -119,7 +124,7 @@
 	h := request.Header
 	h.Set("Authorization", "Bearer k")
 	h.Set("X-Attempt-Id", attempt)
-	h.Set("X-Deadline-Ms", "15000")
+	h.Set("X-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
 	h.Set("X-Model", "m")
 	h.Set("X-Token-Usage", "400,50")
 	h.Set("X-Prefix-Hash", attempt[:1]+":300,2:100")
--- a/acaciad/proxy/endless_test.go
+++ b/acaciad/proxy/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,8 @@
 	"testing"
 	"time"
 
+	"acaciapath.example/acaciad/proxy"
+	"acaciapath.example/platform"
 	"acaciapath.example/platform/platformtest"
 
 	qt "github.com/frankban/quicktest"
@@ -227,6 +230,40 @@
 	f.Assert(bad.requests.Load() <= 5, qt.IsTrue, qt.Commentf("%d", bad.requests.Load()))
 }
 
+// TestEndlessAnswersOfEngineCalls has an engine answer reports and copies of runs without end.
+// Each call must fail in time, and memory is bounded.
+func TestEndlessAnswersOfEngineCalls(t *testing.T) {
+	const calls, timeout = 50, 500 * time.Millisecond
+	for _, test := range endlessAnswers {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := startEndlessServer(c, test.prefix, strings.Repeat(test.repeat, 4096), 0)
+			address := s.listener.Addr().String()
+			engines := &platform.EngineClient{Transport: proxy.NewClient().Transport()}
+			peak := watchHeap(c)
+			var group sync.WaitGroup
+			for i := range calls {
+				group.Go(func() {
+					ctx, cancel := context.WithTimeout(c.Context(), timeout)
+					defer cancel()
+					var err error
+					if i%2 == 0 {
+						_, err = engines.State(ctx, address)
+					} else {
+						_, err = engines.CopyCache(ctx, address, "127.0.0.1:1", "id-1", true)
+					}
+					c.Check(err, qt.IsNotNil)
+				})
+			}
+			group.Wait()
+			for end := time.Now().Add(5 * time.Second); s.open.Load() > 0; time.Sleep(5 * time.Millisecond) {
+				c.Assert(time.Now().Before(end), qt.IsTrue)
+			}
+			c.Check(peak() < smallestMemory, qt.IsTrue, qt.Commentf("%d MB of heap", peak()>>20))
+		})
+	}
+}
+
 // discard sends r and reads the answer without keeping it.
 func (f *fixture) discard(r *http.Request) answer {
 	response, err := http.DefaultTransport.RoundTrip(r)
