acaciad/daemon: answers of the store that waited do not make the list of servers new

Cause: the age of the list of servers was counted from when the latest answer was handled. An answer from before the servers joined, which waited in the buffers of the process, counted as new; and the answer with the servers counted before its rows were applied.

Change: ages come from the store's own clock in its answers, compared with the fastest answer of the last minute (follow.AnswerAge), also for followers of a reader, and news count once they are applied. Reads of plans are compared by the wall clock as well, since the monotonic one stands still while a VM is suspended.

TestAnswerThatWaitsIsNotNew failed before.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -199,7 +199,7 @@
 	d.origins = origins.NewRegistry()
 	d.origins.VM, d.origins.Table, d.origins.Logger = s.Name, collectedTable, logger
 	d.origins.Epoch = d.store.Epochs.Current
-	d.origins.Daemons, d.origins.ListAge, d.origins.Metrics = d.guard.Daemons, d.serversFeed.age, origins.NewMetrics(d.registry)
+	d.origins.Daemons, d.origins.ListAge, d.origins.Metrics = d.guard.Daemons, d.serversFeed.newsAge, origins.NewMetrics(d.registry)
 	d.updater.origins = d.origins
 	d.reportsFeed = d.newFeed(platform.TableReports)
 	d.reportsFeed.apply, d.reportsFeed.holdTime = d.applyReports, reportsHoldTime
--- a/acaciad/daemon/daemon_test.go
+++ b/acaciad/daemon/daemon_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -66,6 +67,8 @@
 	log      *logBuffer
 	stop     context.CancelFunc
 	exited   chan error
+	// signal sends a signal to a daemon in a process of its own.
+	signal func(os.Signal)
 }
 
 // logBuffer is an output of a logger that can be read while it is written.
--- a/acaciad/daemon/feed.go
+++ b/acaciad/daemon/feed.go
@@ -94,10 +94,12 @@
 	// membersOutdated is called when no reader in the list of members can be used.
 	membersOutdated func()
 
-	mu         sync.Mutex // guards selector, role and lastNews
-	selector   follow.Selector
-	role       follow.Role
-	lastNews   time.Time
+	mu       sync.Mutex // guards selector, role, lastNews and asOf
+	selector follow.Selector
+	role     follow.Role
+	lastNews time.Time
+	// asOf is when the store gave the latest news, or zero if there never were any.
+	asOf       time.Time
 	membersSet chan struct{}
 
 	// failedAt is when the store last failed, and restoredAt when it was last restored.
@@ -106,6 +108,8 @@
 	// versionKnown is set. They and failing are used only by run.
 	version               uint64
 	versionKnown, failing bool
+	// answerAge estimates the ages of answers. It is used only by run.
+	answerAge follow.AnswerAge
 }
 
 // newFeed returns a feed of a table with the given intervals, which still lacks its
@@ -129,6 +133,17 @@
 	return now.Sub(f.lastNews)
 }
 
+// newsAge returns the time since the store gave the latest news, or 0 if there never were any. An
+// answer may have been held up, or waited while the VM stood still.
+func (f *feed) newsAge(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.asOf.IsZero() {
+		return 0
+	}
+	return follow.Age(f.asOf, now)
+}
+
 // currentRole returns how the daemon learns the changes of the table.
 func (f *feed) currentRole() follow.Role {
 	f.mu.Lock()
@@ -217,7 +232,7 @@
 		case f.failing, news.Restored && !f.justRestored(now):
 			f.noteRestored(news.Version, now)
 		}
-		f.accept(news, false, now)
+		f.accept(news, false, began, now)
 		if now.Sub(began) >= trustTime {
 			f.mu.Lock()
 			f.selector.Succeeded(address)
@@ -263,26 +278,32 @@
 	return !f.restoredAt.IsZero() && now.Sub(f.restoredAt) < missingEntryHold
 }
 
-// accept applies news that arrived at now and records them for followers. It reports
-// whether more changes are likely to follow at once.
-func (f *feed) accept(news follow.News, reading bool, now time.Time) bool {
+// accept applies news that arrived at now, in answer to a call that began at asked, and records
+// them for followers. It reports whether more changes are likely to follow at once.
+func (f *feed) accept(news follow.News, reading bool, asked, now time.Time) bool {
 	current, _ := epoch.Split(news.Version)
 	f.store.Epochs.Observe(current) // a reader may know before this daemon calls the store
 	f.publisher.Record(news, reading, now)
 	f.version, f.versionKnown = news.Version, true
-	if !news.Failing {
-		f.mu.Lock()
-		f.lastNews = now
-		f.mu.Unlock()
+	moreExpected := false
+	if news.Snapshot || len(news.Entries) > 0 {
+		rows := make([]platform.Row, len(news.Entries))
+		for i, e := range news.Entries {
+			rows[i] = platform.Row(e)
+		}
+		moreExpected = f.apply(rows, news.Snapshot)
 	}
-	if !news.Snapshot && len(news.Entries) == 0 {
-		return false
+	if news.Failing {
+		return moreExpected
 	}
-	rows := make([]platform.Row, len(news.Entries))
-	for i, e := range news.Entries {
-		rows[i] = platform.Row(e)
+	asOf := asked
+	if news.StoreTime > 0 {
+		asOf = now.Add(-f.answerAge.Observe(current, news.StoreTime, now))
 	}
-	return f.apply(rows, news.Snapshot)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lastNews, f.asOf = now, asOf // the rows are applied by now
+	return moreExpected
 }
 
 // readStore calls the store once, waits for the time until the next call, and reports
@@ -301,6 +322,7 @@
 	if f.failing {
 		hold = 0 // the store may have been restored, and know nothing after a lost version
 	}
+	asked := time.Now()
 	rows, snapshot, err := f.callStore(ctx, hold)
 	if err != nil {
 		f.handleStoreFailure(ctx, err)
@@ -310,11 +332,11 @@
 	if f.failing {
 		f.noteRestored(rows.Version, now)
 	}
-	news := follow.News{Snapshot: snapshot, Version: rows.Version, Restored: f.justRestored(now)}
+	news := follow.News{Snapshot: snapshot, Version: rows.Version, Restored: f.justRestored(now), StoreTime: time.Duration(rows.NowMS * float64(time.Millisecond))}
 	for _, row := range rows.Rows {
 		news.Entries = append(news.Entries, follow.Entry(row))
 	}
-	moreExpected := f.accept(news, role == follow.Reads, now)
+	moreExpected := f.accept(news, role == follow.Reads, asked, now)
 	switch {
 	case !snapshot && (len(rows.Rows) == 0 || rows.IsFullPage()):
 	case moreExpected:
--- a/acaciad/daemon/feed_test.go
+++ b/acaciad/daemon/feed_test.go
@@ -4,6 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,3 +95,47 @@
 		c.Fatal("the follower has not read the store, which answers")
 	}
 }
+
+// TestAnswerThatWaitsIsNotNew has an answer of the store that nothing has changed arrive late, as
+// on a VM that stands still while the answer waits in its buffers. The rows must not count as up
+// to date: the version of a server may have been added since, and streams that began there were
+// taken for those of the old version (ORDER).
+func TestAnswerThatWaitsIsNotNew(t *testing.T) {
+	c := qt.New(t)
+	const hold, held = 200 * time.Millisecond, 2 * time.Second
+	store := platformtest.NewStore()
+	c.Cleanup(store.Close)
+	store.Write(platform.TableServers, "first", nil)
+	var delay atomic.Int64
+	target := &url.URL{Scheme: "http", Host: store.Address()}
+	link := httptest.NewServer(&httputil.ReverseProxy{
+		Rewrite: func(r *httputil.ProxyRequest) { r.SetURL(target) },
+		ModifyResponse: func(*http.Response) error {
+			time.Sleep(time.Duration(delay.Load()))
+			return nil
+		},
+	})
+	c.Cleanup(link.Close)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	f := newFeed("vm-1", platform.TableServers, platform.Settings{}, platform.NewStore(link.Listener.Addr().String(), 5*time.Second, platform.NewStoreTransport()), logger)
+	f.holdTime, f.gap = hold, hold
+	f.apply = func([]platform.Row, bool) bool { return false }
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); f.run(ctx) }()
+	c.Cleanup(func() { cancel(); <-ended })
+	time.Sleep(5 * hold)
+	c.Assert(f.newsAge(time.Now()) < 3*hold, qt.IsTrue)
+	delay.Store(int64(held))
+	time.Sleep(2 * hold) // the next call is being answered
+	seen := 0
+	for end := time.Now().Add(2 * held); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		now := time.Now()
+		if f.age(now) < hold/4 { // an answer has just arrived
+			seen++
+			c.Assert(f.newsAge(now) >= held-hold, qt.IsTrue, qt.Commentf("%s", f.newsAge(now)))
+		}
+	}
+	c.Assert(seen > 0, qt.IsTrue)
+}
--- a/acaciad/daemon/process_test.go
+++ b/acaciad/daemon/process_test.go
@@ -62,7 +62,8 @@
 	command.Env = append(os.Environ(), settingsVariable+"="+string(text))
 	command.Stdout, command.Stderr = r.log, os.Stderr
 	d.Assert(command.Start(), qt.IsNil)
-	r.stop = func() { _ = command.Process.Signal(syscall.SIGTERM) } // the process may have ended
+	r.signal = func(sent os.Signal) { _ = command.Process.Signal(sent) } // the process may have ended
+	r.stop = func() { r.signal(syscall.SIGTERM) }
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/acaciad/daemon/stream_version_test.go
+++ b/acaciad/daemon/stream_version_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -372,6 +373,44 @@
 	}
 }
 
+// TestStreamsTakenUpAtVMThatStoodStill stops a VM while servers of another version join and streams
+// begin there through others, which are then killed. Their callers take the streams up at the VM
+// just before it runs again. An answer of the store from before the servers joined, which waited
+// for the VM meanwhile, had its list of servers count as up to date (ORDER).
+func TestStreamsTakenUpAtVMThatStoodStill(t *testing.T) {
+	t.Parallel()
+	// settled is the time after which a single version is believed to have begun all streams.
+	const settled, joins, begins, killed = 31 * time.Second, 1300 * time.Millisecond, 3 * time.Second, 5 * time.Second
+	f := newVersionedFleet(t)
+	for _, id := range []string{"a-1", "a-2", "a-3"} {
+		f.startEngine(id, "v1")
+	}
+	processes := []*runningDaemon{f.startProcess("vm-0"), f.startProcess("vm-1"), f.startProcess("vm-2")}
+	for _, r := range processes {
+		f.eventually("it serves", func() bool {
+			probe := &callerStream{versions: make(map[string]bool)}
+			probe.receive(r, "0-probe", 1)
+			return probe.status == http.StatusOK
+		})
+	}
+	time.Sleep(settled)
+	stopped := time.Now()
+	processes[0].signal(syscall.SIGSTOP)
+	time.Sleep(time.Until(stopped.Add(joins))) // the last answer from before waits
+	for _, id := range []string{"b-1", "b-2", "b-3"} {
+		f.startEngine(id, "v2")
+	}
+	time.Sleep(time.Until(stopped.Add(begins)))
+	streams := newStreams(48)
+	receiveAll(streams, processes[1:], "first", 30)
+	time.Sleep(time.Until(stopped.Add(killed)))
+	processes[1].signal(syscall.SIGKILL)
+	processes[2].signal(syscall.SIGKILL)
+	time.AfterFunc(100*time.Millisecond, func() { processes[0].signal(syscall.SIGCONT) })
+	receiveAll(streams, processes[:1], "second", streamEvents)
+	f.checkVersions(streams, "v1", "v2")
+}
+
 // newStreams returns streams that have not begun.
 func newStreams(n int) []*callerStream {
 	streams := make([]*callerStream, n)
--- a/acaciad/origins/lookup.go
+++ b/acaciad/origins/lookup.go
@@ -95,7 +95,7 @@
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		current := r.reading
-		if current == nil || current.began.Before(after) && current.ended() {
+		if current == nil || current.isBefore(after) && current.ended() {
 			wait := time.Duration(0)
 			if current != nil {
 				wait = r.readInterval() - time.Since(current.began)
@@ -108,7 +108,7 @@
 		select {
 		case <-ctx.Done():
 		case <-current.done:
-			if !current.began.Before(after) {
+			if !current.isBefore(after) {
 				return current, current.err
 			}
 		}
@@ -116,6 +116,12 @@
 	return nil, ctx.Err()
 }
 
+// isBefore reports whether the read began before a time, by the monotonic or the wall clock. The
+// monotonic clock stands still while a VM is suspended.
+func (r *reading) isBefore(after time.Time) bool {
+	return r.began.Before(after) || r.began.Round(0).Before(after.Round(0))
+}
+
 // ended reports whether the read has ended.
 func (r *reading) ended() bool {
 	select {
--- a/acaciad/reader/message.go
+++ b/acaciad/reader/message.go
@@ -21,6 +21,8 @@
 	Failing bool `json:"failing,omitempty"`
 	// AgeMS is the time since the store's answer, in milliseconds.
 	AgeMS int64 `json:"age-ms,omitempty"`
+	// StoreMS is the time of the store's answer by its own clock, in milliseconds.
+	StoreMS float64 `json:"store-ms,omitempty"`
 }
 
 // row is a row of a table or, if Deleted is set, the deletion of one.
@@ -33,7 +35,7 @@
 
 // encode returns the line for news of the given age.
 func encode(news follow.News, age time.Duration) ([]byte, error) {
-	m := message{Version: news.Version, Snapshot: news.Snapshot, Restored: news.Restored, Failing: news.Failing, AgeMS: age.Milliseconds()}
+	m := message{Version: news.Version, Snapshot: news.Snapshot, Restored: news.Restored, Failing: news.Failing, AgeMS: age.Milliseconds(), StoreMS: float64(news.StoreTime) / float64(time.Millisecond)}
 	for _, e := range news.Entries {
 		m.Rows = append(m.Rows, row(e))
 	}
@@ -43,7 +45,7 @@
 
 // news returns the news in a message.
 func (m *message) news() follow.News {
-	news := follow.News{Version: m.Version, Snapshot: m.Snapshot, Restored: m.Restored, Failing: m.Failing}
+	news := follow.News{Version: m.Version, Snapshot: m.Snapshot, Restored: m.Restored, Failing: m.Failing, StoreTime: time.Duration(m.StoreMS * float64(time.Millisecond))}
 	for _, r := range m.Rows {
 		news.Entries = append(news.Entries, follow.Entry(r))
 	}
--- a/acaciad/reader/publisher.go
+++ b/acaciad/reader/publisher.go
@@ -37,9 +37,11 @@
 	log follow.Log
 	// reading states that the daemon reads the table for followers.
 	reading bool
-	// updatedAt is when the latest news arrived, and restored their field Restored.
+	// updatedAt is when the latest news arrived, and restored and storeTime are their fields
+	// Restored and StoreTime.
 	updatedAt time.Time
 	restored  bool
+	storeTime time.Duration
 	// failing states that the store has not answered since.
 	failing bool
 	// shared is the message that was encoded last, for followers of version
@@ -62,6 +64,7 @@
 	defer p.mu.Unlock()
 	p.log.Apply(news)
 	p.reading, p.updatedAt, p.restored, p.failing, p.shared = reading, now, news.Restored, false, nil
+	p.storeTime = news.StoreTime
 	p.notify()
 }
 
@@ -149,7 +152,7 @@
 func (p *Publisher) next(after uint64, now time.Time) (line []byte, version uint64, changed <-chan struct{}, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	newsAge := age(p.updatedAt, now)
+	newsAge := follow.Age(p.updatedAt, now)
 	if p.reading && p.shared != nil && p.sharedAfter == after && newsAge < maxSharedAge {
 		return p.shared, p.log.Version(), p.changed, true
 	}
@@ -157,7 +160,7 @@
 	if !p.reading || !known {
 		return nil, after, nil, false
 	}
-	news.Restored, news.Failing = p.restored, p.failing
+	news.Restored, news.Failing, news.StoreTime = p.restored, p.failing, p.storeTime
 	line, err := encode(news, newsAge)
 	if err != nil {
 		return nil, after, nil, false // cannot happen: a message has only texts, bytes and numbers
@@ -168,12 +171,6 @@
 	return line, news.Version, p.changed, true
 }
 
-// age returns the time since then by the monotonic or the wall clock, whichever is
-// longer: the monotonic clock stands still while a VM is suspended.
-func age(then, now time.Time) time.Duration {
-	return max(now.Sub(then), now.Round(0).Sub(then.Round(0)))
-}
-
 // Handler serves the followers of several tables.
 type Handler struct {
 	// Publishers has the publisher of each table.
--- a/core/follow/log.go
+++ b/core/follow/log.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // maxChanges is the number of changes that a Log keeps. A follower that lacks more
@@ -35,6 +36,9 @@
 	// Failing states that the store does not answer the reader at present. Version and
 	// the rows are then those of its last answer.
 	Failing bool
+	// StoreTime is the time of the store's answer by its own steady clock, or 0 if it is not
+	// known.
+	StoreTime time.Duration
 }
 
 // Log holds the rows of a table and its latest changes. The zero value is empty and
