acaciad: streams begin elsewhere than planned only once others can read that

Callers saw: 8 of 48 streams held events of two software versions.

Cause: a stream that begins elsewhere than planned is known to others only from the row of its daemon, and it began whether or not that could be written. The logs of the case have the server of v2 unreached, the attempt at v1 and the failed writes.

Change: the stream begins once the row names it. If the row cannot be written, the caller gets 503, not run, with the time to come back.

--- a/acaciad/origins/registry.go
+++ b/acaciad/origins/registry.go
@@ -48,6 +48,9 @@
 	// chooseWait bounds how long a stream that is about to begin waits for a change of plans
 	// that is being written. The store usually answers in less.
 	chooseWait = 300 * time.Millisecond
+	// reportWait bounds how long a stream that is to begin elsewhere than planned waits until
+	// others can read that.
+	reportWait = 2 * time.Second
 )
 
 // Registry knows the origins of streams. It is safe for concurrent use. Its exported fields
@@ -86,6 +89,10 @@
 	reading *reading
 	// writing is the report that is being written, or nil.
 	writing *reportWrite
+	// reportedAt and failedAt are when the reports were made that were last written, and that
+	// last could not be. written is closed and replaced at the end of each write.
+	reportedAt, failedAt time.Time
+	written              chan struct{}
 }
 
 // reportWrite is the write of a report.
@@ -100,7 +107,7 @@
 func NewRegistry() *Registry {
 	return &Registry{
 		Epoch: func() uint64 { return epoch.First }, Daemons: func() int { return 0 }, ListAge: func(time.Time) time.Duration { return 0 },
-		wake: make(chan struct{}, 1), ledger: origin.NewLedger(),
+		wake: make(chan struct{}, 1), written: make(chan struct{}), ledger: origin.NewLedger(),
 	}
 }
 
@@ -216,6 +223,27 @@
 	}
 }
 
+// AwaitReport waits until others can read that a stream began, which was recorded at a time and is
+// not told by a plan. It reports false if the row could not be written last, and if ctx is done or
+// reportWait has passed before.
+func (r *Registry) AwaitReport(ctx context.Context, began time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, reportWait)
+	defer cancel()
+	for {
+		r.mu.Lock()
+		known, failed, written := r.reportedAt.After(began), r.failedAt.After(r.reportedAt), r.written
+		r.mu.Unlock()
+		if known || failed {
+			return known
+		}
+		select {
+		case <-written:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // End records that a request of Begin has ended. complete states that the stream cannot be
 // taken up again.
 func (r *Registry) End(stream origin.Stream, complete bool, now time.Time) {
@@ -415,7 +443,10 @@
 		close(r.writing.done)
 		r.writing = nil
 	}
+	close(r.written)
+	r.written = make(chan struct{})
 	if err != nil {
+		r.failedAt = report.At
 		if ctx.Err() == nil {
 			r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot write at which versions streams begin, will retry")
 		}
@@ -428,7 +459,7 @@
 	if r.ledger.SetReported(report) || r.ledger.PlansChanged() {
 		r.scheduleLocked()
 	}
-	r.refreshDue = report.At.Add(origin.RefreshInterval)
+	r.refreshDue, r.reportedAt = report.At.Add(origin.RefreshInterval), report.At
 	r.logPlans(report)
 	return true
 }
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -188,9 +188,12 @@
 	pickedService string
 	// origin is where the stream began or is to begin.
 	origin origin.Origin
-	// planned states that a new stream is to begin at the version of origin, and receiving
-	// that the caller has had an event of the stream, also from another daemon.
+	// planned states that a new stream is to begin at plannedVersion, and receiving that the
+	// caller has had an event of the stream, also from another daemon.
 	planned, receiving bool
+	plannedVersion     string
+	// unreported states that the stream did not begin, because others cannot be told where.
+	unreported bool
 	// recorded states that the handler's Origins have a record of the stream.
 	recorded bool
 	// lastEventID is the id of the last complete event sent to the caller.
--- a/acaciad/proxy/origin.go
+++ b/acaciad/proxy/origin.go
@@ -9,6 +9,8 @@
 	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/core/catalog"
 	"acaciapath.example/core/origin"
+
+	"github.com/sirupsen/logrus"
 )
 
 // pickService picks the service that runs the request. All attempts of a stream that can be
@@ -37,7 +39,8 @@
 	}
 	x.pickedService = x.service
 	if !x.takesUp() {
-		x.origin.Version, x.planned = x.handler.Origins.Choose(ctx, x.service, x.stream)
+		x.plannedVersion, x.planned = x.handler.Origins.Choose(ctx, x.service, x.stream)
+		x.origin.Version = x.plannedVersion
 		return nil
 	}
 	found, known, err := x.handler.Origins.Lookup(ctx, x.stream, x.service, x.arrived.Add(-origin.Memory))
@@ -55,8 +58,28 @@
 	return nil
 }
 
+// mayBegin reports whether the request may be sent to the server of a reservation. Others believe
+// that a new stream begins at the planned version, also if this VM is cut off and the version has
+// servers that are not listed here, so that it begins at another one only once they can read that.
+func (x *exchange) mayBegin(ctx context.Context, reservation *directory.Reservation) bool {
+	if !x.planned || x.receiving || reservation.Spec.Version == x.plannedVersion {
+		return true
+	}
+	x.beginStream(origin.Origin{Service: x.service, Version: reservation.Spec.Version})
+	if x.handler.Origins.AwaitReport(ctx, time.Now()) {
+		return true
+	}
+	x.handler.Logger.WithFields(logrus.Fields{
+		"request-id": x.metadata.AttemptID, "service": x.service, "planned": x.plannedVersion, "version": reservation.Spec.Version,
+	}).Info("stream not begun: its version has no server, and others cannot be told of another one")
+	return false
+}
+
 // beginStream records where the stream began, or is about to begin.
 func (x *exchange) beginStream(o origin.Origin) {
+	if x.recorded && x.origin == o {
+		return
+	}
 	x.endStream(time.Now())
 	x.origin, x.recorded = o, true
 	x.handler.Origins.Begin(x.stream, x.pickedService, o, time.Now())
--- a/acaciad/proxy/origin_test.go
+++ b/acaciad/proxy/origin_test.go
@@ -1,6 +1,8 @@
 package proxy_test
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -59,6 +61,64 @@
 	f.Check(receivedCount(one, two), qt.Equals, 0)
 }
 
+// TestStreamBeginsElsewhereOnlyIfOthersKnow has the only engine of a version crash while its entry
+// stays. Streams that are planned for it begin at the other version once the store has that, and are
+// refused while the VM is cut off: others went on at the planned version with those that began
+// elsewhere and could not be reported (ORDER).
+func TestStreamBeginsElsewhereOnlyIfOthersKnow(t *testing.T) {
+	const streams = 16
+	for _, cut := range []bool{false, true} {
+		t.Run(fmt.Sprintf("cut off=%v", cut), func(t *testing.T) {
+			f := newFixture(t, 100)
+			f.loadCatalog()
+			one, two := f.startServer("i-1", "llm", 3), f.startServer("i-2", "llm", 3)
+			f.specs[0].Version, f.specs[1].Version = "v1", "v2"
+			f.directory.SetServers(f.specs, time.Now())
+			f.setVersions()
+			ctx, stop := context.WithCancel(f.Context())
+			ended := make(chan struct{})
+			go func() { defer close(ended); f.handler.Origins.Run(ctx) }()
+			f.Cleanup(func() { stop(); <-ended })
+			row := func() string {
+				for _, row := range f.originStore.Rows("acaciapath", "control") {
+					if row.Key == "stream-origins/vm" {
+						return string(row.Data)
+					}
+				}
+				return ""
+			}
+			f.eventually(func() bool { return strings.Contains(row(), `"v2"`) })
+			time.Sleep(50 * time.Millisecond) // the daemon has the answer as well
+			two.Close()
+			if cut {
+				f.originStore.SetFault(func(string, string) platformtest.Fault { return platformtest.Unavailable })
+			}
+			planned := make(map[string]int)
+			for i := range streams {
+				r := f.request(f.Context(), http.MethodPost, "/reply/", "x")
+				id := fmt.Sprint("id-", i)
+				r.Header.Set("X-Attempt-Id", id)
+				r.Header.Set("X-Deadline-Ms", "5000")
+				version, ok := f.handler.Origins.Choose(f.Context(), "llm", origin.StreamID("account-a", id))
+				f.Assert(ok, qt.IsTrue)
+				planned[version]++
+				a := f.do(r)
+				f.Assert(a.err, qt.IsNil)
+				if cut && version == "v2" {
+					f.Check(a.status, qt.Equals, http.StatusServiceUnavailable)
+					f.Check(a.body, qt.Equals, "stream-version-not-serving\n")
+					f.Check(a.header.Get("Retry-After") != "", qt.IsTrue)
+				} else {
+					f.Check(a.status, qt.Equals, http.StatusOK, qt.Commentf("planned for %s", version))
+				}
+			}
+			f.Check(planned, qt.HasLen, 2)
+			f.Check(strings.Contains(row(), `"exceptions"`), qt.Equals, !cut)
+			f.Check(runCount(one), qt.Equals, streams-map[bool]int{true: planned["v2"]}[cut])
+		})
+	}
+}
+
 // TestStreamOfVersionThatLeft has a caller take up a stream whose version has no server left.
 func TestStreamOfVersionThatLeft(t *testing.T) {
 	f := newFixture(t, 2)
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -65,6 +65,11 @@
 		if reservation == nil {
 			break
 		}
+		if !x.mayBegin(ctx, reservation) {
+			reservation.Finish(directory.Neutral, time.Now())
+			x.unreported = true
+			break
+		}
 		last = x.attempt(ctx, reservation)
 		x.requirements.FailedServers = append(x.requirements.FailedServers, reservation.Spec.Name)
 		if last == answered {
@@ -197,12 +202,12 @@
 	if wait, limited := x.handler.Directory.ReturnTime(x.service, time.Now()); limited {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "servers-limited", retryAfter: max(wait, retryAfterFailure)}
 	}
+	if x.unreported || x.receiving && len(x.attempts) == 0 {
+		return noSuchVersion
+	}
 	if len(x.attempts) > 0 {
 		return notRun
 	}
-	if x.receiving {
-		return noSuchVersion
-	}
 	return noBackendServer
 }
 
