acaciad/control: a daemon in touch vouches that no usage window was announced yet

A daemon that follows the row, has heard of no announcement and was answered within 4 s now vouches for that after 0.75 s, unless another one knows exactly. It could have missed only the first announcement of all. TestNoneWasAnnounced.

What is left: the reporter is killed just before the restoration, and nobody knows what it announced last.

--- a/acaciad/control/reported.go
+++ b/acaciad/control/reported.go
@@ -30,6 +30,9 @@
 	// maxAnnounceAttempts is the number of attempts to write an announcement while others
 	// write the row.
 	maxAnnounceAttempts = 3
+	// maxSilence is the time without an answer of the store after which a daemon may have
+	// missed all announcements.
+	maxSilence = 4 * time.Second
 	// vouchTime is how long a daemon that does not know what was reported waits for others
 	// to tell, besides the time over which they spread their writes. It allows for a read of
 	// the row before and after.
@@ -65,6 +68,8 @@
 	// Fence returns the fence of the lease of usage reports, or 0 if another daemon may hold
 	// it (lease.Keeper.ExclusiveFence).
 	Fence func() uint64
+	// AnsweredSince reports whether the store has answered this daemon after a time.
+	AnsweredSince func(after time.Time) bool
 	// Window is the length of usage windows.
 	Window time.Duration
 	// Daemons returns the number of daemons, or 0 if it is not known.
@@ -132,11 +137,29 @@
 		"epoch": r.since, "reported-through": usage.FormatWindowStart(r.last.Window),
 		"ended-through": usage.FormatWindowStart(r.ended), "exact": r.exact,
 	}).Info("reported usage windows before the restoration")
-	if r.exact {
+	switch {
+	case r.exact:
 		r.scheduleRewriteLocked(fence != 0)
+	case r.following && r.last.Window.IsZero() && r.AnsweredSince(now.Add(-maxSilence)):
+		observed := r.since
+		time.AfterFunc(vouchTime/2, func() { r.vouchForNone(observed) })
 	}
 }
 
+// vouchForNone has this daemon vouch that no window was ever announced, unless another daemon
+// knows exactly. It was in touch until shortly before, so that it can have missed only the very first
+// announcement. Otherwise all usage since the start would be lost.
+func (r *Reported) vouchForNone(observed uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.since != observed || r.knowsLocked() || !r.last.Window.IsZero() {
+		return
+	}
+	r.Logger.WithField("epoch", r.since).Info("no usage window was announced before the restoration, as far as this daemon heard")
+	r.exact = true
+	r.scheduleRewriteLocked(false)
+}
+
 // observeLocked records the epoch of the store. The caller holds r.mu.
 func (r *Reported) observeLocked(now time.Time) {
 	r.since, r.ended = r.Epoch(), usage.WindowStart(now.Add(-r.Window), r.Window)
--- a/acaciad/control/reported_test.go
+++ b/acaciad/control/reported_test.go
@@ -25,7 +25,7 @@
 	logger.SetOutput(io.Discard)
 	r := &control.Reported{
 		Table: &platform.Table{Store: client}, Epoch: client.Epochs.Current, Window: window,
-		Fence: func() uint64 { return 0 }, Daemons: func() int { return daemons }, Logger: logger,
+		Fence: func() uint64 { return 0 }, AnsweredSince: client.Epochs.AnsweredSince, Daemons: func() int { return daemons }, Logger: logger,
 	}
 	client.Epochs.OnRestore(func(_, _ uint64) { r.HandleRestore(time.Now()) })
 	return r
@@ -102,6 +102,28 @@
 	}
 }
 
+// TestNoneWasAnnounced restores the store twice before any window was reported, while no daemon
+// holds the lease. One that was in touch vouches for that, another one that was cut off does not.
+func TestNoneWasAnnounced(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("silent=%v", silent), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			store := platformtest.NewStore()
+			c.Cleanup(store.Close)
+			client := newClient(c, store)
+			r := newReported(client, 2)
+			r.AnsweredSince = func(time.Time) bool { return !silent }
+			follow(r, store)
+			store.Restore(store.Backup())
+			c.Assert(client.Ping(c.Context()), qt.IsNil)
+			_, known := r.Last()
+			c.Assert(known, qt.IsFalse)
+			c.Assert(eventuallyKnown(c, r).Window.IsZero(), qt.Equals, !silent)
+		})
+	}
+}
+
 // TestNewerAnnouncementIsNotOverwritten has a daemon write the row again after a restoration,
 // while the new reporter, of which it has not heard, announces a window.
 func TestNewerAnnouncementIsNotOverwritten(t *testing.T) {
--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -189,7 +189,7 @@
 	}
 	reports.Store.Epochs = d.store.Epochs
 	d.guard.Table = reports
-	d.usage.Reported = &control.Reported{Table: reports, Epoch: d.store.Epochs.Current, Fence: d.keeper.ExclusiveFence, Window: s.UsageWindow, Daemons: d.guard.Daemons, Logger: logger}
+	d.usage.Reported = &control.Reported{Table: reports, Epoch: d.store.Epochs.Current, Fence: d.keeper.ExclusiveFence, AnsweredSince: d.store.Epochs.AnsweredSince, Window: s.UsageWindow, Daemons: d.guard.Daemons, Logger: logger}
 	d.usage.Reporter.Reported = d.usage.Reported
 	d.limits = limitreports.NewSharer()
 	d.limits.Table, d.limits.Memory, d.limits.Daemons, d.limits.Logger = reports, options.LimitMemory, d.guard.Daemons, logger
