acaciad/control, acaciad/origins: a holder vouches only if it knows what was announced before its time

A daemon that did not know what was announced before a restoration had taken all ended windows for reported, and acquired the lease; after the next restoration it vouched, as the holder, for what it had heard.

Change: what is taken for reported is part of what a daemon knows, and the holder's word counts only if it also knew what was announced before. TestHolderSinceRestorationCoversEarlierWindows failed before.

Reads of the plans of others are spread by the number of daemons, and a daemon does not delete its own row.

--- a/acaciad/control/reported.go
+++ b/acaciad/control/reported.go
@@ -90,7 +90,8 @@
 	ended time.Time
 	// exact states that last is the last announcement before since.
 	exact bool
-	// waited states that vouchTime has passed since the epoch was observed.
+	// waited states that vouchTime has passed since the epoch was observed. Unless this daemon
+	// knows by then what was announced before, last covers all windows up to ended.
 	waited    bool
 	following bool
 	rewriting bool
@@ -100,7 +101,7 @@
 
 // Last returns the announcement of the last window that may have been reported. known is
 // false until it can be told. If the store was restored, and no daemon that knows exactly
-// vouches for it within a while, these are all windows that had ended when this daemon
+// vouches for it within a while, these are at least all windows that had ended when this daemon
 // observed that.
 func (r *Reported) Last() (last usage.Announcement, known bool) {
 	r.mu.Lock()
@@ -113,13 +114,8 @@
 		return r.last, false
 	case r.knowsLocked():
 		return r.last, true
-	case !r.waited:
-		return r.last, false
-	}
-	if r.ended.After(r.last.Window) {
-		return usage.Announcement{Window: r.ended}, true
 	}
-	return r.last, true
+	return r.last, r.waited
 }
 
 // knowsLocked reports whether last covers all windows that were announced before the epoch
@@ -131,8 +127,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	fence := r.Fence()
+	// Without this, the holder knows what it announced itself, but not what was announced before.
+	covered := r.since <= epoch.First || r.knowsLocked() || r.waited
 	r.observeLocked(now)
-	r.exact = r.following && (fence != 0 && fence == r.readFence || !r.ended.After(r.last.Window))
+	r.exact = r.following && (covered && fence != 0 && fence == r.readFence || !r.ended.After(r.last.Window))
 	r.Logger.WithFields(logrus.Fields{
 		"epoch": r.since, "reported-through": usage.FormatWindowStart(r.last.Window),
 		"ended-through": usage.FormatWindowStart(r.ended), "exact": r.exact,
@@ -168,7 +166,12 @@
 	time.AfterFunc(vouchTime+r.rewriteSpread(), func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if r.waited = r.waited || r.since == observed; r.waited && !r.knowsLocked() && r.since > epoch.First {
+		if r.since != observed {
+			return
+		}
+		r.waited = true
+		if r.since > epoch.First && !r.knowsLocked() {
+			r.last = r.last.Merge(usage.Announcement{Window: r.ended})
 			r.Logger.WithFields(logrus.Fields{"epoch": r.since, "ended-through": usage.FormatWindowStart(r.ended)}).
 				Warn("no daemon knows which usage windows were reported before the restoration, taking all that had ended for reported")
 		}
--- a/acaciad/control/reported_test.go
+++ b/acaciad/control/reported_test.go
@@ -102,6 +102,29 @@
 	}
 }
 
+// TestHolderSinceRestorationCoversEarlierWindows restores the store twice. A daemon that does not
+// know what was announced before the first time acquires the lease in between. It vouched at the
+// second time for what it had heard, without the windows that it had taken for reported (ONE).
+func TestHolderSinceRestorationCoversEarlierWindows(t *testing.T) {
+	c := qt.New(t)
+	store := platformtest.NewStore()
+	c.Cleanup(store.Close)
+	client, ownClient := newClient(c, store), newClient(c, store)
+	reporter, r := newHolder(c, client, 2), newReported(ownClient, 2)
+	announce(c, reporter, time.Now().Add(-2*window))
+	follow(r, store)
+	backup := store.Backup()
+	last := announce(c, reporter, time.Now())
+	for fence := range uint64(2) {
+		store.Restore(backup)
+		c.Assert(ownClient.Ping(c.Context()), qt.IsNil)
+		follow(r, store)
+		c.Assert(eventuallyKnown(c, r).Covers(last.Window), qt.IsTrue, qt.Commentf("restoration %d", fence+1))
+		r.Fence = func() uint64 { return fence + 1 }
+		c.Assert(r.Learn(c.Context()), qt.IsNil)
+	}
+}
+
 // TestNoneWasAnnounced restores the store twice before any window was reported, while no daemon
 // holds the lease. One that was in touch vouches for that, another one that was cut off does not.
 func TestNoneWasAnnounced(t *testing.T) {
--- a/acaciad/origins/lookup.go
+++ b/acaciad/origins/lookup.go
@@ -151,6 +151,9 @@
 			continue
 		}
 		current.reports = append(current.reports, report)
+		if row.Key == rowPrefix+r.VM {
+			continue
+		}
 		if age := current.began.Sub(report.At); age > deleteAge || age > endedDeleteAge && !report.EndedAt.IsZero() {
 			current.gone = append(current.gone, row)
 		}
--- a/acaciad/origins/registry.go
+++ b/acaciad/origins/registry.go
@@ -28,10 +28,12 @@
 	// part. Many daemons may start together, and until then the row from before is in force.
 	startDelay  = time.Second
 	startSpread = 1500 * time.Millisecond
-	// checkDelay is the time from a change of plans to a read of the plans of the others, and
-	// checkInterval that between two reads while some differ.
+	// checkDelay is the time from a change of plans to a read of the plans of the others.
+	// While some differ, they are read again after checkInterval, to which checkSpread is
+	// added for each daemon.
 	checkDelay    = 2 * time.Second
 	checkInterval = 5 * time.Second
+	checkSpread   = 25 * time.Millisecond
 	// maxTouchAge is the age of the list of servers up to which a daemon counts as in touch
 	// when the store is restored. The store may have been away for a while.
 	maxTouchAge = 5 * time.Second
@@ -361,7 +363,7 @@
 		differ, exceptions = r.ledger.SetOthers(current.reports, r.Epoch(), now)
 	}
 	if differ && r.checkDue.IsZero() {
-		r.checkDue = now.Add(checkInterval)
+		r.checkDue = now.Add(checkInterval + time.Duration(r.Daemons())*checkSpread)
 		r.wakeLocked()
 	}
 	if exceptions {
--- a/core/origin/ledger.go
+++ b/core/origin/ledger.go
@@ -137,7 +137,8 @@
 }
 
 // Begin records that a request receives a stream that began at an origin, or is about to.
-// picked is the service that this daemon picked for it. It reports whether others must be told, since the plan does not tell it.
+// picked is the service that this daemon picked for it. It reports whether others must be told,
+// since the plans in use do not tell it.
 func (l *Ledger) Begin(stream Stream, picked string, o Origin, now time.Time) bool {
 	s := l.streams[stream]
 	if s == nil {
