--- a/acaciad/control/reported_test.go
+++ b/acaciad/control/reported_test.go
@@ -213,9 +213,9 @@
 	}
 	followAll()
 	store.Restore(backup)
-	c.Assert(client.Ping(t.Context()), qt.IsNil)
 	c.Assert(store.Rows("acaciapath", "control"), qt.HasLen, 0)
 	before := store.Calls("/acaciapath/rows-tx")
+	c.Assert(client.Ping(t.Context()), qt.IsNil)
 	followAll()
 	time.Sleep(followDelay)
 	first := store.Calls("/acaciapath/rows-tx") - before
