acaciad/daemon: stores of tests stay open until their daemons have ended

Suspected: daemons that were still shutting down after their test called the ports of their closed stores, which other servers had got.

--- a/acaciad/daemon/daemon_test.go
+++ b/acaciad/daemon/daemon_test.go
@@ -31,14 +31,23 @@
 	store *platformtest.Store
 	cloud *platformtest.CloudAPI
 	shop  *platformtest.Server
+	// running are the daemons that run in the process of the tests.
+	running sync.WaitGroup
 }
 
 func newDeployment(t *testing.T) *deployment {
 	c := qt.New(t)
 	d := &deployment{C: c, store: platformtest.NewStore(), cloud: platformtest.NewCloudAPI(), shop: platformtest.NewServer("i-1", 0)}
-	c.Cleanup(d.store.Close)
-	c.Cleanup(d.cloud.Close)
-	c.Cleanup(d.shop.Close)
+	c.Cleanup(func() {
+		// Daemons that are still shutting down would call servers of other tests that get the
+		// ports.
+		go func() {
+			d.running.Wait()
+			d.store.Close()
+			d.cloud.Close()
+			d.shop.Close()
+		}()
+	})
 	return d
 }
 
@@ -108,7 +117,7 @@
 	logger.SetOutput(r.log)
 	var ctx context.Context
 	ctx, r.stop = context.WithCancel(context.Background())
-	go func() { r.exited <- daemon.New(s, daemon.DefaultOptions(), logger, time.Now()).Run(ctx) }()
+	d.running.Go(func() { r.exited <- daemon.New(s, daemon.DefaultOptions(), logger, time.Now()).Run(ctx) })
 	d.Cleanup(r.stop)
 	return r
 }
