--- a/acaciad/control/reported.go
+++ b/acaciad/control/reported.go
@@ -343,5 +343,10 @@
 	if err != nil {
 		r.Logger.WithField("error", platformapi.Reason(err)).
 			Info("cannot write again which usage windows were reported, another daemon or the next report will")
+		time.AfterFunc(rewriteTimeout, func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.scheduleRewriteLocked(false)
+		})
 	}
 }
--- a/acaciad/control/reported_test.go
+++ b/acaciad/control/reported_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,6 +112,8 @@
 	c.Cleanup(store.Close)
 	client, ownClient := newClient(c, store), newClient(c, store)
 	reporter, r := newHolder(c, client, 2), newReported(ownClient, 2)
+	var held atomic.Uint64
+	r.Fence = held.Load
 	announce(c, reporter, time.Now().Add(-2*window))
 	follow(r, store)
 	backup := store.Backup()
@@ -120,7 +123,7 @@
 		c.Assert(ownClient.Ping(c.Context()), qt.IsNil)
 		follow(r, store)
 		c.Assert(eventuallyKnown(c, r).Covers(last.Window), qt.IsTrue, qt.Commentf("restoration %d", fence+1))
-		r.Fence = func() uint64 { return fence + 1 }
+		held.Store(fence + 1)
 		c.Assert(r.Learn(c.Context()), qt.IsNil)
 	}
 }
