--- a/acaciad/control/reported.go
+++ b/acaciad/control/reported.go
@@ -200,10 +200,8 @@
 	var stored storedReported
 	version := uint64(0)
 	for _, row := range rows {
+		stored, _ = r.parse(row.Value) // the holder replaces an invalid row
 		version = row.Version
-		if err := json.Unmarshal(row.Value, &stored); err != nil {
-			r.Logger.WithError(err).WithField("row", reportedKey).Warn("invalid row of reported usage windows ignored")
-		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -212,6 +210,15 @@
 	return nil
 }
 
+// parse parses the row, and logs one that is invalid.
+func (r *Reported) parse(value []byte) (stored storedReported, ok bool) {
+	if err := json.Unmarshal(value, &stored); err != nil {
+		r.Logger.WithError(err).WithField("row", reportedKey).Warn("invalid row of reported usage windows ignored")
+		return storedReported{}, false
+	}
+	return stored, true
+}
+
 // mergeLocked takes over what the row has at a version. The caller holds r.mu.
 func (r *Reported) mergeLocked(stored storedReported, version uint64) {
 	r.stored, r.storedVersion = stored, version
@@ -271,11 +278,9 @@
 		if row.Key != reportedKey || row.Deleted {
 			continue
 		}
-		if err := json.Unmarshal(row.Data, &stored); err != nil {
-			r.Logger.WithError(err).WithField("row", row.Key).Warn("invalid row of reported usage windows ignored")
-			continue
+		if parsed, ok := r.parse(row.Data); ok {
+			stored, version, found = parsed, row.Version, true
 		}
-		version, found = row.Version, true
 	}
 	if !found && !snapshot {
 		return
--- a/acaciad/control/reported_test.go
+++ b/acaciad/control/reported_test.go
@@ -150,6 +150,34 @@
 	}
 }
 
+// TestFailedRewriteIsTriedAgain has the store fail while the holder writes the row again after a
+// restoration, and no news of the row follow. Others would take all windows that had ended for
+// reported, so that their usage would be lost.
+func TestFailedRewriteIsTriedAgain(t *testing.T) {
+	c := qt.New(t)
+	store := platformtest.NewStore()
+	c.Cleanup(store.Close)
+	client := newClient(c, store)
+	backup := store.Backup()
+	reporter := newHolder(c, client, 2)
+	announce(c, reporter, time.Now())
+	follow(reporter, store)
+	store.Restore(backup)
+	var failed atomic.Int64
+	store.SetFault(func(string, string) platformtest.Fault {
+		failed.Add(1)
+		return platformtest.Unavailable
+	})
+	reporter.HandleRestore(time.Now())
+	for end := time.Now().Add(waitLimit); failed.Load() == 0; time.Sleep(time.Millisecond) {
+		c.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+	store.SetFault(nil)
+	for end := time.Now().Add(waitLimit); len(store.Rows("acaciapath", "control")) == 0; time.Sleep(10 * time.Millisecond) {
+		c.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+}
+
 // TestNewerAnnouncementIsNotOverwritten has a daemon write the row again after a restoration,
 // while the new reporter, of which it has not heard, announces a window.
 func TestNewerAnnouncementIsNotOverwritten(t *testing.T) {
@@ -264,9 +292,8 @@
 	c.Assert(known, qt.IsTrue)
 	c.Assert(last, qt.DeepEquals, usage.Announcement{})
 	// Without one that ran before, all windows that have ended may have been reported.
-	alone := newReported(client, 2)
 	store.Restore(store.Backup())
-	c.Assert(client.Ping(t.Context()), qt.IsNil)
+	alone := newReported(newClient(c, store), 2) // the others do not notice the restoration
 	follow(alone, store)
 	for end := time.Now().Add(waitLimit); !known || last.Window.IsZero(); time.Sleep(10 * time.Millisecond) {
 		c.Assert(time.Now().Before(end), qt.IsTrue)
--- a/acaciad/daemon/feed.go
+++ b/acaciad/daemon/feed.go
@@ -332,7 +332,7 @@
 	if f.failing {
 		f.noteRestored(rows.Version, now)
 	}
-	news := follow.News{Snapshot: snapshot, Version: rows.Version, Restored: f.justRestored(now), StoreTime: time.Duration(rows.NowMS * float64(time.Millisecond))}
+	news := follow.News{Snapshot: snapshot, Version: rows.Version, Restored: f.justRestored(now), StoreTime: rows.StoreTime()}
 	for _, row := range rows.Rows {
 		news.Entries = append(news.Entries, follow.Entry(row))
 	}
--- a/acaciad/daemon/stream_version_test.go
+++ b/acaciad/daemon/stream_version_test.go
@@ -87,6 +87,13 @@
 	})
 }
 
+// startEngines starts engines of the given versions, by id.
+func (f *versionedFleet) startEngines(versions map[string]string) {
+	for id, version := range versions {
+		f.startEngine(id, version)
+	}
+}
+
 // crashEngine crashes an engine, whose entry stays for a while.
 func (f *versionedFleet) crashEngine(id string) {
 	server := f.engines[id]
@@ -256,9 +263,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newVersionedFleet(t)
-			for id, version := range map[string]string{"a-1": "v1", "a-2": "v1", "b-1": "v2", "b-2": "v2"} {
-				f.startEngine(id, version)
-			}
+			f.startEngines(map[string]string{"a-1": "v1", "a-2": "v1", "b-1": "v2", "b-2": "v2"})
 			daemons := f.startDaemons(3)
 			streams := newStreams(48)
 			receiveAll(streams, daemons, "first", test.events)
@@ -274,9 +279,7 @@
 // of streams.
 func TestStreamsGoOnAtTheirVersionInOneAnswer(t *testing.T) {
 	f := newVersionedFleet(t)
-	for id, version := range map[string]string{"a-1": "v1", "a-2": "v1", "a-3": "v1", "b-1": "v2", "b-2": "v2", "b-3": "v2"} {
-		f.startEngine(id, version)
-	}
+	f.startEngines(map[string]string{"a-1": "v1", "a-2": "v1", "a-3": "v1", "b-1": "v2", "b-2": "v2", "b-3": "v2"})
 	daemons := f.startDaemons(3)
 	streams := newStreams(24)
 	time.AfterFunc(600*time.Millisecond, func() {
@@ -313,9 +316,7 @@
 			t.Parallel()
 			f := newVersionedFleet(t)
 			f.writeConfig(3, test.before...)
-			for id, version := range map[string]string{"a-1": "v1", "a-2": "v1", "b-1": "v2", "b-2": "v2"} {
-				f.startEngine(id, version)
-			}
+			f.startEngines(map[string]string{"a-1": "v1", "a-2": "v1", "b-1": "v2", "b-2": "v2"})
 			daemons := f.startDaemons(3)
 			streams := newStreams(48)
 			receiveAll(streams, daemons[:1], "first", 30)
@@ -353,9 +354,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newVersionedFleet(t)
-			for id, version := range map[string]string{"a-1": "v1", "a-2": "v1", "b-1": "v2", "b-2": "v2"} {
-				f.startEngine(id, version)
-			}
+			f.startEngines(map[string]string{"a-1": "v1", "a-2": "v1", "b-1": "v2", "b-2": "v2"})
 			daemons := f.startDaemons(4)
 			time.Sleep(time.Second) // all rows are written
 			leave(f, daemons[3])
--- a/acaciad/origins/lookup.go
+++ b/acaciad/origins/lookup.go
@@ -32,7 +32,7 @@
 // reading is a read of all reports.
 type reading struct {
 	began time.Time
-	// done is closed when the read has ended, and reports and err are set.
+	// done is closed when the read has ended, and the fields below are set.
 	done    chan struct{}
 	reports []origin.Report
 	// gone are the rows of daemons that are gone.
@@ -41,9 +41,10 @@
 }
 
 // Lookup returns the origin of a stream that a caller takes up again and that began since a
-// time. service is the service that this daemon picks for it. Lookup reads the reports of other daemons if necessary, until lookupTime has passed or ctx
-// is done. If the origin is not known, err states why the reports could not be read; without
-// an error, it will not be known later either.
+// time. service is the service that this daemon picks for it. Lookup reads the reports of other
+// daemons if necessary, until lookupTime has passed or ctx is done. If the origin is not known,
+// err states why the reports could not be read; without an error, it will not be known later
+// either.
 func (r *Registry) Lookup(ctx context.Context, stream origin.Stream, service string, since time.Time) (o origin.Origin, known bool, err error) {
 	began := time.Now()
 	q := origin.Query{Stream: stream, Service: service, Since: since}
--- a/acaciad/origins/registry.go
+++ b/acaciad/origins/registry.go
@@ -2,51 +2,24 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"acaciapath.example/core/epoch"
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/core/origin"
-	"acaciapath.example/core/platformapi"
-	"acaciapath.example/core/sleep"
 
 	"github.com/sirupsen/logrus"
 )
 
-// Intervals of the exchange.
+// Times of plans and streams.
 const (
-	// writeInterval is the time between two writes of a report, and writeSpread is added for
-	// each daemon, since all of them write at the same times.
-	writeInterval = 100 * time.Millisecond
-	writeSpread   = 5 * time.Millisecond
 	// planInterval is the time between changes of plans that can wait. They come at multiples
 	// of it by the wall clock, so that all daemons change their plans together.
 	planInterval = 10 * time.Second
-	// startDelay is the time from a restart to the first write, and startSpread is its random
-	// part. Many daemons may start together, and until then the row from before is in force.
-	startDelay  = time.Second
-	startSpread = 1500 * time.Millisecond
-	// checkDelay is the time from a change of plans to a read of the plans of the others.
-	// While some differ, they are read again after checkInterval, to which checkSpread is
-	// added for each daemon.
-	checkDelay    = 2 * time.Second
-	checkInterval = 5 * time.Second
-	checkSpread   = 25 * time.Millisecond
 	// maxTouchAge is the age of the list of servers up to which a daemon counts as in touch
 	// when the store is restored. The store may have been away for a while.
 	maxTouchAge = 5 * time.Second
-	// deleteAge is the age from which rows are deleted that nobody writes any more, and
-	// endedDeleteAge that for daemons that said that they ended.
-	deleteAge      = time.Hour
-	endedDeleteAge = 2 * time.Minute
-	// maxDeletedRows is the number of rows that are deleted in one transaction.
-	maxDeletedRows = 50
-	// retryInterval is the time from a failed call to the next attempt.
-	retryInterval = time.Second
-	// callTimeout bounds a call of the store.
-	callTimeout = 1500 * time.Millisecond
 	// chooseWait bounds how long a stream that is about to begin waits for a change of plans
 	// that is being written. The store usually answers in less.
 	chooseWait = 300 * time.Millisecond
@@ -265,213 +238,3 @@
 	}
 	return report, err == nil
 }
-
-// Run writes the row of this daemon when it changes, until ctx is done. It first reads the row
-// from before a restart.
-func (r *Registry) Run(ctx context.Context) {
-	restarted, err := r.readOwn(ctx)
-	for ; err != nil && ctx.Err() == nil; restarted, err = r.readOwn(ctx) {
-		sleep.For(ctx, retryInterval)
-	}
-	if restarted {
-		sleep.For(ctx, startDelay+rand.N(startSpread))
-	}
-	for ctx.Err() == nil {
-		timer := time.NewTimer(min(r.usePlans(time.Now()), r.startDue(time.Now())))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case <-r.wake:
-		case <-timer.C:
-		}
-		timer.Stop()
-		if !r.isChanged() {
-			continue
-		}
-		interval := writeInterval + time.Duration(r.Daemons())*writeSpread
-		if !r.write(ctx) {
-			interval = retryInterval + rand.N(retryInterval)
-		}
-		sleep.For(ctx, interval+rand.N(writeSpread))
-	}
-}
-
-// readOwn reads the row of this VM and reports whether there is one by which others still
-// believe streams to begin.
-func (r *Registry) readOwn(ctx context.Context) (found bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	rows, err := r.Table.Get(ctx, &table.GetPayload{Keys: []string{rowPrefix + r.VM}})
-	if err != nil {
-		return false, err
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	written := uint64(epoch.First)
-	for _, row := range rows {
-		if report, ok := r.parse(row); ok {
-			r.ledger.Merge(report, time.Now())
-			written, found = report.Epoch, report.EndedAt.IsZero()
-		}
-	}
-	if found {
-		r.checkDue = time.Now().Add(checkDelay)
-	}
-	if r.Epoch() > epoch.First {
-		r.ledger.HandleRestore(time.Now()) // it may just have been
-	}
-	if written < r.Epoch() {
-		r.ledger.RecordLostReports(written, time.Now())
-		time.AfterFunc(origin.Memory, r.handleCompleteReport)
-	}
-	r.scheduleLocked()
-	return found, nil
-}
-
-// startDue begins what is due, a read of the plans of the others or a refresh of the row, and
-// returns the time until something is.
-func (r *Registry) startDue(now time.Time) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	left := planInterval
-	if !r.refreshDue.IsZero() {
-		if !now.Before(r.refreshDue) {
-			r.refreshDue = now.Add(origin.RefreshInterval)
-			r.scheduleLocked()
-		}
-		left = min(left, r.refreshDue.Sub(now))
-	}
-	switch {
-	case r.checkDue.IsZero():
-	case now.Before(r.checkDue):
-		left = min(left, r.checkDue.Sub(now))
-	default:
-		r.checkDue = time.Time{}
-		go r.check(now)
-	}
-	return left
-}
-
-// check reads the plans of the others.
-func (r *Registry) check(now time.Time) {
-	current, err := r.readSince(context.Background(), now)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	differ, exceptions := true, false
-	if err == nil {
-		differ, exceptions = r.ledger.SetOthers(current.reports, r.Epoch(), now)
-	}
-	if differ && r.checkDue.IsZero() {
-		r.checkDue = now.Add(checkInterval + time.Duration(r.Daemons())*checkSpread)
-		r.wakeLocked()
-	}
-	if exceptions {
-		r.scheduleLocked()
-	}
-	if err == nil && len(current.gone) > 0 {
-		go r.deleteRows(current.gone)
-	}
-}
-
-// deleteRows deletes rows that nobody has written since they were read.
-func (r *Registry) deleteRows(rows []*table.Row) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	p := &table.CommitPayload{}
-	for _, row := range rows[:min(len(rows), maxDeletedRows)] {
-		p.Conditions = append(p.Conditions, &table.Condition{Key: row.Key, Version: row.Version})
-		p.Writes = append(p.Writes, &table.Write{Key: row.Key, Delete: true})
-	}
-	if _, err := r.Table.Commit(ctx, p); err != nil {
-		if platformapi.AsConflict(err) == nil { // otherwise another daemon has deleted them
-			r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot delete the reports of daemons that are gone, will retry")
-		}
-		return
-	}
-	r.Logger.WithField("rows", len(p.Writes)).Info("reports of daemons that are gone deleted")
-}
-
-// Finish tells the others that this daemon begins no more streams. Run must have returned.
-func (r *Registry) Finish(ctx context.Context, now time.Time) {
-	r.mu.Lock()
-	report := r.ledger.Report(now)
-	report.Epoch, report.EndedAt = r.ledger.Epoch(r.Epoch(), now), now
-	r.mu.Unlock()
-	value, err := encodeReport(report)
-	if err == nil && len(report.Plans) > 0 {
-		err = r.commit(ctx, value)
-	}
-	if err != nil {
-		r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot tell other daemons that no more streams begin here")
-	}
-}
-
-// commit writes the row.
-func (r *Registry) commit(ctx context.Context, value []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	_, err := r.Table.Commit(ctx, &table.CommitPayload{Writes: []*table.Write{{Key: rowPrefix + r.VM, Value: value}}})
-	return err
-}
-
-// isChanged reports whether the row is to be written.
-func (r *Registry) isChanged() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.changed
-}
-
-// write writes the row and reports whether that succeeded.
-func (r *Registry) write(ctx context.Context) bool {
-	r.mu.Lock()
-	r.changed = false
-	report := r.ledger.Report(time.Now())
-	report.Epoch = r.ledger.Epoch(r.Epoch(), report.At)
-	r.mu.Unlock()
-	if len(report.Plans) == 0 {
-		return true
-	}
-	value, err := encodeReport(report)
-	if err == nil {
-		r.mu.Lock()
-		r.writing = &reportWrite{report: report, done: make(chan struct{})}
-		r.mu.Unlock()
-		err = r.commit(ctx, value)
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.writing != nil {
-		close(r.writing.done)
-		r.writing = nil
-	}
-	close(r.written)
-	r.written = make(chan struct{})
-	if err != nil {
-		r.failedAt = report.At
-		if ctx.Err() == nil {
-			r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot write at which versions streams begin, will retry")
-		}
-		r.scheduleLocked()
-		return false
-	}
-	if r.checkDue.IsZero() && r.ledger.MayDiffer(report) {
-		r.checkDue = report.At.Add(checkDelay)
-	}
-	if r.ledger.SetReported(report) || r.ledger.PlansChanged() {
-		r.scheduleLocked()
-	}
-	r.refreshDue, r.reportedAt = report.At.Add(origin.RefreshInterval), report.At
-	r.logPlans(report)
-	return true
-}
-
-// logPlans logs the plans of a report that have changed.
-func (r *Registry) logPlans(report origin.Report) {
-	for service, known := range report.Plans {
-		if known.Since.Equal(report.At) {
-			r.Logger.WithFields(logrus.Fields{"service": service, "plan": known.Plan.String()}).
-				Info("streams begin at other versions")
-		}
-	}
-}
--- a/acaciad/proxy/origin_test.go
+++ b/acaciad/proxy/origin_test.go
@@ -28,16 +28,23 @@
 	f.Assert(receivedCount(two), qt.Equals, 0)
 }
 
+// startTwoVersions starts engines of the versions v1 and v2, which send streams of the given number
+// of events.
+func (f *fixture) startTwoVersions(events int) (one, two *platformtest.Server) {
+	one, two = f.startServer("i-1", "llm", events), f.startServer("i-2", "llm", events)
+	f.specs[0].Version, f.specs[1].Version = "v1", "v2"
+	f.directory.SetServers(f.specs, time.Now())
+	f.setVersions()
+	return one, two
+}
+
 // TestStreamOfUnknownVersion has callers take up streams that no daemon knows while servers of
 // two versions serve: they are told that nothing ran, and the servers get no request. They are
 // told when to come back only if the store, which is away at the end, may tell more by then.
 func TestStreamOfUnknownVersion(t *testing.T) {
 	f := newFixture(t, 2)
 	f.loadCatalog()
-	one, two := f.startServer("i-1", "llm", 5), f.startServer("i-2", "llm", 5)
-	f.specs[0].Version, f.specs[1].Version = "v1", "v2"
-	f.directory.SetServers(f.specs, time.Now())
-	f.setVersions()
+	one, two := f.startTwoVersions(5)
 	f.handler.Origins.Begin(origin.StreamID("account-b", "id-0"), "llm", origin.Origin{Service: "llm", Version: "v1"}, time.Now())
 	takeUp := func(resumes string) answer {
 		r := f.request(f.Context(), http.MethodPost, "/reply/", "x")
@@ -71,10 +78,7 @@
 		t.Run(fmt.Sprintf("cut off=%v", cut), func(t *testing.T) {
 			f := newFixture(t, 100)
 			f.loadCatalog()
-			one, two := f.startServer("i-1", "llm", 3), f.startServer("i-2", "llm", 3)
-			f.specs[0].Version, f.specs[1].Version = "v1", "v2"
-			f.directory.SetServers(f.specs, time.Now())
-			f.setVersions()
+			one, two := f.startTwoVersions(3)
 			ctx, stop := context.WithCancel(f.Context())
 			ended := make(chan struct{})
 			go func() { defer close(ended); f.handler.Origins.Run(ctx) }()
--- a/acaciad/soak/soak_test.go
+++ b/acaciad/soak/soak_test.go
@@ -215,7 +215,8 @@
 		for _, a := range s.ReceivedRequests() {
 			account := a.Header.Get("X-Tenant")
 			if a.Header.Get("Authorization") != "" || account != "account-a" && account != "account-b" {
-				cl.Errorf("%s received an API key, or %q as the client account", s.ID, account)
+				cl.Errorf("%s received an API key, or %q as the client account: %s %s, request %q, expected %q",
+					s.ID, account, a.Method, a.Path, a.Header.Get("X-Attempt-Id"), a.Header.Get("X-Expected-Replica"))
 			}
 			if a.Ran && a.Header.Get("X-Expected-Replica") != s.ID {
 				cl.Errorf("%s ran a request that was meant for %s", s.ID, a.Header.Get("X-Expected-Replica"))
