--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -56,6 +56,9 @@
 	Generates bool
 	// Resumable is set if another replica can resume an interrupted stream.
 	Resumable bool
+	// Homes are the regions in which the requests may be executed and their data kept. If
+	// there are none, all regions are allowed.
+	Homes []string
 }
 
 // Repeatable reports whether a request can be sent again although it may have
@@ -109,6 +112,18 @@
 	Engine *Engine
 	// Scaling is non-nil if replicas can be ordered from the platform.
 	Scaling *Scaling
+	// Cold is non-nil if the replicas are cold after their start.
+	Cold *Cold
+}
+
+// Cold describes what replicas tolerate while they are cold: after their start, and whenever
+// they say so. A cold replica crashes well above the rate.
+type Cold struct {
+	// Duration is how long a replica is cold after its start. Duration > 0.
+	Duration time.Duration
+	// PerSecond is the number of requests a second from all daemons together.
+	// PerSecond > 0.
+	PerSecond float64
 }
 
 // Account is a client account.
@@ -119,6 +134,9 @@
 	Keys []string
 	// Tier overrides the tier of the route if it is not nil.
 	Tier *int
+	// Homes are the regions in which its requests may be executed and their data kept. If
+	// there are none, the account does not restrict them.
+	Homes []string
 }
 
 // Limits are the limits on callers' requests and connections.
--- a/core/placement/availability.go
+++ b/core/placement/availability.go
@@ -17,11 +17,15 @@
 	Paused
 	// Limited means that this daemon's part of the server's limit is used up.
 	Limited
+	// Cold means that this daemon's part of what the cold server tolerates is used up.
+	Cold
+	// Evacuated means that the operator evacuates the failure domain of the server.
+	Evacuated
 )
 
 // String returns the name of the availability in logs and metrics.
 func (a Availability) String() string {
-	return [...]string{"available", "leaving", "misdirected", "paused", "limited"}[a]
+	return [...]string{"available", "leaving", "misdirected", "paused", "limited", "cold", "evacuated"}[a]
 }
 
 // Availability returns whether a server may get a request at now.
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -51,6 +51,9 @@
 	// TimeLeft is the time that a draining backend server had left when it
 	// wrote its entry, or 0 if it is not known.
 	TimeLeft time.Duration
+	// ColdFor is how much longer the backend server stayed cold when it wrote its entry, or 0
+	// if it was not cold.
+	ColdFor time.Duration
 	// StartedAt is when it started, or zero if it is not known. A backend
 	// server that restarted under the same name has lost its state.
 	StartedAt time.Time
