--- a/acaciad/control/reported_test.go
+++ b/acaciad/control/reported_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -164,14 +165,18 @@
 	follow(reporter, store)
 	store.Restore(backup)
 	var failed atomic.Int64
-	store.SetFault(func(string, string) platformtest.Fault {
+	store.SetFault(func(method, _ string) platformtest.Fault {
+		if method != http.MethodPost {
+			return platformtest.NoFault
+		}
 		failed.Add(1)
 		return platformtest.Unavailable
 	})
-	reporter.HandleRestore(time.Now())
+	c.Assert(client.Ping(c.Context()), qt.IsNil)
 	for end := time.Now().Add(waitLimit); failed.Load() == 0; time.Sleep(time.Millisecond) {
 		c.Assert(time.Now().Before(end), qt.IsTrue)
 	}
+	c.Assert(store.Rows("acaciapath", "control"), qt.HasLen, 0)
 	store.SetFault(nil)
 	for end := time.Now().Add(waitLimit); len(store.Rows("acaciapath", "control")) == 0; time.Sleep(10 * time.Millisecond) {
 		c.Assert(time.Now().Before(end), qt.IsTrue)
