core/placement, acaciad: cold servers get no more than they tolerate from all daemons together

A server that is cold crashes well above coldPerS requests a second from all VMs. Each daemon now has a token bucket for each server (the one of the named limits), and a few daemons are its users, in its failure domain and one in each other. A server counts as cold by its entry, its answers, after a start and after a lost connection.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -125,6 +125,10 @@
 	d := &Daemon{settings: s, logger: logger, directory: directory.New(s.FailureDomain, s.ServerDrain, random)}
 	d.updater = newDirectoryUpdater(d.directory, logger)
 	d.peers = placement.Peers{VM: s.Name, FailureDomain: s.FailureDomain, Domains: len(s.Regions), LimitMemory: options.LimitMemory}
+	if !s.ColdStart {
+		d.peers.SettledAt = now.Add(neighbours.MaxReadInterval)
+	}
+	d.directory.ColdOvershoot, d.directory.ColdSlack = s.ColdOvershoot, s.ColdSlack
 	d.directory.SetPeers(d.peers, now)
 	d.draining, d.startDraining = context.WithCancel(context.Background())
 	d.streamsEnd, d.endStreams = context.WithCancel(context.Background())
--- a/acaciad/daemon/directory_updater.go
+++ b/acaciad/daemon/directory_updater.go
@@ -205,10 +205,16 @@
 		}
 	}
 	for _, change := range u.directory.SetServers(specs, now) {
-		u.logger.WithFields(logrus.Fields{
-			"service": change.Service, "added": change.Added, "removed": change.Removed,
-			"known": len(specs), "leaving": draining, "lapsed": len(u.heldUntil),
-		}).Info("backend servers changed")
+		if len(change.Added)+len(change.Removed) > 0 {
+			u.logger.WithFields(logrus.Fields{
+				"service": change.Service, "added": change.Added, "removed": change.Removed,
+				"known": len(specs), "leaving": draining, "lapsed": len(u.heldUntil),
+			}).Info("backend servers changed")
+		}
+		if len(change.Cold) > 0 {
+			u.logger.WithFields(logrus.Fields{"service": change.Service, "cold": len(change.Cold), "cold-for": change.Cold}).
+				Info("backend servers may be cold, sending them this daemon's part of what they tolerate")
+		}
 	}
 	u.updatePlans()
 }
--- a/acaciad/directory/collector.go
+++ b/acaciad/directory/collector.go
@@ -20,6 +20,8 @@
 		"Prompt tokens that this daemon sent and that are not read yet, by service.", []string{"service"}, nil)
 	descLimited = prometheus.NewDesc("acaciapath_limited_servers",
 		"Backend servers that name a limit of requests a second, by service.", []string{"service"}, nil)
+	descCold = prometheus.NewDesc("acaciapath_cold_servers",
+		"Backend servers that may be cold, which get a part of the requests that they tolerate, by service.", []string{"service"}, nil)
 	descRevision = prometheus.NewDesc("acaciapath_catalog_revision",
 		"Revision of the catalog in force.", nil, nil)
 )
@@ -36,7 +38,7 @@
 
 // Describe implements prometheus.Collector.
 func (d *Directory) Describe(descriptions chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{descServers, descRunning, descReading, descLimited, descRevision} {
+	for _, desc := range []*prometheus.Desc{descServers, descRunning, descReading, descLimited, descCold, descRevision} {
 		descriptions <- desc
 	}
 }
@@ -73,6 +75,7 @@
 		metrics <- prometheus.MustNewConstMetric(descRunning, prometheus.GaugeValue, float64(running), name)
 		metrics <- prometheus.MustNewConstMetric(descReading, prometheus.GaugeValue, float64(unreadTokens), name)
 		metrics <- prometheus.MustNewConstMetric(descLimited, prometheus.GaugeValue, float64(pool.Limited()), name)
+		metrics <- prometheus.MustNewConstMetric(descCold, prometheus.GaugeValue, float64(len(pool.ColdServers(now))), name)
 		for g, n := range groups {
 			metrics <- prometheus.MustNewConstMetric(descServers, prometheus.GaugeValue, float64(n), g.service, string(g.kind), g.state)
 		}
--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,9 @@
 type Directory struct {
 	// FailureDomain is the failure domain of the daemon.
 	FailureDomain string
+	// ColdOvershoot and ColdSlack state how many requests cold backend servers get within a
+	// second at most, as in platform.Settings. They must not change once it is used.
+	ColdOvershoot, ColdSlack float64
 
 	view atomic.Pointer[View]
 
@@ -88,6 +92,7 @@
 	d.view.Store(&View{Index: catalog.NewIndex(c), Since: now})
 	for name, pool := range d.pools {
 		pool.SetShares(d.laneShares(name))
+		pool.SetCold(d.coldLimit(name), now)
 	}
 	return true
 }
@@ -108,6 +113,9 @@
 	Service string
 	// Added and Removed are the names of the backend servers concerned.
 	Added, Removed []string
+	// Cold is for how long those that were not believed to be cold before may be cold, by
+	// name.
+	Cold map[string]time.Duration
 }
 
 // SetServers replaces the list of backend servers. It returns the changes by
@@ -124,15 +132,18 @@
 	}
 	for name := range byService {
 		if d.pools[name] == nil {
-			d.pools[name] = &placement.Pool{Shares: d.laneShares(name)}
+			d.pools[name] = &placement.Pool{Shares: d.laneShares(name), Cold: d.coldLimit(name)}
 			d.pools[name].SetPeers(d.peers, now)
 		}
 	}
 	var changes []Change
 	for name, pool := range d.pools {
+		known := pool.ColdServers(now)
 		added, removed := pool.Update(byService[name], now)
-		if len(added)+len(removed) > 0 {
-			changes = append(changes, Change{Service: name, Added: added, Removed: removed})
+		cold := pool.ColdServers(now)
+		maps.DeleteFunc(cold, func(server string, _ time.Duration) bool { return known[server] > 0 })
+		if len(added)+len(removed)+len(cold) > 0 {
+			changes = append(changes, Change{Service: name, Added: added, Removed: removed, Cold: cold})
 		}
 	}
 	d.drainStates.update(d.pools, d.defaultDrainTime, now)
--- a/acaciad/directory/reservation.go
+++ b/acaciad/directory/reservation.go
@@ -16,9 +16,11 @@
 const (
 	// Succeeded means that the answer was complete.
 	Succeeded Outcome = iota
-	// Failed means that the backend server could not be reached, failed the request or
-	// broke off the answer.
+	// Failed means that the backend server failed the request.
 	Failed
+	// Lost means that the backend server could not be reached or broke off the answer, so
+	// that it may have crashed.
+	Lost
 	// Rejected means that the backend server did not accept the request.
 	Rejected
 	// Misdirected means that a different server answered at the address.
@@ -101,7 +103,10 @@
 	r.server.EndRequest(now)
 	switch outcome {
 	case Succeeded:
-		r.server.RecordSuccess()
+		r.pool.RecordSuccess(r.server, now)
+	case Lost:
+		r.server.RecordFailure(now)
+		r.pool.LoseContact(r.server, now)
 	case Failed:
 		r.server.RecordFailure(now)
 	case Rejected:
--- a/acaciad/directory/statements.go
+++ b/acaciad/directory/statements.go
@@ -23,12 +23,15 @@
 // Hear records what a backend server says of itself in an answer. It holds for the instance,
 // whatever its entry says later.
 func (d *Directory) Hear(instance string, s platform.Statement, now time.Time) Heard {
-	if !s.Leaving && s.Pause <= 0 {
+	if s == (platform.Statement{}) {
 		return Heard{}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var heard Heard
+	if s.ColdFor > 0 {
+		d.hearColdLocked(instance, s.ColdFor, now)
+	}
 	if s.Pause > 0 {
 		pause := min(s.Pause, placement.MaxPause)
 		heard.Until = now.Add(pause + time.Duration(pauseJitterRatio*d.random.Float64()*float64(pause)))
--- a/acaciad/neighbours/registry.go
+++ b/acaciad/neighbours/registry.go
@@ -29,6 +29,8 @@
 	// hour.
 	readInterval      = 4 * time.Minute
 	smallReadInterval = time.Minute
+	// MaxReadInterval is the longest time between two reads that succeed.
+	MaxReadInterval = readInterval + readInterval/2
 	// minReadInterval is the least time between two reads that Refresh asks for.
 	minReadInterval = 8 * time.Second
 	// checkInterval is how often the registry checks whether a write or a read is due.
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -200,7 +200,11 @@
 		return mayHaveRun
 	}
 	if wait, limited := x.handler.Directory.ReturnTime(x.service, time.Now()); limited {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "servers-limited", retryAfter: max(wait, retryAfterFailure)}
+		reason := "servers-limited"
+		if x.handler.Directory.HasCold(x.service, time.Now()) {
+			reason = "servers-cold"
+		}
+		return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: max(wait, retryAfterFailure)}
 	}
 	if x.unreported || x.receiving && len(x.attempts) == 0 {
 		return noSuchVersion
@@ -270,7 +274,11 @@
 	case r == rejected:
 		reservation.Finish(directory.Rejected, time.Now())
 	case x.request.Context().Err() == nil && ctx.Err() == nil && x.outcome != outcomeCallerLeft:
-		reservation.Finish(directory.Failed, time.Now())
+		outcome := directory.Failed
+		if x.runProgress.lost {
+			outcome = directory.Lost
+		}
+		reservation.Finish(outcome, time.Now())
 	default:
 		reservation.Finish(directory.Neutral, time.Now())
 	}
@@ -287,7 +295,7 @@
 	a.result = r.String()
 	outcome := directory.Neutral
 	if ctx.Err() == nil {
-		outcome = directory.Failed
+		outcome = directory.Lost
 	}
 	reservation.Finish(outcome, time.Now())
 }
--- a/core/placement/availability.go
+++ b/core/placement/availability.go
@@ -39,6 +39,8 @@
 		return Paused
 	case p.isLimited(s, now):
 		return Limited
+	case s.IsCold(now) && s.cold.nextRequest(now) > 0:
+		return Cold
 	}
 	return Available
 }
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -71,6 +71,7 @@
 	nameHash uint64
 	// instance is Spec.Instance().
 	instance string
+	cold     coldState
 }
 
 // Pool holds the backend servers of one service.
@@ -82,10 +83,15 @@
 	// Peers are the daemons among which the limits of servers are divided. SetPeers sets
 	// them.
 	Peers Peers
+	// Cold is what the servers tolerate while they are cold, or nil if they are never cold.
+	// SetCold sets it.
+	Cold *ColdLimit
 
 	// ownHash and otherHashes are hashes of this daemon's VM and of the other members.
 	ownHash     uint64
 	otherHashes []uint64
+	// listed states that Update has been called.
+	listed bool
 	// returning is when the last caller that was refused because of limits was told to
 	// return.
 	returning time.Time
@@ -102,11 +108,13 @@
 	servers := make([]*Server, 0, len(specs))
 	for _, spec := range specs {
 		s := known[spec.Name]
+		old := s
 		if s == nil || s.Spec.Address != spec.Address || !s.Spec.StartedAt.Equal(spec.StartedAt) {
 			s = &Server{Replica: replica.New(spec), nameHash: rendezvous.Hash(spec.Name), instance: spec.Instance()}
 			added = append(added, spec.Name)
 		}
 		delete(known, spec.Name)
+		p.updateCold(s, old, spec, now)
 		s.Spec = spec
 		servers = append(servers, s)
 	}
@@ -115,9 +123,10 @@
 	}
 	slices.Sort(removed)
 	slices.SortFunc(servers, func(a, b *Server) int { return cmp.Compare(a.Spec.Name, b.Spec.Name) })
-	p.Servers = servers
+	p.Servers, p.listed = servers, true
 	p.assignLanes()
 	p.divideLimits(now)
+	p.divideCold(now)
 	return added, removed
 }
 
@@ -253,7 +262,7 @@
 // is chosen if no better one is left. A run that is moved with a copy of its KV cache
 // stays in its lane.
 func (p *Pool) Choose(requirements Requirements, now time.Time, random *rand.Rand) *Server {
-	prefixServer := p.prefixServer(requirements)
+	prefixServer := p.prefixServer(requirements, now)
 	var best *Server
 	bestCost := 0.0
 	for _, s := range p.Servers {
@@ -282,7 +291,7 @@
 // prefixServer returns the server that should cache the shared prefix of a
 // prompt, by rendezvous hashing, or nil if the prompt has no shared prefix or
 // the lane has no server. Requests with short pauses have none.
-func (p *Pool) prefixServer(requirements Requirements) *Server {
+func (p *Pool) prefixServer(requirements Requirements, now time.Time) *Server {
 	if requirements.SharedPrefixKey == 0 || requirements.Lane == ShortPauses {
 		return nil
 	}
@@ -292,6 +301,9 @@
 		if s.isExcluded() || s.Lane != requirements.Lane || requirements.OnlyVersion && s.Spec.Version != requirements.Version {
 			continue
 		}
+		if s.cold.share.rate == 0 && s.IsCold(now) {
+			continue // this daemon may not use it
+		}
 		if weight := rendezvous.Mix(s.nameHash ^ rendezvous.Mix(requirements.SharedPrefixKey)); prefixServer == nil || weight > highest {
 			prefixServer, highest = s, weight
 		}
@@ -321,6 +333,9 @@
 	if now.Before(s.FullUntil) {
 		c += fullServerTokens
 	}
+	if s.IsCold(now) {
+		c += coldServerTokens
+	}
 	if slices.Contains(requirements.FailedServers, s.Spec.Name) {
 		c += failedServerTokens
 	}
@@ -355,8 +370,9 @@
 	}
 	s.Replica.BeginRequest(keys, now)
 	if s.Limit != nil {
-		s.Limit.tokens = max(s.Limit.tokens-1, 0)
+		s.Limit.take()
 	}
+	s.cold.beginRequest(now)
 	s.PendingPromptTokens += requirements.PromptTokens + int(copyCostRatio*float64(requirements.CopiedKVTokens))
 }
 
--- a/core/placement/rate_limit.go
+++ b/core/placement/rate_limit.go
@@ -13,6 +13,8 @@
 	VM, FailureDomain string
 	// Members are the VMs of the failure domain, or nil if they are not known.
 	Members []string
+	// SettledAt is when the other daemons know this one, at the latest.
+	SettledAt time.Time
 	// Daemons is the number of daemons in all failure domains, and Domains that of
 	// failure domains. Either is 0 if it is not known.
 	Daemons, Domains int
@@ -52,12 +54,7 @@
 	// NamedAt is when it was last named.
 	NamedAt time.Time
 
-	// rate and capacity are those of this daemon's bucket, in tokens a second and tokens.
-	// They are 0 if the daemon has no part of the limit.
-	rate, capacity float64
-	// 0 ≤ tokens ≤ capacity.
-	tokens  float64
-	updated time.Time
+	bucket
 }
 
 const (
@@ -69,35 +66,6 @@
 	savedRequests = 2
 )
 
-// divide sets the part of one of users daemons, which together may save a number of
-// requests, or no part if users is 0.
-func (l *RateLimit) divide(perSecond, saved float64, users int) {
-	l.rate, l.capacity = 0, 0
-	if users > 0 {
-		l.rate = perSecond / float64(users)
-		l.capacity = max(1, saved/float64(users))
-	}
-	l.tokens = min(l.tokens, l.capacity)
-}
-
-// refill adds the tokens of the time since the last call.
-func (l *RateLimit) refill(now time.Time) {
-	if elapsed := now.Sub(l.updated); elapsed > 0 {
-		l.tokens = min(l.tokens+l.rate*elapsed.Seconds(), l.capacity)
-	}
-	l.updated = now
-}
-
-// nextToken returns the time until the daemon may send a request to the server, or false if
-// it has no part of the limit.
-func (l *RateLimit) nextToken(now time.Time) (time.Duration, bool) {
-	l.refill(now)
-	if l.rate <= 0 {
-		return 0, false
-	}
-	return time.Duration(max(1-l.tokens, 0) / l.rate * float64(time.Second)), true
-}
-
 // isLimited reports whether the daemon may send no request to a server at present,
 // because of its limit.
 func (p *Pool) isLimited(s *Server, now time.Time) bool {
@@ -127,7 +95,7 @@
 // the limit is new or changed.
 func (p *Pool) SetLimit(s *Server, perSecond float64, now time.Time) bool {
 	if s.Limit == nil {
-		s.Limit = &RateLimit{PerSecond: -1, updated: now}
+		s.Limit = &RateLimit{PerSecond: -1, bucket: bucket{updated: now}}
 	}
 	s.Limit.NamedAt = now
 	if s.Limit.PerSecond == perSecond {
@@ -148,6 +116,7 @@
 		}
 	}
 	p.divideLimits(now)
+	p.divideCold(now)
 }
 
 // servedDomains returns the failure domains that have servers.
@@ -207,7 +176,7 @@
 }
 
 // maxReturnTime is the longest time after which a caller is told to return because of
-// limits and pauses.
+// limits, pauses and cold servers.
 const maxReturnTime = 10 * time.Second
 
 // pausedReturnRate is the rate at which callers are told to return to each server after its
@@ -215,7 +184,7 @@
 const pausedReturnRate = 20
 
 // ReturnTime returns when a caller that is refused now should return because the limits of
-// the servers are used up or they are in a pause, or false if that does not explain that
+// the servers are used up, or they are in a pause or cold, or false if that does not explain that
 // there is no server. Callers are told to return one after the other, at the rate of the
 // limits.
 func (p *Pool) ReturnTime(now time.Time) (time.Duration, bool) {
@@ -232,6 +201,9 @@
 			if d, ok := s.Limit.nextToken(now); ok {
 				wait, rate = min(wait, d), rate+s.Limit.rate
 			}
+		case Cold:
+			explained = true
+			wait, rate = min(wait, s.cold.nextRequest(now)), rate+s.cold.share.rate
 		}
 	}
 	if !explained {
