--- a/acaciad/directory/reservation.go
+++ b/acaciad/directory/reservation.go
@@ -16,11 +16,9 @@
 const (
 	// Succeeded means that the answer was complete.
 	Succeeded Outcome = iota
-	// Failed means that the backend server failed the request.
+	// Failed means that the backend server could not be reached, failed the request or
+	// broke off the answer.
 	Failed
-	// Lost means that the backend server could not be reached or broke off the answer, so
-	// that it may have crashed.
-	Lost
 	// Rejected means that the backend server did not accept the request.
 	Rejected
 	// Misdirected means that a different server answered at the address.
@@ -94,6 +92,15 @@
 	return r.server.EndLimit(sent)
 }
 
+// LoseContact records that the backend server could not be reached or broke off the answer.
+// It returns the number of servers that may be cold because of that, and were not believed to
+// be cold before.
+func (r *Reservation) LoseContact(now time.Time) int {
+	r.directory.mu.Lock()
+	defer r.directory.mu.Unlock()
+	return r.pool.LoseContact(r.server, now)
+}
+
 // Finish releases the reservation and records the outcome. It may be called without
 // MarkPromptRead.
 func (r *Reservation) Finish(outcome Outcome, now time.Time) {
@@ -104,9 +111,6 @@
 	switch outcome {
 	case Succeeded:
 		r.pool.RecordSuccess(r.server, now)
-	case Lost:
-		r.server.RecordFailure(now)
-		r.pool.LoseContact(r.server, now)
 	case Failed:
 		r.server.RecordFailure(now)
 	case Rejected:
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -274,11 +274,10 @@
 	case r == rejected:
 		reservation.Finish(directory.Rejected, time.Now())
 	case x.request.Context().Err() == nil && ctx.Err() == nil && x.outcome != outcomeCallerLeft:
-		outcome := directory.Failed
 		if x.runProgress.lost {
-			outcome = directory.Lost
+			x.loseContact(reservation)
 		}
-		reservation.Finish(outcome, time.Now())
+		reservation.Finish(directory.Failed, time.Now())
 	default:
 		reservation.Finish(directory.Neutral, time.Now())
 	}
@@ -295,11 +294,23 @@
 	a.result = r.String()
 	outcome := directory.Neutral
 	if ctx.Err() == nil {
-		outcome = directory.Lost
+		outcome = directory.Failed
+	}
+	if x.request.Context().Err() == nil && x.handler.Ending.Err() == nil {
+		x.loseContact(reservation)
 	}
 	reservation.Finish(outcome, time.Now())
 }
 
+// loseContact records that the backend server of a reservation could not be reached or broke
+// off its answer.
+func (x *exchange) loseContact(reservation *directory.Reservation) {
+	if n := reservation.LoseContact(time.Now()); n > 0 {
+		x.handler.Logger.WithFields(logrus.Fields{"backend-server": reservation.Spec.Instance(), "failure-domain": reservation.Spec.FailureDomain, "servers": n}).
+			Info("connection to a backend server was lost, servers may come back cold")
+	}
+}
+
 // send sends the request. It returns the response, or nil and how the attempt
 // failed.
 func (x *exchange) send(ctx context.Context, reservation *directory.Reservation) (*http.Response, result) {
--- a/core/placement/cold.go
+++ b/core/placement/cold.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -30,6 +31,9 @@
 	// maxColdRate is the rate at which a user's requests are more than a second apart, in
 	// requests a second.
 	maxColdRate = 0.95
+	// domainLosses is the number of servers of a failure domain that are lost, without an
+	// answer of another one, from which all may have crashed.
+	domainLosses = 2
 	// entryLapse is the time after which the entry of a server that crashed has changed or
 	// lapsed, and this has been read.
 	entryLapse = 5 * time.Second
@@ -135,33 +139,59 @@
 }
 
 // LoseContact records that a connection to the server failed or was lost. The server may
-// have crashed, and come back cold before its entry says so. It reports whether it was not
-// believed to be cold before.
-func (p *Pool) LoseContact(s *Server, now time.Time) bool {
+// have crashed, and come back cold before its entry says so. If several servers of a failure
+// domain are lost and none answers meanwhile, all may have crashed. It returns the number of
+// servers that were not believed to be cold before.
+func (p *Pool) LoseContact(s *Server, now time.Time) int {
 	if p.Cold == nil {
-		return false
+		return 0
+	}
+	domain := s.Spec.FailureDomain
+	if p.lost[domain] == nil {
+		if p.lost == nil {
+			p.lost = make(map[string]map[string]time.Time)
+		}
+		p.lost[domain] = make(map[string]time.Time)
+	}
+	lost := p.lost[domain]
+	lost[s.Spec.Name] = now
+	maps.DeleteFunc(lost, func(_ string, at time.Time) bool { return now.Sub(at) > entryLapse })
+	if len(lost) < domainLosses {
+		return p.suspect(s, now)
 	}
-	changed := !s.IsCold(now)
+	n := 0
+	for _, other := range p.Servers {
+		if other.Spec.FailureDomain == domain {
+			n += p.suspect(other, now)
+		}
+	}
+	return n
+}
+
+// suspect records that the server may have crashed. It returns 1 if it was not believed to
+// be cold before, or else 0.
+func (p *Pool) suspect(s *Server, now time.Time) int {
+	cold := s.IsCold(now)
 	s.cold.lostAt, s.cold.suspectUntil = now, now.Add(entryLapse+p.Cold.Duration)
-	return changed
+	if cold {
+		return 0
+	}
+	return 1
 }
 
-// recordContact records that the server answered. If it had crashed, it has started by now.
-func (p *Pool) recordContact(s *Server, now time.Time) {
+// RecordSuccess records that the server answered a request. If it had crashed, it has
+// started by now.
+func (p *Pool) RecordSuccess(s *Server, now time.Time) {
+	s.Replica.RecordSuccess()
 	if p.Cold == nil {
 		return
 	}
+	delete(p.lost, s.Spec.FailureDomain)
 	if until := now.Add(p.Cold.Duration); until.Before(s.cold.suspectUntil) {
 		s.cold.suspectUntil = until
 	}
 }
 
-// RecordSuccess records that the server answered a request.
-func (p *Pool) RecordSuccess(s *Server, now time.Time) {
-	s.Replica.RecordSuccess()
-	p.recordContact(s, now)
-}
-
 // updateCold applies the entry spec of s. old is the server that the pool has under the same
 // name, which is s itself if it is the same instance, or nil if there is none.
 func (p *Pool) updateCold(s, old *Server, spec replica.Spec, now time.Time) {
@@ -257,6 +287,6 @@
 	return cold
 }
 
-// coldServerTokens is the cost of a server that may be cold. A server is slow for some
-// seconds after its start.
-const coldServerTokens = 3000
+// coldServerTokens is the cost of a server that may be cold, which is slow for some seconds
+// after its start. It is less than that of another failure domain, so that servers warm up.
+const coldServerTokens = 500
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -92,6 +92,9 @@
 	otherHashes []uint64
 	// listed states that Update has been called.
 	listed bool
+	// lost has the servers whose connections were lost, by failure domain and name, until a
+	// server of the domain answers.
+	lost map[string]map[string]time.Time
 	// returning is when the last caller that was refused because of limits was told to
 	// return.
 	returning time.Time
