--- a/acaciad/daemon/daemon_test.go
+++ b/acaciad/daemon/daemon_test.go
@@ -131,6 +131,7 @@
 		ReportsUsage: true, OrdersServers: true, MemoryBytes: 1 << 30,
 		ShutdownGrace: 8 * time.Second, LeaseDuration: time.Second, UsageWindow: time.Second, UsageDeadline: 4 * time.Second,
 		RetryBudgetRatio: 0.2, RetryBudgetExtra: 20, ReconnectTime: time.Second, ServerDrain: 2500 * time.Millisecond,
+		ColdOvershoot: 1.5, ColdSlack: 3,
 	}
 }
 
