--- a/acaciad/daemon/directory_updater.go
+++ b/acaciad/daemon/directory_updater.go
@@ -212,7 +212,7 @@
 			}).Info("backend servers changed")
 		}
 		if len(change.Cold) > 0 {
-			u.logger.WithFields(logrus.Fields{"service": change.Service, "cold": len(change.Cold), "cold-for": change.Cold}).
+			u.logger.WithFields(logrus.Fields{"service": change.Service, "cold": change.Cold, "longest-ms": change.LongestCold.Milliseconds()}).
 				Info("backend servers may be cold, sending them this daemon's part of what they tolerate")
 		}
 	}
--- a/acaciad/directory/cold.go
+++ b/acaciad/directory/cold.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"slices"
 	"time"
 
 	"acaciapath.example/core/placement"
@@ -42,3 +43,14 @@
 		}
 	}
 }
+
+// setCold sets the servers that may be cold now and were not before, from those known before
+// and those known now.
+func (c *Change) setCold(before, now map[string]time.Duration) {
+	for name, left := range now {
+		if _, known := before[name]; !known {
+			c.Cold, c.LongestCold = append(c.Cold, name), max(c.LongestCold, left)
+		}
+	}
+	slices.Sort(c.Cold)
+}
--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -113,9 +112,10 @@
 	Service string
 	// Added and Removed are the names of the backend servers concerned.
 	Added, Removed []string
-	// Cold is for how long those that were not believed to be cold before may be cold, by
-	// name.
-	Cold map[string]time.Duration
+	// Cold are the names of those that may be cold now and were not believed to be before, and
+	// LongestCold is the longest time for which one of them may be.
+	Cold        []string
+	LongestCold time.Duration
 }
 
 // SetServers replaces the list of backend servers. It returns the changes by
@@ -140,10 +140,10 @@
 	for name, pool := range d.pools {
 		known := pool.ColdServers(now)
 		added, removed := pool.Update(byService[name], now)
-		cold := pool.ColdServers(now)
-		maps.DeleteFunc(cold, func(server string, _ time.Duration) bool { return known[server] > 0 })
-		if len(added)+len(removed)+len(cold) > 0 {
-			changes = append(changes, Change{Service: name, Added: added, Removed: removed, Cold: cold})
+		change := Change{Service: name, Added: added, Removed: removed}
+		change.setCold(known, pool.ColdServers(now))
+		if len(added)+len(removed)+len(change.Cold) > 0 {
+			changes = append(changes, change)
 		}
 	}
 	d.drainStates.update(d.pools, d.defaultDrainTime, now)
