--- a/acaciad/directory/reservation.go
+++ b/acaciad/directory/reservation.go
@@ -60,6 +60,7 @@
 func (r *Reservation) MarkPromptRead(now time.Time) {
 	r.directory.mu.Lock()
 	defer r.directory.mu.Unlock()
+	r.pool.RecordAnswer(r.server)
 	r.markPromptReadLocked(now)
 }
 
--- a/core/placement/cold.go
+++ b/core/placement/cold.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"acaciapath.example/core/rendezvous"
@@ -32,8 +33,10 @@
 	// requests a second.
 	maxColdRate = 0.95
 	// domainLosses is the number of servers of a failure domain that are lost, without an
-	// answer of another one, from which all may have crashed.
-	domainLosses = 2
+	// answer of another one, from which all may have crashed. They may have if requests run on
+	// others, once none has answered for domainSilence.
+	domainLosses  = 2
+	domainSilence = 500 * time.Millisecond
 	// entryLapse is the time after which the entry of a server that crashed has changed or
 	// lapsed, and this has been read.
 	entryLapse = 5 * time.Second
@@ -139,33 +142,53 @@
 }
 
 // LoseContact records that a connection to the server failed or was lost. The server may
-// have crashed, and come back cold before its entry says so. If several servers of a failure
-// domain are lost and none answers meanwhile, all may have crashed. It returns the number of
-// servers that were not believed to be cold before.
+// have crashed, and come back cold before its entry says so, and so may all servers of its
+// failure domain. It returns the number of servers that were not believed to be cold before.
 func (p *Pool) LoseContact(s *Server, now time.Time) int {
 	if p.Cold == nil {
 		return 0
 	}
+	n := p.suspect(s, now)
+	if !p.isDomainLost(s, now) {
+		return n
+	}
+	for _, other := range p.Servers {
+		if other != s && other.Spec.FailureDomain == s.Spec.FailureDomain {
+			n += p.suspect(other, now)
+		}
+	}
+	return n
+}
+
+// isDomainLost records that the server was lost, and reports whether all servers of its
+// failure domain may have crashed: several are lost, and nothing runs on the others, or none
+// has answered for some time.
+func (p *Pool) isDomainLost(s *Server, now time.Time) bool {
 	domain := s.Spec.FailureDomain
-	if p.lost[domain] == nil {
+	lost := p.lost[domain]
+	maps.DeleteFunc(lost, func(_ string, at time.Time) bool { return now.Sub(at) > entryLapse })
+	if lost == nil {
+		lost = make(map[string]time.Time)
 		if p.lost == nil {
 			p.lost = make(map[string]map[string]time.Time)
 		}
-		p.lost[domain] = make(map[string]time.Time)
+		p.lost[domain] = lost
+	}
+	if _, known := lost[s.Spec.Name]; !known {
+		lost[s.Spec.Name] = now
 	}
-	lost := p.lost[domain]
-	lost[s.Spec.Name] = now
-	maps.DeleteFunc(lost, func(_ string, at time.Time) bool { return now.Sub(at) > entryLapse })
 	if len(lost) < domainLosses {
-		return p.suspect(s, now)
+		return false
 	}
-	n := 0
-	for _, other := range p.Servers {
-		if other.Spec.FailureDomain == domain {
-			n += p.suspect(other, now)
+	for _, at := range lost {
+		if now.Sub(at) >= domainSilence {
+			return true
 		}
 	}
-	return n
+	return !slices.ContainsFunc(p.Servers, func(other *Server) bool {
+		_, isLost := lost[other.Spec.Name]
+		return other.Spec.FailureDomain == domain && other.Running > 0 && !isLost
+	})
 }
 
 // suspect records that the server may have crashed. It returns 1 if it was not believed to
@@ -186,12 +209,15 @@
 	if p.Cold == nil {
 		return
 	}
-	delete(p.lost, s.Spec.FailureDomain)
+	p.RecordAnswer(s)
 	if until := now.Add(p.Cold.Duration); until.Before(s.cold.suspectUntil) {
 		s.cold.suspectUntil = until
 	}
 }
 
+// RecordAnswer records that the server has begun to answer a request.
+func (p *Pool) RecordAnswer(s *Server) { delete(p.lost, s.Spec.FailureDomain) }
+
 // updateCold applies the entry spec of s. old is the server that the pool has under the same
 // name, which is s itself if it is the same instance, or nil if there is none.
 func (p *Pool) updateCold(s, old *Server, spec replica.Spec, now time.Time) {
--- a/core/placement/cold_belief_test.go
+++ b/core/placement/cold_belief_test.go
@@ -82,22 +82,37 @@
 	}
 }
 
-// TestDomainIsLost loses two servers of a failure domain, without an answer meanwhile or with
-// one.
+// TestDomainIsLost loses two servers of a failure domain. Another one of the domain may be
+// cold too, unless it answers meanwhile or a request ran there a short time ago.
 func TestDomainIsLost(t *testing.T) {
-	c := qt.New(t)
 	start := time.Date(2026, 12, 6, 0, 0, 0, 0, time.UTC)
-	for _, answer := range []bool{false, true} {
-		p, specs := coldPool(start)
-		p.Update(append(specs, replica.Spec{Name: "c", FailureDomain: "z", ColdFor: 1}, replica.Spec{Name: "d", FailureDomain: "y"}), start)
-		later := start.Add(10 * time.Second)
-		c.Check(p.LoseContact(p.Servers[0], later), qt.Equals, 1)
-		if answer {
-			p.RecordSuccess(p.Servers[2], later)
-		}
-		p.LoseContact(p.Servers[1], later)
-		c.Check(p.Servers[2].IsCold(later), qt.Equals, !answer)
-		c.Check(p.Servers[3].IsCold(later), qt.IsFalse)
+	for name, test := range map[string]struct {
+		runs, answers bool
+		between       time.Duration
+		want          bool
+	}{
+		"both at once":                   {want: true},
+		"another one answers":            {answers: true},
+		"a request runs on another one":  {runs: true, between: 100 * time.Millisecond},
+		"it has not answered for a time": {runs: true, between: time.Second, want: true},
+		"long apart":                     {between: time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p, specs := coldPool(start)
+			p.Update(append(specs, replica.Spec{Name: "c", FailureDomain: "z"}, replica.Spec{Name: "d", FailureDomain: "y"}), start)
+			if now := start.Add(10 * time.Second); test.runs {
+				p.Servers[2].BeginRequest(placement.Requirements{}, now)
+			}
+			c.Check(p.LoseContact(p.Servers[0], start.Add(10*time.Second)), qt.Equals, 1)
+			if test.answers {
+				p.RecordAnswer(p.Servers[2])
+			}
+			now := start.Add(10*time.Second + test.between)
+			p.LoseContact(p.Servers[1], now)
+			c.Check(p.Servers[2].IsCold(now), qt.Equals, test.want)
+			c.Check(p.Servers[3].IsCold(now), qt.IsFalse)
+		})
 	}
 }
 
--- a/core/placement/cold_test.go
+++ b/core/placement/cold_test.go
@@ -190,18 +190,19 @@
 
 // coldPlays are what befalls services whose servers are cold when they come back.
 var coldPlays = map[string]coldPlay{
-	"a zone is back":                  {domains: 6, vms: 11, servers: 23, servedDomains: 6, down: 4500 * time.Millisecond, requestRate: 390},
-	"before its entries lapse":        {domains: 6, vms: 11, servers: 23, servedDomains: 6, down: 2 * time.Second, sameInstance: true, requestRate: 390},
-	"in a burst":                      {domains: 6, vms: 11, servers: 23, servedDomains: 6, down: 2 * time.Second, requestRate: 660},
-	"dark":                            {domains: 6, vms: 11, servers: 23, servedDomains: 6, down: 2 * time.Second, dark: true, requestRate: 660},
-	"a third cut off":                 {domains: 6, vms: 11, servers: 23, servedDomains: 6, down: 4500 * time.Millisecond, requestRate: 390, cutOff: 0.34},
-	"a third cut off, others gone":    {domains: 6, vms: 11, servers: 23, servedDomains: 6, down: 2 * time.Second, requestRate: 390, cutOff: 0.34, gone: 0.3},
-	"others not known":                {domains: 6, vms: 11, servers: 23, servedDomains: 6, down: 4500 * time.Millisecond, requestRate: 390, unknown: 2},
-	"only cold ones are left":         {domains: 6, vms: 11, servers: 23, servedDomains: 1, down: 4500 * time.Millisecond, requestRate: 390},
-	"only cold ones, a third cut off": {domains: 6, vms: 11, servers: 23, servedDomains: 1, down: 2 * time.Second, requestRate: 390, cutOff: 0.34},
-	"hundreds":                        {domains: 6, vms: 62, servers: 60, servedDomains: 6, down: 4500 * time.Millisecond, requestRate: 1000, cutOff: 0.34, unknown: 5},
-	"hundreds, only cold ones":        {domains: 6, vms: 62, servers: 60, servedDomains: 1, down: 2 * time.Second, dark: true, requestRate: 1500, cutOff: 0.34},
-	"one daemon":                      {domains: 1, vms: 1, servers: 6, servedDomains: 1, down: 3 * time.Second, requestRate: 200},
+	"a zone is back":                   {domains: 6, vms: 11, servers: 23, servedDomains: 6, down: 4500 * time.Millisecond, requestRate: 390},
+	"before its entries lapse":         {domains: 6, vms: 11, servers: 23, servedDomains: 6, down: 2 * time.Second, sameInstance: true, requestRate: 390},
+	"in a burst":                       {domains: 6, vms: 11, servers: 23, servedDomains: 6, down: 2 * time.Second, requestRate: 660},
+	"dark":                             {domains: 6, vms: 11, servers: 23, servedDomains: 6, down: 2 * time.Second, dark: true, requestRate: 660},
+	"a third cut off":                  {domains: 6, vms: 11, servers: 23, servedDomains: 6, down: 4500 * time.Millisecond, requestRate: 390, cutOff: 0.34},
+	"a third cut off, others gone":     {domains: 6, vms: 11, servers: 23, servedDomains: 6, down: 2 * time.Second, requestRate: 390, cutOff: 0.34, gone: 0.3},
+	"others not known":                 {domains: 6, vms: 11, servers: 23, servedDomains: 6, down: 4500 * time.Millisecond, requestRate: 390, unknown: 2},
+	"only cold ones are left":          {domains: 6, vms: 11, servers: 23, servedDomains: 1, down: 4500 * time.Millisecond, requestRate: 390},
+	"only cold ones, a third cut off":  {domains: 6, vms: 11, servers: 23, servedDomains: 1, down: 2 * time.Second, requestRate: 390, cutOff: 0.34},
+	"only cold ones, others not known": {domains: 6, vms: 11, servers: 23, servedDomains: 1, down: 4500 * time.Millisecond, requestRate: 390, unknown: 2},
+	"hundreds":                         {domains: 6, vms: 62, servers: 60, servedDomains: 6, down: 4500 * time.Millisecond, requestRate: 1000, cutOff: 0.34, unknown: 5},
+	"hundreds, only cold ones":         {domains: 6, vms: 62, servers: 60, servedDomains: 1, down: 2 * time.Second, dark: true, requestRate: 1500, cutOff: 0.34},
+	"one daemon":                       {domains: 1, vms: 1, servers: 6, servedDomains: 1, down: 3 * time.Second, requestRate: 200},
 }
 
 // mostWithinSecond returns the largest number of requests that reached a server within a
