standin/loopback: stand-ins of tests listen on an address of their process

Stand-ins listened on ephemeral ports of 127.0.0.1; daemons of one test process went on calling a stand-in that had closed, whose port the system had given to a stand-in of another process. Change: each process listens on its own address of 127.0.0.0/8, so that its ports are never those of another process, whatever the daemons still call. That no stray request arrives any more follows from the addresses; the fault itself was seen only once each and not reproduced here.

--- a/acaciad/daemon/crashing_part_test.go
+++ b/acaciad/daemon/crashing_part_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"acaciapath.example/platform/platformtest"
+	"acaciapath.example/standin/loopback"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -71,7 +72,7 @@
 			})
 		})
 	}
-	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server = loopback.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.serve(w, r, id, crash)
 	}))
 	f.Cleanup(server.CloseClientConnections)
--- a/acaciad/daemon/crashing_request_test.go
+++ b/acaciad/daemon/crashing_request_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"acaciapath.example/platform/platformtest"
+	"acaciapath.example/standin/loopback"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -55,7 +56,7 @@
 			})
 		})
 	}
-	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serve(w, r, id, crash) }))
+	server = loopback.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serve(w, r, id, crash) }))
 	f.Cleanup(server.CloseClientConnections)
 	service := "shop"
 	if f.streams {
--- a/acaciad/daemon/endless_answers_test.go
+++ b/acaciad/daemon/endless_answers_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"acaciapath.example/platform/platformtest"
+	"acaciapath.example/standin/loopback"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -24,7 +25,7 @@
 // startEndlessServer starts a backend server that sends a prefix in answer to each request, and
 // then bytes without end until the connection is closed. It returns its address.
 func startEndlessServer(c *qt.C, prefix, repeat string) string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := loopback.Listen()
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = listener.Close() })
 	serve := func(connection net.Conn) {
--- a/acaciad/daemon/feed_test.go
+++ b/acaciad/daemon/feed_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"net/http/httputil"
 	"net/url"
 	"sync/atomic"
@@ -15,6 +14,7 @@
 	"acaciapath.example/core/follow"
 	"acaciapath.example/platform"
 	"acaciapath.example/platform/platformtest"
+	"acaciapath.example/standin/loopback"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
@@ -108,7 +108,7 @@
 	store.Write(platform.TableServers, "first", nil)
 	var delay atomic.Int64
 	target := &url.URL{Scheme: "http", Host: store.Address()}
-	link := httptest.NewServer(&httputil.ReverseProxy{
+	link := loopback.NewServer(&httputil.ReverseProxy{
 		Rewrite: func(r *httputil.ProxyRequest) { r.SetURL(target) },
 		ModifyResponse: func(*http.Response) error {
 			time.Sleep(time.Duration(delay.Load()))
--- a/acaciad/daemon/follow_test.go
+++ b/acaciad/daemon/follow_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -16,6 +15,7 @@
 	"acaciapath.example/core/follow"
 	"acaciapath.example/platform"
 	"acaciapath.example/platform/platformtest"
+	"acaciapath.example/standin/loopback"
 	"acaciapath.example/standin/relay"
 
 	qt "github.com/frankban/quicktest"
@@ -72,7 +72,7 @@
 
 // link returns a link to an address.
 func (d *domain) link(target string) *relay.Relay {
-	l, err := relay.New("127.0.0.1:0")
+	l, err := relay.New(loopback.IP().String() + ":0")
 	d.Assert(err, qt.IsNil)
 	l.SetTarget(target)
 	d.Cleanup(func() { _ = l.Close() })
@@ -95,7 +95,7 @@
 		v.restored++
 	}
 	v.feed = f
-	server := httptest.NewServer(&reader.Handler{Publishers: map[string]*reader.Publisher{platform.TableServers: f.publisher}, Logger: logger})
+	server := loopback.NewServer(&reader.Handler{Publishers: map[string]*reader.Publisher{platform.TableServers: f.publisher}, Logger: logger})
 	d.Cleanup(server.Close)
 	d.Cleanup(server.CloseClientConnections)
 	v.peersLink = d.link(strings.TrimPrefix(server.URL, "http://"))
@@ -360,7 +360,7 @@
 // does not answer. It must notice that, and still apply the rows that the reader has.
 func TestReaderWithoutStoreTellsItsRows(t *testing.T) {
 	c := qt.New(t)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := loopback.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.WriteString(w, `{"version":5,"snapshot":true,"failing":true,"rows":[{"key":"a","version":4}]}`+"\n")
 		w.(http.Flusher).Flush()
 		<-r.Context().Done()
--- a/acaciad/daemon/server_limit_test.go
+++ b/acaciad/daemon/server_limit_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -12,6 +11,7 @@
 	"time"
 
 	"acaciapath.example/platform/platformtest"
+	"acaciapath.example/standin/loopback"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -63,7 +63,7 @@
 // startLimitedEngine starts an engine that streams 4 events, and lists it.
 func (d *deployment) startLimitedEngine(id string) *limitedEngine {
 	e := &limitedEngine{}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := loopback.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.mu.Lock()
 		e.arrivals = append(e.arrivals, time.Now())
 		limit := e.limit
--- a/acaciad/daemon/stream_version_test.go
+++ b/acaciad/daemon/stream_version_test.go
@@ -17,6 +17,7 @@
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/platform"
 	"acaciapath.example/platform/platformtest"
+	"acaciapath.example/standin/loopback"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -58,7 +59,7 @@
 
 // startEngine starts an engine of a version and lists it.
 func (f *versionedFleet) startEngine(id, version string) {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := loopback.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h := w.Header()
 		h.Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 		if r.Header.Get("X-Expected-Replica") != id {
--- a/acaciad/neighbours/collector_test.go
+++ b/acaciad/neighbours/collector_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +17,7 @@
 	"acaciapath.example/core/platformapi"
 	"acaciapath.example/platform"
 	"acaciapath.example/platform/platformtest"
+	"acaciapath.example/standin/loopback"
 	"acaciapath.example/standin/relay"
 
 	qt "github.com/frankban/quicktest"
@@ -49,11 +49,11 @@
 	done := make(chan struct{})
 	go func() { defer close(done); collector.Run(ctx) }()
 	g.Cleanup(func() { cancel(); <-done })
-	server := httptest.NewServer(&neighbours.Relay{
+	server := loopback.NewServer(&neighbours.Relay{
 		Allowed: platform.IsStoreCall, Headers: []string{platform.HeaderEpoch}, StoreUnreachable: func() bool { return false }, Collector: collector, Logger: logger,
 	})
 	g.Cleanup(server.Close)
-	link, err := relay.New("127.0.0.1:0")
+	link, err := relay.New(loopback.IP().String() + ":0")
 	g.Assert(err, qt.IsNil)
 	g.Cleanup(func() { _ = link.Close() })
 	link.SetTarget(strings.TrimPrefix(server.URL, "http://"))
--- a/acaciad/neighbours/neighbours_test.go
+++ b/acaciad/neighbours/neighbours_test.go
@@ -18,6 +18,7 @@
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/platform"
 	"acaciapath.example/platform/platformtest"
+	"acaciapath.example/standin/loopback"
 	"acaciapath.example/standin/relay"
 
 	qt "github.com/frankban/quicktest"
@@ -46,7 +47,7 @@
 func newPair(t *testing.T) *pair {
 	p := &pair{C: qt.New(t), store: platformtest.NewStore()}
 	p.Cleanup(p.store.Close)
-	link, err := relay.New("127.0.0.1:0")
+	link, err := relay.New(loopback.IP().String() + ":0")
 	p.Assert(err, qt.IsNil)
 	p.Cleanup(func() { _ = link.Close() })
 	link.SetTarget(p.store.Address())
@@ -56,7 +57,7 @@
 	p.transport = neighbours.NewTransport(platform.NewStoreTransport(), "z", neighbours.NewMetrics(prometheus.NewRegistry()), logger, rand.New(rand.NewPCG(1, 2)))
 	p.client = platform.NewStore(link.Address(), timeout, p.transport)
 	p.directClient = platform.NewStore(link.Address(), timeout, p.transport.Direct())
-	p.neighbour = httptest.NewServer(&neighbours.Relay{
+	p.neighbour = loopback.NewServer(&neighbours.Relay{
 		StoreAddress: p.store.Address(), Allowed: platform.IsStoreCall, Headers: []string{platform.HeaderEpoch}, StoreUnreachable: p.secondCutOff.Load,
 		Base: platform.NewStoreTransport(), Logger: logger,
 	})
@@ -127,7 +128,7 @@
 // for its timeout.
 func TestHeldReadOfNeighbourThatIsCutOff(t *testing.T) {
 	p := newPair(t)
-	link, err := relay.New("127.0.0.1:0")
+	link, err := relay.New(loopback.IP().String() + ":0")
 	p.Assert(err, qt.IsNil)
 	p.Cleanup(func() { _ = link.Close() })
 	link.SetTarget(strings.TrimPrefix(p.neighbour.URL, "http://"))
@@ -156,7 +157,7 @@
 // not execute them, even a write may be sent through the neighbour at once.
 func TestRefusedDaemonUsesNeighbour(t *testing.T) {
 	p := newPair(t)
-	refusing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	refusing := loopback.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	p.Cleanup(refusing.Close)
@@ -250,7 +251,7 @@
 			return err
 		},
 	}
-	second := httptest.NewServer(&neighbours.Relay{
+	second := loopback.NewServer(&neighbours.Relay{
 		StoreAddress: p.store.Address(), Allowed: platform.IsStoreCall, Headers: []string{platform.HeaderEpoch}, StoreUnreachable: func() bool { return true },
 		Base: platform.NewStoreTransport(), Queue: queue, Logger: logger,
 	})
@@ -297,7 +298,7 @@
 	unreachable := func(context.Context, string, []byte) (int, error) { return 0, io.ErrUnexpectedEOF }
 	var shuttingDown atomic.Bool
 	queue := &neighbours.WriteQueue{Send: unreachable, TTL: time.Minute, ShuttingDown: shuttingDown.Load, Logger: logger}
-	server := httptest.NewServer(&neighbours.Relay{
+	server := loopback.NewServer(&neighbours.Relay{
 		Allowed: platform.IsStoreCall, Headers: []string{platform.HeaderEpoch}, StoreUnreachable: func() bool { return true }, Queue: queue, Logger: logger,
 	})
 	c.Cleanup(server.Close)
--- a/acaciad/neighbours/registry_test.go
+++ b/acaciad/neighbours/registry_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -16,6 +15,7 @@
 	"acaciapath.example/core/follow"
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/platform"
+	"acaciapath.example/standin/loopback"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
@@ -71,7 +71,7 @@
 			p := newPair(t)
 			p.transport.SetNeighbours(nil)
 			if test.neighbour != nil {
-				server := httptest.NewServer(test.neighbour)
+				server := loopback.NewServer(test.neighbour)
 				p.Cleanup(server.Close)
 				p.transport.SetNeighbours([]detour.Neighbour{{Address: strings.TrimPrefix(server.URL, "http://"), FailureDomain: "z"}})
 			}
--- a/acaciad/proxy/closed_stream_test.go
+++ b/acaciad/proxy/closed_stream_test.go
@@ -3,18 +3,19 @@
 import (
 	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
 
+	"acaciapath.example/standin/loopback"
+
 	qt "github.com/frankban/quicktest"
 )
 
 // startClosingServer starts a backend server that answers each request with a head without
 // a length, a body, and the end of the connection.
 func startClosingServer(c *qt.C, body string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := loopback.Listen()
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = listener.Close() })
 	go func() {
--- a/acaciad/proxy/endless_test.go
+++ b/acaciad/proxy/endless_test.go
@@ -17,6 +17,7 @@
 	"acaciapath.example/acaciad/proxy"
 	"acaciapath.example/platform"
 	"acaciapath.example/platform/platformtest"
+	"acaciapath.example/standin/loopback"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -38,7 +39,7 @@
 }
 
 func startEndlessServer(c *qt.C, prefix, repeat string, pause time.Duration) *endlessServer {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := loopback.Listen()
 	c.Assert(err, qt.IsNil)
 	s := &endlessServer{listener: listener, prefix: prefix, repeat: repeat, pause: pause}
 	c.Cleanup(func() { _ = listener.Close() })
--- a/acaciad/proxy/harness_test.go
+++ b/acaciad/proxy/harness_test.go
@@ -23,6 +23,7 @@
 	"acaciapath.example/core/usage"
 	"acaciapath.example/platform"
 	"acaciapath.example/platform/platformtest"
+	"acaciapath.example/standin/loopback"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
@@ -108,7 +109,7 @@
 		RequestsEnd:  context.Background(),
 		Ending:       context.Background(),
 	}
-	f.frontend = httptest.NewServer(f.handler)
+	f.frontend = loopback.NewServer(f.handler)
 	c.Cleanup(func() {
 		f.frontend.Close()
 		startDrain()
--- a/acaciad/proxy/scripted_server_test.go
+++ b/acaciad/proxy/scripted_server_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"acaciapath.example/platform/platformtest"
+	"acaciapath.example/standin/loopback"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -30,7 +31,7 @@
 
 // startScripted starts a server that answers as a script says, and lists it.
 func (f *fixture) startScripted(id, service string, answer script) *scriptedServer {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := loopback.Listen()
 	f.Assert(err, qt.IsNil)
 	s := &scriptedServer{listener: listener}
 	f.Cleanup(func() { _ = listener.Close() })
--- a/acaciad/reader/reader_test.go
+++ b/acaciad/reader/reader_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
@@ -14,6 +13,7 @@
 
 	"acaciapath.example/acaciad/reader"
 	"acaciapath.example/core/follow"
+	"acaciapath.example/standin/loopback"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
@@ -30,7 +30,7 @@
 func serve(c *qt.C, p *reader.Publisher) string {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	server := httptest.NewServer(&reader.Handler{Publishers: map[string]*reader.Publisher{table: p}, Logger: logger})
+	server := loopback.NewServer(&reader.Handler{Publishers: map[string]*reader.Publisher{table: p}, Logger: logger})
 	c.Cleanup(server.Close)
 	c.Cleanup(server.CloseClientConnections)
 	return strings.TrimPrefix(server.URL, "http://")
@@ -159,7 +159,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			server := loopback.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				_, err := io.WriteString(w, line)
 				for err == nil && r.Context().Err() == nil {
 					err = send(w)
--- a/acaciad/soak/cluster_test.go
+++ b/acaciad/soak/cluster_test.go
@@ -96,7 +96,7 @@
 
 // newLink starts a link to target, on which faults can be injected.
 func (cl *cluster) newLink(target string) *relay.Relay {
-	r, err := relay.New("127.0.0.1:0")
+	r, err := relay.New(loopback.IP().String() + ":0")
 	cl.Assert(err, qt.IsNil)
 	r.SetTarget(target)
 	cl.Cleanup(func() { _ = r.Close() })
