core/placement, acaciad: requests run only in the homes of their route and client account

Requests whose route or client account has homes reached servers of other regions: nothing read the homes. Requirements now carry the failure domains of both, by the catalog in use at each choice: first attempts, retries, targets of copies, prefix servers. A reservation is compared once more just before it is sent. Where no home serves, the refusal is no-server-in-homes. Pools exclude evacuated failure domains; nothing sets them yet. ReturnTime takes the requirements; its tests pass empty ones.

Measured: tests of core/placement and acaciad/proxy pass.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -123,6 +123,7 @@
 	instance := fmt.Sprintf("%s-%d", s.Name, now.UnixNano())
 	random := rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(s.Name))))
 	d := &Daemon{settings: s, logger: logger, directory: directory.New(s.FailureDomain, s.ServerDrain, random)}
+	d.directory.Regions = s.Regions
 	d.updater = newDirectoryUpdater(d.directory, logger)
 	d.peers = placement.Peers{VM: s.Name, FailureDomain: s.FailureDomain, Domains: len(s.Regions), LimitMemory: options.LimitMemory}
 	d.directory.SetPeers(d.peers, now)
--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -13,19 +13,14 @@
 	"acaciapath.example/core/replica"
 )
 
-// View is the catalog in use. It is read-only.
-type View struct {
-	// Index is the index of the catalog.
-	Index *catalog.Index
-	// Since is when the daemon started to use it.
-	Since time.Time
-}
-
 // Directory is the daemon's view of the catalog and of the backend servers, with the
 // load that the daemon has there. It is safe for concurrent use.
 type Directory struct {
 	// FailureDomain is the failure domain of the daemon.
 	FailureDomain string
+	// Regions maps all failure domains to their regions. It must not change once there is a
+	// catalog.
+	Regions map[string]string
 
 	view atomic.Pointer[View]
 
@@ -50,6 +45,10 @@
 	// drain, standardCount, last changed.
 	standardChangedAt time.Time
 	standardCount     int
+	// evacuated are the failure domains that are evacuated, and evacuatedSince is since when
+	// the daemon knows that. SetEvacuated replaces them.
+	evacuated      map[string]bool
+	evacuatedSince map[string]time.Time
 }
 
 // New returns a directory without a catalog and without backend servers.
@@ -85,7 +84,7 @@
 	if old := d.view.Load(); old != nil && old.Index.Catalog.Revision >= c.Revision {
 		return false
 	}
-	d.view.Store(&View{Index: catalog.NewIndex(c), Since: now})
+	d.view.Store(newView(c, d.Regions, now))
 	for name, pool := range d.pools {
 		pool.SetShares(d.laneShares(name))
 	}
@@ -126,6 +125,7 @@
 		if d.pools[name] == nil {
 			d.pools[name] = &placement.Pool{Shares: d.laneShares(name)}
 			d.pools[name].SetPeers(d.peers, now)
+			d.pools[name].SetEvacuated(d.evacuated, now)
 		}
 	}
 	var changes []Change
@@ -194,15 +194,16 @@
 }
 
 // ReturnTime returns when a caller should return if the limits of the backend servers of a
-// service are used up or they are in a pause, or false if they are not.
-func (d *Directory) ReturnTime(service string, now time.Time) (time.Duration, bool) {
+// service that meet the requirements are used up or they are in a pause, or false if they
+// are not.
+func (d *Directory) ReturnTime(service string, requirements placement.Requirements, now time.Time) (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	pool := d.pools[service]
 	if pool == nil {
 		return 0, false
 	}
-	return pool.ReturnTime(now)
+	return pool.ReturnTime(requirements, now)
 }
 
 // StandardChangedAt returns when the number of standard backend servers last
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -45,6 +45,9 @@
 	// retryAfterOrigin is sent when the store cannot tell yet which version began a stream, or
 	// the version has no server. Servers that crashed start again.
 	retryAfterOrigin = 2 * time.Second
+	// retryAfterHomes is sent when the failure domains in which a request may be executed are
+	// evacuated or have no server.
+	retryAfterHomes = 2 * time.Second
 	// minRetryAfterQuarantine is the least value while a request or a prompt part is
 	// quarantined.
 	minRetryAfterQuarantine = time.Second
@@ -132,6 +135,8 @@
 	unknownKey        = &refusal{status: http.StatusUnauthorized, reason: "key-unknown"}
 	bodyTooLarge      = &refusal{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
 	bodyIncomplete    = &refusal{status: http.StatusBadRequest, reason: "body-incomplete"}
+	outsideHomes      = &refusal{status: http.StatusServiceUnavailable, reason: "no-server-in-homes", retryAfter: retryAfterHomes}
+	evacuatedHomes    = &refusal{status: http.StatusServiceUnavailable, reason: "evacuated", retryAfter: retryAfterHomes}
 	noBackendServer   = &refusal{status: http.StatusServiceUnavailable, reason: "no-backend-server", retryAfter: retryAfterFailure}
 	notRun            = &refusal{status: http.StatusServiceUnavailable, reason: "not-run", retryAfter: retryAfterFailure}
 	mayHaveRun        = &refusal{status: http.StatusBadGateway, reason: "may-have-run"}
--- a/acaciad/proxy/handover.go
+++ b/acaciad/proxy/handover.go
@@ -53,8 +53,10 @@
 	service      string
 	work         workload.Work
 	requirements placement.Requirements
-	engine       *catalog.Engine
-	source       *directory.Reservation
+	// homes returns the failure domains in which the run may continue at present.
+	homes  func() placement.Homes
+	engine *catalog.Engine
+	source *directory.Reservation
 	// firstEventAt is when the first event arrived, and eventCount is the number
 	// of events so far.
 	firstEventAt time.Time
@@ -88,7 +90,7 @@
 		return nil
 	}
 	m := &runMove{
-		handler: x.handler, id: x.metadata.AttemptID, service: x.service, work: x.metadata.Work, requirements: x.requirements,
+		handler: x.handler, id: x.metadata.AttemptID, service: x.service, work: x.metadata.Work, requirements: x.requirements, homes: x.homes,
 		engine: service.Engine, source: source, firstEventAt: time.Now(), done: make(chan struct{}), closeStream: closeStream,
 	}
 	m.requirements.FailedServers = append([]string{source.Spec.Name}, x.requirements.FailedServers...)
@@ -238,6 +240,7 @@
 func (m *runMove) copyToTarget(ctx context.Context) (*directory.Reservation, platform.CacheCopy, error) {
 	var err error
 	for range maxMoveTargets {
+		m.requirements.Homes = m.homes()
 		to := m.handler.Directory.Reserve(m.service, m.requirements, time.Now())
 		if to == nil {
 			return nil, "", err
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -70,6 +70,14 @@
 			x.unreported = true
 			break
 		}
+		if !reservation.MayServe(x.homes()) {
+			reservation.Finish(directory.Neutral, time.Now())
+			x.cacheCopy = ""
+			if last == moved && !x.route.Resumable {
+				break // as below
+			}
+			continue
+		}
 		last = x.attempt(ctx, reservation)
 		x.requirements.FailedServers = append(x.requirements.FailedServers, reservation.Spec.Name)
 		if last == answered {
@@ -128,6 +136,7 @@
 // reserve reserves a slot. A stream that has not begun goes to a server of another version if
 // the one at which it is to begin has none that did not fail.
 func (x *exchange) reserve(now time.Time) *directory.Reservation {
+	x.requirements.Homes = x.homes()
 	reservation := x.handler.Directory.Reserve(x.service, x.requirements, now)
 	if x.receiving || !x.requirements.OnlyVersion {
 		return reservation
@@ -199,7 +208,10 @@
 	if x.mayHaveExecuted {
 		return mayHaveRun
 	}
-	if wait, limited := x.handler.Directory.ReturnTime(x.service, time.Now()); limited {
+	if refused := x.placeRefusal(); refused != nil {
+		return refused
+	}
+	if wait, limited := x.handler.Directory.ReturnTime(x.service, x.requirements, time.Now()); limited {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "servers-limited", retryAfter: max(wait, retryAfterFailure)}
 	}
 	if x.unreported || x.receiving && len(x.attempts) == 0 {
--- a/core/placement/availability.go
+++ b/core/placement/availability.go
@@ -35,6 +35,8 @@
 		return Leaving
 	case s.Misdirected:
 		return Misdirected
+	case s.Evacuated:
+		return Evacuated
 	case now.Before(s.PausedUntil):
 		return Paused
 	case p.isLimited(s, now):
@@ -48,7 +50,7 @@
 
 // isExcluded reports whether the server gets no new requests any more. A pause or a limit
 // does not exclude it.
-func (s *Server) isExcluded() bool { return s.leaves() || s.Misdirected }
+func (s *Server) isExcluded() bool { return s.leaves() || s.Misdirected || s.Evacuated }
 
 // MaxPause is the longest pause that a server can ask for. A longer one is cut to it, so that
 // a faulty value does not keep a server out of service: after it, a few requests try.
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -43,6 +43,8 @@
 	// continue the stream.
 	OnlyVersion bool
 	Version     string
+	// Homes are the failure domains in which the request may be executed.
+	Homes Homes
 }
 
 // Server is the state of a backend server as one entry daemon knows it.
@@ -67,6 +69,8 @@
 	SaysLeaving bool
 	// PausedUntil is the end of the pause that the server asked for, or zero.
 	PausedUntil time.Time
+	// Evacuated states that the operator evacuates the failure domain of the server.
+	Evacuated bool
 
 	nameHash uint64
 	// instance is Spec.Instance().
@@ -89,6 +93,8 @@
 	// returning is when the last caller that was refused because of limits was told to
 	// return.
 	returning time.Time
+	// evacuated are the failure domains that are evacuated. SetEvacuated sets them.
+	evacuated map[string]bool
 }
 
 // Update replaces the servers, keeps the state of those that remain, and
@@ -116,6 +122,7 @@
 	slices.Sort(removed)
 	slices.SortFunc(servers, func(a, b *Server) int { return cmp.Compare(a.Spec.Name, b.Spec.Name) })
 	p.Servers = servers
+	p.markEvacuated()
 	p.assignLanes()
 	p.divideLimits(now)
 	return added, removed
@@ -273,7 +280,7 @@
 // Runs that are moved there are not preempted, so that the engine would preempt
 // urgent requests instead.
 func (p *Pool) accepts(s *Server, requirements Requirements) bool {
-	if requirements.OnlyVersion && s.Spec.Version != requirements.Version {
+	if requirements.OnlyVersion && s.Spec.Version != requirements.Version || !requirements.Homes.Allow(s.Spec.FailureDomain) {
 		return false
 	}
 	return requirements.CopiedKVTokens == 0 || p.Shares == (Shares{}) || s.Lane == requirements.Lane
@@ -289,7 +296,7 @@
 	var prefixServer *Server
 	var highest uint64
 	for _, s := range p.Servers {
-		if s.isExcluded() || s.Lane != requirements.Lane || requirements.OnlyVersion && s.Spec.Version != requirements.Version {
+		if s.isExcluded() || s.Lane != requirements.Lane || !p.accepts(s, requirements) {
 			continue
 		}
 		if weight := rendezvous.Mix(s.nameHash ^ rendezvous.Mix(requirements.SharedPrefixKey)); prefixServer == nil || weight > highest {
--- a/core/placement/rate_limit.go
+++ b/core/placement/rate_limit.go
@@ -215,12 +215,15 @@
 const pausedReturnRate = 20
 
 // ReturnTime returns when a caller that is refused now should return because the limits of
-// the servers are used up or they are in a pause, or false if that does not explain that
-// there is no server. Callers are told to return one after the other, at the rate of the
+// the servers that accept its request are used up or they are in a pause, or false if that
+// does not explain that there is no server. Callers are told to return one after the other, at the rate of the
 // limits.
-func (p *Pool) ReturnTime(now time.Time) (time.Duration, bool) {
+func (p *Pool) ReturnTime(requirements Requirements, now time.Time) (time.Duration, bool) {
 	wait, rate, explained := maxReturnTime, 0.0, false
 	for _, s := range p.Servers {
+		if !p.accepts(s, requirements) {
+			continue
+		}
 		switch p.Availability(s, now) {
 		case Available:
 			return 0, false
--- a/core/placement/rate_limit_test.go
+++ b/core/placement/rate_limit_test.go
@@ -155,20 +155,20 @@
 	c := qt.New(t)
 	start := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 	p := limitedFleet{domains: 1, vms: 1, servers: 2, servedDomains: 1}.pools(start)[0]
-	_, limited := p.ReturnTime(start)
+	_, limited := p.ReturnTime(placement.Requirements{}, start)
 	c.Assert(limited, qt.IsFalse)
 	p.SetLimit(p.Servers[0], 1, start)
-	_, limited = p.ReturnTime(start)
+	_, limited = p.ReturnTime(placement.Requirements{}, start)
 	c.Assert(limited, qt.IsFalse) // the other server takes it
 	p.SetLimit(p.Servers[1], 1, start)
 	for _, want := range []time.Duration{1000, 1500, 2000, 2500} {
-		wait, limited := p.ReturnTime(start)
+		wait, limited := p.ReturnTime(placement.Requirements{}, start)
 		c.Assert(limited, qt.IsTrue)
 		c.Assert(wait.Round(time.Millisecond), qt.Equals, want*time.Millisecond)
 	}
 	p.SetLimit(p.Servers[0], 0, start)
 	p.SetLimit(p.Servers[1], 0, start)
-	wait, limited := p.ReturnTime(start)
+	wait, limited := p.ReturnTime(placement.Requirements{}, start)
 	c.Assert(limited, qt.IsTrue)
 	c.Assert(wait, qt.Equals, 10*time.Second)
 }
