core/evacuation, acaciad: evacuated failure domains get no new requests

The rows evacuate/ZONE of the operator were ignored. The feed of the catalog follows within the smaller of the server's drain time and the evacuation time.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -179,7 +179,7 @@
 	}
 	d.registry.MustRegister(d.directory)
 	d.catalogFeed = d.newFeed(platform.TableCatalog)
-	d.catalogFeed.apply = d.updater.applyCatalog
+	d.catalogFeed.apply = d.applyCatalog
 	d.serversFeed = d.newFeed(platform.TableServers)
 	d.serversFeed.apply, d.serversFeed.storeRestored = d.applyServers, d.handleStoreRestored
 	d.guard = crashreports.NewGuard(options.Quarantine, d.registry)
@@ -236,7 +236,11 @@
 
 // newFeed returns a feed of a table, which still lacks its function apply.
 func (d *Daemon) newFeed(table string) *feed {
-	f := newFeed(d.settings.Name, table, d.settings, d.store, d.logger)
+	settings := d.settings
+	if table == platform.TableCatalog && settings.EvacuationTime > 0 {
+		settings.ServerDrain = min(settings.ServerDrain, settings.EvacuationTime) // evacuations are followed in time as well
+	}
+	f := newFeed(settings.Name, table, settings, d.store, d.logger)
 	f.coldStart = d.settings.ColdStart
 	f.awaitMembers = d.settings.NeighboursAddress != ""
 	f.membersOutdated = d.neighbours.Refresh
--- a/acaciad/daemon/directory_updater.go
+++ b/acaciad/daemon/directory_updater.go
@@ -7,8 +7,11 @@
 
 	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/acaciad/origins"
+	"acaciapath.example/core/catalog"
 	"acaciapath.example/core/config"
 	"acaciapath.example/core/epoch"
+	"acaciapath.example/core/evacuation"
+	"acaciapath.example/core/placement"
 	"acaciapath.example/core/replica"
 	"acaciapath.example/platform"
 
@@ -40,10 +43,14 @@
 	refused map[string]replica.Spec
 	// storeRestoredAt is when the store was last available again after an outage.
 	storeRestoredAt time.Time
+	// evacuations are the failure domains that the operator evacuates.
+	evacuations evacuation.Set
+	// warnedRegions are the unknown regions among homes that were logged.
+	warnedRegions map[string]bool
 }
 
 func newDirectoryUpdater(d *directory.Directory, logger *logrus.Logger) *directoryUpdater {
-	return &directoryUpdater{directory: d, logger: logger, servers: make(map[string]replica.Spec), heldUntil: make(map[string]time.Time), reportedDrains: make(map[string]time.Time), refused: make(map[string]replica.Spec)}
+	return &directoryUpdater{directory: d, logger: logger, servers: make(map[string]replica.Spec), heldUntil: make(map[string]time.Time), reportedDrains: make(map[string]time.Time), refused: make(map[string]replica.Spec), warnedRegions: make(map[string]bool)}
 }
 
 // applyCatalog applies the configuration that the operator wrote. It returns false,
@@ -61,16 +68,46 @@
 		for _, name := range skippedRoutes {
 			u.logger.WithFields(logrus.Fields{"route": name, "revision": c.Revision}).Warn("route ignored: its type is unknown, or it has no service or no positive timeout")
 		}
+		u.warnUnknownRegions(c)
 		applied := u.directory.SetCatalog(c, time.Now())
 		u.logger.WithFields(logrus.Fields{
 			"revision": c.Revision, "row-version": epoch.Format(row.Version), "routes": len(c.Routes),
-			"client-accounts": len(c.Accounts), "taken": applied,
+			"client-accounts": len(c.Accounts), "taken": applied, "routes-with-homes": routesWithHomes(c),
 		}).Info("catalog read")
 	}
 	u.updatePlans()
 	return false
 }
 
+// warnUnknownRegions logs homes that are no region of the deployment, each once. Nothing is
+// served there.
+func (u *directoryUpdater) warnUnknownRegions(c catalog.Catalog) {
+	var homes []string
+	for _, r := range c.Routes {
+		homes = append(homes, r.Homes...)
+	}
+	for _, a := range c.Accounts {
+		homes = append(homes, a.Homes...)
+	}
+	for _, region := range placement.UnknownRegions(homes, u.directory.Regions) {
+		if !u.warnedRegions[region] {
+			u.warnedRegions[region] = true
+			u.logger.WithFields(logrus.Fields{"region": region, "revision": c.Revision}).Warn("unknown region among the homes of routes or client accounts, nothing is served there")
+		}
+	}
+}
+
+// routesWithHomes returns the names of the routes that have homes.
+func routesWithHomes(c catalog.Catalog) []string {
+	var names []string
+	for _, r := range c.Routes {
+		if len(r.Homes) > 0 {
+			names = append(names, r.Name)
+		}
+	}
+	return names
+}
+
 // applyServers applies entries of backend servers. snapshot states that rows are all
 // entries, not only changed ones. It reports whether a cheap server began to drain, in
 // which case others are likely to follow, since the platform evicts them together.
