--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -123,6 +123,7 @@
 	instance := fmt.Sprintf("%s-%d", s.Name, now.UnixNano())
 	random := rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(s.Name))))
 	d := &Daemon{settings: s, logger: logger, directory: directory.New(s.FailureDomain, s.ServerDrain, random)}
+	d.directory.Regions = s.Regions
 	d.updater = newDirectoryUpdater(d.directory, logger)
 	d.peers = placement.Peers{VM: s.Name, FailureDomain: s.FailureDomain, Domains: len(s.Regions), LimitMemory: options.LimitMemory}
 	d.directory.SetPeers(d.peers, now)
@@ -178,7 +179,7 @@
 	}
 	d.registry.MustRegister(d.directory)
 	d.catalogFeed = d.newFeed(platform.TableCatalog)
-	d.catalogFeed.apply = d.updater.applyCatalog
+	d.catalogFeed.apply = d.applyCatalog
 	d.serversFeed = d.newFeed(platform.TableServers)
 	d.serversFeed.apply, d.serversFeed.storeRestored = d.applyServers, d.handleStoreRestored
 	d.guard = crashreports.NewGuard(options.Quarantine, d.registry)
@@ -235,7 +236,11 @@
 
 // newFeed returns a feed of a table, which still lacks its function apply.
 func (d *Daemon) newFeed(table string) *feed {
-	f := newFeed(d.settings.Name, table, d.settings, d.store, d.logger)
+	settings := d.settings
+	if table == platform.TableCatalog && settings.EvacuationTime > 0 {
+		settings.ServerDrain = min(settings.ServerDrain, settings.EvacuationTime) // evacuations are followed in time as well
+	}
+	f := newFeed(settings.Name, table, settings, d.store, d.logger)
 	f.coldStart = d.settings.ColdStart
 	f.awaitMembers = d.settings.NeighboursAddress != ""
 	f.membersOutdated = d.neighbours.Refresh
