acaciad, core/order: orders, splits and stream versions follow homes and evacuations

The autoscaler ordered servers into evacuated failure domains. It now leaves those alone and orders their baselines in the others. A route's request avoids services whose servers are all outside of its homes or evacuated, unless its streams can be taken up again: they go by their id. Plans of stream versions leave out evacuated servers. Metrics: evacuated domains, homes of routes, servers in the state evacuated.

Measured: tests of core/placement, core/order, acaciad/control pass.

--- a/acaciad/control/autoscaler.go
+++ b/acaciad/control/autoscaler.go
@@ -91,8 +91,12 @@
 			continue
 		}
 		a.updateSurplus(s)
+		evacuated := a.Directory.Evacuated()
+		baselines := order.MoveBaselines(a.baselines(s.Name, baselineKnown), evacuated)
 		for _, domain := range a.FailureDomains {
-			a.scaleDomain(ctx, s, domain, baselineKnown)
+			if !evacuated[domain] {
+				a.scaleDomain(ctx, s, domain, baselines[domain], baselineKnown)
+			}
 		}
 	}
 }
@@ -159,16 +163,25 @@
 	return baseline
 }
 
+// baselines returns the baseline of a service in each failure domain. While it is not known,
+// the standard servers that are present serve as the baseline.
+func (a *Autoscaler) baselines(service string, known bool) map[string]int {
+	baselines := make(map[string]int)
+	for _, domain := range a.FailureDomains {
+		if known {
+			baselines[domain] = a.baseline.Count(service, domain)
+		} else {
+			baselines[domain] = a.Directory.Count(service, domain).Standard
+		}
+	}
+	return baselines
+}
+
 // scaleDomain sends the orders that are due for a service in a failure domain.
-// While the baseline is not known, the standard servers that are present serve as the
-// baseline, and only cheap servers are ordered.
-func (a *Autoscaler) scaleDomain(ctx context.Context, s *catalog.Service, domain string, baselineKnown bool) {
+// While the baseline is not known, only cheap servers are ordered.
+func (a *Autoscaler) scaleDomain(ctx context.Context, s *catalog.Service, domain string, baseline int, baselineKnown bool) {
 	present := a.Directory.Count(s.Name, domain)
 	group := order.ReplicaGroup{Service: s.Name, FailureDomain: domain}
-	baseline := present.Standard
-	if baselineKnown {
-		baseline = a.baseline.Count(s.Name, domain)
-	}
 	if baseline == 0 {
 		return
 	}
--- a/acaciad/directory/collector.go
+++ b/acaciad/directory/collector.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"slices"
 	"time"
 
 	"acaciapath.example/core/config"
@@ -20,6 +21,10 @@
 		"Prompt tokens that this daemon sent and that are not read yet, by service.", []string{"service"}, nil)
 	descLimited = prometheus.NewDesc("acaciapath_limited_servers",
 		"Backend servers that name a limit of requests a second, by service.", []string{"service"}, nil)
+	descEvacuated = prometheus.NewDesc("acaciapath_evacuated_since_seconds",
+		"When the daemon learned that a failure domain is evacuated, in Unix seconds.", []string{"failure_domain"}, nil)
+	descRouteHomes = prometheus.NewDesc("acaciapath_route_homes",
+		"1 for each region among the homes of a route.", []string{"route", "region"}, nil)
 	descRevision = prometheus.NewDesc("acaciapath_catalog_revision",
 		"Revision of the catalog in force.", nil, nil)
 )
@@ -30,13 +35,15 @@
 	stateLeaving = "leaving"
 	stateAbsent  = "absent"
 	statePaused  = "paused"
+
+	stateEvacuated = "evacuated"
 )
 
 var _ prometheus.Collector = (*Directory)(nil)
 
 // Describe implements prometheus.Collector.
 func (d *Directory) Describe(descriptions chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{descServers, descRunning, descReading, descLimited, descRevision} {
+	for _, desc := range []*prometheus.Desc{descServers, descRunning, descReading, descLimited, descEvacuated, descRouteHomes, descRevision} {
 		descriptions <- desc
 	}
 }
@@ -51,10 +58,18 @@
 func (d *Directory) Collect(metrics chan<- prometheus.Metric) {
 	if view := d.view.Load(); view != nil {
 		metrics <- prometheus.MustNewConstMetric(descRevision, prometheus.GaugeValue, float64(view.Index.Catalog.Revision))
+		for _, r := range view.Index.Catalog.Routes {
+			for _, region := range slices.Compact(slices.Sorted(slices.Values(r.Homes))) {
+				metrics <- prometheus.MustNewConstMetric(descRouteHomes, prometheus.GaugeValue, 1, r.Name, region)
+			}
+		}
 	}
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	for domain, since := range d.evacuatedSince {
+		metrics <- prometheus.MustNewConstMetric(descEvacuated, prometheus.GaugeValue, float64(since.UnixMilli())/1000, domain)
+	}
 	for name, pool := range d.pools {
 		running, unreadTokens := pool.Load()
 		groups := make(map[serverGroup]int)
@@ -67,6 +82,8 @@
 				group.state = stateAbsent
 			case placement.Paused:
 				group.state = statePaused
+			case placement.Evacuated:
+				group.state = stateEvacuated
 			}
 			groups[group]++
 		}
--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -214,15 +214,28 @@
 	return d.standardChangedAt
 }
 
-// PickService picks the service that runs a request of a route, at random by the
-// weights of its splits.
-func (d *Directory) PickService(r *catalog.Route) string {
+// PickService picks the service that runs a request of a route, at random by the weights of its
+// splits. It avoids services whose servers are all outside of the homes or evacuated.
+func (d *Directory) PickService(r *catalog.Route, homes placement.Homes) string {
 	if len(r.Splits) == 1 {
 		return r.Splits[0].Service
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return r.PickService(d.random)
+	picked := r.PickService(d.random)
+	if d.barrierLocked(picked, homes) == placement.NoBarrier {
+		return picked
+	}
+	var open catalog.Route
+	for _, s := range r.Splits {
+		if s.Weight > 0 && d.barrierLocked(s.Service, homes) == placement.NoBarrier {
+			open.Splits = append(open.Splits, s)
+		}
+	}
+	if len(open.Splits) == 0 {
+		return picked
+	}
+	return open.PickService(d.random)
 }
 
 // Reserve chooses a backend server of a service that meets the requirements and
--- a/acaciad/directory/evacuation.go
+++ b/acaciad/directory/evacuation.go
@@ -34,6 +34,11 @@
 func (d *Directory) Barrier(service string, homes placement.Homes) placement.Barrier {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.barrierLocked(service, homes)
+}
+
+// barrierLocked is Barrier. The caller holds d.mu.
+func (d *Directory) barrierLocked(service string, homes placement.Homes) placement.Barrier {
 	pool := d.pools[service]
 	if pool == nil {
 		return placement.NoBarrier
--- a/acaciad/proxy/homes_test.go
+++ b/acaciad/proxy/homes_test.go
@@ -184,3 +184,23 @@
 	f.Assert((<-answers).status >= 500, qt.IsTrue)
 	f.Assert(receivedCount(two), qt.Equals, 0)
 }
+
+// TestSplitsAvoidServicesOutsideTheHomes has a route whose requests are split between a service with
+// servers in the homes and one without. All are served, by the former.
+func TestSplitsAvoidServicesOutsideTheHomes(t *testing.T) {
+	f := newHomesFixture(t, []string{"south"}, nil)
+	c := homesCatalog(3, []string{"south"}, nil)
+	c.Services = append(c.Services, catalog.Service{Name: "shop-2"})
+	for i := range c.Routes {
+		if c.Routes[i].Name == "look" {
+			c.Routes[i].Splits = []catalog.Split{{Service: "shop", Weight: 1}, {Service: "shop-2", Weight: 1}}
+		}
+	}
+	f.directory.SetCatalog(c, time.Now())
+	near, far := f.startServerIn("i-1", "shop", "z"), f.startServerIn("i-2", "shop-2", "y")
+	for range 20 {
+		f.Assert(f.send(http.MethodGet, "/look/1", "").status, qt.Equals, http.StatusOK)
+	}
+	f.Assert(receivedCount(near), qt.Equals, 0)
+	f.Assert(receivedCount(far), qt.Equals, 20)
+}
--- a/acaciad/proxy/origin.go
+++ b/acaciad/proxy/origin.go
@@ -17,7 +17,7 @@
 // taken up again go to the same one, unless the weights of the route change.
 func (x *exchange) pickService() string {
 	if !x.route.Resumable {
-		return x.handler.Directory.PickService(x.route)
+		return x.handler.Directory.PickService(x.route, x.homes())
 	}
 	first := x.metadata.AttemptID
 	if x.takesUp() {
--- a/core/placement/homes_test.go
+++ b/core/placement/homes_test.go
@@ -132,3 +132,19 @@
 	p.Update(nil, start.Add(time.Second))
 	c.Assert(p.Barrier(west), qt.Equals, placement.NoBarrier)
 }
+
+// TestStreamsBeginAtServersThatMayServe checks that evacuated servers do not count for the versions
+// at which streams begin, unless there are no others.
+func TestStreamsBeginAtServersThatMayServe(t *testing.T) {
+	c := qt.New(t)
+	specs := fleet(2, config.KindStandard)
+	for i := range specs {
+		specs[i].Version = map[string]string{"a": "v1", "b": "v2", "c": "v2"}[specs[i].FailureDomain]
+	}
+	p := newPool(0, specs...)
+	c.Assert(p.VersionCounts(), qt.DeepEquals, map[string]int{"v1": 2, "v2": 4})
+	p.SetEvacuated(map[string]bool{"a": true}, start)
+	c.Assert(p.VersionCounts(), qt.DeepEquals, map[string]int{"v2": 4})
+	p.SetEvacuated(map[string]bool{"a": true, "b": true, "c": true}, start)
+	c.Assert(p.VersionCounts(), qt.DeepEquals, map[string]int{"v1": 2, "v2": 4})
+}
