core/placement: streams that allow much longer pauses leave the lane of the shortest

Cause: NeedsShortPauses holds for 250 and 400 ms (events of 6 tokens), and for 120 and 200 ms (events of 4): short chats shared a fifth of the servers with prompts of 9,200 tokens. Change: routes that allow more than 1.5 times the shortest pause of the service go to the lane Urgent.

--- a/core/placement/lane.go
+++ b/core/placement/lane.go
@@ -13,11 +13,13 @@
 	// Patient is the lane of long prompts without a tight latency objective.
 	Patient Lane = iota
 	// Urgent is the lane of long prompts with the tightest latency objective of
-	// their service. Engines process prompts in the order in which they admit
-	// them, so urgent prompts behind a burst of patient ones would be late.
+	// their service, and of streams that allow only short pauses but much longer
+	// ones than the streams in ShortPauses. Engines process prompts in the order
+	// in which they admit them, so urgent prompts behind a burst of patient ones
+	// would be late.
 	Urgent
-	// ShortPauses is the lane of streams that allow only short pauses between
-	// events.
+	// ShortPauses is the lane of streams that allow the shortest pauses between
+	// events of their service.
 	ShortPauses
 )
 
@@ -62,13 +64,21 @@
 	return float64(r.GapTarget) < pause
 }
 
+// pauseGroupFactor bounds the ratio of the pauses that the routes of the lane ShortPauses
+// allow. A stream that allows a longer one usually also has longer prompts, which would make
+// the others late.
+const pauseGroupFactor = 1.5
+
 // LaneOf returns the lane of the requests of a route at a service.
 func LaneOf(index *catalog.Index, r *catalog.Route, s *catalog.Service) Lane {
-	switch {
-	case s == nil || !r.Generates:
+	if s == nil || !r.Generates {
 		return Patient
-	case NeedsShortPauses(r, s):
-		return ShortPauses
+	}
+	if NeedsShortPauses(r, s) {
+		if float64(r.GapTarget) <= pauseGroupFactor*float64(shortestPause(index, s)) {
+			return ShortPauses
+		}
+		return Urgent
 	}
 	for i := range index.Catalog.Routes {
 		other := &index.Catalog.Routes[i]
@@ -82,6 +92,19 @@
 	return Patient
 }
 
+// shortestPause returns the shortest pause that a route with streams at a service allows, or
+// 0 if no route limits it.
+func shortestPause(index *catalog.Index, s *catalog.Service) time.Duration {
+	var shortest time.Duration
+	for i := range index.Catalog.Routes {
+		r := &index.Catalog.Routes[i]
+		if r.Generates && r.GapTarget > 0 && runsOn(r, s.Name) && (shortest == 0 || r.GapTarget < shortest) {
+			shortest = r.GapTarget
+		}
+	}
+	return shortest
+}
+
 // SharesOf returns the shares of the servers of a service that are reserved for
 // lanes. The share of a lane without requests is 0; all shares are 0 if the
 // service has requests of only one lane.
--- a/core/placement/pool_test.go
+++ b/core/placement/pool_test.go
@@ -316,6 +316,28 @@
 	c.Assert(placement.SharesOf(one, "llm"), qt.Equals, placement.Shares{})
 }
 
+// TestLongerPausesHaveAnotherLane checks that requests which allow longer pauses than chats do
+// not share their servers, although both need shorter pauses than the longest prompts cause.
+func TestLongerPausesHaveAnotherLane(t *testing.T) {
+	c := qt.New(t)
+	service := &catalog.Service{Name: "llm", Engine: &catalog.Engine{EventTokens: 4}}
+	route := func(pause, latency time.Duration) catalog.Route {
+		return catalog.Route{Generates: true, GapTarget: pause, LatencyTarget: latency, Splits: []catalog.Split{{Service: "llm"}}}
+	}
+	chat := route(120*time.Millisecond, 400*time.Millisecond)
+	like := route(180*time.Millisecond, 500*time.Millisecond)
+	plan := route(200*time.Millisecond, 600*time.Millisecond)
+	letter := route(500*time.Millisecond, 2*time.Second)
+	index := catalog.NewIndex(catalog.Catalog{
+		Routes: []catalog.Route{chat, like, plan, letter}, Services: []catalog.Service{*service},
+	})
+	c.Assert(placement.LaneOf(index, &chat, service), qt.Equals, placement.ShortPauses)
+	c.Assert(placement.LaneOf(index, &like, service), qt.Equals, placement.ShortPauses)
+	c.Assert(placement.LaneOf(index, &plan, service), qt.Equals, placement.Urgent)
+	c.Assert(placement.LaneOf(index, &letter, service), qt.Equals, placement.Patient)
+	c.Assert(placement.SharesOf(index, "llm").Urgent > 0, qt.IsTrue)
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{6, 48, 240} {
 		p := newPool(0.3, fleet(n, config.KindStandard)...)
