core/placement: servers dealt out to daemons, parts of their room, pace of servers

Cause: all daemons of a failure domain order its servers alike and know only their own requests. Change: each begins at another place of the circle of a lane's servers; beyond its part of a server's slots or memory the server costs more, so that bursts leave the failure domain before servers are full; tokens that this daemon's requests hold count against the engine's memory; servers whose events come slowly count as that much busier (not measured yet). Choose looks at other lanes only if its own has nothing.

--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -87,19 +87,23 @@
 	}
 	d.view.Store(&View{Index: catalog.NewIndex(c), Since: now})
 	for name, pool := range d.pools {
-		pool.SetShares(d.laneShares(name))
+		d.configure(name, pool)
 	}
 	return true
 }
 
-// laneShares returns the shares of the servers of a service that are reserved for
-// lanes.
-func (d *Directory) laneShares(service string) placement.Shares {
+// configure sets what a pool takes from the catalog in use, if there is one. The caller holds
+// d.mu.
+func (d *Directory) configure(service string, pool *placement.Pool) {
 	view := d.view.Load()
 	if view == nil {
-		return placement.Shares{}
+		return
 	}
-	return placement.SharesOf(view.Index, service)
+	pool.KVCacheTokens = 0
+	if s := view.Index.Service(service); s != nil && s.Engine != nil {
+		pool.KVCacheTokens = s.Engine.KVCacheTokens
+	}
+	pool.SetShares(placement.SharesOf(view.Index, service))
 }
 
 // Change describes a change of the servers of a service.
@@ -124,7 +128,8 @@
 	}
 	for name := range byService {
 		if d.pools[name] == nil {
-			d.pools[name] = &placement.Pool{Shares: d.laneShares(name)}
+			d.pools[name] = &placement.Pool{}
+			d.configure(name, d.pools[name])
 			d.pools[name].SetPeers(d.peers, now)
 		}
 	}
@@ -241,7 +246,7 @@
 		Spec: s.Spec, Running: s.Running, UnreadTokens: s.PendingPromptTokens,
 		directory: d, pool: pool, server: s, requirements: requirements, drainState: d.drainStates.of(s),
 	}
-	s.BeginRequest(requirements, now)
+	reservation.heldTokens = s.BeginRequest(requirements, now)
 	if requirements.Generates && requirements.FirstEventTarget > 0 {
 		reservation.pressure = d.pressureLocked(service)
 		reservation.pressureID = reservation.pressure.Begin(requirements.FirstEventTarget, now)
--- a/acaciad/directory/reservation.go
+++ b/acaciad/directory/reservation.go
@@ -43,6 +43,8 @@
 	requirements placement.Requirements
 	drainState   *drainState
 	promptRead   bool
+	// heldTokens is what the request holds in the engine's memory, in tokens.
+	heldTokens int
 	// pressure records the time to the first event under pressureID. It is nil if the
 	// request does not generate tokens or has no target for that time.
 	pressure   *order.Pressure
@@ -76,6 +78,13 @@
 	}
 }
 
+// ObserveInterval records the mean time between the events of the stream, which ended.
+func (r *Reservation) ObserveInterval(interval time.Duration, now time.Time) {
+	r.directory.mu.Lock()
+	defer r.directory.mu.Unlock()
+	r.pool.ObserveInterval(r.server, r.requirements.Lane, interval, now)
+}
+
 // SetLimit records the limit of requests a second that the backend server names in an
 // answer. It reports whether the limit is new or changed.
 func (r *Reservation) SetLimit(perSecond float64, now time.Time) bool {
@@ -98,7 +107,7 @@
 	r.directory.mu.Lock()
 	defer r.directory.mu.Unlock()
 	r.markPromptReadLocked(now)
-	r.server.EndRequest(now)
+	r.server.FinishRequest(r.heldTokens, now)
 	switch outcome {
 	case Succeeded:
 		r.server.RecordSuccess()
--- a/acaciad/proxy/forward.go
+++ b/acaciad/proxy/forward.go
@@ -148,6 +148,10 @@
 	}
 	if err == nil {
 		x.outcome = outcomeServed
+		if p := &x.runProgress; p.events > 1 {
+			now := time.Now()
+			reservation.ObserveInterval(now.Sub(p.firstEvent)/time.Duration(p.events-1), now)
+		}
 		return answered
 	}
 	x.runProgress.lost = err != errBufferFull
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -287,6 +287,7 @@
 		Generates:        x.route.Generates,
 		Lane:             placement.LaneOf(x.view.Index, x.route, s),
 		PromptTokens:     x.metadata.Work.PromptTokens,
+		OutputTokens:     x.metadata.Work.ExpectedOutputTokens,
 		FirstEventTarget: x.route.LatencyTarget,
 		OnlyVersion:      x.planned || x.receiving,
 		Version:          x.origin.Version,
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -29,6 +29,8 @@
 	SharedPrefixTokens int
 	// PromptTokens is the length of the whole prompt.
 	PromptTokens int
+	// OutputTokens is the number of tokens that the request is expected to generate.
+	OutputTokens int
 	// CopiedKVTokens is the number of tokens whose KV cache is copied to the
 	// server from the engine that has run the request so far, or 0. In that
 	// case FailureDomain is the failure domain of that engine. Engines do not
@@ -55,6 +57,9 @@
 	// token whose KV cache is copied counts as copyCostRatio tokens.
 	// PendingPromptTokens ≥ 0.
 	PendingPromptTokens int
+	// HeldTokens is the number of tokens that the requests of this daemon hold in the
+	// engine's memory at their end, with a shared prefix once. HeldTokens ≥ 0.
+	HeldTokens int
 	// Misdirected states that a different server answered at its address. The
 	// server is not used until its address or start time changes.
 	Misdirected bool
@@ -69,6 +74,11 @@
 	PausedUntil time.Time
 
 	nameHash uint64
+	// turn is the place of the server in the order in which this daemon uses servers with
+	// equal costs. 0 ≤ turn < 1 if the order is known; Pool.deal sets it.
+	turn float64
+	// intervalAt is when a stream ended from which the time between events was observed.
+	intervalAt time.Time
 	// instance is Spec.Instance().
 	instance string
 }
@@ -82,7 +92,16 @@
 	// Peers are the daemons among which the limits of servers are divided. SetPeers sets
 	// them.
 	Peers Peers
+	// KVCacheTokens is the size of the KV cache of each engine, in tokens, or 0 if it is not
+	// known.
+	KVCacheTokens int
 
+	// lanes are the servers of each lane that are not excluded.
+	lanes [ShortPauses + 1][]*Server
+	// dealt states that the turns of this daemon are known.
+	dealt bool
+	// intervals are the mean times between events in each lane.
+	intervals [ShortPauses + 1]meanInterval
 	// ownHash and otherHashes are hashes of this daemon's VM and of the other members.
 	ownHash     uint64
 	otherHashes []uint64
@@ -160,6 +179,7 @@
 		s.Lane = Patient
 	}
 	p.divideLanes((*Server).isExcluded, func(s *Server, lane Lane) { s.Lane = lane })
+	p.deal()
 }
 
 // divideLanes divides the servers that are not excluded among the lanes, so that each lane has
@@ -227,8 +247,8 @@
 	otherDomainTokens = 1000
 	// runningRequestTokens is the cost of each running request.
 	runningRequestTokens = 300
-	// jitterTokens is the range of the random term, which spreads requests over
-	// servers with nearly equal costs.
+	// jitterTokens is the range of the term which spreads requests over servers with
+	// nearly equal costs: by the turns of this daemon, or at random.
 	jitterTokens = 50
 	// otherLaneTokens is the cost of a server that is reserved for another
 	// lane. Such a server is used only if all others are excluded or far
@@ -254,18 +274,34 @@
 // stays in its lane.
 func (p *Pool) Choose(requirements Requirements, now time.Time, random *rand.Rand) *Server {
 	prefixServer := p.prefixServer(requirements)
-	var best *Server
-	bestCost := 0.0
-	for _, s := range p.Servers {
+	if requirements.Generates {
+		best, c := p.cheapest(p.lanes[requirements.Lane], requirements, prefixServer, now, random)
+		if best != nil && c < otherLaneTokens {
+			return best
+		}
+	}
+	best, _ := p.cheapest(p.Servers, requirements, prefixServer, now, random)
+	return best
+}
+
+// cheapest returns the available server of the least cost, and that cost, or nil if none is
+// available.
+func (p *Pool) cheapest(servers []*Server, requirements Requirements, prefixServer *Server, now time.Time, random *rand.Rand) (best *Server, least float64) {
+	for _, s := range servers {
 		if !p.accepts(s, requirements) || p.Availability(s, now) != Available {
 			continue
 		}
-		c := cost(s, requirements, prefixServer, now) + jitterTokens*random.Float64()
-		if best == nil || c < bestCost {
-			best, bestCost = s, c
+		c := p.cost(s, requirements, prefixServer, now)
+		if p.dealt && requirements.Generates {
+			c += jitterTokens * s.turn
+		} else {
+			c += jitterTokens * random.Float64()
+		}
+		if best == nil || c < least {
+			best, least = s, c
 		}
 	}
-	return best
+	return best, least
 }
 
 // accepts reports whether a server may run a request. When a failure domain loses its
@@ -288,8 +324,8 @@
 	}
 	var prefixServer *Server
 	var highest uint64
-	for _, s := range p.Servers {
-		if s.isExcluded() || s.Lane != requirements.Lane || requirements.OnlyVersion && s.Spec.Version != requirements.Version {
+	for _, s := range p.lanes[requirements.Lane] {
+		if requirements.OnlyVersion && s.Spec.Version != requirements.Version {
 			continue
 		}
 		if weight := rendezvous.Mix(s.nameHash ^ rendezvous.Mix(requirements.SharedPrefixKey)); prefixServer == nil || weight > highest {
@@ -301,20 +337,16 @@
 
 // cost returns the cost of running a request on a server, in prompt tokens;
 // lower is better.
-func cost(s *Server, requirements Requirements, prefixServer *Server, now time.Time) float64 {
-	c := float64(s.PendingPromptTokens + s.Running*runningRequestTokens)
-	if !requirements.Generates {
+func (p *Pool) cost(s *Server, requirements Requirements, prefixServer *Server, now time.Time) float64 {
+	var c float64
+	if requirements.Generates {
+		c = p.engineCost(s, requirements, s == prefixServer, now)
+	} else {
 		c = float64(s.Running) / float64(max(s.Spec.Slots, 1)) * plainServiceTokens
 	}
 	if s.Spec.FailureDomain != requirements.FailureDomain {
 		c += otherDomainCost(requirements)
 	}
-	if requirements.Generates && s.Lane != requirements.Lane {
-		c += otherLaneTokens
-	}
-	if s != prefixServer && !s.Cached(requirements.SharedPrefixKey) {
-		c += float64(requirements.SharedPrefixTokens)
-	}
 	if now.Before(s.CooldownUntil) {
 		c += cooldownTokens
 	}
@@ -327,6 +359,24 @@
 	return c
 }
 
+// engineCost returns the cost of what a request finds at an engine, in prompt tokens. home
+// states that the engine should cache its shared prefix.
+func (p *Pool) engineCost(s *Server, requirements Requirements, home bool, now time.Time) float64 {
+	cached := requirements.SharedPrefixKey != 0 && s.Cached(requirements.SharedPrefixKey)
+	c := float64(s.PendingPromptTokens + s.Running*runningRequestTokens)
+	reading := c + float64(requirements.PromptTokens)
+	if cached {
+		reading -= float64(requirements.SharedPrefixTokens)
+	}
+	if !cached && !home {
+		c += float64(requirements.SharedPrefixTokens)
+	}
+	if s.Lane != requirements.Lane {
+		c += otherLaneTokens
+	}
+	return c + p.crowding(s, requirements, cached) + max(reading, 0)*(p.Pace(s, now)-1)
+}
+
 // plainServiceTokens is the cost of a fully occupied server of a plain service,
 // compared to an idle one.
 const plainServiceTokens = 5000
@@ -347,8 +397,11 @@
 	return otherDomainTokens
 }
 
-// BeginRequest records that a request was sent to the server.
-func (s *Server) BeginRequest(requirements Requirements, now time.Time) {
+// BeginRequest records that a request was sent to the server. It returns the number of tokens
+// that the request holds there, with which FinishRequest must be called.
+func (s *Server) BeginRequest(requirements Requirements, now time.Time) (held int) {
+	held = requirements.heldTokens(s.Cached(requirements.SharedPrefixKey))
+	s.HeldTokens += held
 	var keys []uint64
 	if requirements.SharedPrefixKey != 0 {
 		keys = []uint64{requirements.SharedPrefixKey}
@@ -358,6 +411,13 @@
 		s.Limit.tokens = max(s.Limit.tokens-1, 0)
 	}
 	s.PendingPromptTokens += requirements.PromptTokens + int(copyCostRatio*float64(requirements.CopiedKVTokens))
+	return held
+}
+
+// FinishRequest records that a request ended which held a number of tokens.
+func (s *Server) FinishRequest(held int, now time.Time) {
+	s.HeldTokens = max(s.HeldTokens-held, 0)
+	s.EndRequest(now)
 }
 
 // RecordFirstEvent records that the first event of a request arrived, so that
--- a/core/placement/rate_limit.go
+++ b/core/placement/rate_limit.go
@@ -148,6 +148,7 @@
 		}
 	}
 	p.divideLimits(now)
+	p.deal()
 }
 
 // servedDomains returns the failure domains that have servers.
--- /dev/null
+++ b/core/placement/room_test.go
@@ -0,0 +1,109 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"acaciapath.example/core/config"
+	"acaciapath.example/core/placement"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// members returns the names of n VMs.
+func members(n int) []string {
+	vms := make([]string, n)
+	for i := range vms {
+		vms[i] = fmt.Sprintf("vm-%d", i)
+	}
+	return vms
+}
+
+// TestDaemonsBeginAtDifferentServers checks that daemons which run nothing choose each server
+// of their failure domain equally often, and the same one each time.
+func TestDaemonsBeginAtDifferentServers(t *testing.T) {
+	c := qt.New(t)
+	requirements := placement.Requirements{FailureDomain: "a", Generates: true, PromptTokens: 1500}
+	used := make(map[string]int)
+	for _, vm := range members(12) {
+		p := newPool(0, fleet(4, config.KindStandard)...)
+		p.SetPeers(placement.Peers{VM: vm, FailureDomain: "a", Members: members(12)}, start)
+		random := newRandom()
+		s := p.Choose(requirements, start, random)
+		c.Assert(p.Choose(requirements, start, random), qt.Equals, s)
+		used[s.Spec.Name]++
+	}
+	c.Assert(used, qt.HasLen, 4)
+	for name, n := range used {
+		c.Assert(n, qt.Equals, 3, qt.Commentf("%s", name))
+	}
+}
+
+// TestBurstLeavesTheFailureDomain checks that a daemon whose requests exceed its part of the
+// slots in its failure domain uses others before the servers there are full.
+func TestBurstLeavesTheFailureDomain(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(0, fleet(4, config.KindStandard)...)
+	p.SetPeers(placement.Peers{VM: "vm-0", FailureDomain: "a", Members: members(16)}, start)
+	requirements := placement.Requirements{FailureDomain: "a", Generates: true, PromptTokens: 100}
+	counts := make(map[string]int)
+	for range 4 * 64 / 8 {
+		s := p.Choose(requirements, start, newRandom())
+		s.BeginRequest(requirements, start)
+		s.RecordFirstEvent(requirements)
+		counts[s.Spec.FailureDomain]++
+	}
+	c.Assert(counts["a"] >= 4*64/16, qt.IsTrue, qt.Commentf("%v", counts))
+	c.Assert(counts["b"] > 0 && counts["c"] > 0, qt.IsTrue, qt.Commentf("%v", counts))
+}
+
+// TestEngineMemoryIsNotExceeded checks that requests are not sent to an engine that this
+// daemon's requests alone would fill, while another one has room, and that a shared prefix
+// counts once.
+func TestEngineMemoryIsNotExceeded(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(0, fleet(1, config.KindStandard)...)
+	p.KVCacheTokens = 100_000
+	large := placement.Requirements{FailureDomain: "a", Generates: true, PromptTokens: 39_000, OutputTokens: 1000}
+	for range 6 {
+		s := p.Choose(large, start, newRandom())
+		s.BeginRequest(large, start)
+		s.RecordFirstEvent(large)
+	}
+	for _, s := range p.Servers {
+		c.Assert(s.HeldTokens, qt.Equals, 80_000, qt.Commentf("%s", s.Spec.Name))
+	}
+	s := p.Servers[0]
+	shared := placement.Requirements{Generates: true, PromptTokens: 12_000, SharedPrefixKey: 7, SharedPrefixTokens: 10_000}
+	first := s.BeginRequest(shared, start)
+	second := s.BeginRequest(shared, start)
+	c.Assert([]int{first, second}, qt.DeepEquals, []int{12_000, 2000})
+	s.FinishRequest(first, start)
+	s.FinishRequest(second, start)
+	c.Assert(s.HeldTokens, qt.Equals, 80_000)
+}
+
+// TestSlowServersGetLess checks that a daemon avoids a server whose events come more slowly
+// than those of others while others have room, and tries it again later.
+func TestSlowServersGetLess(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(0, fleet(2, config.KindStandard)...)
+	requirements := placement.Requirements{FailureDomain: "a", Generates: true, PromptTokens: 1500}
+	slow, fast := p.Servers[0], p.Servers[1]
+	for range 5 {
+		p.ObserveInterval(slow, placement.Patient, 70*time.Millisecond, start)
+		p.ObserveInterval(fast, placement.Patient, 30*time.Millisecond, start)
+	}
+	c.Assert(p.Pace(slow, start) > 1.2 && p.Pace(fast, start) < 1, qt.IsTrue)
+	random := newRandom()
+	for range 2 {
+		s := p.Choose(requirements, start, random)
+		c.Assert(s, qt.Equals, fast)
+		s.BeginRequest(requirements, start)
+		s.RecordFirstEvent(requirements)
+	}
+	later := start.Add(time.Minute)
+	c.Assert(p.Pace(slow, later), qt.Equals, 1.0)
+	c.Assert(p.Choose(requirements, later, random), qt.Equals, slow)
+}
