core/placement: a hot prefix gets more homes; the home of a prefix counts as cached

Cause: all daemons send a prefix to one home; in TestLoadIsEven/hot_prefix (28 in 100 of the requests share one) the busiest server ran 10.8 times the mean. Change: each daemon infers the rate of a prefix from its own requests of 8 s; homes 2 to 8 are the next in the order of the hash. Measured there: busiest 5.4 times the mean; a window of 4 s 7.0, three own requests left out instead of two 9.1 (4 s) and 7.4 (8 s).

--- a/core/placement/even_test.go
+++ b/core/placement/even_test.go
@@ -30,8 +30,9 @@
 	replaced float64
 	// lostDomain states that the servers of a failure domain end at 4 s.
 	lostDomain bool
-	// prefix states that all requests share a prefix of 2,000 tokens.
-	prefix bool
+	// hot is the share of the requests with one prefix of 13,300 tokens, or 0. The others then
+	// have one of 1,000 such prefixes.
+	hot float64
 }
 
 // end is the end of a request.
@@ -64,9 +65,9 @@
 	return specs
 }
 
-// evenness replays the load for 8 s and returns the 95th percentile of the running requests of
-// servers, divided by their mean, from 2 s on.
-func (l load) evenness(seed uint64) float64 {
+// evenness replays the load for 12 s and returns the 95th percentile of the running requests of
+// servers, and those of the busiest one, divided by their mean, from 2 s on.
+func (l load) evenness(seed uint64) (percentile, busiest float64) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	specs := l.specs("a")
 	members := make(map[string][]string)
@@ -88,9 +89,9 @@
 	const work = 1500 * time.Millisecond
 	running := make(map[string]int)
 	var open ends
-	var ratios []float64
+	samples := 0.0
 	changed, nextSample := false, start.Add(2*time.Second)
-	for now := start; now.Before(start.Add(8 * time.Second)); {
+	for now := start; now.Before(start.Add(12 * time.Second)); {
 		rate := l.running * float64(l.servers) / work.Seconds()
 		if at := now.Sub(start); at >= 4*time.Second && at < 6*time.Second && l.burst > 0 {
 			rate *= l.burst
@@ -116,12 +117,17 @@
 				sum += counts[i]
 			}
 			slices.Sort(counts)
-			ratios = append(ratios, counts[len(counts)*95/100]*float64(len(counts))/sum)
+			samples++
+			percentile += counts[len(counts)*95/100] * float64(len(counts)) / sum
+			busiest += counts[len(counts)-1] * float64(len(counts)) / sum
 		}
 		i := random.IntN(l.daemons)
 		requirements := placement.Requirements{FailureDomain: fmt.Sprintf("domain-%d", i%l.domains), Generates: true, PromptTokens: 1500, OutputTokens: 170}
-		if l.prefix {
-			requirements.SharedPrefixKey, requirements.SharedPrefixTokens, requirements.PromptTokens = 7, 2000, 3500
+		if l.hot > 0 {
+			requirements.SharedPrefixKey, requirements.SharedPrefixTokens, requirements.PromptTokens = 1+random.Uint64N(1000), 13_300, 17_000
+			if random.Float64() < l.hot {
+				requirements.SharedPrefixKey = 7
+			}
 		}
 		s := pools[i].Choose(requirements, now, random)
 		held := s.BeginRequest(requirements, now)
@@ -133,11 +139,7 @@
 		}
 		heap.Push(&open, end{at: now.Add(time.Duration(float64(duration) * (0.5 + random.Float64()))), server: s, held: held})
 	}
-	var sum float64
-	for _, r := range ratios {
-		sum += r
-	}
-	return sum / float64(len(ratios))
+	return percentile / samples, busiest / samples
 }
 
 // changed returns the servers from 4 s on.
@@ -163,7 +165,7 @@
 	{"200 daemons", load{daemons: 200, servers: 60, domains: 6, slots: 24, running: 8}},
 	{"370 daemons", load{daemons: 370, servers: 120, domains: 6, slots: 24, running: 8}},
 	{"burst", load{daemons: 86, servers: 12, domains: 6, slots: 48, running: 12, burst: 2.5}},
-	{"hot prefix", load{daemons: 86, servers: 36, domains: 6, slots: 48, running: 8, prefix: true}},
+	{"hot prefix", load{daemons: 86, servers: 36, domains: 6, slots: 48, running: 8, hot: 0.28}},
 	{"slow servers", load{daemons: 86, servers: 12, domains: 6, slots: 48, running: 12, slow: 0.5}},
 	{"daemons cut off", load{daemons: 86, servers: 12, domains: 6, slots: 48, running: 12, cut: 0.33}},
 	{"servers replaced", load{daemons: 86, servers: 36, domains: 6, slots: 48, running: 12, replaced: 0.5}},
@@ -176,11 +178,9 @@
 	for _, test := range loads {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			ratio := test.load.evenness(1)
-			test.load.cut = 1
-			t.Logf("undealt %.2f", test.load.evenness(1))
-			t.Logf("95th percentile %.2f times the mean", ratio)
-			c.Check(ratio <= bound, qt.IsTrue, qt.Commentf("%.2f times the mean", ratio))
+			percentile, busiest := test.load.evenness(1)
+			t.Logf("95th percentile %.2f times the mean, busiest server %.2f times", percentile, busiest)
+			c.Check(percentile <= bound, qt.IsTrue, qt.Commentf("%.2f times the mean", percentile))
 		})
 	}
 }
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -98,6 +98,8 @@
 
 	// lanes are the servers of each lane that are not excluded.
 	lanes [ShortPauses + 1][]*Server
+	// prefixCounts are the counts of this daemon's requests by their shared prefix.
+	prefixCounts map[uint64]prefixCount
 	// dealt states that the turns of this daemon are known.
 	dealt bool
 	// intervals are the mean times between events in each lane.
@@ -273,25 +275,26 @@
 // is chosen if no better one is left. A run that is moved with a copy of its KV cache
 // stays in its lane.
 func (p *Pool) Choose(requirements Requirements, now time.Time, random *rand.Rand) *Server {
-	prefixServer := p.prefixServer(requirements)
+	p.countPrefix(requirements.SharedPrefixKey, now)
+	homes := p.homesOf(requirements, now)
 	if requirements.Generates {
-		best, c := p.cheapest(p.lanes[requirements.Lane], requirements, prefixServer, now, random)
+		best, c := p.cheapest(p.lanes[requirements.Lane], requirements, &homes, now, random)
 		if best != nil && c < otherLaneTokens {
 			return best
 		}
 	}
-	best, _ := p.cheapest(p.Servers, requirements, prefixServer, now, random)
+	best, _ := p.cheapest(p.Servers, requirements, &homes, now, random)
 	return best
 }
 
 // cheapest returns the available server of the least cost, and that cost, or nil if none is
 // available.
-func (p *Pool) cheapest(servers []*Server, requirements Requirements, prefixServer *Server, now time.Time, random *rand.Rand) (best *Server, least float64) {
+func (p *Pool) cheapest(servers []*Server, requirements Requirements, homes *homes, now time.Time, random *rand.Rand) (best *Server, least float64) {
 	for _, s := range servers {
 		if !p.accepts(s, requirements) || p.Availability(s, now) != Available {
 			continue
 		}
-		c := p.cost(s, requirements, prefixServer, now)
+		c := p.cost(s, requirements, homes, now)
 		if p.dealt && requirements.Generates {
 			c += jitterTokens * s.turn
 		} else {
@@ -315,32 +318,12 @@
 	return requirements.CopiedKVTokens == 0 || p.Shares == (Shares{}) || s.Lane == requirements.Lane
 }
 
-// prefixServer returns the server that should cache the shared prefix of a
-// prompt, by rendezvous hashing, or nil if the prompt has no shared prefix or
-// the lane has no server. Requests with short pauses have none.
-func (p *Pool) prefixServer(requirements Requirements) *Server {
-	if requirements.SharedPrefixKey == 0 || requirements.Lane == ShortPauses {
-		return nil
-	}
-	var prefixServer *Server
-	var highest uint64
-	for _, s := range p.lanes[requirements.Lane] {
-		if requirements.OnlyVersion && s.Spec.Version != requirements.Version {
-			continue
-		}
-		if weight := rendezvous.Mix(s.nameHash ^ rendezvous.Mix(requirements.SharedPrefixKey)); prefixServer == nil || weight > highest {
-			prefixServer, highest = s, weight
-		}
-	}
-	return prefixServer
-}
-
 // cost returns the cost of running a request on a server, in prompt tokens;
 // lower is better.
-func (p *Pool) cost(s *Server, requirements Requirements, prefixServer *Server, now time.Time) float64 {
+func (p *Pool) cost(s *Server, requirements Requirements, homes *homes, now time.Time) float64 {
 	var c float64
 	if requirements.Generates {
-		c = p.engineCost(s, requirements, s == prefixServer, now)
+		c = p.engineCost(s, requirements, homes.has(s), now)
 	} else {
 		c = float64(s.Running) / float64(max(s.Spec.Slots, 1)) * plainServiceTokens
 	}
@@ -365,10 +348,9 @@
 	cached := requirements.SharedPrefixKey != 0 && s.Cached(requirements.SharedPrefixKey)
 	c := float64(s.PendingPromptTokens + s.Running*runningRequestTokens)
 	reading := c + float64(requirements.PromptTokens)
-	if cached {
+	if cached || home {
 		reading -= float64(requirements.SharedPrefixTokens)
-	}
-	if !cached && !home {
+	} else {
 		c += float64(requirements.SharedPrefixTokens)
 	}
 	if s.Lane != requirements.Lane {
--- a/core/placement/room_test.go
+++ b/core/placement/room_test.go
@@ -107,3 +107,34 @@
 	c.Assert(p.Pace(slow, later), qt.Equals, 1.0)
 	c.Assert(p.Choose(requirements, later, random), qt.Equals, slow)
 }
+
+// TestHotPrefixGetsMoreHomes checks that a prefix which this daemon sees often gets further
+// homes when there are many daemons, that a rare one has one, and that it loses them later.
+func TestHotPrefixGetsMoreHomes(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(0, fleet(8, config.KindStandard)...)
+	p.SetPeers(placement.Peers{VM: "vm-0", FailureDomain: "a", Members: members(16), Daemons: 86, Domains: 3}, start)
+	random := newRandom()
+	used := func(key uint64, from time.Time) int {
+		servers := make(map[*placement.Server]bool)
+		for i := range 8 {
+			requirements := placement.Requirements{
+				FailureDomain: "a", Generates: true, PromptTokens: 17_000, SharedPrefixKey: key, SharedPrefixTokens: 13_300,
+			}
+			s := p.Choose(requirements, from.Add(time.Duration(i)*500*time.Millisecond), random)
+			s.BeginRequest(requirements, from)
+			s.RecordFirstEvent(requirements)
+			servers[s] = true
+		}
+		return len(servers)
+	}
+	c.Assert(used(7, start) > 2, qt.IsTrue)
+	for key := uint64(100); key < 2100; key++ {
+		p.Choose(placement.Requirements{Generates: true, SharedPrefixKey: key}, start.Add(4*time.Second), random)
+	}
+	rare := placement.Requirements{FailureDomain: "a", Generates: true, PromptTokens: 17_000, SharedPrefixKey: 9, SharedPrefixTokens: 13_300}
+	home := p.Choose(rare, start.Add(time.Minute), random)
+	for i := range 10 {
+		c.Assert(p.Choose(rare, start.Add(time.Duration(i+2)*time.Minute), random), qt.Equals, home)
+	}
+}
