--- a/acaciad/directory/collector.go
+++ b/acaciad/directory/collector.go
@@ -20,6 +20,13 @@
 		"Prompt tokens that this daemon sent and that are not read yet, by service.", []string{"service"}, nil)
 	descLimited = prometheus.NewDesc("acaciapath_limited_servers",
 		"Backend servers that name a limit of requests a second, by service.", []string{"service"}, nil)
+	descBusiest = prometheus.NewDesc("acaciapath_busiest_server_ratio",
+		"Requests of this daemon at its busiest backend server, divided by their mean over the servers, by service and lane.",
+		[]string{"service", "lane"}, nil)
+	descCrowded = prometheus.NewDesc("acaciapath_crowded_servers",
+		"Backend servers at which this daemon exceeds its part of the slots, by service and lane.", []string{"service", "lane"}, nil)
+	descSlow = prometheus.NewDesc("acaciapath_slow_servers",
+		"Backend servers whose streams take 1.5 times as long as the mean of their lane, by service and lane.", []string{"service", "lane"}, nil)
 	descRevision = prometheus.NewDesc("acaciapath_catalog_revision",
 		"Revision of the catalog in force.", nil, nil)
 )
@@ -36,7 +43,7 @@
 
 // Describe implements prometheus.Collector.
 func (d *Directory) Describe(descriptions chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{descServers, descRunning, descReading, descLimited, descRevision} {
+	for _, desc := range []*prometheus.Desc{descServers, descRunning, descReading, descLimited, descBusiest, descCrowded, descSlow, descRevision} {
 		descriptions <- desc
 	}
 }
@@ -73,8 +80,21 @@
 		metrics <- prometheus.MustNewConstMetric(descRunning, prometheus.GaugeValue, float64(running), name)
 		metrics <- prometheus.MustNewConstMetric(descReading, prometheus.GaugeValue, float64(unreadTokens), name)
 		metrics <- prometheus.MustNewConstMetric(descLimited, prometheus.GaugeValue, float64(pool.Limited()), name)
+		for lane := placement.Patient; lane <= placement.ShortPauses; lane++ {
+			collectBalance(metrics, pool.Balance(lane, now), name, lane.String())
+		}
 		for g, n := range groups {
 			metrics <- prometheus.MustNewConstMetric(descServers, prometheus.GaugeValue, float64(n), g.service, string(g.kind), g.state)
 		}
 	}
 }
+
+// collectBalance sends the metrics of the balance of a lane, if it has servers.
+func collectBalance(metrics chan<- prometheus.Metric, b placement.Balance, service, lane string) {
+	if b.Servers == 0 {
+		return
+	}
+	metrics <- prometheus.MustNewConstMetric(descBusiest, prometheus.GaugeValue, b.BusiestRatio, service, lane)
+	metrics <- prometheus.MustNewConstMetric(descCrowded, prometheus.GaugeValue, float64(b.Crowded), service, lane)
+	metrics <- prometheus.MustNewConstMetric(descSlow, prometheus.GaugeValue, float64(b.Slow), service, lane)
+}
