acaciad/proxy, acaciad/daemon, core/memory, core/connections: one budget for bodies, heads and large answers; limits on every port

Cause: bodies were read by io.ReadAll or into a slice of the announced length without a common limit or a time; heads passed up to net/http's 1 MB and its fixed timeouts; connections had no limit. Change: core/memory divides a budget (0.15 of the VM's memory) among holders: a client account, or an address. A holder has at most twice what it leaves free. A body takes its segments before it reads into them, waits up to 1 s, then 503 no-memory-for-body; its pace and its whole time are limited (408 body-too-slow). connections.Guard counts heads (bytes and headers) against the same budget and applies maxHeaderBytes, headerTimeoutMs, idleTimeoutMs and a number of connections on each port; the connection that is idle longest makes room. Answers keep two thirds of the budget, as much as before. The test harness of proxy keeps its 8 MB, of which answers now get two thirds. acaciad/proxy/client.go, quarantine.go: the body comes in segments.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"acaciapath.example/core/connections"
 	"acaciapath.example/core/follow"
 	"acaciapath.example/core/lease"
+	"acaciapath.example/core/memory"
 	"acaciapath.example/core/placement"
 	"acaciapath.example/core/replica"
 	"acaciapath.example/core/sleep"
@@ -62,15 +63,16 @@
 // memory.
 const memoryLimitRatio = 0.6
 
-// Memory for large answers that are being received.
+// Memory for requests, and for large answers that are being received. Answers get up to two thirds
+// of it.
 const (
 	// bufferRatio is its share of the VM's memory.
-	bufferRatio = 0.1
+	bufferRatio = 0.15
 	// minBufferBytes applies if the settings do not state the VM's memory.
-	minBufferBytes = 8 << 20
+	minBufferBytes = 12 << 20
 )
 
-// bufferBytes returns the memory for large answers on a VM.
+// bufferBytes returns the memory for requests and large answers on a VM.
 func bufferBytes(memoryBytes int64) int64 {
 	return max(int64(bufferRatio*float64(memoryBytes)), minBufferBytes)
 }
@@ -101,6 +103,9 @@
 	keeper         *lease.Keeper
 	handler        *proxy.Handler
 	registry       *prometheus.Registry
+	// memory is what the process may hold of what others send it.
+	memory *memory.Budget
+	ports  ports
 
 	// draining is done when the shutdown begins.
 	draining      context.Context
@@ -123,6 +128,7 @@
 	instance := fmt.Sprintf("%s-%d", s.Name, now.UnixNano())
 	random := rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(s.Name))))
 	d := &Daemon{settings: s, logger: logger, directory: directory.New(s.FailureDomain, s.ServerDrain, random)}
+	d.memory = memory.NewBudget(bufferBytes(s.MemoryBytes))
 	d.updater = newDirectoryUpdater(d.directory, logger)
 	d.peers = placement.Peers{VM: s.Name, FailureDomain: s.FailureDomain, Domains: len(s.Regions), LimitMemory: options.LimitMemory}
 	d.directory.SetPeers(d.peers, now)
@@ -131,6 +137,7 @@
 	d.requestsEnd, d.endRequests = context.WithCancel(context.Background())
 	d.ending, d.end = context.WithCancel(context.Background())
 	d.registry = prometheus.NewRegistry()
+	d.ports = newPorts(s, d.memory, d.registry, logger)
 	d.storeTransport = neighbours.NewTransport(platform.NewStoreTransport(), s.FailureDomain, neighbours.NewMetrics(d.registry), logger,
 		rand.New(rand.NewPCG(uint64(now.UnixNano()), 2)))
 	d.store = platform.NewStore(s.StoreAddress, storeTimeout, d.storeTransport)
@@ -178,7 +185,7 @@
 	}
 	d.registry.MustRegister(d.directory)
 	d.catalogFeed = d.newFeed(platform.TableCatalog)
-	d.catalogFeed.apply = d.updater.applyCatalog
+	d.catalogFeed.apply = d.applyCatalog
 	d.serversFeed = d.newFeed(platform.TableServers)
 	d.serversFeed.apply, d.serversFeed.storeRestored = d.applyServers, d.handleStoreRestored
 	d.guard = crashreports.NewGuard(options.Quarantine, d.registry)
@@ -221,7 +228,7 @@
 		Meter:        d.usage.Meter,
 		Metrics:      proxy.NewMetrics(d.registry),
 		Logger:       logger,
-		Buffers:      proxy.NewBufferBudget(bufferBytes(s.MemoryBytes)),
+		Buffers:      d.memory,
 		RetryBudgets: proxy.NewBudgets(retryBudget(s, now)),
 		MoveBudgets:  proxy.NewBudgets(moveBudget(s, now)),
 		Draining:     d.draining,
@@ -285,10 +292,11 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: d.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: nil}
+	server := &http.Server{Handler: d.handler}
+	d.ports.callers.Protect(server)
 	callerConnections := connections.Track(server)
-	go d.logServeError(func() error { return callerConnections.Serve(callers) })
-	go d.serve(&http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout}, ready)
+	go d.logServeError(func() error { return callerConnections.Serve(d.ports.callers.Listen(callers)) })
+	go d.serve(d.ports.ready, http.HandlerFunc(d.serveReady), ready)
 	d.serveMetrics()
 	d.serveNeighbours()
 	background := newTaskGroup()
@@ -370,6 +378,15 @@
 	d.logger.WithError(err).Warn("store call for the lease of the control tasks failed, will retry")
 }
 
+// applyCatalog applies the catalog, and its limits to the connections of callers.
+func (d *Daemon) applyCatalog(rows []platform.Row, snapshot bool) bool {
+	refused := d.updater.applyCatalog(rows, snapshot)
+	if view := d.directory.View(); view != nil {
+		d.ports.callers.SetLimits(d.ports.callerLimits(view.Index.Catalog.Limits))
+	}
+	return refused
+}
+
 // applyServers calls directoryUpdater.applyServers with the lock.
 func (d *Daemon) applyServers(rows []platform.Row, snapshot bool) bool {
 	d.mu.Lock()
--- a/acaciad/daemon/listeners.go
+++ b/acaciad/daemon/listeners.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"net"
 	"net/http"
-	"time"
 
 	"acaciapath.example/acaciad/neighbours"
 	"acaciapath.example/acaciad/reader"
+	"acaciapath.example/core/connections"
 	"acaciapath.example/core/telemetry"
 	"acaciapath.example/platform"
 )
@@ -15,18 +15,11 @@
 // MetricsPort is the TCP port at which metrics are served.
 const MetricsPort = 9464
 
-// Timeouts of the connections of callers.
-const (
-	// headerTimeout bounds the time in which a caller sends the headers of a request.
-	headerTimeout = 10 * time.Second
-	// callerIdleTimeout is how long a connection may be idle. Callers close idle
-	// connections earlier.
-	callerIdleTimeout = 60 * time.Second
-)
-
-// serve serves connections of listener until the process ends.
-func (d *Daemon) serve(server *http.Server, listener net.Listener) {
-	d.logServeError(func() error { return server.Serve(listener) })
+// serve serves connections of a listener, which a guard limits, until the process ends.
+func (d *Daemon) serve(guard *connections.Guard, handler http.Handler, listener net.Listener) {
+	server := &http.Server{Handler: handler}
+	guard.Protect(server)
+	d.logServeError(func() error { return server.Serve(guard.Listen(listener)) })
 }
 
 // logServeError calls serve and logs its error, if any.
@@ -53,7 +46,7 @@
 		return
 	}
 	ready := func() error { return d.draining.Err() }
-	go d.serve(&http.Server{Handler: telemetry.OpsHandler(d.registry, ready), ReadHeaderTimeout: headerTimeout}, listener)
+	go d.serve(d.ports.metrics, telemetry.OpsHandler(d.registry, ready), listener)
 }
 
 // serveNeighbours starts to relay calls of the store for other daemons.
@@ -80,5 +73,5 @@
 		Logger: d.logger,
 	})
 	mux.Handle("/", relay)
-	go d.serve(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, listener)
+	go d.serve(d.ports.neighbours, mux, listener)
 }
--- a/acaciad/proxy/buffers.go
+++ b/acaciad/proxy/buffers.go
@@ -3,7 +3,8 @@
 import (
 	"errors"
 	"io"
-	"sync/atomic"
+
+	"acaciapath.example/core/memory"
 )
 
 // Sizes of buffers for answers.
@@ -19,37 +20,20 @@
 // answers is used up.
 var errBufferFull = errors.New("proxy: the answer does not fit into memory")
 
-// BufferBudget limits the memory of large answers that are being received. A backend
-// server in trouble may send bytes without end, and hundreds of requests may meet it at
-// the same time. It is safe for concurrent use.
-type BufferBudget struct{ free atomic.Int64 }
-
-// NewBufferBudget returns a budget of the given number of bytes.
-func NewBufferBudget(bytes int64) *BufferBudget {
-	b := &BufferBudget{}
-	b.free.Store(bytes)
-	return b
-}
-
-// reserve takes bytes from the budget and reports whether it had as many.
-func (b *BufferBudget) reserve(bytes int64) bool {
-	if b.free.Add(-bytes) >= 0 {
-		return true
-	}
-	b.free.Add(bytes)
-	return false
-}
+// answersHolder holds the memory of answers that are being received. A backend server in trouble
+// may send bytes without end, and hundreds of requests may meet it at the same time.
+const answersHolder = "answers"
 
 // buffer is a byte slice that grows within a limit and a budget.
 type buffer struct {
 	data     []byte
 	limit    int
-	budget   *BufferBudget
+	budget   *memory.Budget
 	reserved int64
 }
 
 // newBuffer returns an empty buffer of at most limit bytes.
-func newBuffer(budget *BufferBudget, limit int) *buffer {
+func newBuffer(budget *memory.Budget, limit int) *buffer {
 	return &buffer{data: make([]byte, 0, initialBufferBytes), limit: limit, budget: budget}
 }
 
@@ -74,7 +58,7 @@
 	}
 	if size > freeBufferBytes {
 		more := int64(size) - b.reserved
-		if !b.budget.reserve(more) {
+		if !b.budget.Reserve(answersHolder, more) {
 			return errBufferFull
 		}
 		b.reserved += more
@@ -90,6 +74,6 @@
 
 // release returns the memory to the budget. The buffer must not grow afterwards.
 func (b *buffer) release() {
-	b.budget.free.Add(b.reserved)
+	b.budget.Release(answersHolder, b.reserved)
 	b.reserved = 0
 }
--- a/acaciad/proxy/client.go
+++ b/acaciad/proxy/client.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -10,6 +9,8 @@
 	"net/url"
 	"sync/atomic"
 	"time"
+
+	"acaciapath.example/core/memory"
 )
 
 // Limits of connections to backend servers.
@@ -89,7 +90,7 @@
 	target  *url.URL
 	host    string
 	header  http.Header
-	body    []byte
+	body    *memory.Body
 	address string
 	// repeatable states that the backend server may receive the request twice.
 	repeatable bool
@@ -119,13 +120,13 @@
 		},
 		Host:          o.host,
 		Header:        o.header,
-		ContentLength: int64(len(o.body)),
+		ContentLength: int64(o.body.Len()),
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 	}).WithContext(httptrace.WithClientTrace(ctx, trace))
-	if len(o.body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(o.body))
+	if o.body.Len() > 0 {
+		request.Body = io.NopCloser(o.body.Reader())
 	}
 	transport := c.singleUse
 	if o.repeatable {
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,6 +12,7 @@
 	"acaciapath.example/acaciad/limitreports"
 	"acaciapath.example/acaciad/origins"
 	"acaciapath.example/core/catalog"
+	"acaciapath.example/core/memory"
 	"acaciapath.example/core/origin"
 	"acaciapath.example/core/placement"
 	"acaciapath.example/core/quarantine"
@@ -31,9 +31,6 @@
 	// defaultWait is the timeout of a request that states no deadline and whose
 	// route is not known yet.
 	defaultWait = 30 * time.Second
-	// defaultMaxBodyBytes is the maximum size of a request body if the catalog
-	// sets none.
-	defaultMaxBodyBytes = 4 << 20
 )
 
 // Values of the Retry-After header of refusals.
@@ -45,6 +42,9 @@
 	// retryAfterOrigin is sent when the store cannot tell yet which version began a stream, or
 	// the version has no server. Servers that crashed start again.
 	retryAfterOrigin = 2 * time.Second
+	// retryAfterNoMemory is sent when other bodies have the memory. Those that do not progress
+	// are refused within about this time or a few times of it.
+	retryAfterNoMemory = time.Second
 	// minRetryAfterQuarantine is the least value while a request or a prompt part is
 	// quarantined.
 	minRetryAfterQuarantine = time.Second
@@ -75,8 +75,8 @@
 	Metrics *Metrics
 	// Logger logs the outcomes of requests.
 	Logger *logrus.Logger
-	// Buffers limits the memory of large answers.
-	Buffers *BufferBudget
+	// Buffers limits the memory of bodies of requests and of large answers.
+	Buffers *memory.Budget
 	// RetryBudgets limit retries, by service.
 	RetryBudgets *Budgets
 	// MoveBudgets limit moves of runs to other engines, by service. The platform
@@ -103,6 +103,9 @@
 		arrived:  time.Now(),
 		metadata: h.Wire.ParseRequest(r.Header),
 	}
+	x.bodyUnread = r.ContentLength != 0
+	x.body = &memory.Body{Budget: h.Buffers, MaxWait: maxBodyWait}
+	defer x.body.Release()
 	if h.Draining.Err() != nil {
 		w.Header().Set("Connection", "close")
 	}
@@ -131,6 +134,8 @@
 	unknownRoute      = &refusal{status: http.StatusNotFound, reason: "route-unknown"}
 	unknownKey        = &refusal{status: http.StatusUnauthorized, reason: "key-unknown"}
 	bodyTooLarge      = &refusal{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
+	bodyTooSlow       = &refusal{status: http.StatusRequestTimeout, reason: "body-too-slow"}
+	bodyNoMemory      = &refusal{status: http.StatusServiceUnavailable, reason: "no-memory-for-body", retryAfter: retryAfterNoMemory}
 	bodyIncomplete    = &refusal{status: http.StatusBadRequest, reason: "body-incomplete"}
 	noBackendServer   = &refusal{status: http.StatusServiceUnavailable, reason: "no-backend-server", retryAfter: retryAfterFailure}
 	notRun            = &refusal{status: http.StatusServiceUnavailable, reason: "not-run", retryAfter: retryAfterFailure}
@@ -158,7 +163,9 @@
 	sharedParts []quarantine.Part
 	// wholeAndParts are the request itself and sharedParts. allParts sets it.
 	wholeAndParts []quarantine.Part
-	body          []byte
+	body          *memory.Body
+	// bodyUnread states that the caller may still be sending the body.
+	bodyUnread bool
 
 	// mayHaveExecuted states that the request may have run on a backend server.
 	mayHaveExecuted bool
@@ -298,36 +305,6 @@
 	return required
 }
 
-// readBody reads the body into memory, since it may be sent more than once. The
-// limit is in bytes; defaultMaxBodyBytes applies if it is not positive.
-func (x *exchange) readBody(limit int64) *refusal {
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if x.request.ContentLength > limit {
-		return bodyTooLarge
-	}
-	if x.request.ContentLength == 0 {
-		return nil
-	}
-	reader := http.MaxBytesReader(x.writer, x.request.Body, limit)
-	var err error
-	if n := x.request.ContentLength; n > 0 {
-		x.body = make([]byte, n)
-		_, err = io.ReadFull(reader, x.body)
-	} else {
-		x.body, err = io.ReadAll(reader)
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return bodyTooLarge
-	case err != nil:
-		return bodyIncomplete
-	}
-	return nil
-}
-
 // recordUsage counts the request for its client account, once, when it is known
 // to run.
 func (x *exchange) recordUsage() {
@@ -353,6 +330,7 @@
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(r.reason)+1))
+	x.endUnreadBody()
 	x.writer.WriteHeader(r.status)
 	_, _ = io.WriteString(x.writer, r.reason+"\n") // the caller may have disconnected
 }
--- a/acaciad/proxy/harness_test.go
+++ b/acaciad/proxy/harness_test.go
@@ -17,6 +17,7 @@
 	"acaciapath.example/acaciad/origins"
 	"acaciapath.example/acaciad/proxy"
 	"acaciapath.example/core/catalog"
+	"acaciapath.example/core/memory"
 	"acaciapath.example/core/quarantine"
 	"acaciapath.example/core/replica"
 	"acaciapath.example/core/retry"
@@ -100,7 +101,7 @@
 		Meter:        usage.NewMeter(),
 		Metrics:      proxy.NewMetrics(prometheus.NewRegistry()),
 		Logger:       logger,
-		Buffers:      proxy.NewBufferBudget(testBufferBytes),
+		Buffers:      memory.NewBudget(testBufferBytes),
 		RetryBudgets: proxy.NewBudgets(retry.Budget{Burst: burst, Available: burst}),
 		MoveBudgets:  proxy.NewBudgets(retry.Budget{Burst: burst, Available: burst}),
 		Draining:     draining,
--- a/acaciad/proxy/quarantine.go
+++ b/acaciad/proxy/quarantine.go
@@ -35,7 +35,7 @@
 
 // requestKey identifies the request, also when it is sent again.
 func (x *exchange) requestKey() uint64 {
-	return quarantine.RequestID(x.accountName(), x.request.URL.RequestURI(), x.body)
+	return quarantine.RequestID(x.accountName(), x.request.URL.RequestURI(), x.body.Segments()...)
 }
 
 // newSharedParts returns the parts of the prompt that other requests may share, for a
--- /dev/null
+++ b/core/connections/conn.go
@@ -0,0 +1,162 @@
+package connections
+
+import (
+	"bytes"
+	"container/list"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// readAhead is how much net/http reads at once, of which a part may belong to the body.
+	readAhead = 4 << 10
+	// headerMemory is the memory of a header beside its bytes.
+	headerMemory = 160
+	// refusalTime bounds the time in which a refusal is sent and what the other end still
+	// sends is discarded, up to maxDiscardedBytes: closing a connection with unread bytes
+	// would discard the refusal.
+	refusalTime       = 500 * time.Millisecond
+	maxDiscardedBytes = 64 << 10
+)
+
+// Answers of refused connections. No request was read, so none was run.
+const (
+	headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	noMemory     = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+// errRefused is the error of reads from a connection that was refused.
+var errRefused = errors.New("connections: refused")
+
+// conn is a connection of a Guard. Its reads are limited while a head is due: between requests and
+// until a head is complete.
+type conn struct {
+	net.Conn
+	guard   *Guard
+	address string
+
+	// element is the place in the list of idle connections, or nil, and counted states that the
+	// connection is one of those that are open. Both are guarded by guard.mu.
+	element *list.Element
+	counted bool
+
+	mu sync.Mutex // makes changes of inRequest and of the read deadline one step
+	// inRequest states that a head is complete and its request has not ended.
+	inRequest atomic.Bool
+	// ending states that the connection is closed instead of waiting for another head.
+	ending atomic.Bool
+	// headBytes is the size of the head so far, headBegan the arrival of its first byte, and
+	// reserved the memory taken for it. Only the goroutine that reads heads uses them.
+	headBytes int
+	headBegan time.Time
+	reserved  atomic.Int64
+}
+
+// leave stops counting the connection. The caller holds guard.mu.
+func (c *conn) leave() {
+	if c.counted {
+		c.counted = false
+		c.guard.open--
+	}
+}
+
+// endHead records that a head is complete. Reads are not limited until awaitHead.
+func (c *conn) endHead() {
+	c.guard.setIdle(c, false)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inRequest.Store(true)
+	_ = c.Conn.SetReadDeadline(time.Time{}) // an error shows in the next read
+}
+
+// awaitHead records that a request has ended.
+func (c *conn) awaitHead() {
+	c.release()
+	c.headBytes = 0
+	c.inRequest.Store(false)
+	c.guard.setIdle(c, true)
+}
+
+// release gives back the memory of the head.
+func (c *conn) release() { c.guard.Budget.Release(c.address, c.reserved.Swap(0)) }
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.guard.remove(c)
+	c.release()
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the writing side, if the connection can do that.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// endIdle ends the wait for another head. A request whose head is complete is still served.
+func (c *conn) endIdle() {
+	c.ending.Store(true)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.inRequest.Load() {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // an error means that it is closed already
+	}
+}
+
+// Read reads within the limits of the guard.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.inRequest.Load() {
+		return c.Conn.Read(p)
+	}
+	limits := c.guard.limits.Load()
+	if c.headBytes >= limits.HeadBytes+readAhead {
+		return 0, c.refuse(ReasonHeadTooLarge, headTooLarge)
+	}
+	c.setHeadDeadline(limits)
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.headBytes > 0 && !c.ending.Load() {
+		c.guard.OnRefused(c.address, ReasonHeadTooSlow)
+	}
+	if n == 0 {
+		return n, err
+	}
+	if c.headBytes == 0 {
+		c.headBegan = time.Now()
+	}
+	c.headBytes += n
+	memory := int64(n + headerMemory*bytes.Count(p[:n], []byte("\n")))
+	if !c.guard.Budget.Reserve(c.address, memory) {
+		return 0, c.refuse(ReasonMemory, noMemory)
+	}
+	c.reserved.Add(memory)
+	return n, err
+}
+
+// setHeadDeadline limits the wait for the next bytes of a head.
+func (c *conn) setHeadDeadline(limits *Limits) {
+	deadline := time.Now().Add(limits.IdleTimeout)
+	if c.headBytes > 0 {
+		deadline = c.headBegan.Add(limits.HeadTimeout)
+	}
+	_ = c.Conn.SetReadDeadline(deadline) // an error shows in the read
+	if c.ending.Load() {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// refuse answers instead of the server and returns the error of the read.
+func (c *conn) refuse(reason, answer string) error {
+	c.guard.OnRefused(c.address, reason)
+	_ = c.Conn.SetDeadline(time.Now().Add(refusalTime)) // an error shows in the write
+	if _, err := io.WriteString(c.Conn, answer); err == nil && c.CloseWrite() == nil {
+		_, _ = io.CopyN(io.Discard, c.Conn, maxDiscardedBytes) // what it sends does not matter
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errRefused}
+}
--- /dev/null
+++ b/core/connections/guard.go
@@ -0,0 +1,160 @@
+package connections
+
+import (
+	"container/list"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"acaciapath.example/core/memory"
+)
+
+// Reasons of refusals.
+const (
+	ReasonHeadTooLarge = "head-too-large"
+	ReasonHeadTooSlow  = "head-too-slow"
+	ReasonMemory       = "memory"
+	ReasonConnections  = "connections"
+)
+
+// Guard keeps the connections of an HTTP server within limits and a budget of memory, which
+// net/http bounds only for each connection and cannot change while it runs. It is safe for
+// concurrent use.
+type Guard struct {
+	// Budget is where the memory of heads is taken from, for the address that sends them.
+	Budget *memory.Budget
+	// OnRefused is called for each connection that is refused or closed, with the address of
+	// the other end and a reason.
+	OnRefused func(address, reason string)
+
+	limits atomic.Pointer[Limits]
+
+	mu   sync.Mutex // guards the fields below
+	open int
+	// idle are the connections that have no complete request, the one that waits longest first.
+	idle *list.List
+}
+
+// NewGuard returns a guard without connections.
+func NewGuard(budget *memory.Budget, limits Limits, onRefused func(address, reason string)) *Guard {
+	g := &Guard{Budget: budget, OnRefused: onRefused, idle: list.New()}
+	g.SetLimits(limits)
+	return g
+}
+
+// SetLimits changes the limits. Open connections above a lower limit stay open.
+func (g *Guard) SetLimits(limits Limits) { g.limits.Store(&limits) }
+
+// Limits returns the limits.
+func (g *Guard) Limits() Limits { return *g.limits.Load() }
+
+// guardKey is the key of the connection in the context of a request.
+type guardKey struct{}
+
+// Protect prepares a server that has not been started and has no timeouts and limits of its own. It
+// must be served with a listener that Listen has returned.
+func (g *Guard) Protect(server *http.Server) {
+	server.MaxHeaderBytes = maxServerHeadBytes
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, guardKey{}, c) }
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if guarded, ok := c.(*conn); ok && state == http.StateIdle {
+			guarded.awaitHead()
+		}
+	}
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if guarded, ok := r.Context().Value(guardKey{}).(*conn); ok {
+			guarded.endHead()
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// maxServerHeadBytes is the limit of net/http, which applies beside that of the guard.
+const maxServerHeadBytes = 16 << 20
+
+// Listen returns a listener that keeps the connections of inner within the limits.
+func (g *Guard) Listen(inner net.Listener) net.Listener {
+	return &guardedListener{Listener: inner, guard: g}
+}
+
+// guardedListener is a listener whose connections are guarded.
+type guardedListener struct {
+	net.Listener
+	guard *Guard
+}
+
+// Accept returns the next connection within the limits.
+func (l *guardedListener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.guard.admit(inner); c != nil {
+			return c, nil
+		}
+	}
+}
+
+// admit returns a guarded connection. If there are too many, the one that is idle longest is
+// closed. If none is idle, inner is closed before anything is read, so that its other end knows
+// that no request was run, and admit returns nil.
+func (g *Guard) admit(inner net.Conn) net.Conn {
+	c := &conn{Conn: inner, guard: g, address: hostOf(inner)}
+	g.mu.Lock()
+	var evicted *conn
+	if g.open >= g.limits.Load().Connections {
+		oldest := g.idle.Front()
+		if oldest == nil {
+			g.mu.Unlock()
+			_ = inner.Close() // nothing was read
+			g.OnRefused(c.address, ReasonConnections)
+			return nil
+		}
+		evicted = g.idle.Remove(oldest).(*conn)
+		evicted.element = nil
+		evicted.leave()
+	}
+	g.open++
+	c.counted = true
+	c.element = g.idle.PushBack(c)
+	g.mu.Unlock()
+	if evicted != nil {
+		evicted.endIdle()
+		g.OnRefused(evicted.address, ReasonConnections)
+	}
+	return c
+}
+
+// hostOf returns the address of the other end of a connection, without its port.
+func hostOf(c net.Conn) string {
+	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	if err != nil {
+		return c.RemoteAddr().String()
+	}
+	return host
+}
+
+// setIdle adds a connection to those that are idle, or removes it.
+func (g *Guard) setIdle(c *conn, idle bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case idle && c.element == nil && c.counted:
+		c.element = g.idle.PushBack(c)
+	case !idle && c.element != nil:
+		g.idle.Remove(c.element)
+		c.element = nil
+	}
+}
+
+// remove forgets a connection that is closed.
+func (g *Guard) remove(c *conn) {
+	g.setIdle(c, false)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.leave()
+}
--- a/core/connections/tracker.go
+++ b/core/connections/tracker.go
@@ -31,10 +31,16 @@
 }
 
 // Track starts to track the connections of a server that has not been started. The
-// server must have no ConnState hook of its own.
+// server's ConnState hook, if any, is called first.
 func Track(server *http.Server) *Tracker {
 	t := &Tracker{server: server, states: make(map[net.Conn]http.ConnState)}
-	server.ConnState = t.observe
+	hook := server.ConnState
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if hook != nil {
+			hook(c, state)
+		}
+		t.observe(c, state)
+	}
 	return t
 }
 
@@ -100,7 +106,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c, state := range t.states {
-		if state == http.StateIdle {
+		if state != http.StateIdle {
+			continue
+		}
+		if guarded, ok := c.(*conn); ok {
+			guarded.endIdle()
+		} else {
 			_ = c.SetReadDeadline(time.Unix(1, 0)) // an error means that it is closed already
 		}
 	}
--- a/core/quarantine/request.go
+++ b/core/quarantine/request.go
@@ -6,8 +6,8 @@
 )
 
 // RequestID identifies a request, however often and to whichever daemon it is sent: by its
-// client account, its target (the path and the query) and its body.
-func RequestID(account, target string, body []byte) uint64 {
+// client account, its target (the path and the query) and its body, which may come in segments.
+func RequestID(account, target string, body ...[]byte) uint64 {
 	h := sha256.New()
 	var length [8]byte
 	for _, s := range []string{account, target} {
@@ -15,6 +15,8 @@
 		h.Write(length[:])
 		h.Write([]byte(s))
 	}
-	h.Write(body)
+	for _, segment := range body {
+		h.Write(segment)
+	}
 	return binary.LittleEndian.Uint64(h.Sum(nil))
 }
