acaciad/neighbours, core/connections: bodies of calls between daemons by the budget; unread bodies of all ports end

After any handler the rest of a body is awaited for 1 s (net/http waits without a limit). Tests: the Relay of the neighbours' tests gets a budget; a new shape, small_body_that_does_not_come.

--- a/acaciad/daemon/hostile_clients_test.go
+++ b/acaciad/daemon/hostile_clients_test.go
@@ -72,6 +72,7 @@
 		{name: "unfinished_small_chunks", connections: many, prefix: chunked, repeat: chunk(16), bytes: unfinished(16)},
 		{name: "unfinished_announced_body", connections: many, prefix: announced(hostileBodyBytes), repeat: strings.Repeat("x", 64<<10), bytes: hostileBodyBytes},
 		{name: "announced_body_that_does_not_come", connections: many, prefix: announced(hostileBodyBytes)},
+		{name: "small_body_that_does_not_come", connections: many, prefix: announced(100)},
 		{name: "trickled_body", connections: many, prefix: announced(hostileBodyBytes), repeat: "x", bytes: len(announced(hostileBodyBytes)) + 100, pause: 20 * time.Millisecond},
 		{name: "announced_far_over_the_limit", connections: many, prefix: announced(1 << 40), repeat: strings.Repeat("x", 64<<10), bytes: 40 << 20},
 		{name: "sent_far_over_the_limit", connections: many, prefix: chunked, repeat: chunk(64 << 10), bytes: 40 << 20},
--- a/acaciad/daemon/listeners.go
+++ b/acaciad/daemon/listeners.go
@@ -62,7 +62,7 @@
 	}
 	relay := &neighbours.Relay{
 		StoreAddress: d.settings.StoreAddress, Allowed: platform.IsStoreCall, Headers: []string{platform.HeaderEpoch}, StoreUnreachable: d.storeTransport.DirectFailing,
-		Base: d.storeTransport.Direct(), Queue: d.writeQueue, Collector: d.collector, Logger: d.logger,
+		Base: d.storeTransport.Direct(), Queue: d.writeQueue, Collector: d.collector, Memory: d.memory, Logger: d.logger,
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+reader.Path, &reader.Handler{
--- a/acaciad/neighbours/collector.go
+++ b/acaciad/neighbours/collector.go
@@ -8,6 +8,7 @@
 
 	"acaciapath.example/core/batch"
 	"acaciapath.example/core/gen/table"
+	"acaciapath.example/core/memory"
 	"acaciapath.example/core/platformapi"
 
 	"github.com/sirupsen/logrus"
@@ -145,17 +146,15 @@
 	return err
 }
 
-var _ http.Handler = (*Collector)(nil)
-
-// ServeHTTP accepts a write and answers like the store. It answers 503 if the store has
+// serve accepts a write and answers like the store. It answers 503 if the store has
 // refused the write, 504 if the outcome is unknown, and 429 if too many writes wait.
-func (c *Collector) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRelayedBytes))
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+func (c *Collector) serve(w http.ResponseWriter, r *http.Request, budget *memory.Budget) {
+	body := readBody(w, r, budget)
+	if body == nil {
 		return
 	}
-	commit, err := c.Parse(body)
+	defer body.Release() // after the commit, which is about as large
+	commit, err := c.Parse(body.Bytes())
 	if err != nil {
 		c.Logger.WithError(err).Warn("invalid write of a neighbour refused")
 		w.WriteHeader(http.StatusBadRequest)
--- a/acaciad/neighbours/collector_test.go
+++ b/acaciad/neighbours/collector_test.go
@@ -15,6 +15,7 @@
 	"acaciapath.example/acaciad/neighbours"
 	"acaciapath.example/core/follow"
 	"acaciapath.example/core/gen/table"
+	"acaciapath.example/core/memory"
 	"acaciapath.example/core/platformapi"
 	"acaciapath.example/platform"
 	"acaciapath.example/platform/platformtest"
@@ -50,6 +51,7 @@
 	go func() { defer close(done); collector.Run(ctx) }()
 	g.Cleanup(func() { cancel(); <-done })
 	server := httptest.NewServer(&neighbours.Relay{
+		Memory:  memory.NewBudget(12 << 20),
 		Allowed: platform.IsStoreCall, Headers: []string{platform.HeaderEpoch}, StoreUnreachable: func() bool { return false }, Collector: collector, Logger: logger,
 	})
 	g.Cleanup(server.Close)
--- a/acaciad/neighbours/neighbours_test.go
+++ b/acaciad/neighbours/neighbours_test.go
@@ -16,6 +16,7 @@
 	"acaciapath.example/core/epoch"
 	"acaciapath.example/core/follow"
 	"acaciapath.example/core/gen/table"
+	"acaciapath.example/core/memory"
 	"acaciapath.example/platform"
 	"acaciapath.example/platform/platformtest"
 	"acaciapath.example/standin/relay"
@@ -57,6 +58,7 @@
 	p.client = platform.NewStore(link.Address(), timeout, p.transport)
 	p.directClient = platform.NewStore(link.Address(), timeout, p.transport.Direct())
 	p.neighbour = httptest.NewServer(&neighbours.Relay{
+		Memory:       memory.NewBudget(12 << 20),
 		StoreAddress: p.store.Address(), Allowed: platform.IsStoreCall, Headers: []string{platform.HeaderEpoch}, StoreUnreachable: p.secondCutOff.Load,
 		Base: platform.NewStoreTransport(), Logger: logger,
 	})
@@ -251,6 +253,7 @@
 		},
 	}
 	second := httptest.NewServer(&neighbours.Relay{
+		Memory:       memory.NewBudget(12 << 20),
 		StoreAddress: p.store.Address(), Allowed: platform.IsStoreCall, Headers: []string{platform.HeaderEpoch}, StoreUnreachable: func() bool { return true },
 		Base: platform.NewStoreTransport(), Queue: queue, Logger: logger,
 	})
@@ -298,6 +301,7 @@
 	var shuttingDown atomic.Bool
 	queue := &neighbours.WriteQueue{Send: unreachable, TTL: time.Minute, ShuttingDown: shuttingDown.Load, Logger: logger}
 	server := httptest.NewServer(&neighbours.Relay{
+		Memory:  memory.NewBudget(12 << 20),
 		Allowed: platform.IsStoreCall, Headers: []string{platform.HeaderEpoch}, StoreUnreachable: func() bool { return true }, Queue: queue, Logger: logger,
 	})
 	c.Cleanup(server.Close)
--- a/acaciad/neighbours/relay.go
+++ b/acaciad/neighbours/relay.go
@@ -7,6 +7,8 @@
 	"net/url"
 	"time"
 
+	"acaciapath.example/core/memory"
+
 	"github.com/sirupsen/logrus"
 )
 
@@ -14,10 +16,6 @@
 // holds a call.
 const relayTimeout = 30 * time.Second
 
-// maxRelayedBytes is the maximum size of the body of a relayed call: the limit of the
-// store, with room for base64.
-const maxRelayedBytes = 2 << 20
-
 // Relay forwards calls of neighbours to the store. It never forwards them to another
 // daemon: while the daemon itself cannot reach the store, it refuses them.
 type Relay struct {
@@ -36,6 +34,8 @@
 	Queue *WriteQueue
 	// Collector commits writes of neighbours together.
 	Collector *Collector
+	// Memory is where the memory of relayed calls is taken from.
+	Memory *memory.Budget
 	// Logger logs failed calls.
 	Logger *logrus.Logger
 }
@@ -46,14 +46,14 @@
 func (l *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.Method == http.MethodPost && r.URL.Path == handOverPath && l.Allowed(r.Method, r.URL.Query().Get("path")):
-		l.Queue.serve(w, r)
+		l.Queue.serve(w, r, l.Memory)
 		return
 	case r.Method == http.MethodPost && r.URL.Path == collectedPath && l.Allowed(r.Method, r.URL.Query().Get("path")):
 		if l.StoreUnreachable() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		l.Collector.ServeHTTP(w, r)
+		l.Collector.serve(w, r, l.Memory)
 		return
 	case !l.Allowed(r.Method, r.URL.Path):
 		w.WriteHeader(http.StatusNotFound)
@@ -62,12 +62,20 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	body := readBody(w, r, l.Memory)
+	if body == nil {
+		return
+	}
+	defer body.Release()
 	ctx, cancel := context.WithTimeout(r.Context(), relayTimeout)
 	defer cancel()
 	out := r.Clone(ctx)
 	out.URL = &url.URL{Scheme: "http", Host: l.StoreAddress, Path: r.URL.Path, RawQuery: r.URL.RawQuery}
 	out.Host, out.RequestURI = l.StoreAddress, ""
-	out.Body = http.MaxBytesReader(w, r.Body, maxRelayedBytes)
+	out.Body, out.ContentLength, out.TransferEncoding = http.NoBody, int64(body.Len()), nil
+	if body.Len() > 0 {
+		out.Body = io.NopCloser(body.Reader())
+	}
 	response, err := l.Base.RoundTrip(out)
 	if err != nil {
 		l.Logger.WithError(err).WithField("path", r.URL.Path).Info("relayed store call failed, aborting the connection")
--- a/acaciad/neighbours/write_queue.go
+++ b/acaciad/neighbours/write_queue.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"acaciapath.example/core/detour"
+	"acaciapath.example/core/memory"
 	"acaciapath.example/core/sleep"
 
 	"github.com/ansel1/merry/v2"
@@ -27,6 +28,9 @@
 	// maxQueuedWrites is the maximum number of queued writes. It allows for a few
 	// from each VM of a failure domain that shuts down as a whole.
 	maxQueuedWrites = 256
+	// maxQueuedBytes is the maximum size of the bodies of queued writes, and of those that were
+	// committed. A write has a few kilobytes of usage.
+	maxQueuedBytes = 4 << 20
 	// queueRetryInterval is the time between two attempts to send a write.
 	queueRetryInterval = 400 * time.Millisecond
 )
@@ -66,11 +70,20 @@
 	expiresAt time.Time
 }
 
+// totalBytes returns the size of the bodies of writes.
+func totalBytes(writes []queuedWrite) int {
+	n := 0
+	for _, w := range writes {
+		n += len(w.body)
+	}
+	return n
+}
+
 // Add appends a write to the queue. It returns an error if the queue is full.
 func (q *WriteQueue) Add(path string, body []byte, now time.Time) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.writes) >= maxQueuedWrites {
+	if len(q.writes) >= maxQueuedWrites || totalBytes(q.writes)+len(body) > maxQueuedBytes {
 		return errQueueFull
 	}
 	q.writes = append(q.writes, queuedWrite{path: path, body: body, expiresAt: now.Add(q.TTL)})
@@ -95,7 +108,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.committed = slices.DeleteFunc(q.committed, func(w queuedWrite) bool { return now.After(w.expiresAt) })
-	if len(q.committed) < maxQueuedWrites {
+	if len(q.committed) < maxQueuedWrites && totalBytes(q.committed)+len(queued.body) <= maxQueuedBytes {
 		q.committed = append(q.committed, queued)
 	}
 }
@@ -160,17 +173,17 @@
 }
 
 // serve accepts a write from a neighbour.
-func (q *WriteQueue) serve(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRelayedBytes))
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+func (q *WriteQueue) serve(w http.ResponseWriter, r *http.Request, budget *memory.Budget) {
+	body := readBody(w, r, budget)
+	if body == nil {
 		return
 	}
+	defer body.Release()
 	if q.ShuttingDown() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if err := q.Add(r.URL.Query().Get("path"), body, time.Now()); err != nil {
+	if err := q.Add(r.URL.Query().Get("path"), body.Bytes(), time.Now()); err != nil {
 		q.Logger.WithError(err).Warn("write from a neighbour not accepted")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/acaciad/proxy/body.go
+++ b/acaciad/proxy/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -20,9 +19,8 @@
 	// maxBodyWait is how long a body waits for memory at a time. Meanwhile it is not read.
 	maxBodyWait = time.Second
 	// maxUnreadBytes is the announced length up to which the body of a refused request is
-	// awaited for unreadTime, so that the connection can be used again.
+	// awaited, so that the connection can be used again.
 	maxUnreadBytes = 64 << 10
-	unreadTime     = time.Second
 )
 
 // readBody reads the body into memory, since it may be sent more than once. The
@@ -38,12 +36,7 @@
 		return nil
 	}
 	x.body.Holder = x.bodyHolder()
-	controller := http.NewResponseController(x.writer)
-	paced := &pacedReader{
-		reader: http.MaxBytesReader(x.writer, x.request.Body, limit), controller: controller,
-		pace: connections.DefaultPace, began: time.Now(), end: x.deadline(),
-	}
-	err := x.body.ReadFrom(x.request.Context(), paced, x.request.ContentLength)
+	err := connections.ReadBody(x.writer, x.request, x.body, limit, x.deadline())
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -56,7 +49,6 @@
 		return bodyIncomplete
 	}
 	x.bodyUnread = false
-	_ = controller.SetReadDeadline(time.Time{}) // an error shows when the connection is read
 	return nil
 }
 
@@ -73,39 +65,10 @@
 	return host
 }
 
-// endUnreadBody ends the body of a refused request. net/http would go on reading it before it sends
-// the answer, without a limit on the time.
+// endUnreadBody has the connection closed after a refusal if much of the body may still come.
 func (x *exchange) endUnreadBody() {
-	if !x.bodyUnread {
-		return
-	}
-	now := time.Now()
-	controller := http.NewResponseController(x.writer)
-	if n := x.request.ContentLength; n > 0 && n <= maxUnreadBytes && x.body.Len() == 0 {
-		_ = controller.SetReadDeadline(now.Add(unreadTime)) // an error shows when the body is read
-		return
-	}
-	x.writer.Header().Set("Connection", "close")
-	_ = controller.SetReadDeadline(now) // as above
-}
-
-// pacedReader reads a body that must arrive at a pace and before a time.
-type pacedReader struct {
-	reader     io.Reader
-	controller *http.ResponseController
-	pace       connections.Pace
-	began, end time.Time
-	read       int64
-}
-
-// Read reads once. It returns os.ErrDeadlineExceeded if the body is too slow.
-func (p *pacedReader) Read(buffer []byte) (int, error) {
-	deadline := p.pace.Deadline(p.began, p.read, time.Now())
-	if p.end.Before(deadline) {
-		deadline = p.end
+	n := x.request.ContentLength
+	if x.bodyUnread && (n < 0 || n > maxUnreadBytes || x.body.Len() > 0) {
+		x.writer.Header().Set("Connection", "close")
 	}
-	_ = p.controller.SetReadDeadline(deadline) // an error shows in the read
-	n, err := p.reader.Read(buffer)
-	p.read += int64(n)
-	return n, err
 }
--- a/core/connections/guard.go
+++ b/core/connections/guard.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"acaciapath.example/core/memory"
 )
@@ -65,13 +66,21 @@
 	}
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if guarded, ok := r.Context().Value(guardKey{}).(*conn); ok {
+		guarded, ok := r.Context().Value(guardKey{}).(*conn)
+		if ok {
 			guarded.endHead()
 		}
 		handler.ServeHTTP(w, r)
+		if ok && r.ContentLength != 0 {
+			// net/http reads on, up to 256 KB and without a limit on the time.
+			_ = guarded.SetReadDeadline(time.Now().Add(unreadTime)) // an error shows in the read
+		}
 	})
 }
 
+// unreadTime is how long the rest of a body is awaited that the handler has not read.
+const unreadTime = time.Second
+
 // maxServerHeadBytes is the limit of net/http, which applies beside that of the guard.
 const maxServerHeadBytes = 16 << 20
 
