--- a/acaciad/daemon/daemon_test.go
+++ b/acaciad/daemon/daemon_test.go
@@ -35,7 +35,7 @@
 	running sync.WaitGroup
 }
 
-func newDeployment(t *testing.T) *deployment {
+func newDeployment(t testing.TB) *deployment {
 	c := qt.New(t)
 	d := &deployment{C: c, store: platformtest.NewStore(), cloud: platformtest.NewCloudAPI(), shop: platformtest.NewServer("i-1", 0)}
 	c.Cleanup(func() {
