--- a/acaciad/daemon/evacuation.go
+++ b/acaciad/daemon/evacuation.go
@@ -13,7 +13,7 @@
 )
 
 // applyCatalog applies rows of the operator: evacuations, which hold from then on, and the
-// configuration.
+// configuration with its limits of the connections of callers.
 func (d *Daemon) applyCatalog(rows []platform.Row, snapshot bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -21,7 +21,11 @@
 	if d.updater.applyEvacuations(rows, snapshot, current, time.Now()) {
 		time.AfterFunc(time.Until(d.updater.evacuations.HoldUntil()), d.endHeldEvacuations)
 	}
-	return d.updater.applyCatalog(rows, snapshot)
+	moreExpected := d.updater.applyCatalog(rows, snapshot)
+	if view := d.directory.View(); view != nil {
+		d.ports.callers.SetLimits(d.ports.callerLimits(view.Index.Catalog.Limits))
+	}
+	return moreExpected
 }
 
 // endHeldEvacuations ends the evacuations whose rows were not written again after the store
