--- a/core/placement/cold_belief_test.go
+++ b/core/placement/cold_belief_test.go
@@ -140,7 +140,7 @@
 	c.Check(sent["b"] >= 50 && sent["b"] <= 60, qt.IsTrue, qt.Commentf("%v", sent))
 	c.Check(p.Availability(p.Servers[0], end), qt.Equals, placement.Limited)
 	c.Check(p.Availability(p.Servers[1], end), qt.Equals, placement.Cold)
-	wait, explained := p.ReturnTime(end)
+	wait, explained := p.ReturnTime(placement.Requirements{}, end)
 	c.Check(explained, qt.IsTrue)
 	c.Check(wait <= 200*time.Millisecond, qt.IsTrue, qt.Commentf("%s", wait))
 }
