--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"acaciapath.example/core/connections"
 	"acaciapath.example/core/follow"
 	"acaciapath.example/core/lease"
+	"acaciapath.example/core/memory"
 	"acaciapath.example/core/placement"
 	"acaciapath.example/core/replica"
 	"acaciapath.example/core/sleep"
@@ -62,15 +63,16 @@
 // memory.
 const memoryLimitRatio = 0.6
 
-// Memory for large answers that are being received.
+// Memory for requests, and for large answers that are being received. Answers get up to two thirds
+// of it.
 const (
 	// bufferRatio is its share of the VM's memory.
-	bufferRatio = 0.1
+	bufferRatio = 0.15
 	// minBufferBytes applies if the settings do not state the VM's memory.
-	minBufferBytes = 8 << 20
+	minBufferBytes = 12 << 20
 )
 
-// bufferBytes returns the memory for large answers on a VM.
+// bufferBytes returns the memory for requests and large answers on a VM.
 func bufferBytes(memoryBytes int64) int64 {
 	return max(int64(bufferRatio*float64(memoryBytes)), minBufferBytes)
 }
@@ -101,6 +103,9 @@
 	keeper         *lease.Keeper
 	handler        *proxy.Handler
 	registry       *prometheus.Registry
+	// memory is what the process may hold of what others send it.
+	memory *memory.Budget
+	ports  ports
 
 	// draining is done when the shutdown begins.
 	draining      context.Context
@@ -123,6 +128,8 @@
 	instance := fmt.Sprintf("%s-%d", s.Name, now.UnixNano())
 	random := rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(len(s.Name))))
 	d := &Daemon{settings: s, logger: logger, directory: directory.New(s.FailureDomain, s.ServerDrain, random)}
+	d.directory.Regions = s.Regions
+	d.memory = memory.NewBudget(bufferBytes(s.MemoryBytes))
 	d.updater = newDirectoryUpdater(d.directory, logger)
 	d.peers = placement.Peers{VM: s.Name, FailureDomain: s.FailureDomain, Domains: len(s.Regions), LimitMemory: options.LimitMemory}
 	if !s.ColdStart {
@@ -135,6 +142,7 @@
 	d.requestsEnd, d.endRequests = context.WithCancel(context.Background())
 	d.ending, d.end = context.WithCancel(context.Background())
 	d.registry = prometheus.NewRegistry()
+	d.ports = newPorts(s, d.memory, d.registry, logger)
 	d.storeTransport = neighbours.NewTransport(platform.NewStoreTransport(), s.FailureDomain, neighbours.NewMetrics(d.registry), logger,
 		rand.New(rand.NewPCG(uint64(now.UnixNano()), 2)))
 	d.store = platform.NewStore(s.StoreAddress, storeTimeout, d.storeTransport)
@@ -182,7 +190,7 @@
 	}
 	d.registry.MustRegister(d.directory)
 	d.catalogFeed = d.newFeed(platform.TableCatalog)
-	d.catalogFeed.apply = d.updater.applyCatalog
+	d.catalogFeed.apply = d.applyCatalog
 	d.serversFeed = d.newFeed(platform.TableServers)
 	d.serversFeed.apply, d.serversFeed.storeRestored = d.applyServers, d.handleStoreRestored
 	d.guard = crashreports.NewGuard(options.Quarantine, d.registry)
@@ -225,7 +233,7 @@
 		Meter:        d.usage.Meter,
 		Metrics:      proxy.NewMetrics(d.registry),
 		Logger:       logger,
-		Buffers:      proxy.NewBufferBudget(bufferBytes(s.MemoryBytes)),
+		Buffers:      d.memory,
 		RetryBudgets: proxy.NewBudgets(retryBudget(s, now)),
 		MoveBudgets:  proxy.NewBudgets(moveBudget(s, now)),
 		Draining:     d.draining,
@@ -239,7 +247,11 @@
 
 // newFeed returns a feed of a table, which still lacks its function apply.
 func (d *Daemon) newFeed(table string) *feed {
-	f := newFeed(d.settings.Name, table, d.settings, d.store, d.logger)
+	settings := d.settings
+	if table == platform.TableCatalog && settings.EvacuationTime > 0 {
+		settings.ServerDrain = min(settings.ServerDrain, settings.EvacuationTime) // evacuations are followed in time as well
+	}
+	f := newFeed(settings.Name, table, settings, d.store, d.logger)
 	f.coldStart = d.settings.ColdStart
 	f.awaitMembers = d.settings.NeighboursAddress != ""
 	f.membersOutdated = d.neighbours.Refresh
@@ -289,10 +301,11 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: d.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: nil}
+	server := &http.Server{Handler: d.handler}
+	d.ports.callers.Protect(server)
 	callerConnections := connections.Track(server)
-	go d.logServeError(func() error { return callerConnections.Serve(callers) })
-	go d.serve(&http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout}, ready)
+	go d.logServeError(func() error { return callerConnections.Serve(d.ports.callers.Listen(callers)) })
+	go d.serve(d.ports.ready, http.HandlerFunc(d.serveReady), ready)
 	d.serveMetrics()
 	d.serveNeighbours()
 	background := newTaskGroup()
--- a/acaciad/directory/collector.go
+++ b/acaciad/directory/collector.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"slices"
 	"time"
 
 	"acaciapath.example/core/config"
@@ -22,6 +23,17 @@
 		"Backend servers that name a limit of requests a second, by service.", []string{"service"}, nil)
 	descCold = prometheus.NewDesc("acaciapath_cold_servers",
 		"Backend servers that may be cold, which get a part of the requests that they tolerate, by service.", []string{"service"}, nil)
+	descEvacuated = prometheus.NewDesc("acaciapath_evacuated_since_seconds",
+		"When the daemon learned that a failure domain is evacuated, in Unix seconds.", []string{"failure_domain"}, nil)
+	descRouteHomes = prometheus.NewDesc("acaciapath_route_homes",
+		"1 for each region among the homes of a route.", []string{"route", "region"}, nil)
+	descBusiest = prometheus.NewDesc("acaciapath_busiest_server_ratio",
+		"Requests of this daemon at its busiest backend server, divided by their mean over the servers, by service and lane.",
+		[]string{"service", "lane"}, nil)
+	descCrowded = prometheus.NewDesc("acaciapath_crowded_servers",
+		"Backend servers at which this daemon exceeds its part of the slots, by service and lane.", []string{"service", "lane"}, nil)
+	descSlow = prometheus.NewDesc("acaciapath_slow_servers",
+		"Backend servers whose streams take 1.5 times as long as the mean of their lane, by service and lane.", []string{"service", "lane"}, nil)
 	descRevision = prometheus.NewDesc("acaciapath_catalog_revision",
 		"Revision of the catalog in force.", nil, nil)
 )
@@ -32,13 +44,18 @@
 	stateLeaving = "leaving"
 	stateAbsent  = "absent"
 	statePaused  = "paused"
+
+	stateEvacuated = "evacuated"
 )
 
 var _ prometheus.Collector = (*Directory)(nil)
 
 // Describe implements prometheus.Collector.
 func (d *Directory) Describe(descriptions chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{descServers, descRunning, descReading, descLimited, descCold, descRevision} {
+	for _, desc := range []*prometheus.Desc{
+		descServers, descRunning, descReading, descLimited, descCold, descEvacuated, descRouteHomes,
+		descBusiest, descCrowded, descSlow, descRevision,
+	} {
 		descriptions <- desc
 	}
 }
@@ -53,10 +70,18 @@
 func (d *Directory) Collect(metrics chan<- prometheus.Metric) {
 	if view := d.view.Load(); view != nil {
 		metrics <- prometheus.MustNewConstMetric(descRevision, prometheus.GaugeValue, float64(view.Index.Catalog.Revision))
+		for _, r := range view.Index.Catalog.Routes {
+			for _, region := range slices.Compact(slices.Sorted(slices.Values(r.Homes))) {
+				metrics <- prometheus.MustNewConstMetric(descRouteHomes, prometheus.GaugeValue, 1, r.Name, region)
+			}
+		}
 	}
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	for domain, since := range d.evacuatedSince {
+		metrics <- prometheus.MustNewConstMetric(descEvacuated, prometheus.GaugeValue, float64(since.UnixMilli())/1000, domain)
+	}
 	for name, pool := range d.pools {
 		running, unreadTokens := pool.Load()
 		groups := make(map[serverGroup]int)
@@ -69,6 +94,8 @@
 				group.state = stateAbsent
 			case placement.Paused:
 				group.state = statePaused
+			case placement.Evacuated:
+				group.state = stateEvacuated
 			}
 			groups[group]++
 		}
@@ -76,8 +103,21 @@
 		metrics <- prometheus.MustNewConstMetric(descReading, prometheus.GaugeValue, float64(unreadTokens), name)
 		metrics <- prometheus.MustNewConstMetric(descLimited, prometheus.GaugeValue, float64(pool.Limited()), name)
 		metrics <- prometheus.MustNewConstMetric(descCold, prometheus.GaugeValue, float64(len(pool.ColdServers(now))), name)
+		for lane := placement.Patient; lane <= placement.ShortPauses; lane++ {
+			collectBalance(metrics, pool.Balance(lane, now), name, lane.String())
+		}
 		for g, n := range groups {
 			metrics <- prometheus.MustNewConstMetric(descServers, prometheus.GaugeValue, float64(n), g.service, string(g.kind), g.state)
 		}
 	}
 }
+
+// collectBalance sends the metrics of the balance of a lane, if it has servers.
+func collectBalance(metrics chan<- prometheus.Metric, b placement.Balance, service, lane string) {
+	if b.Servers == 0 {
+		return
+	}
+	metrics <- prometheus.MustNewConstMetric(descBusiest, prometheus.GaugeValue, b.BusiestRatio, service, lane)
+	metrics <- prometheus.MustNewConstMetric(descCrowded, prometheus.GaugeValue, float64(b.Crowded), service, lane)
+	metrics <- prometheus.MustNewConstMetric(descSlow, prometheus.GaugeValue, float64(b.Slow), service, lane)
+}
--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -13,19 +13,14 @@
 	"acaciapath.example/core/replica"
 )
 
-// View is the catalog in use. It is read-only.
-type View struct {
-	// Index is the index of the catalog.
-	Index *catalog.Index
-	// Since is when the daemon started to use it.
-	Since time.Time
-}
-
 // Directory is the daemon's view of the catalog and of the backend servers, with the
 // load that the daemon has there. It is safe for concurrent use.
 type Directory struct {
 	// FailureDomain is the failure domain of the daemon.
 	FailureDomain string
+	// Regions maps all failure domains to their regions. It must not change once there is a
+	// catalog.
+	Regions map[string]string
 	// ColdOvershoot and ColdSlack state how many requests cold backend servers get within a
 	// second at most, as in platform.Settings. They must not change once it is used.
 	ColdOvershoot, ColdSlack float64
@@ -53,6 +48,10 @@
 	// drain, standardCount, last changed.
 	standardChangedAt time.Time
 	standardCount     int
+	// evacuated are the failure domains that are evacuated, and evacuatedSince is since when
+	// the daemon knows that. SetEvacuated replaces them.
+	evacuated      map[string]bool
+	evacuatedSince map[string]time.Time
 }
 
 // New returns a directory without a catalog and without backend servers.
@@ -88,22 +87,26 @@
 	if old := d.view.Load(); old != nil && old.Index.Catalog.Revision >= c.Revision {
 		return false
 	}
-	d.view.Store(&View{Index: catalog.NewIndex(c), Since: now})
+	d.view.Store(newView(c, d.Regions, now))
 	for name, pool := range d.pools {
-		pool.SetShares(d.laneShares(name))
-		pool.SetCold(d.coldLimit(name), now)
+		d.configure(name, pool, now)
 	}
 	return true
 }
 
-// laneShares returns the shares of the servers of a service that are reserved for
-// lanes.
-func (d *Directory) laneShares(service string) placement.Shares {
+// configure sets what a pool takes from the catalog in use, if there is one. The caller holds
+// d.mu.
+func (d *Directory) configure(service string, pool *placement.Pool, now time.Time) {
 	view := d.view.Load()
 	if view == nil {
-		return placement.Shares{}
+		return
 	}
-	return placement.SharesOf(view.Index, service)
+	pool.KVCacheTokens = 0
+	if s := view.Index.Service(service); s != nil && s.Engine != nil {
+		pool.KVCacheTokens = s.Engine.KVCacheTokens
+	}
+	pool.SetShares(placement.SharesOf(view.Index, service))
+	pool.SetCold(d.coldLimit(service), now)
 }
 
 // Change describes a change of the servers of a service.
@@ -132,8 +135,10 @@
 	}
 	for name := range byService {
 		if d.pools[name] == nil {
-			d.pools[name] = &placement.Pool{Shares: d.laneShares(name), Cold: d.coldLimit(name)}
+			d.pools[name] = &placement.Pool{}
+			d.configure(name, d.pools[name], now)
 			d.pools[name].SetPeers(d.peers, now)
+			d.pools[name].SetEvacuated(d.evacuated, now)
 		}
 	}
 	var changes []Change
@@ -205,15 +210,16 @@
 }
 
 // ReturnTime returns when a caller should return if the limits of the backend servers of a
-// service are used up or they are in a pause, or false if they are not.
-func (d *Directory) ReturnTime(service string, now time.Time) (time.Duration, bool) {
+// service that meet the requirements are used up or they are in a pause, or false if they
+// are not.
+func (d *Directory) ReturnTime(service string, requirements placement.Requirements, now time.Time) (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	pool := d.pools[service]
 	if pool == nil {
 		return 0, false
 	}
-	return pool.ReturnTime(now)
+	return pool.ReturnTime(requirements, now)
 }
 
 // StandardChangedAt returns when the number of standard backend servers last
@@ -224,15 +230,28 @@
 	return d.standardChangedAt
 }
 
-// PickService picks the service that runs a request of a route, at random by the
-// weights of its splits.
-func (d *Directory) PickService(r *catalog.Route) string {
+// PickService picks the service that runs a request of a route, at random by the weights of its
+// splits. It avoids services whose servers are all outside of the homes or evacuated.
+func (d *Directory) PickService(r *catalog.Route, homes placement.Homes) string {
 	if len(r.Splits) == 1 {
 		return r.Splits[0].Service
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return r.PickService(d.random)
+	picked := r.PickService(d.random)
+	if d.barrierLocked(picked, homes) == placement.NoBarrier {
+		return picked
+	}
+	var open catalog.Route
+	for _, s := range r.Splits {
+		if s.Weight > 0 && d.barrierLocked(s.Service, homes) == placement.NoBarrier {
+			open.Splits = append(open.Splits, s)
+		}
+	}
+	if len(open.Splits) == 0 {
+		return picked
+	}
+	return open.PickService(d.random)
 }
 
 // Reserve chooses a backend server of a service that meets the requirements and
@@ -252,7 +271,7 @@
 		Spec: s.Spec, Running: s.Running, UnreadTokens: s.PendingPromptTokens,
 		directory: d, pool: pool, server: s, requirements: requirements, drainState: d.drainStates.of(s),
 	}
-	s.BeginRequest(requirements, now)
+	reservation.heldTokens = s.BeginRequest(requirements, now)
 	if requirements.Generates && requirements.FirstEventTarget > 0 {
 		reservation.pressure = d.pressureLocked(service)
 		reservation.pressureID = reservation.pressure.Begin(requirements.FirstEventTarget, now)
--- /dev/null
+++ b/acaciad/proxy/body.go
@@ -0,0 +1,74 @@
+package proxy
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"acaciapath.example/core/connections"
+	"acaciapath.example/core/memory"
+)
+
+// Limits of the bodies of requests.
+const (
+	// defaultMaxBodyBytes is the maximum size of a request body if the catalog
+	// sets none.
+	defaultMaxBodyBytes = 4 << 20
+	// maxBodyWait is how long a body waits for memory at a time. Meanwhile it is not read.
+	maxBodyWait = time.Second
+	// maxUnreadBytes is the announced length up to which the body of a refused request is
+	// awaited, so that the connection can be used again.
+	maxUnreadBytes = 64 << 10
+)
+
+// readBody reads the body into memory, since it may be sent more than once. The
+// limit is in bytes; defaultMaxBodyBytes applies if it is not positive.
+func (x *exchange) readBody(limit int64) *refusal {
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	if x.request.ContentLength > limit {
+		return bodyTooLarge
+	}
+	if x.request.ContentLength == 0 {
+		return nil
+	}
+	x.body.Holder = x.bodyHolder()
+	err := connections.ReadBody(x.writer, x.request, x.body, limit, x.deadline())
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return bodyTooLarge
+	case errors.Is(err, memory.ErrFull):
+		return bodyNoMemory
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return bodyTooSlow
+	case err != nil:
+		return bodyIncomplete
+	}
+	x.bodyUnread = false
+	return nil
+}
+
+// bodyHolder returns who holds the memory of the body: the client account, or else the address of
+// the caller.
+func (x *exchange) bodyHolder() string {
+	if x.account != nil {
+		return "account/" + x.account.Name
+	}
+	host, _, err := net.SplitHostPort(x.request.RemoteAddr)
+	if err != nil {
+		return x.request.RemoteAddr
+	}
+	return host
+}
+
+// endUnreadBody has the connection closed after a refusal if much of the body may still come.
+func (x *exchange) endUnreadBody() {
+	n := x.request.ContentLength
+	if x.bodyUnread && (n < 0 || n > maxUnreadBytes || x.body.Len() > 0) {
+		x.writer.Header().Set("Connection", "close")
+	}
+}
--- a/acaciad/proxy/harness_test.go
+++ b/acaciad/proxy/harness_test.go
@@ -17,12 +17,14 @@
 	"acaciapath.example/acaciad/origins"
 	"acaciapath.example/acaciad/proxy"
 	"acaciapath.example/core/catalog"
+	"acaciapath.example/core/memory"
 	"acaciapath.example/core/quarantine"
 	"acaciapath.example/core/replica"
 	"acaciapath.example/core/retry"
 	"acaciapath.example/core/usage"
 	"acaciapath.example/platform"
 	"acaciapath.example/platform/platformtest"
+	"acaciapath.example/standin/loopback"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
@@ -100,7 +102,7 @@
 		Meter:        usage.NewMeter(),
 		Metrics:      proxy.NewMetrics(prometheus.NewRegistry()),
 		Logger:       logger,
-		Buffers:      proxy.NewBufferBudget(testBufferBytes),
+		Buffers:      memory.NewBudget(testBufferBytes),
 		RetryBudgets: proxy.NewBudgets(retry.Budget{Burst: burst, Available: burst}),
 		MoveBudgets:  proxy.NewBudgets(retry.Budget{Burst: burst, Available: burst}),
 		Draining:     draining,
@@ -108,7 +110,7 @@
 		RequestsEnd:  context.Background(),
 		Ending:       context.Background(),
 	}
-	f.frontend = httptest.NewServer(f.handler)
+	f.frontend = loopback.NewServer(f.handler)
 	c.Cleanup(func() {
 		f.frontend.Close()
 		startDrain()
