core/placement: servers whose evacuation ended may be cold until their entries say so

The entry that says so comes up to 2.2 s after the end of an evacuation; servers that have been empty look best until then. TestColdBeliefs has the case.

--- a/core/placement/cold.go
+++ b/core/placement/cold.go
@@ -82,9 +82,9 @@
 	// entryUntil is until when the server is cold by its entry or its own word.
 	entryUntil time.Time
 	// suspectUntil is until when the server may be cold because it has started, its entry
-	// was missing or a connection to it was lost.
+	// was missing, a connection to it was lost or its evacuation ended.
 	suspectUntil time.Time
-	// lostAt is when a connection was lost last.
+	// lostAt is when a connection was lost last, or the evacuation ended.
 	lostAt time.Time
 	// share is this daemon's part. It counts the requests to warm servers too, so that one
 	// that becomes cold does not get another at once.
@@ -148,13 +148,13 @@
 	if p.Cold == nil {
 		return 0
 	}
-	n := p.suspect(s, now)
+	n := p.suspect(s, entryLapse, now)
 	if !p.isDomainLost(s, now) {
 		return n
 	}
 	for _, other := range p.Servers {
 		if other != s && other.Spec.FailureDomain == s.Spec.FailureDomain {
-			n += p.suspect(other, now)
+			n += p.suspect(other, entryLapse, now)
 		}
 	}
 	return n
@@ -191,11 +191,14 @@
 	})
 }
 
-// suspect records that the server may have crashed. It returns 1 if it was not believed to
-// be cold before, or else 0.
-func (p *Pool) suspect(s *Server, now time.Time) int {
+// suspect records that the server may become cold without news of it within a time. It
+// returns 1 if it was not believed to be cold before, or else 0.
+func (p *Pool) suspect(s *Server, within time.Duration, now time.Time) int {
+	if p.Cold == nil {
+		return 0
+	}
 	cold := s.IsCold(now)
-	s.cold.lostAt, s.cold.suspectUntil = now, now.Add(entryLapse+p.Cold.Duration)
+	s.cold.lostAt, s.cold.suspectUntil = now, now.Add(within+p.Cold.Duration)
 	if cold {
 		return 0
 	}
--- a/core/placement/cold_belief_test.go
+++ b/core/placement/cold_belief_test.go
@@ -71,6 +71,10 @@
 			p.LoseContact(p.Servers[0], at(1))
 			p.Update(entry(specs, 2, 0), at(4))
 		}, 0},
+		"evacuation ended": {func(p *placement.Pool, _ []replica.Spec) {
+			p.SetEvacuated(map[string]bool{"z": true}, at(1))
+			p.SetEvacuated(nil, at(2))
+		}, 7.5},
 		"another is lost": {func(p *placement.Pool, _ []replica.Spec) { p.LoseContact(p.Servers[1], at(1)) }, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/placement/evacuation.go
+++ b/core/placement/evacuation.go
@@ -6,6 +6,11 @@
 // the lanes and the division of limits, and those of other failure domains take their place.
 func (p *Pool) SetEvacuated(domains map[string]bool, now time.Time) {
 	p.evacuated = domains
+	for _, s := range p.Servers {
+		if s.Evacuated && !domains[s.Spec.FailureDomain] {
+			p.suspect(s, entryDelay, now)
+		}
+	}
 	p.markEvacuated()
 	p.assignLanes()
 	p.divideLimits(now)
