--- a/core/placement/prefix.go
+++ b/core/placement/prefix.go
@@ -64,7 +64,7 @@
 	prefixWindow = 8 * time.Second
 	// ownRepeats is the number of requests within prefixWindow that say nothing of other
 	// daemons: a caller often repeats a prefix of its own at the same daemon.
-	ownRepeats = 2
+	ownRepeats = 3
 	// maxCountedPrefixes bounds the number of prefixes that are counted.
 	maxCountedPrefixes = 1024
 )
