core/connections: a head that failed stays failed; net/http's watch of the connection is no head

A guarded connection took the one-byte read by which net/http watches a connection during a request for a head, so that requests began with a deadline (found by TestHeads and TestOldestIdleConnectionMakesRoom: 0 instead of 200). After an error textproto reads on, which could have joined the ends of a head with a refused part left out; reads return the first error now. An announced length over the limit is refused before anything is read, also between daemons.

--- a/acaciad/daemon/hostile_clients_test.go
+++ b/acaciad/daemon/hostile_clients_test.go
@@ -197,6 +197,41 @@
 	return d.startProcessWith(s)
 }
 
+// largeCrowdMemory and largeCrowdDescriptors are the limits of a VM that meets larger crowds.
+const (
+	largeCrowdMemory      = 284 << 20
+	largeCrowdDescriptors = 4100
+)
+
+// TestLargeHostileCrowds has larger crowds at a VM of an ordinary size.
+func TestLargeHostileCrowds(t *testing.T) {
+	for _, connections := range []int{160, 640} {
+		for _, shape := range hostileShapes() {
+			if shape.name != "unfinished_large_chunks" && shape.name != "unfinished_head_of_short_lines" && shape.name != "headers_without_end" {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s/%d", shape.name, connections), func(t *testing.T) {
+				d := newDeployment(t)
+				d.writeHostileConfig()
+				d.registerShop("ready")
+				s := d.newSettings("vm-1", freeAddress(d.C))
+				s.MemoryBytes, s.MaxDescriptors = largeCrowdMemory, largeCrowdDescriptors
+				r, pid := d.startProcessWith(s)
+				d.eventually("it serves", func() bool { return r.lookStatus("other") == http.StatusOK })
+				shape.connections = connections
+				hostile := shape.sendAll(d.C, r.settings.CallersAddress)
+				d.eventually("an ordinary request is answered", func() bool { return r.postStatus("other", 1000, false) == http.StatusOK })
+				descriptors := openDescriptors(d.C, pid)
+				hostile.close()
+				peak := peakMemory(d.C, pid)
+				d.Logf("%d MB and %d descriptors at most", peak>>20, descriptors)
+				d.Check(descriptors <= largeCrowdDescriptors, qt.IsTrue, qt.Commentf("%d descriptors", descriptors))
+				d.Check(raceDetector || peak <= largeCrowdMemory, qt.IsTrue, qt.Commentf("%d MB", peak>>20))
+			})
+		}
+	}
+}
+
 // writeHostileConfig writes a configuration with the limits of these tests.
 func (d *deployment) writeHostileConfig() {
 	d.store.Write("op", "config", map[string]any{
--- a/acaciad/proxy/body.go
+++ b/acaciad/proxy/body.go
@@ -29,9 +29,6 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	if x.request.ContentLength > limit {
-		return bodyTooLarge
-	}
 	if x.request.ContentLength == 0 {
 		return nil
 	}
--- a/core/connections/body.go
+++ b/core/connections/body.go
@@ -13,6 +13,9 @@
 // memory, an error that is os.ErrDeadlineExceeded if the body is too slow, and another one if the
 // connection fails.
 func ReadBody(w http.ResponseWriter, r *http.Request, body *memory.Body, limit int64, end time.Time) error {
+	if r.ContentLength > limit {
+		return &http.MaxBytesError{Limit: limit}
+	}
 	controller := http.NewResponseController(w)
 	paced := &pacedReader{reader: http.MaxBytesReader(w, r.Body, limit), controller: controller, began: time.Now(), end: end}
 	err := body.ReadFrom(r.Context(), paced, r.ContentLength)
--- a/core/connections/conn.go
+++ b/core/connections/conn.go
@@ -55,6 +55,9 @@
 	headBytes int
 	headBegan time.Time
 	reserved  atomic.Int64
+	// headErr is the error that ended the head. All later reads return it: net/http reads on
+	// after some errors, and would take what comes next for the rest of the head.
+	headErr error
 }
 
 // leave stops counting the connection. The caller holds guard.mu.
@@ -112,9 +115,27 @@
 
 // Read reads within the limits of the guard.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.inRequest.Load() {
+	// While a request runs, net/http watches for the end of the connection by a read of one byte,
+	// which begins before the handler. If it is a head that has room for one byte only, the
+	// deadline of its last read still applies.
+	if c.inRequest.Load() || len(p) == 1 {
 		return c.Conn.Read(p)
 	}
+	if c.headErr != nil {
+		return 0, c.headErr
+	}
+	n, err := c.readHead(p)
+	if n == 0 && err != nil {
+		c.headErr = err
+		if c.headBytes > 0 {
+			_ = c.Close() // net/http would answer a part of a request line
+		}
+	}
+	return n, err
+}
+
+// readHead reads a part of a head.
+func (c *conn) readHead(p []byte) (int, error) {
 	limits := c.guard.limits.Load()
 	if c.headBytes >= limits.HeadBytes+readAhead {
 		return 0, c.refuse(ReasonHeadTooLarge, headTooLarge)
