--- a/acaciad/daemon/hostile_clients_test.go
+++ b/acaciad/daemon/hostile_clients_test.go
@@ -332,7 +332,8 @@
 	d.checkAfterCrowd(r, pid, shape.sendAll(d.C, r.settings.CallersAddress))
 }
 
-// TestHostileReaders has clients request answers without end that they do not read.
+// TestHostileReaders has clients request answers without end that they do not read. Their connections
+// must be closed.
 func TestHostileReaders(t *testing.T) {
 	d, r, pid := startForCrowd(t)
 	head := "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Replica-Signature: stand.in\r\n\r\n"
@@ -344,5 +345,6 @@
 	hostile := shape.sendAll(d.C, r.settings.CallersAddress)
 	time.Sleep(hostileWait) // the answers fill what buffers there are
 	d.store.Remove("servers", "e-1")
+	d.eventually("the connections are closed", func() bool { return openDescriptors(d.C, pid) < hostileConnections })
 	d.checkAfterCrowd(r, pid, hostile)
 }
--- a/acaciad/proxy/body.go
+++ b/acaciad/proxy/body.go
@@ -21,6 +21,9 @@
 	// maxUnreadBytes is the announced length up to which the body of a refused request is
 	// awaited, so that the connection can be used again.
 	maxUnreadBytes = 64 << 10
+	// writeSlack is how long after the deadline of a request its answer may still be read. An
+	// answer that is late is delivered, to a caller that reads.
+	writeSlack = 5 * time.Second
 )
 
 // readBody reads the body into memory, since it may be sent more than once. The
@@ -69,3 +72,9 @@
 		x.writer.Header().Set("Connection", "close")
 	}
 }
+
+// limitWriting bounds the time for which a caller that does not read its answer holds a connection
+// and a backend server. The daemon's listener removes the limit before the next request.
+func (x *exchange) limitWriting() {
+	_ = http.NewResponseController(x.writer).SetWriteDeadline(x.deadline().Add(writeSlack)) // an error shows in the writes
+}
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -254,6 +254,7 @@
 	if x.comesTooLate() {
 		return shuttingDown
 	}
+	x.limitWriting()
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline())
 	defer cancel()
 	defer context.AfterFunc(h.Ending, cancel)()
--- a/core/connections/conn.go
+++ b/core/connections/conn.go
@@ -68,13 +68,13 @@
 	}
 }
 
-// endHead records that a head is complete. Reads are not limited until awaitHead.
+// endHead records that a head is complete. Reads are not limited until awaitHead, nor are writes.
 func (c *conn) endHead() {
 	c.guard.setIdle(c, false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inRequest.Store(true)
-	_ = c.Conn.SetReadDeadline(time.Time{}) // an error shows in the next read
+	_ = c.Conn.SetDeadline(time.Time{}) // an error shows in the next read
 }
 
 // awaitHead records that a request has ended.
