--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -72,6 +72,7 @@
 		}
 		if !reservation.MayServe(x.homes()) {
 			reservation.Finish(directory.Neutral, time.Now())
+			x.requirements.FailedServers = append(x.requirements.FailedServers, reservation.Spec.Name)
 			x.cacheCopy = ""
 			if last == moved && !x.route.Resumable {
 				break // as below
