--- a/core/placement/homes_test.go
+++ b/core/placement/homes_test.go
@@ -148,3 +148,26 @@
 	p.SetEvacuated(map[string]bool{"a": true, "b": true, "c": true}, start)
 	c.Assert(p.VersionCounts(), qt.DeepEquals, map[string]int{"v1": 2, "v2": 4})
 }
+
+// TestEvacuatedServersHaveNoPart checks that requests that share a prefix meet at another server
+// when theirs is evacuated, and that daemons of an evacuated failure domain get a part of the limits
+// of servers elsewhere.
+func TestEvacuatedServersHaveNoPart(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(0, fleet(4, config.KindStandard)...)
+	p.SetPeers(placement.Peers{VM: "vm-1", FailureDomain: "a", Members: []string{"vm-1"}, Domains: 3}, start)
+	limited := p.Servers[len(p.Servers)-1]
+	c.Assert(limited.Spec.FailureDomain, qt.Equals, "c")
+	p.SetLimit(limited, 10, start)
+	later := start.Add(5 * time.Second)
+	c.Assert(p.Availability(limited, later), qt.Equals, placement.Limited)
+	p.SetEvacuated(map[string]bool{"a": true}, later)
+	c.Assert(p.Availability(limited, later.Add(5*time.Second)), qt.Equals, placement.Available)
+	random := newRandom()
+	for key := range uint64(50) {
+		r := placement.Requirements{FailureDomain: "a", Generates: true, PromptTokens: 17000, SharedPrefixKey: key + 1, SharedPrefixTokens: 13300}
+		first := p.Choose(r, later, random)
+		c.Assert(first.Spec.FailureDomain, qt.Not(qt.Equals), "a")
+		c.Assert(p.Choose(r, later, random), qt.Equals, first)
+	}
+}
