--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -378,15 +378,6 @@
 	d.logger.WithError(err).Warn("store call for the lease of the control tasks failed, will retry")
 }
 
-// applyCatalog applies the catalog, and its limits to the connections of callers.
-func (d *Daemon) applyCatalog(rows []platform.Row, snapshot bool) bool {
-	refused := d.updater.applyCatalog(rows, snapshot)
-	if view := d.directory.View(); view != nil {
-		d.ports.callers.SetLimits(d.ports.callerLimits(view.Index.Catalog.Limits))
-	}
-	return refused
-}
-
 // applyServers calls directoryUpdater.applyServers with the lock.
 func (d *Daemon) applyServers(rows []platform.Row, snapshot bool) bool {
 	d.mu.Lock()
