--- a/core/placement/even_test.go
+++ b/core/placement/even_test.go
@@ -38,8 +38,11 @@
 // end is the end of a request.
 type end struct {
 	at     time.Time
+	pool   *placement.Pool
 	server *placement.Server
 	held   int
+	// interval is the time between the events of the stream.
+	interval time.Duration
 }
 
 type ends []end
@@ -100,6 +103,7 @@
 		for len(open) > 0 && !open[0].at.After(now) {
 			e := heap.Pop(&open).(end)
 			e.server.FinishRequest(e.held, now)
+			e.pool.ObserveInterval(e.server, placement.Patient, e.interval, now)
 			running[e.server.Spec.Name]--
 		}
 		if !changed && now.Sub(start) >= 4*time.Second {
@@ -137,7 +141,9 @@
 		if l.slow > 0 && float64(slices.IndexFunc(specs, func(spec replica.Spec) bool { return spec.Name == s.Spec.Name })) < l.slow*float64(len(specs)) {
 			duration *= 2
 		}
-		heap.Push(&open, end{at: now.Add(time.Duration(float64(duration) * (0.5 + random.Float64()))), server: s, held: held})
+		events := 15 + random.IntN(31)
+		interval := duration / 30
+		heap.Push(&open, end{at: now.Add(time.Duration(events) * interval), pool: pools[i], server: s, held: held, interval: interval})
 	}
 	return percentile / samples, busiest / samples
 }
--- a/core/placement/pace.go
+++ b/core/placement/pace.go
@@ -41,6 +41,10 @@
 	m.mean += time.Duration(max(intervalWeight, 1/float64(m.n)) * float64(interval-m.mean))
 }
 
+// slowness returns what a server takes longer than the mean of its lane, as a share of the mean.
+// A server that is faster than the mean has 0: that is no reason to read a cached prefix again.
+func (p *Pool) slowness(s *Server, now time.Time) float64 { return max(p.Pace(s, now)-1, 0) }
+
 // Pace returns how much longer a server takes than the mean of its lane, as a factor. It is 1
 // for a server that is not known.
 func (p *Pool) Pace(s *Server, now time.Time) float64 {
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -356,7 +356,7 @@
 	if s.Lane != requirements.Lane {
 		c += otherLaneTokens
 	}
-	return c + p.crowding(s, requirements, cached) + max(reading, 0)*(p.Pace(s, now)-1)
+	return c + p.crowding(s, requirements, cached) + max(reading, 0)*p.slowness(s, now)
 }
 
 // plainServiceTokens is the cost of a fully occupied server of a plain service,
