core/backup, acaciad/proxy: short streams that may run only once keep a copy on a second engine

Change: with backups in the configuration (runtime.backups), the engine of a short stream sends its KV cache to a second one while it runs. When the stream breaks off after 8 events and the engine's address refuses connections, the request goes on at the second engine, within the budget for moves.

--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -9,6 +9,7 @@
 	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/core/catalog"
 	"acaciapath.example/core/origin"
+	"acaciapath.example/core/replica"
 	"acaciapath.example/platform"
 
 	"github.com/sirupsen/logrus"
@@ -75,6 +76,10 @@
 		if last == answered {
 			return nil
 		}
+		if (last == broken || last == truncated) && x.resumeFromBackup(ctx, reservation) {
+			last = moved
+			continue
+		}
 		if last == truncated {
 			panic(http.ErrAbortHandler) // the answer must not look complete
 		}
@@ -308,7 +313,11 @@
 	if x.route.Kind == catalog.Stream {
 		forwarding.LastEventID = x.lastEventID
 	}
-	forwarding.ResumeFrom, x.cacheCopy = x.cacheCopy, ""
+	x.backup = replica.Spec{}
+	if forwarding.ResumeFrom, x.cacheCopy = x.cacheCopy, ""; forwarding.ResumeFrom == "" {
+		x.backup = x.chooseBackup(reservation)
+		forwarding.BackupAddress = x.backup.Address
+	}
 	response, how, err := x.handler.Client.send(ctx, outgoingRequest{
 		method:     x.request.Method,
 		target:     x.request.URL,
