core/retry, core/patience: retries by window; repeatable streams leave engines without a first event

Change: retry.Window counts requests and retries of the last retryWindowS. A stream that may be repeated goes to another engine after twice its objective without an event, inside the budget.

--- a/acaciad/proxy/budgets.go
+++ b/acaciad/proxy/budgets.go
@@ -11,19 +11,19 @@
 // use.
 type Budgets struct {
 	mu       sync.Mutex
-	template retry.Budget
-	budgets  map[string]*retry.Budget
+	template retry.Window
+	budgets  map[string]*retry.Window
 }
 
 // NewBudgets returns budgets in which each service starts with a copy of
 // template.
-func NewBudgets(template retry.Budget) *Budgets {
-	return &Budgets{template: template, budgets: make(map[string]*retry.Budget)}
+func NewBudgets(template retry.Window) *Budgets {
+	return &Budgets{template: template, budgets: make(map[string]*retry.Window)}
 }
 
 // forServiceLocked returns the budget of a service and creates it if necessary.
 // The caller holds b.mu.
-func (b *Budgets) forServiceLocked(service string) *retry.Budget {
+func (b *Budgets) forServiceLocked(service string) *retry.Window {
 	budget := b.budgets[service]
 	if budget == nil {
 		created := b.template
@@ -34,10 +34,10 @@
 }
 
 // Earn credits the budget of a service for one request.
-func (b *Budgets) Earn(service string) {
+func (b *Budgets) Earn(service string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.forServiceLocked(service).Earn()
+	b.forServiceLocked(service).Earn(now)
 }
 
 // Spend takes one retry from the budget of a service. It reports false if the
@@ -48,13 +48,12 @@
 	return b.forServiceLocked(service).Spend(now)
 }
 
-// SetBurst sets the most retries that an unused budget accumulates, for all
-// services.
-func (b *Budgets) SetBurst(burst float64) {
+// SetExtra sets the number of retries that are allowed without requests, for all services.
+func (b *Budgets) SetExtra(extra float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.template.Burst = burst
+	b.template.Extra = extra
 	for _, budget := range b.budgets {
-		budget.Burst = burst
+		budget.Extra = extra
 	}
 }
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -161,6 +161,12 @@
 	wholeAndParts []quarantine.Part
 	body          []byte
 
+	// failedRuns is the number of attempts in which the request may have run, without an answer.
+	failedRuns int
+	// firstEventTimer is the timer of the current attempt, or nil. retrySpent states that it
+	// expired, and that the retry for the next attempt has been spent.
+	firstEventTimer *firstEventTimer
+	retrySpent      bool
 	// mayHaveExecuted states that the request may have run on a backend server.
 	mayHaveExecuted bool
 	// lastFailure is the last error response of a backend server. It is sent to the
@@ -264,8 +270,9 @@
 		return refused
 	}
 	x.lastEventID = x.metadata.LastEventID
-	h.RetryBudgets.Earn(x.service)
-	h.MoveBudgets.Earn(x.service)
+	now := time.Now()
+	h.RetryBudgets.Earn(x.service, now)
+	h.MoveBudgets.Earn(x.service, now)
 	return x.run(ctx)
 }
 
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -57,7 +57,7 @@
 // http.ErrAbortHandler if an answer that has begun cannot be completed.
 func (x *exchange) run(ctx context.Context) *refusal {
 	defer x.releaseMoveTarget()
-	last, failedRuns := notReached, 0
+	last := notReached
 	for len(x.attempts) < maxAttempts {
 		reservation := x.moveTarget
 		if x.moveTarget = nil; reservation == nil {
@@ -92,8 +92,8 @@
 		}
 		if last == broken {
 			x.mayHaveExecuted = true
-			failedRuns++
-			if !x.route.Repeatable() || failedRuns >= x.route.MaxReplicas {
+			x.failedRuns++
+			if !x.route.Repeatable() || x.failedRuns >= x.route.MaxReplicas {
 				break
 			}
 		}
@@ -149,6 +149,10 @@
 
 // spendRetry takes one retry from the budget and reports whether it had one.
 func (x *exchange) spendRetry(now time.Time) bool {
+	if x.retrySpent {
+		x.retrySpent = false
+		return true
+	}
 	return x.handler.Metrics.recordSpend(budgetRetry, x.handler.RetryBudgets.Spend(x.service, now))
 }
 
@@ -249,9 +253,12 @@
 	if x.route.Resumable && !x.receiving {
 		x.beginStream(origin.Origin{Service: x.service, Version: reservation.Spec.Version})
 	}
-	response, r := x.send(ctx, reservation)
+	sendCtx, timer := x.startFirstEventTimer(ctx)
+	x.firstEventTimer = timer
+	response, r := x.send(sendCtx, reservation)
 	if response == nil {
-		x.runProgress.lost = true
+		x.retrySpent = timer.end()
+		x.runProgress.lost = !x.retrySpent
 		x.recordRunEnd(ctx, reservation, 0, r)
 		x.finishFailed(ctx, reservation, a, r)
 		return r
@@ -259,6 +266,9 @@
 	defer response.Body.Close()
 	a.timeToHeaders = time.Since(began)
 	r = x.handleResponse(ctx, reservation, response)
+	if x.retrySpent = timer.end() && r == broken; x.retrySpent {
+		x.runProgress.lost = false
+	}
 	x.recordRunEnd(ctx, reservation, response.StatusCode, r)
 	a.result = r.String()
 	switch {
