--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -237,11 +237,6 @@
 	if s == nil {
 		return nil
 	}
-	return d.reserveLocked(service, pool, s, requirements, now)
-}
-
-// reserveLocked reserves a slot on a backend server. The caller holds d.mu.
-func (d *Directory) reserveLocked(service string, pool *placement.Pool, s *placement.Server, requirements placement.Requirements, now time.Time) *Reservation {
 	reservation := &Reservation{
 		Spec: s.Spec, Running: s.Running, UnreadTokens: s.PendingPromptTokens,
 		directory: d, pool: pool, server: s, requirements: requirements, drainState: d.drainStates.of(s),
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -16,7 +16,6 @@
 	"acaciapath.example/core/origin"
 	"acaciapath.example/core/placement"
 	"acaciapath.example/core/quarantine"
-	"acaciapath.example/core/replica"
 	"acaciapath.example/core/usage"
 	"acaciapath.example/core/workload"
 	"acaciapath.example/platform"
@@ -182,8 +181,6 @@
 	// copy of its KV cache there.
 	moveTarget *directory.Reservation
 	cacheCopy  platform.CacheCopy
-	// backup is the engine that keeps a copy of the current run, or has no name.
-	backup replica.Spec
 	// runMove watches the run whose events are being forwarded.
 	runMove *runMove
 	// runProgress is the progress of the current run on a backend server.
--- a/acaciad/proxy/handover.go
+++ b/acaciad/proxy/handover.go
@@ -88,27 +88,19 @@
 		return nil
 	}
 	m := &runMove{
-		handler: x.handler, id: x.metadata.AttemptID, service: x.service, work: x.metadata.Work, requirements: x.copyRequirements(source),
+		handler: x.handler, id: x.metadata.AttemptID, service: x.service, work: x.metadata.Work, requirements: x.requirements,
 		engine: service.Engine, source: source, firstEventAt: time.Now(), done: make(chan struct{}), closeStream: closeStream,
 	}
+	m.requirements.FailedServers = append([]string{source.Spec.Name}, x.requirements.FailedServers...)
+	m.requirements.SharedPrefixKey, m.requirements.SharedPrefixTokens, m.requirements.FirstEventTarget = 0, 0, 0
+	m.requirements.FailureDomain = source.Spec.FailureDomain
+	m.requirements.CopiedKVTokens = x.metadata.Work.PromptTokens
+	m.requirements.PromptTokens = 0 // the copy contains the processed prompt
 	m.ctx, m.cancel = context.WithCancel(ctx)
 	m.stopWatching = context.AfterFunc(source.Draining(), m.handleDraining)
 	return m
 }
 
-// copyRequirements returns what a copy of the run at source requires of the engine that
-// receives it.
-func (x *exchange) copyRequirements(source *directory.Reservation) placement.Requirements {
-	required := x.requirements
-	required.FailedServers = append([]string{source.Spec.Name}, x.requirements.FailedServers...)
-	required.SharedPrefixKey, required.SharedPrefixTokens, required.FirstEventTarget = 0, 0, 0
-	required.OnlyVersion, required.Version = true, source.Spec.Version
-	required.FailureDomain = source.Spec.FailureDomain
-	required.CopiedKVTokens = x.metadata.Work.PromptTokens
-	required.PromptTokens = 0 // the copy contains the processed prompt
-	return required
-}
-
 // finish ends the watch after the stream has ended. It returns the reservation on
 // which the run continues, or nil if the run was not moved. streamBroken states
 // that the stream ended before the answer was complete.
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -9,7 +9,6 @@
 	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/core/catalog"
 	"acaciapath.example/core/origin"
-	"acaciapath.example/core/replica"
 	"acaciapath.example/platform"
 
 	"github.com/sirupsen/logrus"
@@ -76,10 +75,6 @@
 		if last == answered {
 			return nil
 		}
-		if (last == broken || last == truncated) && x.resumeFromBackup(ctx, reservation) {
-			last = moved
-			continue
-		}
 		if last == truncated {
 			panic(http.ErrAbortHandler) // the answer must not look complete
 		}
@@ -323,11 +318,7 @@
 	if x.route.Kind == catalog.Stream {
 		forwarding.LastEventID = x.lastEventID
 	}
-	x.backup = replica.Spec{}
-	if forwarding.ResumeFrom, x.cacheCopy = x.cacheCopy, ""; forwarding.ResumeFrom == "" {
-		x.backup = x.chooseBackup(reservation)
-		forwarding.BackupAddress = x.backup.Address
-	}
+	forwarding.ResumeFrom, x.cacheCopy = x.cacheCopy, ""
 	response, how, err := x.handler.Client.send(ctx, outgoingRequest{
 		method:     x.request.Method,
 		target:     x.request.URL,
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -77,9 +77,6 @@
 	// CanCopyRuns is set if the engines can copy the KV cache of a running request
 	// to each other.
 	CanCopyRuns bool
-	// CanBackUpRuns is set if the engines can send the KV cache of a request to another
-	// engine while they run it.
-	CanBackUpRuns bool
 	// KVBytesPerToken is the size of one token in the KV cache, in bytes.
 	KVBytesPerToken float64
 	// CopyBandwidth is the bandwidth of copies between engines, in bytes per
