--- a/acaciad/proxy/events.go
+++ b/acaciad/proxy/events.go
@@ -71,7 +71,6 @@
 		return
 	}
 	x.streamSource = reservation
-	x.firstEventTimer.stop()
 	reservation.MarkPromptRead(time.Now())
 	x.recordUsage()
 	x.bindToVersion(reservation)
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -160,12 +160,6 @@
 	wholeAndParts []quarantine.Part
 	body          []byte
 
-	// failedRuns is the number of attempts in which the request may have run, without an answer.
-	failedRuns int
-	// firstEventTimer is the timer of the current attempt, or nil. retrySpent states that it
-	// expired, and that the retry for the next attempt has been spent.
-	firstEventTimer *firstEventTimer
-	retrySpent      bool
 	// mayHaveExecuted states that the request may have run on a backend server.
 	mayHaveExecuted bool
 	// lastFailure is the last error response of a backend server. It is sent to the
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -56,7 +56,7 @@
 // http.ErrAbortHandler if an answer that has begun cannot be completed.
 func (x *exchange) run(ctx context.Context) *refusal {
 	defer x.releaseMoveTarget()
-	last := notReached
+	last, failedRuns := notReached, 0
 	for len(x.attempts) < maxAttempts {
 		reservation := x.moveTarget
 		if x.moveTarget = nil; reservation == nil {
@@ -87,8 +87,8 @@
 		}
 		if last == broken {
 			x.mayHaveExecuted = true
-			x.failedRuns++
-			if !x.route.Repeatable() || x.failedRuns >= x.route.MaxReplicas {
+			failedRuns++
+			if !x.route.Repeatable() || failedRuns >= x.route.MaxReplicas {
 				break
 			}
 		}
@@ -144,10 +144,6 @@
 
 // spendRetry takes one retry from the budget and reports whether it had one.
 func (x *exchange) spendRetry(now time.Time) bool {
-	if x.retrySpent {
-		x.retrySpent = false
-		return true
-	}
 	return x.handler.Metrics.recordSpend(budgetRetry, x.handler.RetryBudgets.Spend(x.service, now))
 }
 
@@ -248,12 +244,9 @@
 	if x.route.Resumable && !x.receiving {
 		x.beginStream(origin.Origin{Service: x.service, Version: reservation.Spec.Version})
 	}
-	sendCtx, timer := x.startFirstEventTimer(ctx)
-	x.firstEventTimer = timer
-	response, r := x.send(sendCtx, reservation)
+	response, r := x.send(ctx, reservation)
 	if response == nil {
-		x.retrySpent = timer.end()
-		x.runProgress.lost = !x.retrySpent
+		x.runProgress.lost = true
 		x.recordRunEnd(ctx, reservation, 0, r)
 		x.finishFailed(ctx, reservation, a, r)
 		return r
@@ -261,9 +254,6 @@
 	defer response.Body.Close()
 	a.timeToHeaders = time.Since(began)
 	r = x.handleResponse(ctx, reservation, response)
-	if x.retrySpent = timer.end() && r == broken; x.retrySpent {
-		x.runProgress.lost = false
-	}
 	x.recordRunEnd(ctx, reservation, response.StatusCode, r)
 	a.result = r.String()
 	switch {
