--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -274,8 +274,9 @@
 		return refused
 	}
 	x.lastEventID = x.metadata.LastEventID
-	h.RetryBudgets.Earn(x.service)
-	h.MoveBudgets.Earn(x.service)
+	now := time.Now()
+	h.RetryBudgets.Earn(x.service, now)
+	h.MoveBudgets.Earn(x.service, now)
 	return x.run(ctx)
 }
 
