--- a/acaciad/daemon/ports.go
+++ b/acaciad/daemon/ports.go
@@ -111,15 +111,6 @@
 	return l
 }
 
-// applyCatalog applies the catalog, and its limits to the connections of callers.
-func (d *Daemon) applyCatalog(rows []platform.Row, snapshot bool) bool {
-	refused := d.updater.applyCatalog(rows, snapshot)
-	if view := d.directory.View(); view != nil {
-		d.ports.callers.SetLimits(d.ports.callerLimits(view.Index.Catalog.Limits))
-	}
-	return refused
-}
-
 // refusalLogInterval is the least time between two lines of a refusalLog.
 const refusalLogInterval = time.Second
 
