--- a/acaciad/daemon/ports.go
+++ b/acaciad/daemon/ports.go
@@ -89,7 +89,8 @@
 	if descriptors <= 0 {
 		descriptors = defaultDescriptors
 	}
-	n := max(int(share*float64(descriptors-reservedDescriptors)), minConnections)
+	sockets := max(descriptors-reservedDescriptors, descriptors/2)
+	n := max(int(share*float64(sockets)), minConnections)
 	if s.MemoryBytes > 0 {
 		n = min(n, max(int(connectionRatio*float64(s.MemoryBytes)/connectionMemory), minCallers))
 	}
