core/placement: a lane that only allows for longer pauses is rounded down

Such a lane now takes at most its share, and without a server its streams share those for short pauses.

--- a/core/placement/lane.go
+++ b/core/placement/lane.go
@@ -31,6 +31,9 @@
 type Shares struct {
 	// Both shares are ≥ 0, and their sum is < 1.
 	ShortPauses, Urgent float64
+	// UrgentAtMost states that the share Urgent is rounded down in each failure domain. It has
+	// only streams that can also run on the servers for short pauses.
+	UrgentAtMost bool
 }
 
 // Shares of the servers for services with requests of several lanes.
@@ -111,21 +114,24 @@
 func SharesOf(index *catalog.Index, service string) Shares {
 	s := index.Service(service)
 	var used [ShortPauses + 1]bool
-	lanes := 0
+	lanes, urgentByLatency := 0, false
 	for i := range index.Catalog.Routes {
 		r := &index.Catalog.Routes[i]
 		if s == nil || !r.Generates || !runsOn(r, service) {
 			continue
 		}
-		if lane := LaneOf(index, r, s); !used[lane] {
+		lane := LaneOf(index, r, s)
+		if !used[lane] {
 			used[lane] = true
 			lanes++
 		}
+		urgentByLatency = urgentByLatency || lane == Urgent && !NeedsShortPauses(r, s)
 	}
 	var shares Shares
 	if lanes < 2 {
 		return shares
 	}
+	shares.UrgentAtMost = used[Urgent] && !urgentByLatency
 	if used[ShortPauses] {
 		shares.ShortPauses = defaultShortPausesShare
 	}
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -222,7 +222,11 @@
 		})
 		n := float64(len(servers))
 		shortPauses := min(int(math.Ceil(p.Shares.ShortPauses*n)), len(servers))
-		urgent := min(shortPauses+int(math.Round(p.Shares.Urgent*n)), len(servers))
+		round := math.Round
+		if p.Shares.UrgentAtMost {
+			round = math.Floor
+		}
+		urgent := min(shortPauses+int(round(p.Shares.Urgent*n)), len(servers))
 		for i := range urgent {
 			lane := ShortPauses
 			if i >= shortPauses {
@@ -294,6 +298,9 @@
 // is chosen if no better one is left. A run that is moved with a copy of its KV cache
 // stays in its lane.
 func (p *Pool) Choose(requirements Requirements, now time.Time, random *rand.Rand) *Server {
+	if p.Shares.UrgentAtMost && requirements.Lane == Urgent && len(p.lanes[Urgent]) == 0 {
+		requirements.Lane = ShortPauses
+	}
 	p.countPrefix(requirements.SharedPrefixKey, now)
 	homes := p.homesOf(requirements, now)
 	if requirements.Generates {
