--- a/acaciad/daemon/budgets.go
+++ b/acaciad/daemon/budgets.go
@@ -10,43 +10,46 @@
 	"acaciapath.example/platform"
 )
 
-// retryExtra is the number of retries that a daemon has without earning them. With it
+// retryBurst is the number of retries that a daemon has without earning them. With it
 // the daemons of a deployment together stay within the limit of the platform.
-const retryExtra = 2
+const retryBurst = 2
 
-// Shares of the allowed retries per request that a daemon uses for retries and for moves of
-// runs. The platform counts in windows that begin at any time. Where the requests of a window
-// end before its retries begin, three quarters of them are in one that the platform counts.
-const (
-	retryBudgetShare = 0.5
-	moveBudgetShare  = 0.25
-)
+// retryBudgetShare is the share of the allowed retries per request that a daemon uses
+// for retries. It uses less than all of them, because the platform may count a request
+// and its retry in different windows.
+const retryBudgetShare = 0.6
+
+// moveBudgetShare is the share of the allowed retries per request that a daemon uses
+// for moves of runs.
+const moveBudgetShare = 0.2
 
-// maxMoveExtra is the maximum number of moves that a daemon has without earning them.
+// maxMoveBurst is the maximum number of moves that a daemon has without earning them.
 // It is about the number of long answers that the daemon has running on the cheap engines
 // of a failure domain.
-const maxMoveExtra = 6
+const maxMoveBurst = 6
 
 // retryBudget returns this daemon's part of the retries that the platform allows to
 // all daemons.
-func retryBudget(s platform.Settings) retry.Window {
-	return retry.Window{Period: s.RetryWindow, Ratio: s.RetryBudgetRatio * retryBudgetShare, Extra: float64(min(retryExtra, s.RetryBudgetExtra))}
+func retryBudget(s platform.Settings, now time.Time) retry.Budget {
+	percent := int(s.RetryBudgetRatio * retryBudgetShare * 100)
+	burst := float64(min(retryBurst, s.RetryBudgetExtra))
+	return retry.Budget{Percent: percent, Burst: burst, Available: burst, Updated: now}
 }
 
 // moveBudget returns this daemon's initial budget for moves of runs, which applies
 // until the number of daemons is known.
-func moveBudget(s platform.Settings) retry.Window {
-	return retry.Window{Period: s.RetryWindow, Ratio: s.RetryBudgetRatio * moveBudgetShare, Extra: 1}
+func moveBudget(s platform.Settings, now time.Time) retry.Budget {
+	return retry.Budget{Percent: int(s.RetryBudgetRatio * moveBudgetShare * 100), Burst: 1, Updated: now}
 }
 
-// moveExtra returns the number of moves that each daemon has without earning them. It
+// moveBurst returns the number of moves that each daemon has without earning them. It
 // is the daemon's part of extra, the attempts that the platform allows beyond the
 // ratio, less those used for retries.
-func moveExtra(extra, daemonCount int) float64 {
+func moveBurst(extra, daemonCount int) float64 {
 	if daemonCount <= 0 {
 		return 1
 	}
-	return min(max(float64(extra)/float64(daemonCount)-retryExtra, 1), maxMoveExtra)
+	return min(max(float64(extra)/float64(daemonCount)-retryBurst, 1), maxMoveBurst)
 }
 
 // daemonCountInterval is how often the daemon reads the number of daemons.
@@ -59,7 +62,7 @@
 	for last := 0; ctx.Err() == nil; {
 		sleep.For(ctx, daemonCountInterval)
 		n := d.keeper.Row().Candidates
-		d.handler.MoveBudgets.SetExtra(moveExtra(d.settings.RetryBudgetExtra, n))
+		d.handler.MoveBudgets.SetBurst(moveBurst(d.settings.RetryBudgetExtra, n))
 		if n != last {
 			last = n
 			d.setPeers(func(p *placement.Peers) { p.Daemons = n })
--- a/acaciad/proxy/budgets.go
+++ b/acaciad/proxy/budgets.go
@@ -11,19 +11,19 @@
 // use.
 type Budgets struct {
 	mu       sync.Mutex
-	template retry.Window
-	budgets  map[string]*retry.Window
+	template retry.Budget
+	budgets  map[string]*retry.Budget
 }
 
 // NewBudgets returns budgets in which each service starts with a copy of
 // template.
-func NewBudgets(template retry.Window) *Budgets {
-	return &Budgets{template: template, budgets: make(map[string]*retry.Window)}
+func NewBudgets(template retry.Budget) *Budgets {
+	return &Budgets{template: template, budgets: make(map[string]*retry.Budget)}
 }
 
 // forServiceLocked returns the budget of a service and creates it if necessary.
 // The caller holds b.mu.
-func (b *Budgets) forServiceLocked(service string) *retry.Window {
+func (b *Budgets) forServiceLocked(service string) *retry.Budget {
 	budget := b.budgets[service]
 	if budget == nil {
 		created := b.template
@@ -34,10 +34,10 @@
 }
 
 // Earn credits the budget of a service for one request.
-func (b *Budgets) Earn(service string, now time.Time) {
+func (b *Budgets) Earn(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.forServiceLocked(service).Earn(now)
+	b.forServiceLocked(service).Earn()
 }
 
 // Spend takes one retry from the budget of a service. It reports false if the
@@ -48,12 +48,13 @@
 	return b.forServiceLocked(service).Spend(now)
 }
 
-// SetExtra sets the number of retries that are allowed without requests, for all services.
-func (b *Budgets) SetExtra(extra float64) {
+// SetBurst sets the most retries that an unused budget accumulates, for all
+// services.
+func (b *Budgets) SetBurst(burst float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.template.Extra = extra
+	b.template.Burst = burst
 	for _, budget := range b.budgets {
-		budget.Extra = extra
+		budget.Burst = burst
 	}
 }
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -274,9 +274,8 @@
 		return refused
 	}
 	x.lastEventID = x.metadata.LastEventID
-	now := time.Now()
-	h.RetryBudgets.Earn(x.service, now)
-	h.MoveBudgets.Earn(x.service, now)
+	h.RetryBudgets.Earn(x.service)
+	h.MoveBudgets.Earn(x.service)
 	return x.run(ctx)
 }
 
