--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -302,7 +302,7 @@
 		requirements.Lane = ShortPauses
 	}
 	p.countPrefix(requirements.SharedPrefixKey, now)
-	homes := p.homesOf(requirements, now)
+	homes := p.prefixHomesOf(requirements, now)
 	if requirements.Generates {
 		best, c := p.cheapest(p.lanes[requirements.Lane], requirements, &homes, now, random)
 		if best != nil && c < otherLaneTokens {
@@ -315,7 +315,7 @@
 
 // cheapest returns the available server of the least cost, and that cost, or nil if none is
 // available.
-func (p *Pool) cheapest(servers []*Server, requirements Requirements, homes *homes, now time.Time, random *rand.Rand) (best *Server, least float64) {
+func (p *Pool) cheapest(servers []*Server, requirements Requirements, homes *prefixHomes, now time.Time, random *rand.Rand) (best *Server, least float64) {
 	for _, s := range servers {
 		if !p.accepts(s, requirements) || p.Availability(s, now) != Available {
 			continue
@@ -346,7 +346,7 @@
 
 // cost returns the cost of running a request on a server, in prompt tokens;
 // lower is better.
-func (p *Pool) cost(s *Server, requirements Requirements, homes *homes, now time.Time) float64 {
+func (p *Pool) cost(s *Server, requirements Requirements, homes *prefixHomes, now time.Time) float64 {
 	var c float64
 	if requirements.Generates {
 		c = p.engineCost(s, requirements, homes.has(s), now)
--- a/core/placement/prefix.go
+++ b/core/placement/prefix.go
@@ -9,19 +9,20 @@
 // A shared prefix has one home, the server of the lane that caches it, by rendezvous hashing.
 // A prefix that much of the traffic shares would overrun it. As its load grows it gets the next
 // servers in the order of the hash as further homes, and loses them when its load falls. Each
-// daemon infers the load from its own requests.
+// daemon infers the load from its own requests. The homes of a prefix have nothing to do with
+// the homes of a request (Homes), outside of which it may not run.
 
-// maxHomes is the largest number of homes of a prefix.
-const maxHomes = 8
+// maxPrefixHomes is the largest number of homes of a prefix.
+const maxPrefixHomes = 8
 
-// homes are the servers that should cache a prefix, at most maxHomes.
-type homes struct {
-	servers [maxHomes]*Server
+// prefixHomes are the servers that should cache a prefix, at most maxPrefixHomes.
+type prefixHomes struct {
+	servers [maxPrefixHomes]*Server
 	n       int
 }
 
 // has reports whether a server is among the homes.
-func (h *homes) has(s *Server) bool {
+func (h *prefixHomes) has(s *Server) bool {
 	for _, home := range h.servers[:h.n] {
 		if home == s {
 			return true
@@ -30,15 +31,15 @@
 	return false
 }
 
-// homesOf returns the servers that should cache the shared prefix of a prompt, or none if the
+// prefixHomesOf returns the servers that should cache the shared prefix of a prompt, or none if the
 // prompt has no shared prefix or the lane has no server. Requests with short pauses have none.
-func (p *Pool) homesOf(requirements Requirements, now time.Time) (h homes) {
+func (p *Pool) prefixHomesOf(requirements Requirements, now time.Time) (h prefixHomes) {
 	if requirements.SharedPrefixKey == 0 || requirements.Lane == ShortPauses {
 		return h
 	}
-	n := p.homeCount(requirements.SharedPrefixKey, now)
+	n := p.prefixHomeCount(requirements.SharedPrefixKey, now)
 	key := rendezvous.Mix(requirements.SharedPrefixKey)
-	var weights [maxHomes]uint64
+	var weights [maxPrefixHomes]uint64
 	for _, s := range p.lanes[requirements.Lane] {
 		if !p.accepts(s, requirements) || s.cold.share.rate == 0 && s.IsCold(now) {
 			continue // it may not get the request, at least not from this daemon
@@ -80,15 +81,15 @@
 	return c.count * max(1-now.Sub(c.at).Seconds()/prefixWindow.Seconds(), 0)
 }
 
-// homeCount returns the number of homes of a prefix. A home is to get as many requests within
+// prefixHomeCount returns the number of homes of a prefix. A home is to get as many requests within
 // prefixWindow as it has slots.
-func (p *Pool) homeCount(key uint64, now time.Time) int {
+func (p *Pool) prefixHomeCount(key uint64, now time.Time) int {
 	excess := p.prefixCounts[key].value(now) - ownRepeats
 	if excess <= 0 || len(p.Servers) == 0 {
 		return 1
 	}
 	slots := max(p.Servers[0].Spec.Slots, 1)
-	return min(1+int(excess*float64(max(p.Peers.Daemons, 1))/float64(slots)), maxHomes)
+	return min(1+int(excess*float64(max(p.Peers.Daemons, 1))/float64(slots)), maxPrefixHomes)
 }
 
 // countPrefix counts a request with a prefix.
--- a/core/placement/room.go
+++ b/core/placement/room.go
@@ -13,9 +13,9 @@
 // a lane, so that daemons with equal counts choose different ones, and each uses only its part
 // of a server's room before it prefers another server.
 
-// deal lists the servers of each lane and sets the turn of this daemon at each. The servers of each lane in a failure
-// domain form a circle, on which the daemons of this failure domain begin at places that are
-// evenly spaced. The result depends only on the servers and the members.
+// deal lists the servers of each lane and sets the turn of this daemon at each. The servers of a
+// lane in a failure domain form a circle, on which the daemons of this failure domain begin at
+// evenly spaced places. The result depends only on the servers and the members.
 func (p *Pool) deal() {
 	type group struct {
 		domain string
