acaciad/control: TestRestoreBeforeTheFirstReport keeps the holder from writing until others were asked

Traced: the holder writes that as soon as it observes the restoration, in the background, and was faster than the check that nobody else knows. No bound was changed.

--- a/acaciad/control/reported_test.go
+++ b/acaciad/control/reported_test.go
@@ -151,6 +151,14 @@
 	}
 }
 
+// failWrites makes all writes of a store fail.
+func failWrites(method, _ string) platformtest.Fault {
+	if method == http.MethodPost {
+		return platformtest.Unavailable
+	}
+	return platformtest.NoFault
+}
+
 // TestFailedRewriteIsTriedAgain has the store fail while the holder writes the row again after a
 // restoration, and no news of the row follow. Others would take all windows that had ended for
 // reported, so that their usage would be lost.
@@ -165,12 +173,12 @@
 	follow(reporter, store)
 	store.Restore(backup)
 	var failed atomic.Int64
-	store.SetFault(func(method, _ string) platformtest.Fault {
-		if method != http.MethodPost {
-			return platformtest.NoFault
+	store.SetFault(func(method, path string) platformtest.Fault {
+		fault := failWrites(method, path)
+		if fault != platformtest.NoFault {
+			failed.Add(1)
 		}
-		failed.Add(1)
-		return platformtest.Unavailable
+		return fault
 	})
 	c.Assert(client.Ping(c.Context()), qt.IsNil)
 	for end := time.Now().Add(waitLimit); failed.Load() == 0; time.Sleep(time.Millisecond) {
@@ -281,6 +289,7 @@
 	follow(before, store)
 	follow(other, store)
 	store.Restore(store.Backup())
+	store.SetFault(failWrites) // until it is clear that nobody else knows
 	c.Assert(client.Ping(t.Context()), qt.IsNil)
 	_, known := other.Last()
 	c.Assert(known, qt.IsFalse)
@@ -288,6 +297,7 @@
 	follow(after, store)
 	_, known = after.Last()
 	c.Assert(known, qt.IsFalse)
+	store.SetFault(nil)
 	follow(before, store)
 	for end := time.Now().Add(waitLimit); len(store.Rows("acaciapath", "control")) == 0; time.Sleep(10 * time.Millisecond) {
 		c.Assert(time.Now().Before(end), qt.IsTrue)
