--- a/core/placement/cold_test.go
+++ b/core/placement/cold_test.go
@@ -175,7 +175,7 @@
 	return specs
 }
 
-// news has a daemon read what servers have written. Entries lapse after three intervals.
+// news has a daemon read what servers have written. Entries expire after three intervals.
 func (f coldPlay) news(d *coldDaemon, start time.Time, now time.Duration) {
 	back := coldCrash + f.down
 	for beat := coldBeat; beat < 5*coldBeat; beat += coldBeat {
