acaciad: connections to backend servers are opened by a function of the options

No change of behaviour. Tests need to cut off the backend servers from one daemon and not from the others, which share the servers' loopback addresses.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -216,7 +216,7 @@
 	d.reportsFeed = d.newFeed(platform.TableReports)
 	d.reportsFeed.apply, d.reportsFeed.holdTime = d.applyReports, reportsHoldTime
 	d.reportsFeed.times.Hold, d.reportsFeed.times.Silence = reportsReaderHold, reportsSilence
-	client := proxy.NewClient()
+	client := proxy.NewClient(options.DialServer)
 	engines := &platform.EngineClient{Transport: client.Transport()}
 	d.drainPoller = &drainPoller{
 		engines: engines, groups: d.stayingCheapEngines, markDraining: d.markEnginesDraining, logger: logger,
--- a/acaciad/daemon/options.go
+++ b/acaciad/daemon/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"acaciapath.example/acaciad/proxy"
 	"acaciapath.example/core/placement"
 	"acaciapath.example/core/quarantine"
 
@@ -20,11 +21,13 @@
 	// LimitMemory is how long the limit that a backend server named is remembered without
 	// news. LimitMemory > 0.
 	LimitMemory time.Duration
+	// DialServer opens the connections to backend servers. Tests inject faults there.
+	DialServer proxy.DialFunc
 }
 
 // DefaultOptions returns the options that apply if the operator gives none.
 func DefaultOptions() Options {
-	return Options{Quarantine: quarantine.DefaultSettings(), LimitMemory: placement.DefaultLimitMemory}
+	return Options{Quarantine: quarantine.DefaultSettings(), LimitMemory: placement.DefaultLimitMemory, DialServer: proxy.Dial}
 }
 
 // Validate returns ErrInvalidOptions or quarantine.ErrInvalidSettings if a value is out of
--- a/acaciad/proxy/client.go
+++ b/acaciad/proxy/client.go
@@ -42,24 +42,32 @@
 	// request if a reused connection turns out to be closed, and requests that
 	// may run only once must not be sent twice.
 	singleUse *http.Transport
-	// dialer opens the connections.
-	dialer *net.Dialer
+	// dial opens the connections.
+	dial DialFunc
 }
 
-// NewClient returns a client that has no open connections.
-func NewClient() *Client {
+// DialFunc opens a connection to a backend server, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial opens a TCP connection to a backend server with the limits above.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
 		},
 	}
-	return &Client{pooled: newTransport(dialer, false), singleUse: newTransport(dialer, true), dialer: dialer}
+	return dialer.DialContext(ctx, network, address)
+}
+
+// NewClient returns a client that has no open connections and opens them with dial.
+func NewClient(dial DialFunc) *Client {
+	return &Client{pooled: newTransport(dial, false), singleUse: newTransport(dial, true), dial: dial}
 }
 
 // accepts reports whether a backend server accepts connections.
 func (c *Client) accepts(address string) bool {
-	connection, err := c.dialer.Dial("tcp", address)
+	connection, err := c.dial(context.Background(), "tcp", address)
 	if err != nil {
 		return false
 	}
@@ -73,9 +81,9 @@
 
 // newTransport returns a transport with the limits above. If disableKeepAlives
 // is set, each request uses a new connection.
-func newTransport(dialer *net.Dialer, disableKeepAlives bool) *http.Transport {
+func newTransport(dial DialFunc, disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
--- a/acaciad/proxy/harness_test.go
+++ b/acaciad/proxy/harness_test.go
@@ -95,7 +95,7 @@
 	limits.Daemons, limits.Logger = func() int { return 1 }, logger
 	f.handler = &proxy.Handler{
 		Directory:    f.directory,
-		Client:       proxy.NewClient(),
+		Client:       proxy.NewClient(proxy.Dial),
 		Guard:        guard,
 		Limits:       limits,
 		Origins:      newOrigins(f.originStore, logger),
