acaciad/proxy: a stopped run does not end its stream

A handover has the engine stop the run for its last copy, and the engine then closes the stream. forwardStream took this as complete, cancelled the handover, and so also threw away moves that would have succeeded.

Now finish tells a stream that was closed from one whose end is marked. If the run was being stopped, it waits for the answer to that request: a moved run goes on at the other engine; if the engine knew no such run, it had ended by itself before, and the answer is complete; in all other cases, a lost answer too, the stream is broken off, or taken up elsewhere if its route allows that. The end of a run that was stopped is no evidence of a crash.

--- a/acaciad/proxy/events.go
+++ b/acaciad/proxy/events.go
@@ -23,10 +23,14 @@
 	errIncompleteEvent = merry.Sentinel("proxy: the stream contains an incomplete event")
 	// errNoEvent is returned when a stream without a length ends before its first event.
 	errNoEvent = merry.Sentinel("proxy: the connection of the stream ended before its first event")
+	// errRunStopped is returned when the connection of a stream without a length ended while
+	// the daemon had the run stopped.
+	errRunStopped = merry.Sentinel("proxy: the run was stopped before its stream was complete")
 )
 
 // forwardEvents forwards complete events to the caller as they arrive. It returns
-// nil if the stream ended after a complete event.
+// nil if the stream ended after a complete event. If it ends with its connection, the
+// end may be that of a run that was stopped.
 func (x *exchange) forwardEvents(ctx context.Context, reservation *directory.Reservation, response *http.Response) error {
 	controller := http.NewResponseController(x.writer)
 	events := newBuffer(x.handler.Buffers, maxEventBytes)
--- a/acaciad/proxy/forward.go
+++ b/acaciad/proxy/forward.go
@@ -136,7 +136,17 @@
 // server.
 func (x *exchange) forwardStream(ctx context.Context, reservation *directory.Reservation, response *http.Response) result {
 	err := x.forwardEvents(ctx, reservation, response)
-	to := x.runMove.finish(err != nil)
+	end := streamComplete
+	switch {
+	case err != nil:
+		end = streamBroken
+	case endsWithConnection(response):
+		end = streamClosed
+	}
+	to, stopped := x.runMove.finish(end)
+	if end == streamClosed && stopped {
+		err = errRunStopped
+	}
 	if to != nil && err != nil && x.request.Context().Err() == nil && !errors.Is(err, errCallerLeft) {
 		x.moveTarget, x.cacheCopy = to, x.runMove.cacheCopy
 		x.runMove = nil
@@ -154,7 +164,7 @@
 		}
 		return answered
 	}
-	x.runProgress.lost = err != errBufferFull
+	x.runProgress.lost = err != errBufferFull && err != errRunStopped
 	if x.status == 0 {
 		return broken
 	}
--- a/acaciad/proxy/handover.go
+++ b/acaciad/proxy/handover.go
@@ -68,7 +68,7 @@
 	// handleDraining has been started, which closes done when it returns.
 	stopWatching func() bool
 	done         chan struct{}
-	// stopping states that the run is being stopped on the source engine.
+	// stopping states that the run is being stopped on the source engine, or was.
 	stopping atomic.Bool
 	// closeStream closes the stream from the source engine.
 	closeStream func()
@@ -78,6 +78,9 @@
 	// run was not moved.
 	target    *directory.Reservation
 	cacheCopy platform.CacheCopy
+	// endedItself states that the run had ended when it was to be stopped. It may be read once
+	// done is closed.
+	endedItself bool
 	// triedTargets lists the engines that were asked to take the run, for the log.
 	triedTargets []string
 }
@@ -103,22 +106,36 @@
 	return m
 }
 
+// streamEnd is how the stream of a run ended.
+type streamEnd int
+
+const (
+	// streamComplete means that the engine marked the end of the stream.
+	streamComplete streamEnd = iota
+	// streamClosed means that the connection of a stream without such a mark ended after a
+	// complete event.
+	streamClosed
+	// streamBroken means that the stream ended before the answer was complete.
+	streamBroken
+)
+
 // finish ends the watch after the stream has ended. It returns the reservation on
-// which the run continues, or nil if the run was not moved. streamBroken states
-// that the stream ended before the answer was complete.
-func (m *runMove) finish(streamBroken bool) *directory.Reservation {
+// which the run continues, or nil if the run was not moved. stopped states that the
+// run may have been stopped, so that a stream that was closed is not complete.
+func (m *runMove) finish(end streamEnd) (to *directory.Reservation, stopped bool) {
 	if m == nil {
-		return nil
+		return nil, false
 	}
 	defer m.cancel()
 	if m.stopWatching() {
-		return nil
+		return nil, false
 	}
-	if !streamBroken || !m.stopping.Load() {
+	stopping := m.stopping.Load()
+	if end == streamComplete || !stopping {
 		m.cancel()
 	}
 	<-m.done
-	return m.target
+	return m.target, stopping && !m.endedItself
 }
 
 // handleDraining is called when the engine starts to drain. It decides whether to move
@@ -216,6 +233,7 @@
 	m.stopping.Store(true)
 	last, err := m.handler.EngineClient.CopyCache(ctx, m.source.Spec.Address, to.Spec.Address, m.id, true)
 	if err != nil {
+		m.endedItself = errors.Is(err, platform.ErrRunNotFound)
 		m.discardCopy(to, first)
 		return m.failureResult(err), to.Spec.Name, err
 	}
