--- a/core/forwarding/reach.go
+++ b/core/forwarding/reach.go
@@ -374,5 +374,5 @@
 		r.cut = Hanging
 	}
 	r.answered = make(map[string]time.Time)
-	r.probes = probing{}
+	r.probes = probing{next: now}
 }
