acaciad: requests go to backend servers through neighbours while the own path is cut off

The last hop of an attempt now goes through a neighbour while the monitor says that the own path is cut off; the neighbour relays one HTTP request to the server that the asker names. No tests yet.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"acaciapath.example/acaciad/control"
 	"acaciapath.example/acaciad/crashreports"
 	"acaciapath.example/acaciad/directory"
+	"acaciapath.example/acaciad/forwarding"
 	"acaciapath.example/acaciad/limitreports"
 	"acaciapath.example/acaciad/neighbours"
 	"acaciapath.example/acaciad/origins"
@@ -103,6 +104,11 @@
 	keeper         *lease.Keeper
 	handler        *proxy.Handler
 	registry       *prometheus.Registry
+	// monitor watches the own path to backend servers, asker sends requests through neighbours,
+	// and lender forwards those of neighbours.
+	monitor *forwarding.Monitor
+	asker   *forwarding.Asker
+	lender  *forwarding.Lender
 	// memory is what the process may hold of what others send it.
 	memory *memory.Budget
 	ports  ports
@@ -153,7 +159,7 @@
 	directTable := &platform.Table{Store: d.directStore}
 	d.neighbours = &neighbours.Registry{
 		VM: s.Name, FailureDomain: s.FailureDomain, Address: s.NeighboursAddress, Cores: s.Cores, ColdStart: s.ColdStart,
-		Table: relayableTable, OnUpdate: d.storeTransport.SetNeighbours, OnMembers: d.setMembers, Logger: logger,
+		Table: relayableTable, OnUpdate: d.setNeighbours, OnMembers: d.setMembers, Logger: logger,
 		Random: rand.New(rand.NewPCG(uint64(now.UnixNano()), 3)),
 	}
 	cloud := platform.NewCloudClient(s.CloudAddress, s.Name, s.UsageWindow, cloudTimeout)
@@ -216,7 +222,8 @@
 	d.reportsFeed = d.newFeed(platform.TableReports)
 	d.reportsFeed.apply, d.reportsFeed.holdTime = d.applyReports, reportsHoldTime
 	d.reportsFeed.times.Hold, d.reportsFeed.times.Silence = reportsReaderHold, reportsSilence
-	client := proxy.NewClient(options.DialServer)
+	d.newForwarding(options.DialServer, now)
+	client := proxy.NewClient(d.monitor.Dial)
 	engines := &platform.EngineClient{Transport: client.Transport()}
 	d.drainPoller = &drainPoller{
 		engines: engines, groups: d.stayingCheapEngines, markDraining: d.markEnginesDraining, logger: logger,
@@ -240,7 +247,10 @@
 		StreamsEnd:   d.streamsEnd,
 		RequestsEnd:  d.requestsEnd,
 		Ending:       d.ending,
+		Path:         d.monitor,
+		Neighbours:   d.asker,
 	}
+	d.lendPath()
 	engines.OnStatement = d.handler.HearAt
 	return d
 }
@@ -327,6 +337,7 @@
 // control tasks, which depend on their lease and end at once on shutdown.
 func (d *Daemon) start(background, controlTasks *taskGroup) {
 	background.run(d.drainPoller.run)
+	background.run(d.monitor.Run)
 	background.run(d.logProcessPauses)
 	background.run(d.followDaemonCount)
 	background.run(func(ctx context.Context) { d.storeTransport.Run(ctx, d.directStore.Ping) })
--- a/acaciad/daemon/evacuation.go
+++ b/acaciad/daemon/evacuation.go
@@ -24,6 +24,7 @@
 	moreExpected := d.updater.applyCatalog(rows, snapshot)
 	if view := d.directory.View(); view != nil {
 		d.ports.callers.SetLimits(d.ports.callerLimits(view.Index.Catalog.Limits))
+		d.ports.limitNeighbours()
 	}
 	return moreExpected
 }
--- /dev/null
+++ b/acaciad/daemon/forwarding.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"acaciapath.example/acaciad/forwarding"
+	"acaciapath.example/acaciad/proxy"
+	"acaciapath.example/core/detour"
+	reach "acaciapath.example/core/forwarding"
+)
+
+// defaultForwardedBody is the maximum size of the body of a forwarded request if the catalog sets
+// none.
+const defaultForwardedBody = 4 << 20
+
+// newForwarding creates what sends requests through neighbours. dial opens connections to backend
+// servers.
+func (d *Daemon) newForwarding(dial proxy.DialFunc, now time.Time) {
+	metrics := forwarding.NewMetrics(d.registry)
+	d.monitor = forwarding.NewMonitor(dial, d.targets, d.logger, d.registry, rand.New(rand.NewPCG(uint64(now.UnixNano()), 4)))
+	d.asker = forwarding.NewAsker(d.settings.Name, d.settings.FailureDomain, metrics, d.logger, rand.New(rand.NewPCG(uint64(now.UnixNano()), 5)))
+	d.lender = forwarding.NewLender(metrics)
+}
+
+// lendPath completes the lender, once there is a handler of the daemon's own requests.
+func (d *Daemon) lendPath() {
+	l, h := d.lender, d.handler
+	l.Admission = reach.NewAdmission(d.settings.Cores, d.settings.MemoryBytes, d.ports.maxCallers, d.ports.neighbours.Limits().Connections)
+	l.Directory, l.Await, l.Hanging = d.directory, d.awaitPath, d.monitor.Hanging
+	l.OwnRequests, l.Send = h.InProgress, h.Client.Send
+	l.OnAnswer, l.OnLost = h.HearForwarded, h.RecordForwardedLoss
+	l.Timeout = func(header http.Header) time.Duration { return h.Wire.ParseRequest(header).Timeout }
+	l.MaxBodyBytes = d.maxForwardedBody
+	l.Memory, l.Draining, l.Ending, l.Logger = d.memory, d.draining, d.ending, d.logger
+}
+
+// awaitPath returns the state of the own path. While that is in doubt, it waits for the outcome.
+func (d *Daemon) awaitPath(ctx context.Context) reach.State {
+	if state := d.monitor.State(); state != reach.Suspect {
+		return state
+	}
+	return d.monitor.Await(ctx)
+}
+
+// maxForwardedBody returns the maximum size of the body of a forwarded request.
+func (d *Daemon) maxForwardedBody() int64 {
+	if view := d.directory.View(); view != nil && view.Index.Catalog.Limits.BodyBytes > 0 {
+		return view.Index.Catalog.Limits.BodyBytes
+	}
+	return defaultForwardedBody
+}
+
+// targets returns the backend servers that can be probed.
+func (d *Daemon) targets() []reach.Target {
+	specs := d.directory.All()
+	targets := make([]reach.Target, len(specs))
+	for i, s := range specs {
+		targets[i] = reach.Target{Name: s.Name, Address: s.Address, FailureDomain: s.FailureDomain}
+	}
+	return targets
+}
+
+// setNeighbours passes the neighbours to what uses them.
+func (d *Daemon) setNeighbours(neighbours []detour.Neighbour) {
+	d.storeTransport.SetNeighbours(neighbours)
+	d.asker.SetNeighbours(neighbours)
+}
--- a/acaciad/daemon/listeners.go
+++ b/acaciad/daemon/listeners.go
@@ -49,7 +49,7 @@
 	go d.serve(d.ports.metrics, telemetry.OpsHandler(d.registry, ready), listener)
 }
 
-// serveNeighbours starts to relay calls of the store for other daemons.
+// serveNeighbours starts to relay calls of the store and to forward requests for other daemons.
 func (d *Daemon) serveNeighbours() {
 	if d.settings.NeighboursAddress == "" {
 		d.logger.Info("no port for calls between daemons in the settings, not relaying calls for neighbours")
@@ -73,5 +73,5 @@
 		Logger: d.logger,
 	})
 	mux.Handle("/", relay)
-	go d.serve(d.ports.neighbours, mux, listener)
+	go d.serve(d.ports.neighbours, d.lender.Handler(mux), listener)
 }
--- a/acaciad/daemon/ports.go
+++ b/acaciad/daemon/ports.go
@@ -112,6 +112,17 @@
 	return l
 }
 
+// forwardedHeadBytes is the size of the headers that askers add to a request.
+const forwardedHeadBytes = 2 << 10
+
+// limitNeighbours has the neighbours' port accept every head that the callers' port accepts, since
+// neighbours pass requests of callers on.
+func (p ports) limitNeighbours() {
+	l := p.neighbours.Limits()
+	l.HeadBytes = max(defaultHeadBytes, p.callers.Limits().HeadBytes+forwardedHeadBytes)
+	p.neighbours.SetLimits(l)
+}
+
 // refusalLogInterval is the least time between two lines of a refusalLog.
 const refusalLogInterval = time.Second
 
--- a/acaciad/daemon/shutdown.go
+++ b/acaciad/daemon/shutdown.go
@@ -57,6 +57,9 @@
 	if err := callers.Shutdown(servingCtx); err != nil {
 		d.logger.WithError(err).Warn("shutdown deadline reached, aborting running requests")
 	}
+	if err := d.lender.Wait(servingCtx); err != nil {
+		d.logger.WithField("requests", d.lender.InProgress()).Warn("shutdown deadline reached, aborting requests of neighbours")
+	}
 	background.stop()
 	originsFinished := make(chan struct{})
 	go func() {
--- a/acaciad/forwarding/monitor.go
+++ b/acaciad/forwarding/monitor.go
@@ -1,4 +1,3 @@
-// Package forwarding sends requests to backend servers through neighbours.
 package forwarding
 
 import (
--- a/acaciad/proxy/budgets.go
+++ b/acaciad/proxy/budgets.go
@@ -48,6 +48,14 @@
 	return b.forServiceLocked(service).Spend(now)
 }
 
+// Has reports whether the budget of a service has a retry left.
+func (b *Budgets) Has(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget := *b.forServiceLocked(service)
+	return budget.Spend(now)
+}
+
 // SetBurst sets the most retries that an unused budget accumulates, for all
 // services.
 func (b *Budgets) SetBurst(burst float64) {
--- a/acaciad/proxy/client.go
+++ b/acaciad/proxy/client.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"sync/atomic"
 	"time"
 
-	"acaciapath.example/core/memory"
+	"acaciapath.example/acaciad/forwarding"
 )
 
 // Limits of connections to backend servers.
@@ -92,54 +90,17 @@
 	}
 }
 
-// outgoingRequest is a request to a backend server.
-type outgoingRequest struct {
-	method  string
-	target  *url.URL
-	host    string
-	header  http.Header
-	body    *memory.Body
-	address string
-	// repeatable states that the backend server may receive the request twice.
-	repeatable bool
-}
-
-// transmission tells what is known of a request that was sent.
-type transmission struct {
-	// sent states that the backend server may have received the request.
-	sent bool
-	// reused states that the connection had carried another request before.
-	reused bool
-}
-
-// send sends a request and returns the response.
-func (c *Client) send(ctx context.Context, o outgoingRequest) (*http.Response, transmission, error) {
+// Send sends a request on the own path and returns the response.
+func (c *Client) Send(ctx context.Context, r forwarding.Request) (*http.Response, forwarding.Transmission, error) {
 	var connected, reused atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		connected.Store(true)
 		reused.Store(info.Reused)
 	}}
-	request := (&http.Request{
-		Method: o.method,
-		URL: &url.URL{
-			Scheme: "http", Host: o.address,
-			Path: o.target.Path, RawPath: o.target.RawPath,
-			RawQuery: o.target.RawQuery, ForceQuery: o.target.ForceQuery,
-		},
-		Host:          o.host,
-		Header:        o.header,
-		ContentLength: int64(o.body.Len()),
-		Proto:         "HTTP/1.1",
-		ProtoMajor:    1,
-		ProtoMinor:    1,
-	}).WithContext(httptrace.WithClientTrace(ctx, trace))
-	if o.body.Len() > 0 {
-		request.Body = io.NopCloser(o.body.Reader())
-	}
 	transport := c.singleUse
-	if o.repeatable {
+	if r.Repeatable {
 		transport = c.pooled
 	}
-	response, err := transport.RoundTrip(request)
-	return response, transmission{sent: connected.Load(), reused: reused.Load()}, err
+	response, err := transport.RoundTrip(r.HTTP(httptrace.WithClientTrace(ctx, trace)))
+	return response, forwarding.Transmission{Sent: connected.Load(), Reused: reused.Load()}, err
 }
--- a/acaciad/proxy/forward.go
+++ b/acaciad/proxy/forward.go
@@ -26,7 +26,7 @@
 	if info.MatchesRequest {
 		x.recordLimit(reservation, info)
 	}
-	isOurs := info.MatchesRequest || info.Anonymous && !x.connectionReused
+	isOurs := info.MatchesRequest || info.Anonymous && !x.transmission.Reused
 	if isOurs {
 		x.handler.hear(reservation.Spec, info.Statement)
 	}
@@ -110,6 +110,7 @@
 // forwardLong forwards an answer as it arrives. data is the part that was read
 // already.
 func (x *exchange) forwardLong(response *http.Response, data []byte) result {
+	x.keepsAttempt.Store(true) // it cannot be begun anew
 	x.handler.Wire.CopyResponse(x.writer.Header(), response.Header)
 	x.status, x.outcome = response.StatusCode, outcomeServed
 	x.writer.WriteHeader(response.StatusCode)
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"acaciapath.example/acaciad/crashreports"
@@ -93,12 +94,19 @@
 	// Ending is done when the daemon is about to stop, and running requests get their final
 	// answer.
 	Ending context.Context
+	// Path watches the own path to backend servers, and Neighbours sends requests while that is
+	// cut off. They may be nil.
+	Path       Path
+	Neighbours Neighbours
+
+	inProgress requestCount
 }
 
 var _ http.Handler = (*Handler)(nil)
 
 // ServeHTTP serves one request of a caller.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer h.inProgress.begin()()
 	x := &exchange{
 		handler:  h,
 		writer:   w,
@@ -191,9 +199,12 @@
 	runMove *runMove
 	// runProgress is the progress of the current run on a backend server.
 	runProgress runProgress
-	// connectionReused states that the connection of the current attempt had carried
-	// another request before.
-	connectionReused bool
+	// transmission tells how the request of the current attempt was sent, and failedRuns is the
+	// number of attempts that may have run and failed.
+	transmission transmission
+	failedRuns   int
+	// keepsAttempt states that the current attempt must not be abandoned any more.
+	keepsAttempt atomic.Bool
 	// stream identifies a stream that can be taken up again, and pickedService is the service
 	// that was picked for it. It goes on at the service that began it.
 	stream        origin.Stream
@@ -229,6 +240,8 @@
 	unreadTokens  int
 	result        string
 	timeToHeaders time.Duration
+	// via is the address of the neighbour through which the request was sent, or empty.
+	via string
 }
 
 // serve validates the request and sends it to backend servers. It returns the
@@ -404,13 +417,17 @@
 }
 
 // formatAttempts formats attempts for the log, each as
-// "server/domain version=V running=N reading=N result first-ms=N".
+// "server/domain version=V running=N reading=N result first-ms=N", and via=ADDRESS if it went
+// through a neighbour.
 func formatAttempts(attempts []attempt) []string {
 	list := make([]string, len(attempts))
 	for i, a := range attempts {
 		list[i] = a.server + "/" + a.domain +
 			" version=" + a.version + " running=" + strconv.Itoa(a.running) + " reading=" + strconv.Itoa(a.unreadTokens) +
 			" " + a.result + " first-ms=" + strconv.FormatInt(a.timeToHeaders.Milliseconds(), 10)
+		if a.via != "" {
+			list[i] += " via=" + a.via
+		}
 	}
 	return list
 }
--- a/acaciad/proxy/quarantine.go
+++ b/acaciad/proxy/quarantine.go
@@ -116,18 +116,23 @@
 	case r == answered && status >= 200 && status < 300:
 		x.recordSound()
 	case (r == broken || r == truncated) && p.lost && p.events < beginningEvents && ctx.Err() == nil &&
-		x.request.Context().Err() == nil && x.outcome != outcomeCallerLeft:
-		x.recordCrash(reservation.Spec)
+		x.request.Context().Err() == nil && x.outcome != outcomeCallerLeft && x.transmission.Via == "":
+		x.recordCrash(reservation.Spec) // a neighbour does that for the requests that it forwards
 	}
 }
 
-// recordCrash records that the server crashed under the request, unless it still accepts
-// connections, so that only the answer was lost.
+// recordCrash records that the server crashed under the request.
 func (x *exchange) recordCrash(server replica.Spec) {
-	now, id, parts := time.Now(), x.metadata.AttemptID, x.allParts()
+	x.handler.recordCrash(x.metadata.AttemptID, x.allParts(), server)
+}
+
+// recordCrash records that a server crashed under a request with parts, unless it still accepts
+// connections, so that only the answer was lost, or no server is reached.
+func (h *Handler) recordCrash(id string, parts []quarantine.Part, server replica.Spec) {
+	now := time.Now()
 	go func() {
-		if !x.handler.Client.accepts(server.Address) {
-			x.handler.Guard.RecordCrash(id, parts, server.Instance(), now)
+		if !h.Client.accepts(server.Address) && !h.isCutOff(context.Background()) {
+			h.Guard.RecordCrash(id, parts, server.Instance(), now)
 		}
 	}()
 }
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"acaciapath.example/acaciad/directory"
+	"acaciapath.example/acaciad/forwarding"
 	"acaciapath.example/core/catalog"
 	"acaciapath.example/core/origin"
 	"acaciapath.example/platform"
@@ -56,7 +57,7 @@
 // http.ErrAbortHandler if an answer that has begun cannot be completed.
 func (x *exchange) run(ctx context.Context) *refusal {
 	defer x.releaseMoveTarget()
-	last, failedRuns := notReached, 0
+	last := notReached
 	for len(x.attempts) < maxAttempts {
 		reservation := x.moveTarget
 		if x.moveTarget = nil; reservation == nil {
@@ -96,8 +97,8 @@
 		}
 		if last == broken {
 			x.mayHaveExecuted = true
-			failedRuns++
-			if !x.route.Repeatable() || failedRuns >= x.route.MaxReplicas {
+			x.failedRuns++
+			if !x.route.Repeatable() || x.failedRuns >= x.route.MaxReplicas {
 				break
 			}
 		}
@@ -286,7 +287,7 @@
 		reservation.Finish(directory.Misdirected, time.Now())
 	case r == rejected:
 		reservation.Finish(directory.Rejected, time.Now())
-	case x.request.Context().Err() == nil && ctx.Err() == nil && x.outcome != outcomeCallerLeft:
+	case x.request.Context().Err() == nil && ctx.Err() == nil && x.outcome != outcomeCallerLeft && x.blamesServer(ctx):
 		if x.runProgress.lost {
 			x.loseContact(reservation)
 		}
@@ -306,10 +307,11 @@
 func (x *exchange) finishFailed(ctx context.Context, reservation *directory.Reservation, a *attempt, r result) {
 	a.result = r.String()
 	outcome := directory.Neutral
-	if ctx.Err() == nil {
+	blames := x.blamesServer(ctx)
+	if ctx.Err() == nil && blames {
 		outcome = directory.Failed
 	}
-	if x.request.Context().Err() == nil && x.handler.Ending.Err() == nil {
+	if x.request.Context().Err() == nil && x.handler.Ending.Err() == nil && blames {
 		x.loseContact(reservation)
 	}
 	reservation.Finish(outcome, time.Now())
@@ -327,35 +329,45 @@
 // send sends the request. It returns the response, or nil and how the attempt
 // failed.
 func (x *exchange) send(ctx context.Context, reservation *directory.Reservation) (*http.Response, result) {
+	cacheCopy := x.cacheCopy
+	x.cacheCopy = ""
+	build := func() forwarding.Request { return x.newRequest(ctx, reservation, cacheCopy) }
+	response, how, err := x.handler.transmit(ctx, x.mayAbandon(), build)
+	x.transmission = how
+	x.attempts[len(x.attempts)-1].via = how.Via
+	switch {
+	case err == nil:
+		return response, answered
+	case how.Sent:
+		return nil, broken
+	}
+	return nil, notReached
+}
+
+// newRequest returns the request to the backend server of a reservation as it is sent now.
+func (x *exchange) newRequest(ctx context.Context, reservation *directory.Reservation, resumeFrom platform.CacheCopy) forwarding.Request {
 	deadline, _ := ctx.Deadline()
-	forwarding := platform.Forwarding{
-		Server:    reservation.Spec.Name,
-		Timeout:   time.Until(deadline),
-		Priority:  x.view.Index.Priority(x.route, x.account),
-		Generates: x.route.Generates,
+	added := platform.Forwarding{
+		Server:     reservation.Spec.Name,
+		Timeout:    time.Until(deadline),
+		Priority:   x.view.Index.Priority(x.route, x.account),
+		Generates:  x.route.Generates,
+		ResumeFrom: resumeFrom,
 	}
 	if x.account != nil {
-		forwarding.Account = x.account.Name
+		added.Account = x.account.Name
 	}
 	if x.route.Kind == catalog.Stream {
-		forwarding.LastEventID = x.lastEventID
+		added.LastEventID = x.lastEventID
 	}
-	forwarding.ResumeFrom, x.cacheCopy = x.cacheCopy, ""
-	response, how, err := x.handler.Client.send(ctx, outgoingRequest{
-		method:     x.request.Method,
-		target:     x.request.URL,
-		host:       x.request.Host,
-		header:     x.handler.Wire.Outgoing(x.request.Header, forwarding),
-		body:       x.body,
-		address:    reservation.Spec.Address,
-		repeatable: x.route.Repeatable(),
-	})
-	switch {
-	case err == nil:
-		x.connectionReused = how.reused
-		return response, answered
-	case how.sent:
-		return nil, broken
+	return forwarding.Request{
+		Method:     x.request.Method,
+		Target:     x.request.URL,
+		Host:       x.request.Host,
+		Header:     x.handler.Wire.Outgoing(x.request.Header, added),
+		Body:       x.body,
+		Server:     reservation.Spec.Name,
+		Address:    reservation.Spec.Address,
+		Repeatable: x.route.Repeatable(),
 	}
-	return nil, notReached
 }
--- a/core/forwarding/reach.go
+++ b/core/forwarding/reach.go
@@ -1,4 +1,3 @@
-// Package forwarding decides when requests to backend servers go through neighbours.
 package forwarding
 
 import "time"
