acaciad/daemon: probes ask backend servers for their state, of distinct services

Change: the monitor's probes send the request for an engine's state, which needs no slot; targets name their service; a server of several services counts once. Measured: focused tests pass; in the whole acaciad/daemon suite TestColdServersGetWhatTheyTolerate failed once (17 requests in a second), under trace.

--- a/acaciad/daemon/forwarding.go
+++ b/acaciad/daemon/forwarding.go
@@ -10,6 +10,7 @@
 	"acaciapath.example/acaciad/proxy"
 	"acaciapath.example/core/detour"
 	reach "acaciapath.example/core/forwarding"
+	"acaciapath.example/platform"
 )
 
 // defaultForwardedBody is the maximum size of the body of a forwarded request if the catalog sets
@@ -21,6 +22,7 @@
 func (d *Daemon) newForwarding(dial proxy.DialFunc, now time.Time) {
 	metrics := forwarding.NewMetrics(d.registry)
 	d.monitor = forwarding.NewMonitor(dial, d.targets, d.logger, d.registry, rand.New(rand.NewPCG(uint64(now.UnixNano()), 4)))
+	d.monitor.ProbeRequest = platform.ProbeRequest
 	d.asker = forwarding.NewAsker(d.settings.Name, d.settings.FailureDomain, metrics, d.logger, rand.New(rand.NewPCG(uint64(now.UnixNano()), 5)))
 	d.lender = forwarding.NewLender(metrics)
 }
@@ -58,7 +60,7 @@
 	specs := d.directory.All()
 	targets := make([]reach.Target, len(specs))
 	for i, s := range specs {
-		targets[i] = reach.Target{Name: s.Name, Address: s.Address, FailureDomain: s.FailureDomain}
+		targets[i] = reach.Target{Name: s.Name, Address: s.Address, FailureDomain: s.FailureDomain, Service: s.Serves[0]}
 	}
 	return targets
 }
--- a/core/forwarding/reach.go
+++ b/core/forwarding/reach.go
@@ -178,12 +178,17 @@
 	probes probing
 }
 
-// SetTargets replaces the list of backend servers.
+// SetTargets replaces the list of backend servers. Of those with the same address only the
+// first one counts.
 func (r *Reach) SetTargets(targets []Target) {
-	r.targets = targets
+	r.targets = nil
 	r.byAddress = make(map[string]Target, len(targets))
 	domains, services := make(map[string]bool), make(map[string]bool)
 	for _, t := range targets {
+		if _, known := r.byAddress[t.Address]; known {
+			continue
+		}
+		r.targets = append(r.targets, t)
 		r.byAddress[t.Address] = t
 		domains[t.FailureDomain], services[t.Service] = true, true
 	}
--- a/core/forwarding/reach_test.go
+++ b/core/forwarding/reach_test.go
@@ -281,3 +281,17 @@
 		}
 	}
 }
+
+// TestServerOfSeveralServicesIsOneServer lists a backend server once for each of its services.
+func TestServerOfSeveralServicesIsOneServer(t *testing.T) {
+	c := qt.New(t)
+	var r forwarding.Reach
+	target := forwarding.Target{Name: "s0", Address: "s0", FailureDomain: "a", Service: "0"}
+	r.SetTargets([]forwarding.Target{target, target, target})
+	now := start
+	for range 3 {
+		r.Observe("s0", forwarding.Refused, now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	c.Assert(r.State(now), qt.Equals, forwarding.CutOff)
+}
