--- a/acaciad/daemon/forwarding.go
+++ b/acaciad/daemon/forwarding.go
@@ -10,6 +10,7 @@
 	"acaciapath.example/acaciad/proxy"
 	"acaciapath.example/core/detour"
 	reach "acaciapath.example/core/forwarding"
+	"acaciapath.example/core/replica"
 )
 
 // defaultForwardedBody is the maximum size of the body of a forwarded request if the catalog sets
@@ -58,7 +59,7 @@
 	specs := d.directory.All()
 	targets := make([]reach.Target, len(specs))
 	for i, s := range specs {
-		targets[i] = reach.Target{Name: s.Name, Address: s.Address, FailureDomain: s.FailureDomain}
+		targets[i] = reach.Target{Name: s.Name, Address: s.Address, FailureDomain: s.FailureDomain, Service: firstService(s)}
 	}
 	return targets
 }
@@ -68,3 +69,11 @@
 	d.storeTransport.SetNeighbours(neighbours)
 	d.asker.SetNeighbours(neighbours)
 }
+
+// firstService returns the first service that a backend server serves, or an empty string.
+func firstService(s replica.Spec) string {
+	if len(s.Serves) == 0 {
+		return ""
+	}
+	return s.Serves[0]
+}
