--- a/acaciad/daemon/daemon_test.go
+++ b/acaciad/daemon/daemon_test.go
@@ -110,14 +110,18 @@
 
 // startAt starts a daemon that accepts calls of others at an address, or nowhere.
 func (d *deployment) startAt(name, neighboursAddress string) *runningDaemon {
-	s := d.newSettings(name, neighboursAddress)
+	return d.startWith(d.newSettings(name, neighboursAddress), daemon.DefaultOptions())
+}
+
+// startWith starts a daemon with other settings and options.
+func (d *deployment) startWith(s platform.Settings, options daemon.Options) *runningDaemon {
 	r := &runningDaemon{settings: s, log: &logBuffer{}, exited: make(chan error, 1)}
 	logger := logrus.New()
 	logger.SetFormatter(&logrus.JSONFormatter{})
 	logger.SetOutput(r.log)
 	var ctx context.Context
 	ctx, r.stop = context.WithCancel(context.Background())
-	d.running.Go(func() { r.exited <- daemon.New(s, daemon.DefaultOptions(), logger, time.Now()).Run(ctx) })
+	d.running.Go(func() { r.exited <- daemon.New(s, options, logger, time.Now()).Run(ctx) })
 	d.Cleanup(r.stop)
 	return r
 }
