--- a/standin/link/conn.go
+++ b/standin/link/conn.go
@@ -13,6 +13,8 @@
 type conn struct {
 	net.Conn
 	link *Link
+	// address is that of the server.
+	address string
 	// accepted is the address of the server in whose place the network accepted the
 	// connection, or nil.
 	accepted net.Addr
@@ -30,8 +32,8 @@
 	deadlineChanged chan struct{}
 }
 
-func newConn(l *Link, opened net.Conn) *conn {
-	return &conn{Conn: opened, link: l, done: make(chan struct{}), deadlineChanged: make(chan struct{})}
+func newConn(l *Link, opened net.Conn, address string) *conn {
+	return &conn{Conn: opened, link: l, address: address, done: make(chan struct{}), deadlineChanged: make(chan struct{})}
 }
 
 // Read implements net.Conn.
@@ -74,7 +76,7 @@
 // It is lost if the link hangs.
 func (c *conn) awaitDelivery() (bool, error) {
 	for {
-		cut, silentUntil, changed := c.link.state()
+		cut, silentUntil, changed := c.link.state(c.address)
 		if cut == Hang {
 			return false, c.endError("read")
 		}
@@ -132,7 +134,7 @@
 		c.reset()
 		return len(p), nil // the operating system accepts data before the reset arrives
 	}
-	if cut, _, _ := c.link.state(); cut == Hang {
+	if cut, _, _ := c.link.state(c.address); cut == Hang {
 		c.lose()
 	}
 	if c.hasLost() {
@@ -150,14 +152,14 @@
 	if !c.end(net.ErrClosed) {
 		return nil
 	}
-	cut, _, changed := c.link.state()
+	cut, _, changed := c.link.state(c.address)
 	if cut != Hang {
 		return c.Conn.Close()
 	}
 	go func() {
 		for cut == Hang {
 			<-changed
-			cut, _, changed = c.link.state()
+			cut, _, changed = c.link.state(c.address)
 		}
 		_ = c.Conn.Close() // the client closed it long ago
 	}()
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -50,6 +50,8 @@
 
 	mu  sync.Mutex // guards the fields below
 	cut Cut
+	// servers has the addresses to which the link is cut, or is nil if it is cut to all.
+	servers map[string]bool
 	// silentUntil is when the silence ends, or zero.
 	silentUntil time.Time
 	// changed is closed and replaced by each change of the fields above.
@@ -67,19 +69,39 @@
 }
 
 // SetCut cuts the link, or restores it if cut is None.
-func (l *Link) SetCut(cut Cut) {
+func (l *Link) SetCut(cut Cut) { l.setCut(cut, nil) }
+
+// SetCutTo cuts the link to the servers at the given addresses only.
+func (l *Link) SetCutTo(cut Cut, addresses ...string) {
+	servers := make(map[string]bool, len(addresses))
+	for _, a := range addresses {
+		servers[a] = true
+	}
+	l.setCut(cut, servers)
+}
+
+func (l *Link) setCut(cut Cut, servers map[string]bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.cut = cut
+	l.cut, l.servers = cut, servers
 	l.wake()
 	l.connections.Range(func(key, _ any) bool {
-		if c := key.(*conn); cut.resets() || cut != Hang && c.hasLost() {
+		c := key.(*conn)
+		if current := l.cutTo(c.address); current.resets() || current != Hang && c.hasLost() {
 			c.reset()
 		}
 		return true
 	})
 }
 
+// cutTo returns the cut of the link to the server at an address. l.mu must be held.
+func (l *Link) cutTo(address string) Cut {
+	if l.servers != nil && !l.servers[address] {
+		return None
+	}
+	return l.cut
+}
+
 // Silence holds back all data that servers send for a time, and then delivers it. Servers
 // still receive data and accept connections.
 func (l *Link) Silence(d time.Duration) {
@@ -106,18 +128,19 @@
 	l.changed = make(chan struct{})
 }
 
-// state returns the cut, the end of the silence, and the channel closed at the next change.
-func (l *Link) state() (cut Cut, silentUntil time.Time, changed <-chan struct{}) {
+// state returns the cut of the link to the server at an address, the end of the silence, and the
+// channel closed at the next change.
+func (l *Link) state(address string) (cut Cut, silentUntil time.Time, changed <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.cut, l.silentUntil, l.changed
+	return l.cutTo(address), l.silentUntil, l.changed
 }
 
 // Dial opens a connection. It fails as the operating system does if the link is cut.
 func (l *Link) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	l.mu.Lock()
 	l.dials[address]++
-	cut := l.cut
+	cut := l.cutTo(address)
 	l.mu.Unlock()
 	switch cut {
 	case Hang:
@@ -138,7 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.add(newConn(l, opened)), nil
+	return l.add(newConn(l, opened, address)), nil
 }
 
 // accept returns a connection that reaches no server.
@@ -148,7 +171,7 @@
 		return nil, dialError("tcp", err)
 	}
 	client, network := net.Pipe()
-	c := newConn(l, client)
+	c := newConn(l, client, address)
 	c.accepted = remote
 	if cut == ResetAccepted {
 		time.AfterFunc(resetDelay, c.reset)
@@ -165,7 +188,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.connections.Store(c, nil)
-	if c.accepted == nil && l.cut.resets() {
+	if c.accepted == nil && l.cutTo(c.address).resets() {
 		c.reset()
 	}
 	return c
--- a/standin/link/link_test.go
+++ b/standin/link/link_test.go
@@ -211,3 +211,17 @@
 	c.Silence(0)
 	c.Assert(receive(other, longWait), qt.IsNil)
 }
+
+// TestCutToSomeServers cuts a link to one of two servers.
+func TestCutToSomeServers(t *testing.T) {
+	c := newClient(t)
+	other := &client{C: c.C, Link: c.Link, server: startEcho(c.C)}
+	opened, err := other.open()
+	c.Assert(err, qt.IsNil)
+	c.SetCutTo(link.Reset, c.server.address)
+	_, err = c.open()
+	c.Assert(err, qt.ErrorIs, syscall.ECONNREFUSED)
+	c.Assert(exchange(opened, longWait), qt.IsNil)
+	_, err = other.open()
+	c.Assert(err, qt.IsNil)
+}
