acaciad: backend servers that only neighbours reach are reached through them

A server that the own path does not reach and a neighbour does gets its requests through neighbours until a check succeeds; a crash is reported only if neighbours do not reach the server either.

--- a/acaciad/daemon/forwarding.go
+++ b/acaciad/daemon/forwarding.go
@@ -22,6 +22,7 @@
 func (d *Daemon) newForwarding(dial proxy.DialFunc, now time.Time) {
 	metrics := forwarding.NewMetrics(d.registry)
 	d.monitor = forwarding.NewMonitor(dial, d.targets, d.logger, d.registry, rand.New(rand.NewPCG(uint64(now.UnixNano()), 4)))
+	d.monitor.ProbeRequest = d.probeRequest
 	d.asker = forwarding.NewAsker(d.settings.Name, d.settings.FailureDomain, metrics, d.logger, rand.New(rand.NewPCG(uint64(now.UnixNano()), 5)))
 	d.lender = forwarding.NewLender(metrics)
 }
@@ -31,7 +32,7 @@
 	l, h := d.lender, d.handler
 	l.Admission = reach.NewAdmission(d.settings.Cores, d.settings.MemoryBytes, d.ports.maxCallers, d.ports.neighbours.Limits().Connections)
 	l.Directory, l.Await, l.Hanging = d.directory, d.awaitPath, d.monitor.Hanging
-	l.OwnRequests, l.Send = h.InProgress, h.Client.Send
+	l.OwnRequests, l.Send, l.Accepts = h.InProgress, h.Client.Send, h.Client.Accepts
 	l.OnAnswer, l.OnLost = h.HearForwarded, h.RecordForwardedLoss
 	l.Timeout = func(header http.Header) time.Duration { return h.Wire.ParseRequest(header).Timeout }
 	l.MaxBodyBytes = d.maxForwardedBody
@@ -54,6 +55,21 @@
 	return defaultForwardedBody
 }
 
+// probeRequest returns the request by which the backend server at an address is probed: its health
+// check, which it answers at once unless it is busy. It is empty if the catalog has none.
+func (d *Daemon) probeRequest(address string) []byte {
+	server, listed := d.directory.At(address)
+	view := d.directory.View()
+	if !listed || view == nil {
+		return nil
+	}
+	service := view.Index.Service(firstService(server))
+	if service == nil || service.HealthPath == "" {
+		return nil
+	}
+	return []byte("GET " + service.HealthPath + " HTTP/1.1\r\nHost: " + address + "\r\nConnection: close\r\n\r\n")
+}
+
 // targets returns the backend servers that can be probed.
 func (d *Daemon) targets() []reach.Target {
 	specs := d.directory.All()
--- a/acaciad/forwarding/asker.go
+++ b/acaciad/forwarding/asker.go
@@ -53,6 +53,8 @@
 	// expectTimeout is how long it may take to answer that.
 	minExpectBytes = 16 << 10
 	expectTimeout  = time.Second
+	// reachesTimeout bounds a call that asks whether a neighbour reaches a backend server.
+	reachesTimeout = time.Second
 	// keepAliveInterval and keepAliveProbes are those of connections to backend servers.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 3
@@ -244,6 +246,32 @@
 	return request.HTTP(ctx)
 }
 
+// Reaches asks a neighbour whether it reaches a backend server. known is false if none answers.
+func (a *Asker) Reaches(ctx context.Context, server, address string) (reached, known bool) {
+	ctx, cancel := context.WithTimeout(ctx, reachesTimeout)
+	defer cancel()
+	a.mu.Lock()
+	via, ok := a.selector.Begin(nil, time.Now(), a.random)
+	a.mu.Unlock()
+	if !ok {
+		return false, false
+	}
+	defer a.end(via)
+	call, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+via+"/", http.NoBody)
+	if err != nil {
+		return false, false
+	}
+	call.Header[headerCheck], call.Header[headerFrom] = []string{server + " " + address}, []string{a.VM}
+	response, err := a.pooled.RoundTrip(call)
+	if err != nil {
+		return false, false
+	}
+	_ = response.Body.Close() // it has no answer
+	words := strings.Fields(response.Header.Get(headerResult))
+	reached = len(words) > 0 && words[0] == resultAnswered
+	return reached, reached || len(words) > 1 && Reason(words[1]) == ReasonDialFailed
+}
+
 // HTTP returns the request as net/http sends it.
 func (r Request) HTTP(ctx context.Context) *http.Request {
 	out := (&http.Request{
--- a/acaciad/forwarding/lender.go
+++ b/acaciad/forwarding/lender.go
@@ -56,6 +56,8 @@
 	OwnRequests func() int
 	// Send sends a request on the own path.
 	Send func(context.Context, Request) (*http.Response, Transmission, error)
+	// Accepts reports whether a backend server accepts connections.
+	Accepts func(address string) bool
 	// Timeout returns the time limit in the headers of a request, or 0 if there is none.
 	Timeout func(http.Header) time.Duration
 	// MaxBodyBytes returns the maximum size of a body.
@@ -162,7 +164,12 @@
 		return
 	}
 	defer l.end(asker)
-	name, address, ok := strings.Cut(r.Header.Get(headerTo), " ")
+	checks := len(r.Header[headerCheck]) > 0
+	to := r.Header.Get(headerTo)
+	if checks {
+		to = r.Header.Get(headerCheck)
+	}
+	name, address, ok := strings.Cut(to, " ")
 	if !ok {
 		l.refuse(w, r, asker, ReasonInvalid)
 		return
@@ -176,6 +183,10 @@
 		l.refuse(w, r, asker, reason)
 		return
 	}
+	if checks {
+		l.answerCheck(w, r, asker, server)
+		return
+	}
 	body := &memory.Body{Budget: l.Memory, Holder: "neighbour/" + asker, MaxWait: bodyWait}
 	defer body.Release()
 	if r.ContentLength != 0 {
@@ -195,6 +206,17 @@
 	l.forward(w, r, asker, server, l.request(r, body, server))
 }
 
+// answerCheck answers whether the lender reaches a backend server.
+func (l *Lender) answerCheck(w http.ResponseWriter, r *http.Request, asker string, server replica.Spec) {
+	if !l.Accepts(server.Address) {
+		l.refuse(w, r, asker, ReasonDialFailed)
+		return
+	}
+	l.Metrics.countLent("checked")
+	w.Header()[headerResult] = []string{resultAnswered}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // hostOf returns the host of an address.
 func hostOf(address string) string {
 	host, _, err := net.SplitHostPort(address)
--- a/acaciad/forwarding/wire.go
+++ b/acaciad/forwarding/wire.go
@@ -15,6 +15,8 @@
 	headerPrefix = "Acaciapath-Forward-"
 	// headerTo has the name and the address of the backend server, separated by a space.
 	headerTo = headerPrefix + "To"
+	// headerCheck replaces it in calls that ask whether the lender reaches a backend server.
+	headerCheck = headerPrefix + "Check"
 	// headerFrom has the VM of the asker.
 	headerFrom = headerPrefix + "From"
 	// headerRepeatable is set if the backend server may receive the request twice.
@@ -95,8 +97,10 @@
 	Reason Reason
 }
 
-// isForwarded reports whether a request at the port of a lender is one to be forwarded.
-func isForwarded(r *http.Request) bool { return len(r.Header[headerTo]) > 0 }
+// isForwarded reports whether a request at the port of a lender is for the lender.
+func isForwarded(r *http.Request) bool {
+	return len(r.Header[headerTo]) > 0 || len(r.Header[headerCheck]) > 0
+}
 
 // removeOwnHeaders deletes the headers between askers and lenders.
 func removeOwnHeaders(h http.Header) {
--- a/acaciad/proxy/client.go
+++ b/acaciad/proxy/client.go
@@ -63,8 +63,8 @@
 	return &Client{pooled: newTransport(dial, false), singleUse: newTransport(dial, true), dial: dial}
 }
 
-// accepts reports whether a backend server accepts connections.
-func (c *Client) accepts(address string) bool {
+// Accepts reports whether a backend server accepts connections.
+func (c *Client) Accepts(address string) bool {
 	connection, err := c.dial(context.Background(), "tcp", address)
 	if err != nil {
 		return false
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -10,6 +10,7 @@
 
 	"acaciapath.example/acaciad/crashreports"
 	"acaciapath.example/acaciad/directory"
+	"acaciapath.example/acaciad/forwarding"
 	"acaciapath.example/acaciad/limitreports"
 	"acaciapath.example/acaciad/origins"
 	"acaciapath.example/core/catalog"
@@ -94,10 +95,11 @@
 	// Ending is done when the daemon is about to stop, and running requests get their final
 	// answer.
 	Ending context.Context
-	// Path watches the own path to backend servers, and Neighbours sends requests while that is
-	// cut off. They may be nil.
+	// Path watches the own path to backend servers, Neighbours sends requests while that is cut
+	// off, and Detours knows the backend servers that only neighbours reach. They may be nil.
 	Path       Path
 	Neighbours Neighbours
+	Detours    *forwarding.Detours
 
 	inProgress requestCount
 }
--- a/acaciad/proxy/path.go
+++ b/acaciad/proxy/path.go
@@ -10,6 +10,7 @@
 
 	"acaciapath.example/acaciad/forwarding"
 	reach "acaciapath.example/core/forwarding"
+	"acaciapath.example/core/replica"
 )
 
 // Path tells whether the daemon reaches backend servers on its own path. *forwarding.Monitor
@@ -26,6 +27,7 @@
 type Neighbours interface {
 	Send(ctx context.Context, build func() forwarding.Request) (*http.Response, forwarding.Transmission, error)
 	HasNeighbours() bool
+	Reaches(ctx context.Context, server, address string) (reached, known bool)
 }
 
 // directPath is the path of a daemon without neighbours.
@@ -55,13 +57,21 @@
 	return state == reach.CutOff
 }
 
-// throughNeighbour sends a request through a neighbour. It reports false if none takes it on.
-func (h *Handler) throughNeighbour(ctx context.Context, build func() forwarding.Request) (*http.Response, forwarding.Transmission, error, bool) {
+// throughNeighbour sends a request through a neighbour. It reports false if none takes it on. asked
+// states that the budget of detours was asked.
+func (h *Handler) throughNeighbour(ctx context.Context, asked bool, build func() forwarding.Request) (*http.Response, transmission, error, bool) {
 	if h.Neighbours == nil || ctx.Err() != nil {
-		return nil, forwarding.Transmission{}, nil, false
+		return nil, transmission{}, nil, false
 	}
+	request := build()
 	response, how, err := h.Neighbours.Send(ctx, build)
-	return response, how, err, !errors.Is(err, forwarding.ErrNoNeighbour)
+	switch {
+	case err == nil:
+		h.Detours.ReachedByNeighbour(request.Address, asked)
+	case how.Reason == forwarding.ReasonDialFailed:
+		h.Detours.Dead(request.Address)
+	}
+	return response, transmission{Transmission: how}, err, !errors.Is(err, forwarding.ErrNoNeighbour)
 }
 
 // transmission tells what is known of the request that was sent in the current attempt.
@@ -71,25 +81,50 @@
 	watch *forwarding.Watch
 }
 
-// transmit sends a request on the own path, or through a neighbour while that is cut off. If the
-// own path turns out to be cut off before the request was sent, it goes through a neighbour at
-// once. mayAbandon reports whether the attempt may be abandoned while it hangs.
-func (h *Handler) transmit(ctx context.Context, mayAbandon func() bool, build func() forwarding.Request) (*http.Response, transmission, error) {
-	if h.isCutOff(ctx) {
-		if response, how, err, asked := h.throughNeighbour(ctx, build); asked {
-			return response, transmission{Transmission: how}, err
+// transmit sends a request to the backend server at address. It goes through a neighbour while the
+// own path is cut off or does not reach that server, and at once if that turns out before the
+// request was sent. mayAbandon reports whether the attempt may be abandoned while it hangs.
+func (h *Handler) transmit(ctx context.Context, address string, mayAbandon func() bool, build func() forwarding.Request) (*http.Response, transmission, error) {
+	if h.isCutOff(ctx) || h.isDetoured(address) {
+		if response, how, err, done := h.throughNeighbour(ctx, false, build); done {
+			return response, how, err
 		}
 	}
 	response, how, err := h.transmitDirectly(ctx, mayAbandon, build())
-	if err == nil || how.Sent || !h.isCutOff(ctx) {
+	if err == nil || how.Sent || ctx.Err() != nil || h.Neighbours == nil {
 		return response, how, err
 	}
-	if response, how, err, asked := h.throughNeighbour(ctx, build); asked {
-		return response, transmission{Transmission: how}, err
+	asks := !h.isCutOff(ctx)
+	if asks && !h.Detours.MayAsk(address) {
+		return nil, how, err
+	}
+	if response, how, err, done := h.throughNeighbour(ctx, asks, build); done {
+		return response, how, err
 	}
 	return nil, how, err
 }
 
+// isDetoured reports whether a backend server is reached through neighbours only.
+func (h *Handler) isDetoured(address string) bool {
+	return h.Neighbours != nil && h.Detours.Choose(address)
+}
+
+// onlyNeighboursReach reports whether a neighbour reaches a backend server that the own path does
+// not reach.
+func (h *Handler) onlyNeighboursReach(ctx context.Context, server replica.Spec) bool {
+	if h.Neighbours == nil || !h.Detours.MayAsk(server.Address) {
+		return false
+	}
+	reached, known := h.Neighbours.Reaches(ctx, server.Name, server.Address)
+	switch {
+	case reached:
+		h.Detours.ReachedByNeighbour(server.Address, true)
+	case known:
+		h.Detours.Dead(server.Address)
+	}
+	return reached
+}
+
 // transmitDirectly sends a request on the own path.
 func (h *Handler) transmitDirectly(ctx context.Context, mayAbandon func() bool, request forwarding.Request) (*http.Response, transmission, error) {
 	path := h.path()
--- a/acaciad/proxy/quarantine.go
+++ b/acaciad/proxy/quarantine.go
@@ -127,11 +127,12 @@
 }
 
 // recordCrash records that a server crashed under a request with parts, unless it still accepts
-// connections, so that only the answer was lost, or no server is reached.
+// connections, so that only the answer was lost, or this VM is cut off from it.
 func (h *Handler) recordCrash(id string, parts []quarantine.Part, server replica.Spec) {
 	now := time.Now()
 	go func() {
-		if !h.Client.accepts(server.Address) && !h.isCutOff(context.Background()) {
+		ctx := context.Background()
+		if !h.Client.Accepts(server.Address) && !h.isCutOff(ctx) && !h.onlyNeighboursReach(ctx, server) {
 			h.Guard.RecordCrash(id, parts, server.Instance(), now)
 		}
 	}()
--- /dev/null
+++ b/core/forwarding/detours.go
@@ -0,0 +1,131 @@
+package forwarding
+
+import "time"
+
+// Times of detours.
+const (
+	// checkInterval is the time between checks whether the own path reaches a backend server
+	// again.
+	checkInterval = time.Second
+	// checkTimeout is the time after which a check without an outcome is repeated.
+	checkTimeout = 2 * time.Second
+	// deadMemory is how long neighbours are not asked again for a backend server that they do not
+	// reach either.
+	deadMemory = 2 * time.Second
+)
+
+// Budget of requests that neighbours are asked to send because one backend server was not reached.
+// Those that a neighbour sends cost nothing.
+const (
+	detourBurst     = 20
+	detourPerSecond = 4
+)
+
+// serverDetour is what is known of a backend server that the own path does not reach.
+type serverDetour struct {
+	// active states that a neighbour reaches the backend server.
+	active bool
+	// checkAt is when the own path is checked next, if active is set, and otherwise the time until
+	// which neighbours are not asked again.
+	checkAt time.Time
+}
+
+// Detours knows the backend servers that the own path does not reach although neighbours do, while
+// it reaches others. It is not safe for concurrent use.
+type Detours struct {
+	detours   map[string]*serverDetour
+	available float64
+	updated   time.Time
+}
+
+// NewDetours returns detours to no backend server.
+func NewDetours(now time.Time) *Detours {
+	return &Detours{detours: make(map[string]*serverDetour), available: detourBurst, updated: now}
+}
+
+// Choose reports whether a request to the backend server at address goes through a neighbour, and
+// whether the own path is to be checked now. The outcome of the check is recorded by Reached or
+// ReachedByNeighbour.
+func (d *Detours) Choose(address string, now time.Time) (detoured, check bool) {
+	known := d.detours[address]
+	if known == nil || !known.active {
+		return false, false
+	}
+	if check = !now.Before(known.checkAt); check {
+		known.checkAt = now.Add(checkTimeout)
+	}
+	return true, check
+}
+
+// MayAsk reports whether a neighbour may be asked to send a request whose backend server the own
+// path did not reach, and takes it from the budget.
+func (d *Detours) MayAsk(address string, now time.Time) bool {
+	if elapsed := now.Sub(d.updated); elapsed > 0 {
+		d.available = min(d.available+detourPerSecond*elapsed.Seconds(), detourBurst)
+		d.updated = now
+	}
+	known := d.detours[address]
+	dead := known != nil && !known.active && now.Before(known.checkAt)
+	if dead || d.available < 1 {
+		return false
+	}
+	d.available--
+	return true
+}
+
+// ReachedByNeighbour records that a neighbour reaches a backend server that the own path does not
+// reach. asked states that MayAsk was called. It reports whether the detour is new.
+func (d *Detours) ReachedByNeighbour(address string, asked bool, now time.Time) bool {
+	if asked {
+		d.available = min(d.available+1, detourBurst)
+	}
+	known := d.detours[address]
+	isNew := known == nil || !known.active
+	if isNew {
+		d.forget(now)
+		d.detours[address] = &serverDetour{active: true, checkAt: now.Add(checkInterval)}
+	}
+	return isNew
+}
+
+// NotReached records that the own path still does not reach a backend server.
+func (d *Detours) NotReached(address string, now time.Time) {
+	if known := d.detours[address]; known != nil && known.active {
+		known.checkAt = now.Add(checkInterval)
+	}
+}
+
+// Dead records that neighbours do not reach a backend server either.
+func (d *Detours) Dead(address string, now time.Time) {
+	d.forget(now)
+	d.detours[address] = &serverDetour{checkAt: now.Add(deadMemory)}
+}
+
+// Reached records that the own path reaches a backend server. It reports whether that ends a
+// detour.
+func (d *Detours) Reached(address string) bool {
+	known := d.detours[address]
+	delete(d.detours, address)
+	return known != nil && known.active
+}
+
+// forget removes what is no longer of use: backend servers that were dead, and detours that were
+// not used for a while.
+func (d *Detours) forget(now time.Time) {
+	for address, known := range d.detours {
+		if now.Sub(known.checkAt) > deadMemory*5 {
+			delete(d.detours, address)
+		}
+	}
+}
+
+// Len returns the number of detours.
+func (d *Detours) Len() int {
+	n := 0
+	for _, known := range d.detours {
+		if known.active {
+			n++
+		}
+	}
+	return n
+}
