acaciad/proxy: the stop of a server that drains does not end its answers

Callers got the part of an answer that had been sent when a backend server stopped as a complete one, if the answer had neither a length nor chunks: streams (63 bytes of three events), plain answers, and those forwarded as they arrive.

Cause: an exiting process closes its connections in order, so that the end of an unframed answer looks like any other. Its server accepts no connections any more, which tells the two apart. That is now checked where such an answer ends and its server is known to drain: one dial 20 ms later. If it fails, a stream is broken off or taken up elsewhere, and a plain answer counts as none: 502, or another server if the request may be repeated. The stop is no evidence of a crash.

A server that only drains still has its answers delivered. Not covered: a server that stops before the daemon knows that it drains.

--- a/acaciad/proxy/events.go
+++ b/acaciad/proxy/events.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"acaciapath.example/acaciad/directory"
+	"acaciapath.example/core/sleep"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -26,6 +27,9 @@
 	// errRunStopped is returned when the connection of a stream without a length ended while
 	// the daemon had the run stopped.
 	errRunStopped = merry.Sentinel("proxy: the run was stopped before its stream was complete")
+	// errServerStopped is returned when the connection of a stream without a length ended
+	// because the backend server, which drained, stopped.
+	errServerStopped = merry.Sentinel("proxy: the backend server stopped, so that its stream may be incomplete")
 )
 
 // forwardEvents forwards complete events to the caller as they arrive. It returns
@@ -67,6 +71,20 @@
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
 
+// stopCheckDelay is the time between the end of a connection and the check whether its server
+// stopped. A server that stops closes its connections and its listener in any order.
+const stopCheckDelay = 20 * time.Millisecond
+
+// endedByStop reports whether the end of a response says nothing, because it is that of its
+// connection and the backend server, which drained, accepts no others.
+func (x *exchange) endedByStop(ctx context.Context, reservation *directory.Reservation, response *http.Response) bool {
+	if !endsWithConnection(response) || reservation.Draining().Err() == nil {
+		return false
+	}
+	sleep.For(ctx, stopCheckDelay)
+	return !x.handler.Client.accepts(reservation.Spec.Address)
+}
+
 // startStream handles the first event from a backend server: it marks the prompt as
 // read, records the usage and starts to watch the run for a move. It sends the response
 // headers to the caller only for the first backend server of the request.
--- a/acaciad/proxy/forward.go
+++ b/acaciad/proxy/forward.go
@@ -50,7 +50,7 @@
 	case x.status != 0:
 		return broken // a stream has begun, so that no error response can be sent
 	}
-	return x.forwardWhole(response)
+	return x.forwardWhole(ctx, reservation, response)
 }
 
 // continuesStream reports whether a response may continue the stream that the caller gets:
@@ -68,7 +68,7 @@
 
 // forwardWhole forwards an answer once it was received completely, or as it arrives
 // if it exceeds maxBufferedBytes.
-func (x *exchange) forwardWhole(response *http.Response) result {
+func (x *exchange) forwardWhole(ctx context.Context, reservation *directory.Reservation, response *http.Response) result {
 	whole := newBuffer(x.handler.Buffers, maxBufferedBytes)
 	defer whole.release()
 	var err error
@@ -77,10 +77,12 @@
 	}
 	success := response.StatusCode < http.StatusBadRequest
 	switch {
+	case err == io.EOF && x.endedByStop(ctx, reservation, response):
+		return broken
 	case err == io.EOF:
 	case err == errBufferFull && success:
 		x.recordUsage()
-		return x.forwardLong(response, whole.data)
+		return x.forwardLong(ctx, reservation, response, whole.data)
 	default:
 		x.runProgress.lost = err != errBufferFull
 		return broken // a failure of that size is no answer
@@ -109,7 +111,7 @@
 
 // forwardLong forwards an answer as it arrives. data is the part that was read
 // already.
-func (x *exchange) forwardLong(response *http.Response, data []byte) result {
+func (x *exchange) forwardLong(ctx context.Context, reservation *directory.Reservation, response *http.Response, data []byte) result {
 	x.handler.Wire.CopyResponse(x.writer.Header(), response.Header)
 	x.status, x.outcome = response.StatusCode, outcomeServed
 	x.writer.WriteHeader(response.StatusCode)
@@ -117,7 +119,7 @@
 	if err == nil {
 		_, err = io.Copy(x.writer, response.Body)
 	}
-	if err != nil {
+	if err != nil || x.endedByStop(ctx, reservation, response) {
 		x.outcome = outcomeBroken
 		return truncated
 	}
@@ -144,8 +146,11 @@
 		end = streamClosed
 	}
 	to, stopped := x.runMove.finish(end)
-	if end == streamClosed && stopped {
+	switch {
+	case end == streamClosed && stopped:
 		err = errRunStopped
+	case to == nil && err == nil && x.endedByStop(ctx, reservation, response):
+		err = errServerStopped
 	}
 	if to != nil && err != nil && x.request.Context().Err() == nil && !errors.Is(err, errCallerLeft) {
 		x.moveTarget, x.cacheCopy = to, x.runMove.cacheCopy
@@ -164,7 +169,7 @@
 		}
 		return answered
 	}
-	x.runProgress.lost = err != errBufferFull && err != errRunStopped
+	x.runProgress.lost = err != errBufferFull && err != errRunStopped && err != errServerStopped
 	if x.status == 0 {
 		return broken
 	}
