acaciad/proxy: an answer to an earlier call does not end a stopped run

Cause: the request for the last copy of a run went out on a connection in use again, which it shares with the calls before it and with requests of callers. A server may write an answer once more, or late, where the next one is expected. Status 404 there was taken as the engine's word that the run had ended by itself, so that the end of the connection counted as the end of the stream, although the engine had stopped the run at this very request.

Requests that stop a run now open a connection each (EngineClient.StopTransport).

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -217,7 +217,7 @@
 	d.reportsFeed.apply, d.reportsFeed.holdTime = d.applyReports, reportsHoldTime
 	d.reportsFeed.times.Hold, d.reportsFeed.times.Silence = reportsReaderHold, reportsSilence
 	client := proxy.NewClient(options.DialServer)
-	engines := &platform.EngineClient{Transport: client.Transport()}
+	engines := &platform.EngineClient{Transport: client.Transport(), StopTransport: client.SingleUseTransport()}
 	d.drainPoller = &drainPoller{
 		engines: engines, groups: d.stayingCheapEngines, markDraining: d.markEnginesDraining, logger: logger,
 		random: rand.New(rand.NewPCG(uint64(now.UnixNano()), 1)),
--- a/acaciad/proxy/client.go
+++ b/acaciad/proxy/client.go
@@ -79,6 +79,9 @@
 // backend servers.
 func (c *Client) Transport() http.RoundTripper { return c.pooled }
 
+// SingleUseTransport returns the transport that opens a connection for each request.
+func (c *Client) SingleUseTransport() http.RoundTripper { return c.singleUse }
+
 // newTransport returns a transport with the limits above. If disableKeepAlives
 // is set, each request uses a new connection.
 func newTransport(dial DialFunc, disableKeepAlives bool) *http.Transport {
--- a/acaciad/proxy/endless_test.go
+++ b/acaciad/proxy/endless_test.go
@@ -240,7 +240,8 @@
 			c := qt.New(t)
 			s := startEndlessServer(c, test.prefix, strings.Repeat(test.repeat, 4096), 0)
 			address := s.listener.Addr().String()
-			engines := &platform.EngineClient{Transport: proxy.NewClient(proxy.Dial).Transport()}
+			client := proxy.NewClient(proxy.Dial)
+			engines := &platform.EngineClient{Transport: client.Transport(), StopTransport: client.SingleUseTransport()}
 			peak := watchHeap(c)
 			var group sync.WaitGroup
 			for i := range calls {
--- a/acaciad/proxy/handover_test.go
+++ b/acaciad/proxy/handover_test.go
@@ -34,7 +34,7 @@
 		}
 	}
 	f.directory.SetCatalog(c, time.Now())
-	f.handler.EngineClient = &platform.EngineClient{Transport: f.handler.Client.Transport()}
+	f.handler.EngineClient = &platform.EngineClient{Transport: f.handler.Client.Transport(), StopTransport: f.handler.Client.SingleUseTransport()}
 	one := f.startServer("i-1", "llm", longStreamEvents)
 	one.SetPause(eventInterval)
 	two := platformtest.NewServer("i-2", longStreamEvents)
