acaciad/proxy: the log tells what ended an answer

Nothing told that the daemon had requested the stop, nor that the end of the stream was that of its connection; the reason for which an answer was broken off was logged nowhere.

Requests have the field answer-end: marked, connection, or the error that ended the answer. Handovers have stop-requested.

--- a/acaciad/proxy/forward.go
+++ b/acaciad/proxy/forward.go
@@ -76,8 +76,10 @@
 		err = whole.readFrom(response.Body)
 	}
 	success := response.StatusCode < http.StatusBadRequest
+	x.answerEnd = describeEnd(response, err)
 	switch {
 	case err == io.EOF && x.endedByStop(ctx, reservation, response):
+		x.answerEnd = errServerStopped.Error()
 		return broken
 	case err == io.EOF:
 	case err == errBufferFull && success:
@@ -119,13 +121,29 @@
 	if err == nil {
 		_, err = io.Copy(x.writer, response.Body)
 	}
-	if err != nil || x.endedByStop(ctx, reservation, response) {
+	if err == nil && x.endedByStop(ctx, reservation, response) {
+		err = errServerStopped
+	}
+	x.answerEnd = describeEnd(response, err)
+	if err != nil {
 		x.outcome = outcomeBroken
 		return truncated
 	}
 	return answered
 }
 
+// describeEnd returns what showed the end of a response, for the log. err is nil or io.EOF if
+// nothing shows that the response is incomplete.
+func describeEnd(response *http.Response, err error) string {
+	switch {
+	case err != nil && err != io.EOF: // bodies do not wrap it
+		return err.Error()
+	case endsWithConnection(response):
+		return "connection"
+	}
+	return "marked"
+}
+
 // shouldRetryFailure reports whether a request that a backend server answered with
 // status is sent to another backend server.
 func (x *exchange) shouldRetryFailure(status int) bool {
@@ -152,6 +170,7 @@
 	case to == nil && err == nil && x.endedByStop(ctx, reservation, response):
 		err = errServerStopped
 	}
+	x.answerEnd = describeEnd(response, err)
 	if to != nil && err != nil && x.request.Context().Err() == nil && !errors.Is(err, errCallerLeft) {
 		x.moveTarget, x.cacheCopy = to, x.runMove.cacheCopy
 		x.runMove = nil
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -216,6 +216,8 @@
 	// 0 until its headers are sent.
 	status  int
 	outcome string
+	// answerEnd tells what showed the end of the last answer of a backend server, for the log.
+	answerEnd string
 }
 
 // attempt describes one attempt to run a request on a backend server, for logs and
@@ -382,6 +384,9 @@
 	if x.metadata.LastEventID != "" {
 		f["resumes"], f["last-event-id"], f["stream-version"] = x.metadata.Resumes, x.metadata.LastEventID, x.requirements.Version
 	}
+	if x.answerEnd != "" {
+		f["answer-end"] = x.answerEnd
+	}
 	if x.eventCount > 0 {
 		f["events"] = x.eventCount
 	}
--- a/acaciad/proxy/handover.go
+++ b/acaciad/proxy/handover.go
@@ -165,7 +165,7 @@
 	entry := m.handler.Logger.WithFields(logrus.Fields{
 		"request-id": m.id, "backend-server": m.source.Spec.Name, "to": to, "asked": m.triedTargets, "result": result,
 		"left-ms": stopsAt.Sub(now).Milliseconds(), "events": run.ReceivedEvents, "expected-events": run.ExpectedEvents,
-		"pace-ms": run.EventInterval.Milliseconds(), "took-ms": time.Since(now).Milliseconds(),
+		"pace-ms": run.EventInterval.Milliseconds(), "took-ms": time.Since(now).Milliseconds(), "stop-requested": m.stopping.Load(),
 	})
 	if err != nil {
 		entry = entry.WithError(err)
