acaciad/proxy: an answer whose connection ends under its upload is not complete

Cause: the operating system reports a reset once. If the upload's write sees it, the read of the answer sees an end of the input as after an orderly close, which ends an answer without a length. Where the connection ends in order, nobody asked whether the server had had the request at all.

core/responses has a transport for this. Its connections remember failed writes and return io.ErrUnexpectedEOF then, and an answer that ends with its connection ends with an error if its request was not sent by then. Answers with a length or in chunks are not touched.

--- a/acaciad/proxy/client.go
+++ b/acaciad/proxy/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"acaciapath.example/core/memory"
+	"acaciapath.example/core/responses"
 )
 
 // Limits of connections to backend servers.
@@ -37,11 +38,11 @@
 // Client sends requests to backend servers. It is safe for concurrent use.
 type Client struct {
 	// pooled reuses connections between requests.
-	pooled *http.Transport
+	pooled *responses.Transport
 	// singleUse opens a new connection for each request. net/http resends a
 	// request if a reused connection turns out to be closed, and requests that
 	// may run only once must not be sent twice.
-	singleUse *http.Transport
+	singleUse *responses.Transport
 	// dial opens the connections.
 	dial DialFunc
 }
@@ -84,15 +85,15 @@
 
 // newTransport returns a transport with the limits above. If disableKeepAlives
 // is set, each request uses a new connection.
-func newTransport(dial DialFunc, disableKeepAlives bool) *http.Transport {
-	return &http.Transport{
+func newTransport(dial DialFunc, disableKeepAlives bool) *responses.Transport {
+	return responses.NewTransport(&http.Transport{
 		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		DisableCompression:     true,
 		DisableKeepAlives:      disableKeepAlives,
-	}
+	})
 }
 
 // outgoingRequest is a request to a backend server.
--- a/acaciad/proxy/events.go
+++ b/acaciad/proxy/events.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"acaciapath.example/acaciad/directory"
+	"acaciapath.example/core/responses"
 	"acaciapath.example/core/sleep"
 
 	"github.com/ansel1/merry/v2"
@@ -52,7 +53,7 @@
 		}
 		searched = len(events.data)
 		switch {
-		case err == io.EOF && x.runProgress.events == 0 && endsWithConnection(response):
+		case err == io.EOF && x.runProgress.events == 0 && responses.EndsWithConnection(response):
 			return errNoEvent
 		case err == io.EOF && len(events.data) == 0:
 			x.startStream(ctx, reservation, response)
@@ -65,12 +66,6 @@
 	}
 }
 
-// endsWithConnection reports whether nothing but the end of its connection shows the end
-// of a response.
-func endsWithConnection(r *http.Response) bool {
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
-}
-
 // stopCheckDelay is the time between the end of a connection and the check whether its server
 // stopped. A server that stops closes its connections and its listener in any order.
 const stopCheckDelay = 20 * time.Millisecond
@@ -78,7 +73,7 @@
 // endedByStop reports whether the end of a response says nothing, because it is that of its
 // connection and the backend server, which drained, accepts no others.
 func (x *exchange) endedByStop(ctx context.Context, reservation *directory.Reservation, response *http.Response) bool {
-	if !endsWithConnection(response) || reservation.Draining().Err() == nil {
+	if !responses.EndsWithConnection(response) || reservation.Draining().Err() == nil {
 		return false
 	}
 	sleep.For(ctx, stopCheckDelay)
--- a/acaciad/proxy/forward.go
+++ b/acaciad/proxy/forward.go
@@ -10,6 +10,7 @@
 
 	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/core/catalog"
+	"acaciapath.example/core/responses"
 
 	"github.com/sirupsen/logrus"
 )
@@ -138,7 +139,7 @@
 	switch {
 	case err != nil && err != io.EOF: // bodies do not wrap it
 		return err.Error()
-	case endsWithConnection(response):
+	case responses.EndsWithConnection(response):
 		return "connection"
 	}
 	return "marked"
@@ -160,7 +161,7 @@
 	switch {
 	case err != nil:
 		end = streamBroken
-	case endsWithConnection(response):
+	case responses.EndsWithConnection(response):
 		end = streamClosed
 	}
 	to, stopped := x.runMove.finish(end)
