--- a/acaciad/proxy/forward.go
+++ b/acaciad/proxy/forward.go
@@ -10,6 +10,7 @@
 
 	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/core/catalog"
+	"acaciapath.example/core/responses"
 
 	"github.com/sirupsen/logrus"
 )
@@ -50,7 +51,7 @@
 	case x.status != 0:
 		return broken // a stream has begun, so that no error response can be sent
 	}
-	return x.forwardWhole(response)
+	return x.forwardWhole(ctx, reservation, response)
 }
 
 // continuesStream reports whether a response may continue the stream that the caller gets:
@@ -68,7 +69,7 @@
 
 // forwardWhole forwards an answer once it was received completely, or as it arrives
 // if it exceeds maxBufferedBytes.
-func (x *exchange) forwardWhole(response *http.Response) result {
+func (x *exchange) forwardWhole(ctx context.Context, reservation *directory.Reservation, response *http.Response) result {
 	whole := newBuffer(x.handler.Buffers, maxBufferedBytes)
 	defer whole.release()
 	var err error
@@ -76,11 +77,15 @@
 		err = whole.readFrom(response.Body)
 	}
 	success := response.StatusCode < http.StatusBadRequest
+	x.answerEnd = describeEnd(response, err)
 	switch {
+	case err == io.EOF && x.endedByStop(ctx, reservation, response):
+		x.answerEnd = errServerStopped.Error()
+		return broken
 	case err == io.EOF:
 	case err == errBufferFull && success:
 		x.recordUsage()
-		return x.forwardLong(response, whole.data)
+		return x.forwardLong(ctx, reservation, response, whole.data)
 	default:
 		x.runProgress.lost = err != errBufferFull
 		return broken // a failure of that size is no answer
@@ -109,7 +114,7 @@
 
 // forwardLong forwards an answer as it arrives. data is the part that was read
 // already.
-func (x *exchange) forwardLong(response *http.Response, data []byte) result {
+func (x *exchange) forwardLong(ctx context.Context, reservation *directory.Reservation, response *http.Response, data []byte) result {
 	x.handler.Wire.CopyResponse(x.writer.Header(), response.Header)
 	x.status, x.outcome = response.StatusCode, outcomeServed
 	x.writer.WriteHeader(response.StatusCode)
@@ -117,6 +122,10 @@
 	if err == nil {
 		_, err = io.Copy(x.writer, response.Body)
 	}
+	if err == nil && x.endedByStop(ctx, reservation, response) {
+		err = errServerStopped
+	}
+	x.answerEnd = describeEnd(response, err)
 	if err != nil {
 		x.outcome = outcomeBroken
 		return truncated
@@ -124,6 +133,18 @@
 	return answered
 }
 
+// describeEnd returns what showed the end of a response, for the log. err is nil or io.EOF if
+// nothing shows that the response is incomplete.
+func describeEnd(response *http.Response, err error) string {
+	switch {
+	case err != nil && err != io.EOF: // bodies do not wrap it
+		return err.Error()
+	case responses.EndsWithConnection(response):
+		return "connection"
+	}
+	return "marked"
+}
+
 // shouldRetryFailure reports whether a request that a backend server answered with
 // status is sent to another backend server.
 func (x *exchange) shouldRetryFailure(status int) bool {
@@ -140,13 +161,17 @@
 	switch {
 	case err != nil:
 		end = streamBroken
-	case endsWithConnection(response):
+	case responses.EndsWithConnection(response):
 		end = streamClosed
 	}
 	to, stopped := x.runMove.finish(end)
-	if end == streamClosed && stopped {
+	switch {
+	case end == streamClosed && stopped:
 		err = errRunStopped
+	case to == nil && err == nil && x.endedByStop(ctx, reservation, response):
+		err = errServerStopped
 	}
+	x.answerEnd = describeEnd(response, err)
 	if to != nil && err != nil && x.request.Context().Err() == nil && !errors.Is(err, errCallerLeft) {
 		x.moveTarget, x.cacheCopy = to, x.runMove.cacheCopy
 		x.runMove = nil
@@ -164,7 +189,7 @@
 		}
 		return answered
 	}
-	x.runProgress.lost = err != errBufferFull && err != errRunStopped
+	x.runProgress.lost = err != errBufferFull && err != errRunStopped && err != errServerStopped
 	if x.status == 0 {
 		return broken
 	}
