acaciad: asks neighbours of other failure domains next, and whether a server that ended its connection accepts others

A whole failure domain may be cut off. After a neighbour that does not reach the server, one of another failure domain is asked; a lender refuses at once what it reaches by detours only.

--- a/acaciad/daemon/forwarding.go
+++ b/acaciad/daemon/forwarding.go
@@ -32,6 +32,7 @@
 	l, h := d.lender, d.handler
 	l.Admission = reach.NewAdmission(d.settings.Cores, d.settings.MemoryBytes, d.ports.maxCallers, d.ports.neighbours.Limits().Connections)
 	l.Directory, l.Await, l.Hanging = d.directory, d.awaitPath, d.monitor.Hanging
+	l.Detoured = h.Detours.Choose
 	l.OwnRequests, l.Send, l.Accepts = h.InProgress, h.Client.Send, h.Client.Accepts
 	l.OnAnswer, l.OnLost = h.HearForwarded, h.RecordForwardedLoss
 	l.Timeout = func(header http.Header) time.Duration { return h.Wire.ParseRequest(header).Timeout }
--- a/acaciad/forwarding/asker.go
+++ b/acaciad/forwarding/asker.go
@@ -130,9 +130,8 @@
 // asked. Errors are ErrNoNeighbour, ErrNotSent and ErrBroken; the request may have been sent only
 // with the last one.
 func (a *Asker) Send(ctx context.Context, build func() Request) (*http.Response, Transmission, error) {
-	var asked []string
+	var asked, unreached []string
 	var last Transmission
-	serversUnreached := 0
 	for len(asked) < maxAsked && ctx.Err() == nil {
 		a.mu.Lock()
 		via, ok := a.selector.Begin(asked, time.Now(), a.random)
@@ -144,6 +143,7 @@
 		response, how, err := a.ask(ctx, via, build())
 		last = how
 		if err == nil {
+			a.noteAlsoCutOff(unreached)
 			return response, how, nil
 		}
 		a.end(via)
@@ -152,19 +152,29 @@
 			return nil, how, err
 		}
 		if how.Reason == ReasonDialFailed {
-			serversUnreached++
+			unreached = append(unreached, via)
 		}
-		if how.Reason.concernsServer() || serversUnreached >= maxServersUnreached {
+		if how.Reason.concernsServer() || len(unreached) >= maxServersUnreached {
 			return nil, how, err
 		}
 	}
-	if serversUnreached > 0 || ctx.Err() != nil {
+	if len(unreached) > 0 || ctx.Err() != nil {
 		return nil, last, ErrNotSent
 	}
 	a.noteNone(asked, last)
 	return nil, last, ErrNoNeighbour
 }
 
+// noteAlsoCutOff records that neighbours did not reach a backend server that another one reaches.
+func (a *Asker) noteAlsoCutOff(neighbours []string) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, n := range neighbours {
+		a.selector.Failed(n, forwarding.AlsoCutOff, now)
+	}
+}
+
 // end counts the end of a request at a neighbour.
 func (a *Asker) end(via string) {
 	a.mu.Lock()
@@ -246,30 +256,52 @@
 	return request.HTTP(ctx)
 }
 
-// Reaches asks a neighbour whether it reaches a backend server. known is false if none answers.
+// Reaches asks neighbours whether they reach a backend server, until one does. known is false if
+// none answers.
 func (a *Asker) Reaches(ctx context.Context, server, address string) (reached, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, reachesTimeout)
 	defer cancel()
-	a.mu.Lock()
-	via, ok := a.selector.Begin(nil, time.Now(), a.random)
-	a.mu.Unlock()
-	if !ok {
-		return false, false
+	var asked, unreached []string
+	for len(unreached) < maxServersUnreached && len(asked) < maxAsked {
+		a.mu.Lock()
+		via, ok := a.selector.Begin(asked, time.Now(), a.random)
+		a.mu.Unlock()
+		if !ok {
+			break
+		}
+		asked = append(asked, via)
+		switch a.check(ctx, via, server, address) {
+		case resultAnswered:
+			a.noteAlsoCutOff(unreached)
+			return true, true
+		case string(ReasonDialFailed):
+			unreached = append(unreached, via)
+		}
 	}
+	return false, len(unreached) > 0
+}
+
+// check asks one neighbour whether it reaches a backend server. It returns resultAnswered, a reason
+// or an empty string.
+func (a *Asker) check(ctx context.Context, via, server, address string) string {
 	defer a.end(via)
 	call, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+via+"/", http.NoBody)
 	if err != nil {
-		return false, false
+		return ""
 	}
 	call.Header[headerCheck], call.Header[headerFrom] = []string{server + " " + address}, []string{a.VM}
 	response, err := a.pooled.RoundTrip(call)
 	if err != nil {
-		return false, false
+		return ""
 	}
 	_ = response.Body.Close() // it has no answer
-	words := strings.Fields(response.Header.Get(headerResult))
-	reached = len(words) > 0 && words[0] == resultAnswered
-	return reached, reached || len(words) > 1 && Reason(words[1]) == ReasonDialFailed
+	switch words := strings.Fields(response.Header.Get(headerResult)); {
+	case len(words) == 1 && words[0] == resultAnswered:
+		return resultAnswered
+	case len(words) == 2:
+		return words[1]
+	}
+	return ""
 }
 
 // HTTP returns the request as net/http sends it.
--- a/acaciad/forwarding/lender.go
+++ b/acaciad/forwarding/lender.go
@@ -52,6 +52,8 @@
 	Await func(context.Context) forwarding.State
 	// Hanging returns a context that is done once the own path hangs.
 	Hanging func() context.Context
+	// Detoured reports whether the daemon itself reaches a backend server through neighbours only.
+	Detoured func(address string) bool
 	// OwnRequests returns the number of requests of the daemon's callers in progress.
 	OwnRequests func() int
 	// Send sends a request on the own path.
@@ -179,12 +181,12 @@
 		return
 	}
 	server, reason := l.check(name, address)
-	if reason != ReasonNone {
-		l.refuse(w, r, asker, reason)
+	if checks && reason != ReasonServerUnknown {
+		l.answerCheck(w, r, asker, server)
 		return
 	}
-	if checks {
-		l.answerCheck(w, r, asker, server)
+	if reason != ReasonNone {
+		l.refuse(w, r, asker, reason)
 		return
 	}
 	body := &memory.Body{Budget: l.Memory, Holder: "neighbour/" + asker, MaxWait: bodyWait}
@@ -243,6 +245,9 @@
 	case placement.Paused:
 		return server, ReasonServerPaused
 	}
+	if l.Detoured(address) {
+		return server, ReasonDialFailed
+	}
 	return server, ReasonNone // limits are kept by the asker, which has its own part of them
 }
 
--- a/acaciad/proxy/events.go
+++ b/acaciad/proxy/events.go
@@ -77,7 +77,7 @@
 		return false
 	}
 	sleep.For(ctx, stopCheckDelay)
-	return !x.handler.Client.accepts(reservation.Spec.Address)
+	return !x.acceptsConnections(ctx, reservation.Spec)
 }
 
 // startStream handles the first event from a backend server: it marks the prompt as
--- a/acaciad/proxy/path.go
+++ b/acaciad/proxy/path.go
@@ -165,6 +165,20 @@
 	return b.ReadCloser.Close()
 }
 
+// acceptsConnections reports whether the backend server of the current attempt is known to accept
+// connections, by what neighbours say if this VM may be cut off from it.
+func (x *exchange) acceptsConnections(ctx context.Context, server replica.Spec) bool {
+	h := x.handler
+	if h.Client.Accepts(server.Address) {
+		return true
+	}
+	if x.transmission.Via == "" && !h.isCutOff(ctx) && !h.isDetoured(server.Address) || h.Neighbours == nil {
+		return false
+	}
+	reached, _ := h.Neighbours.Reaches(ctx, server.Name, server.Address)
+	return reached
+}
+
 // mayAbandon returns a function that reports whether the next attempt may be abandoned while its
 // path hangs: the request can be sent once more, through a neighbour.
 func (x *exchange) mayAbandon() func() bool {
--- a/core/forwarding/selector.go
+++ b/core/forwarding/selector.go
@@ -15,7 +15,8 @@
 const (
 	// Busy means that it takes on no more requests at present.
 	Busy Failure = iota
-	// AlsoCutOff means that it does not reach backend servers itself.
+	// AlsoCutOff means that it does not reach backend servers itself, or not those that others
+	// reach.
 	AlsoCutOff
 	// ShuttingDown means that it is about to stop.
 	ShuttingDown
@@ -39,7 +40,7 @@
 	// requests in progress. What crosses failure domains is priced.
 	otherDomainRequests = 32
 	// suspectDomainRequests is the disadvantage of the neighbours in a failure domain in which
-	// one says that it is cut off. Often the whole failure domain is.
+	// one is cut off. Often the whole failure domain is.
 	suspectDomainRequests = 1 << 16
 	// maxServersUnreached is the number of requests in a row whose backend servers a neighbour
 	// did not reach, from which it is not asked for a while.
@@ -105,8 +106,15 @@
 }
 
 // Begin selects the neighbour with the fewest requests in progress that is neither in cooldown nor
-// among those already asked, and counts a request there. It reports false if there is none.
+// among those already asked for the same request, and counts a request there. It prefers failure
+// domains of which none was asked. It reports false if there is none.
 func (s *Selector) Begin(asked []string, now time.Time, random *rand.Rand) (address string, ok bool) {
+	var askedDomains []string
+	for _, n := range s.neighbours {
+		if slices.Contains(asked, n.Address) {
+			askedDomains = append(askedDomains, n.FailureDomain)
+		}
+	}
 	best, bestCost, ties := "", 0, 0
 	for _, n := range s.neighbours {
 		state := s.stateOf(n.Address)
@@ -117,7 +125,7 @@
 		if n.FailureDomain != s.FailureDomain {
 			cost += otherDomainRequests
 		}
-		if now.Before(s.suspectUntil[n.FailureDomain]) {
+		if now.Before(s.suspectUntil[n.FailureDomain]) || slices.Contains(askedDomains, n.FailureDomain) {
 			cost += suspectDomainRequests
 		}
 		switch {
