--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -224,7 +224,7 @@
 	d.reportsFeed.times.Hold, d.reportsFeed.times.Silence = reportsReaderHold, reportsSilence
 	d.newForwarding(options.DialServer, now)
 	client := proxy.NewClient(d.monitor.Dial)
-	engines := &platform.EngineClient{Transport: client.Transport()}
+	engines := &platform.EngineClient{Transport: client.Transport(), StopTransport: client.SingleUseTransport()}
 	d.drainPoller = &drainPoller{
 		engines: engines, groups: d.stayingCheapEngines, markDraining: d.markEnginesDraining, logger: logger,
 		random: rand.New(rand.NewPCG(uint64(now.UnixNano()), 1)),
@@ -249,6 +249,7 @@
 		Ending:       d.ending,
 		Path:         d.monitor,
 		Neighbours:   d.asker,
+		Detours:      forwarding.NewDetours(d.monitor.Dial, d.registry, logger, now),
 	}
 	d.lendPath()
 	engines.OnStatement = d.handler.HearAt
--- a/acaciad/daemon/forwarding.go
+++ b/acaciad/daemon/forwarding.go
@@ -10,6 +10,7 @@
 	"acaciapath.example/acaciad/proxy"
 	"acaciapath.example/core/detour"
 	reach "acaciapath.example/core/forwarding"
+	"acaciapath.example/core/replica"
 	"acaciapath.example/platform"
 )
 
@@ -22,7 +23,7 @@
 func (d *Daemon) newForwarding(dial proxy.DialFunc, now time.Time) {
 	metrics := forwarding.NewMetrics(d.registry)
 	d.monitor = forwarding.NewMonitor(dial, d.targets, d.logger, d.registry, rand.New(rand.NewPCG(uint64(now.UnixNano()), 4)))
-	d.monitor.ProbeRequest = platform.ProbeRequest
+	d.monitor.ProbeRequest = d.probeRequest
 	d.asker = forwarding.NewAsker(d.settings.Name, d.settings.FailureDomain, metrics, d.logger, rand.New(rand.NewPCG(uint64(now.UnixNano()), 5)))
 	d.lender = forwarding.NewLender(metrics)
 }
@@ -32,7 +33,8 @@
 	l, h := d.lender, d.handler
 	l.Admission = reach.NewAdmission(d.settings.Cores, d.settings.MemoryBytes, d.ports.maxCallers, d.ports.neighbours.Limits().Connections)
 	l.Directory, l.Await, l.Hanging = d.directory, d.awaitPath, d.monitor.Hanging
-	l.OwnRequests, l.Send = h.InProgress, h.Client.Send
+	l.Detoured = h.Detours.Choose
+	l.OwnRequests, l.Send, l.Accepts = h.InProgress, h.Client.Send, h.Client.Accepts
 	l.OnAnswer, l.OnLost = h.HearForwarded, h.RecordForwardedLoss
 	l.Timeout = func(header http.Header) time.Duration { return h.Wire.ParseRequest(header).Timeout }
 	l.MaxBodyBytes = d.maxForwardedBody
@@ -55,12 +57,27 @@
 	return defaultForwardedBody
 }
 
+// probeRequest returns the request by which the backend server at an address is probed, or an empty
+// one if there is none.
+func (d *Daemon) probeRequest(address string) []byte {
+	server, listed := d.directory.At(address)
+	view := d.directory.View()
+	if !listed || view == nil {
+		return nil
+	}
+	service := view.Index.Service(firstService(server))
+	if service == nil {
+		return nil
+	}
+	return platform.ProbeRequest(address, service.Engine != nil, service.HealthPath)
+}
+
 // targets returns the backend servers that can be probed.
 func (d *Daemon) targets() []reach.Target {
 	specs := d.directory.All()
 	targets := make([]reach.Target, len(specs))
 	for i, s := range specs {
-		targets[i] = reach.Target{Name: s.Name, Address: s.Address, FailureDomain: s.FailureDomain, Service: s.Serves[0]}
+		targets[i] = reach.Target{Name: s.Name, Address: s.Address, FailureDomain: s.FailureDomain, Service: firstService(s)}
 	}
 	return targets
 }
@@ -70,3 +87,11 @@
 	d.storeTransport.SetNeighbours(neighbours)
 	d.asker.SetNeighbours(neighbours)
 }
+
+// firstService returns the first service that a backend server serves, or an empty string.
+func firstService(s replica.Spec) string {
+	if len(s.Serves) == 0 {
+		return ""
+	}
+	return s.Serves[0]
+}
--- a/acaciad/forwarding/lender.go
+++ b/acaciad/forwarding/lender.go
@@ -52,10 +52,14 @@
 	Await func(context.Context) forwarding.State
 	// Hanging returns a context that is done once the own path hangs.
 	Hanging func() context.Context
+	// Detoured reports whether the daemon itself reaches a backend server through neighbours only.
+	Detoured func(address string) bool
 	// OwnRequests returns the number of requests of the daemon's callers in progress.
 	OwnRequests func() int
 	// Send sends a request on the own path.
 	Send func(context.Context, Request) (*http.Response, Transmission, error)
+	// Accepts reports whether a backend server accepts connections.
+	Accepts func(address string) bool
 	// Timeout returns the time limit in the headers of a request, or 0 if there is none.
 	Timeout func(http.Header) time.Duration
 	// MaxBodyBytes returns the maximum size of a body.
@@ -162,7 +166,12 @@
 		return
 	}
 	defer l.end(asker)
-	name, address, ok := strings.Cut(r.Header.Get(headerTo), " ")
+	checks := len(r.Header[headerCheck]) > 0
+	to := r.Header.Get(headerTo)
+	if checks {
+		to = r.Header.Get(headerCheck)
+	}
+	name, address, ok := strings.Cut(to, " ")
 	if !ok {
 		l.refuse(w, r, asker, ReasonInvalid)
 		return
@@ -172,6 +181,10 @@
 		return
 	}
 	server, reason := l.check(name, address)
+	if checks && reason != ReasonServerUnknown {
+		l.answerCheck(w, r, asker, server)
+		return
+	}
 	if reason != ReasonNone {
 		l.refuse(w, r, asker, reason)
 		return
@@ -195,6 +208,17 @@
 	l.forward(w, r, asker, server, l.request(r, body, server))
 }
 
+// answerCheck answers whether the lender reaches a backend server.
+func (l *Lender) answerCheck(w http.ResponseWriter, r *http.Request, asker string, server replica.Spec) {
+	if !l.Accepts(server.Address) {
+		l.refuse(w, r, asker, ReasonDialFailed)
+		return
+	}
+	l.Metrics.countLent("checked")
+	w.Header()[headerResult] = []string{resultAnswered}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // hostOf returns the host of an address.
 func hostOf(address string) string {
 	host, _, err := net.SplitHostPort(address)
@@ -221,6 +245,9 @@
 	case placement.Paused:
 		return server, ReasonServerPaused
 	}
+	if l.Detoured(address) {
+		return server, ReasonDialFailed
+	}
 	return server, ReasonNone // limits are kept by the asker, which has its own part of them
 }
 
--- a/acaciad/forwarding/monitor.go
+++ b/acaciad/forwarding/monitor.go
@@ -37,8 +37,8 @@
 // concurrent use.
 type Monitor struct {
 	// ProbeRequest returns the bytes of a request that a backend server answers at once:
-	// a link that hangs may accept connections. It may be nil; probes then only wait
-	// whether the connection is reset.
+	// a link that hangs may accept connections. It may be nil or return none; probes then
+	// only wait whether the connection is reset.
 	ProbeRequest func(address string) []byte
 
 	dial    DialFunc
--- a/acaciad/forwarding/probe.go
+++ b/acaciad/forwarding/probe.go
@@ -115,12 +115,16 @@
 	defer connection.Close()
 	stop := context.AfterFunc(ctx, func() { connection.Close() })
 	defer stop()
-	if m.ProbeRequest == nil {
+	var request []byte
+	if m.ProbeRequest != nil {
+		request = m.ProbeRequest(t.Address)
+	}
+	if len(request) == 0 {
 		deadline = time.Now().Add(resetWait)
 	}
 	err = connection.SetDeadline(deadline)
-	if err == nil && m.ProbeRequest != nil {
-		_, err = connection.Write(m.ProbeRequest(t.Address))
+	if err == nil && len(request) > 0 {
+		_, err = connection.Write(request)
 	}
 	if err == nil {
 		_, err = connection.Read(make([]byte, 1))
@@ -128,7 +132,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if contact, ok := contactOf(err); ok && contact == forwarding.TimedOut && m.ProbeRequest == nil {
+	if contact, ok := contactOf(err); ok && contact == forwarding.TimedOut && len(request) == 0 {
 		err = nil // it was not reset
 	}
 	m.recordProbe(t, err)
--- a/acaciad/proxy/client.go
+++ b/acaciad/proxy/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"acaciapath.example/acaciad/forwarding"
+	"acaciapath.example/core/responses"
 )
 
 // Limits of connections to backend servers.
@@ -35,11 +36,11 @@
 // Client sends requests to backend servers. It is safe for concurrent use.
 type Client struct {
 	// pooled reuses connections between requests.
-	pooled *http.Transport
+	pooled *responses.Transport
 	// singleUse opens a new connection for each request. net/http resends a
 	// request if a reused connection turns out to be closed, and requests that
 	// may run only once must not be sent twice.
-	singleUse *http.Transport
+	singleUse *responses.Transport
 	// dial opens the connections.
 	dial DialFunc
 }
@@ -63,8 +64,8 @@
 	return &Client{pooled: newTransport(dial, false), singleUse: newTransport(dial, true), dial: dial}
 }
 
-// accepts reports whether a backend server accepts connections.
-func (c *Client) accepts(address string) bool {
+// Accepts reports whether a backend server accepts connections.
+func (c *Client) Accepts(address string) bool {
 	connection, err := c.dial(context.Background(), "tcp", address)
 	if err != nil {
 		return false
@@ -77,17 +78,20 @@
 // backend servers.
 func (c *Client) Transport() http.RoundTripper { return c.pooled }
 
+// SingleUseTransport returns the transport that opens a connection for each request.
+func (c *Client) SingleUseTransport() http.RoundTripper { return c.singleUse }
+
 // newTransport returns a transport with the limits above. If disableKeepAlives
 // is set, each request uses a new connection.
-func newTransport(dial DialFunc, disableKeepAlives bool) *http.Transport {
-	return &http.Transport{
+func newTransport(dial DialFunc, disableKeepAlives bool) *responses.Transport {
+	return responses.NewTransport(&http.Transport{
 		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		DisableCompression:     true,
 		DisableKeepAlives:      disableKeepAlives,
-	}
+	})
 }
 
 // Send sends a request on the own path and returns the response.
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -10,6 +10,7 @@
 
 	"acaciapath.example/acaciad/crashreports"
 	"acaciapath.example/acaciad/directory"
+	"acaciapath.example/acaciad/forwarding"
 	"acaciapath.example/acaciad/limitreports"
 	"acaciapath.example/acaciad/origins"
 	"acaciapath.example/core/catalog"
@@ -94,10 +95,11 @@
 	// Ending is done when the daemon is about to stop, and running requests get their final
 	// answer.
 	Ending context.Context
-	// Path watches the own path to backend servers, and Neighbours sends requests while that is
-	// cut off. They may be nil.
+	// Path watches the own path to backend servers, Neighbours sends requests while that is cut
+	// off, and Detours knows the backend servers that only neighbours reach. They may be nil.
 	Path       Path
 	Neighbours Neighbours
+	Detours    *forwarding.Detours
 
 	inProgress requestCount
 }
@@ -227,6 +229,8 @@
 	// 0 until its headers are sent.
 	status  int
 	outcome string
+	// answerEnd tells what showed the end of the last answer of a backend server, for the log.
+	answerEnd string
 }
 
 // attempt describes one attempt to run a request on a backend server, for logs and
@@ -395,6 +399,9 @@
 	if x.metadata.LastEventID != "" {
 		f["resumes"], f["last-event-id"], f["stream-version"] = x.metadata.Resumes, x.metadata.LastEventID, x.requirements.Version
 	}
+	if x.answerEnd != "" {
+		f["answer-end"] = x.answerEnd
+	}
 	if x.eventCount > 0 {
 		f["events"] = x.eventCount
 	}
