acaciad: servers that no neighbour reaches either are blamed for lost connections

Change: while cut off, a failure is blamed on the server if the neighbours that were asked are cut off too, or there are none.

--- a/acaciad/forwarding/asker.go
+++ b/acaciad/forwarding/asker.go
@@ -42,6 +42,9 @@
 	// askDialTimeout bounds the establishment of a connection to a neighbour. It allows for
 	// several round trips between regions.
 	askDialTimeout = 250 * time.Millisecond
+	// allCutOffMemory is how long it is remembered that neighbours were cut off themselves. They
+	// are asked again within this time.
+	allCutOffMemory = 2 * time.Second
 	// maxIdlePerNeighbour and idleTimeout limit the idle connections to neighbours.
 	maxIdlePerNeighbour = 8
 	idleTimeout         = 5 * time.Second
@@ -73,10 +76,13 @@
 	// request if a reused connection turns out to be closed.
 	pooled, singleUse http.RoundTripper
 
-	mu       sync.Mutex // guards selector, random and log
+	mu       sync.Mutex // guards the fields below
 	selector *forwarding.Selector
 	random   *rand.Rand
 	log      changeLog
+	// reachedAt is when a neighbour last reached a backend server, and allCutOffAt when none
+	// took a request on and some were cut off themselves.
+	reachedAt, allCutOffAt time.Time
 }
 
 // NewAsker returns an asker of a daemon that has no neighbours until SetNeighbours is called.
@@ -118,6 +124,18 @@
 	return a.selector.HasNeighbours()
 }
 
+// AllCutOff reports whether the neighbours that were asked lately do not reach backend servers
+// either, or there are no neighbours. Then the backend servers themselves have failed rather than
+// the paths to them.
+func (a *Asker) AllCutOff(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.selector.HasNeighbours() {
+		return true
+	}
+	return now.Sub(a.allCutOffAt) < allCutOffMemory && now.Sub(a.reachedAt) >= allCutOffMemory
+}
+
 // InProgress returns the number of requests that neighbours forward for this daemon.
 func (a *Asker) InProgress() int {
 	a.mu.Lock()
@@ -132,6 +150,7 @@
 func (a *Asker) Send(ctx context.Context, build func() Request) (*http.Response, Transmission, error) {
 	var asked, unreached []string
 	var last Transmission
+	cutOff := false
 	for len(asked) < maxAsked && ctx.Err() == nil {
 		a.mu.Lock()
 		via, ok := a.selector.Begin(asked, time.Now(), a.random)
@@ -151,6 +170,7 @@
 		if how.Sent {
 			return nil, how, err
 		}
+		cutOff = cutOff || how.Reason == ReasonCutOff
 		if how.Reason == ReasonDialFailed {
 			unreached = append(unreached, via)
 		}
@@ -161,7 +181,7 @@
 	if len(unreached) > 0 || ctx.Err() != nil {
 		return nil, last, ErrNotSent
 	}
-	a.noteNone(asked, last)
+	a.noteNone(asked, last, cutOff)
 	return nil, last, ErrNoNeighbour
 }
 
@@ -361,6 +381,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.selector.Answered(via)
+	a.reachedAt = time.Now()
 	if a.log.answered(via, time.Now()) {
 		a.Logger.WithField("neighbour", via).Info("backend servers reached through a neighbour")
 	}
@@ -378,11 +399,15 @@
 	}
 }
 
-// noteNone logs that no neighbour took a request on.
-func (a *Asker) noteNone(asked []string, last Transmission) {
+// noteNone records that no neighbour took a request on. cutOff states that some are cut off
+// themselves.
+func (a *Asker) noteNone(asked []string, last Transmission, cutOff bool) {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if cutOff {
+		a.allCutOffAt = now
+	}
 	if suppressed, ok := a.log.none(now); ok {
 		a.Logger.WithFields(logrus.Fields{"asked": len(asked), "error": string(last.Reason), "not-logged": suppressed}).
 			Warn("no neighbour takes requests on, sending them on the own path")
--- a/acaciad/proxy/path.go
+++ b/acaciad/proxy/path.go
@@ -27,6 +27,7 @@
 type Neighbours interface {
 	Send(ctx context.Context, build func() forwarding.Request) (*http.Response, forwarding.Transmission, error)
 	HasNeighbours() bool
+	AllCutOff(now time.Time) bool
 	Reaches(ctx context.Context, server, address string) (reached, known bool)
 }
 
@@ -57,6 +58,12 @@
 	return state == reach.CutOff
 }
 
+// pathFails reports whether the own path is cut off, while neighbours reach backend servers or may.
+// Lost connections are no evidence against backend servers then.
+func (h *Handler) pathFails(ctx context.Context) bool {
+	return h.isCutOff(ctx) && h.Neighbours != nil && !h.Neighbours.AllCutOff(time.Now())
+}
+
 // throughNeighbour sends a request through a neighbour. It reports false if none takes it on. asked
 // states that the budget of detours was asked.
 func (h *Handler) throughNeighbour(ctx context.Context, asked bool, build func() forwarding.Request) (*http.Response, transmission, error, bool) {
@@ -193,13 +200,13 @@
 }
 
 // blamesServer reports whether the failure of the current attempt is evidence against its backend
-// server. It is not while the own path is cut off, and the failure of a neighbour tells nothing
+// server. It is not while only the own path is cut off, and the failure of a neighbour tells nothing
 // unless that could not connect to the backend server.
 func (x *exchange) blamesServer(ctx context.Context) bool {
 	if x.transmission.Via != "" {
 		return x.transmission.Reason == forwarding.ReasonDialFailed
 	}
-	return !x.handler.isCutOff(ctx)
+	return !x.handler.pathFails(ctx)
 }
 
 // requestCount counts requests in progress. It is safe for concurrent use.
