--- a/acaciad/forwarding/observed_connection.go
+++ b/acaciad/forwarding/observed_connection.go
@@ -21,6 +21,8 @@
 	written, heard, failed atomic.Bool
 }
 
+var _ syscall.Conn = (*observedConnection)(nil)
+
 // Read implements net.Conn.
 func (o *observedConnection) Read(b []byte) (int, error) {
 	n, err := o.Conn.Read(b)
@@ -43,6 +45,15 @@
 	return n, err
 }
 
+// SyscallConn implements syscall.Conn. It returns an error if the connection is not one of the
+// system.
+func (o *observedConnection) SyscallConn() (syscall.RawConn, error) {
+	if c, ok := o.Conn.(syscall.Conn); ok {
+		return c.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // fail records that the connection ended before a byte arrived. A connection that carried
 // nothing may end because it is idle.
 func (o *observedConnection) fail(err error) {
