core/keepalive: data that is not acknowledged ends a connection as silence does

Cause: keep-alive probes are not sent while data is on the way, so a request whose link fell silent waited for the request's own timeout. TCP_USER_TIMEOUT bounds that on Linux, and also decides when keep-alive probes give up, whatever their number. Change: connections to backend servers, neighbours and the store set it to the time that their probes take: 4 s, 4 s and 3 s. Connections that the reader and the cloud client open keep the system's defaults: their calls have short timeouts. Measured: the option reads back as set; a write to a peer that takes nothing ends after 3.3 s with 3 s set; a peer that takes nothing for two seconds, after two idle ones, gets all 64 MB.

--- a/acaciad/forwarding/asker.go
+++ b/acaciad/forwarding/asker.go
@@ -16,6 +16,7 @@
 
 	"acaciapath.example/core/detour"
 	"acaciapath.example/core/forwarding"
+	"acaciapath.example/core/keepalive"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
@@ -97,12 +98,9 @@
 
 // newAskTransport returns a transport for calls of neighbours.
 func newAskTransport(singleUse bool) *http.Transport {
-	dialer := &net.Dialer{
-		Timeout: askDialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
-		},
-	}
+	dialer := keepalive.NewDialer(askDialTimeout, net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
+	})
 	return &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerNeighbour, IdleConnTimeout: idleTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes, DisableCompression: true, DisableKeepAlives: singleUse,
--- a/acaciad/proxy/client.go
+++ b/acaciad/proxy/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"acaciapath.example/acaciad/forwarding"
+	"acaciapath.example/core/keepalive"
 	"acaciapath.example/core/responses"
 )
 
@@ -28,7 +29,8 @@
 	maxResponseHeaderBytes = 64 << 10
 	// keepAliveInterval is the interval of the TCP keep-alive probes that detect
 	// unresponsive backend servers, and keepAliveProbes is the number of probes
-	// that may go unanswered.
+	// that may go unanswered. A server that is silent for a second or two keeps its
+	// connections.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 3
 )
@@ -48,14 +50,13 @@
 // DialFunc opens a connection to a backend server, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// dialer opens connections with the limits above.
+var dialer = keepalive.NewDialer(dialTimeout, net.KeepAliveConfig{
+	Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
+})
+
 // Dial opens a TCP connection to a backend server with the limits above.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := &net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
-		},
-	}
 	return dialer.DialContext(ctx, network, address)
 }
 
--- /dev/null
+++ b/core/keepalive/doc.go
@@ -0,0 +1,3 @@
+// Package keepalive opens TCP connections that end within a bounded time once the peer falls
+// silent, whether they are idle or have data that is not acknowledged.
+package keepalive
