--- a/acaciad/forwarding/lender.go
+++ b/acaciad/forwarding/lender.go
@@ -18,6 +18,7 @@
 	"acaciapath.example/core/memory"
 	"acaciapath.example/core/placement"
 	"acaciapath.example/core/replica"
+	"acaciapath.example/core/responses"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
@@ -346,7 +347,7 @@
 	if how.Reused {
 		result += " " + wordReused
 	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if responses.EndsWithConnection(response) {
 		result += " " + wordUnframed
 	}
 	h[headerResult] = []string{result}
