--- a/acaciad/daemon/forwarding.go
+++ b/acaciad/daemon/forwarding.go
@@ -11,6 +11,7 @@
 	"acaciapath.example/core/detour"
 	reach "acaciapath.example/core/forwarding"
 	"acaciapath.example/core/replica"
+	"acaciapath.example/platform"
 )
 
 // defaultForwardedBody is the maximum size of the body of a forwarded request if the catalog sets
@@ -56,8 +57,8 @@
 	return defaultForwardedBody
 }
 
-// probeRequest returns the request by which the backend server at an address is probed: its health
-// check, which it answers at once unless it is busy. It is empty if the catalog has none.
+// probeRequest returns the request by which the backend server at an address is probed, or an empty
+// one if there is none.
 func (d *Daemon) probeRequest(address string) []byte {
 	server, listed := d.directory.At(address)
 	view := d.directory.View()
@@ -65,10 +66,10 @@
 		return nil
 	}
 	service := view.Index.Service(firstService(server))
-	if service == nil || service.HealthPath == "" {
+	if service == nil {
 		return nil
 	}
-	return []byte("GET " + service.HealthPath + " HTTP/1.1\r\nHost: " + address + "\r\nConnection: close\r\n\r\n")
+	return platform.ProbeRequest(address, service.Engine != nil, service.HealthPath)
 }
 
 // targets returns the backend servers that can be probed.
