--- a/acaciad/daemon/partitioned_fleet_test.go
+++ b/acaciad/daemon/partitioned_fleet_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -43,8 +44,15 @@
 	*deployment
 	vms     []*linkedVM
 	servers []*countingServer
+	// processes are the VMs whose daemons run in processes of their own, without a link that can
+	// be cut.
+	processes []int
+	// limits are the limits in requests a second that servers name, by service.
+	limits map[string]float64
 
 	mu sync.Mutex // guards the fields below
+	// pause is the time that servers take before they answer.
+	pause time.Duration
 	// calls are the requests of callers that have ended.
 	calls []call
 	// runs are the runs at servers by request. A stream that is resumed is not another run.
@@ -88,10 +96,13 @@
 // vmDomains are the failure domains of the VMs.
 var vmDomains = []string{"a", "a", "b", "c"}
 
-// newLinkedFleet starts the servers and the VMs, and waits until the VMs serve and know each
-// other.
+// newLinkedFleet returns a fleet that start starts.
 func newLinkedFleet(t testing.TB) *linkedFleet {
-	f := &linkedFleet{deployment: newDeployment(t), runs: make(map[string][]run)}
+	return &linkedFleet{deployment: newDeployment(t), runs: make(map[string][]run), pause: eventPause}
+}
+
+// start starts the servers and the VMs, and waits until the VMs serve and know each other.
+func (f *linkedFleet) start() {
 	f.store.Write("op", "config", map[string]any{
 		"version": 3,
 		"routes": []any{
@@ -137,7 +148,6 @@
 		}
 		return true
 	})
-	return f
 }
 
 // plainRoute returns a route of the plain service.
@@ -148,15 +158,23 @@
 	}
 }
 
+// processAddress is the address from which connections of VMs in processes of their own come.
+const processAddress = "127.0.0.1"
+
 // startVM starts a daemon that opens its connections to servers by a link, from an address of its
-// own.
+// own, or in a process of its own.
 func (f *linkedFleet) startVM(name, domain string) {
-	vm := &linkedVM{address: fmt.Sprintf("127.0.0.%d", 2+len(f.vms))}
-	dialer := &net.Dialer{Timeout: 250 * time.Millisecond, LocalAddr: &net.TCPAddr{IP: net.ParseIP(vm.address)}}
-	vm.link = link.New(dialer.DialContext)
 	settings := f.newSettings(name, freeAddress(f.C))
 	settings.FailureDomain, settings.ColdStart = domain, true
 	settings.Regions = map[string]string{"a": "r", "b": "r", "c": "r"}
+	if slices.Contains(f.processes, len(f.vms)) {
+		process, _ := f.startProcessWith(settings)
+		f.vms = append(f.vms, &linkedVM{runningDaemon: process, address: processAddress})
+		return
+	}
+	vm := &linkedVM{address: fmt.Sprintf("127.0.0.%d", 2+len(f.vms))}
+	dialer := &net.Dialer{Timeout: 250 * time.Millisecond, LocalAddr: &net.TCPAddr{IP: net.ParseIP(vm.address)}}
+	vm.link = link.New(dialer.DialContext)
 	options := daemon.DefaultOptions()
 	options.DialServer = vm.link.Dial
 	vm.runningDaemon = f.startWith(settings, options)
@@ -171,6 +189,35 @@
 	}
 }
 
+// cutTo cuts the links of VMs to some servers.
+func (f *linkedFleet) cutTo(c link.Cut, servers []*countingServer, vms ...int) {
+	var addresses []string
+	for _, s := range servers {
+		addresses = append(addresses, s.address())
+	}
+	for _, i := range vms {
+		f.vms[i].link.SetCutTo(c, addresses...)
+	}
+}
+
+// serving returns the servers of a service.
+func (f *linkedFleet) serving(service string) []*countingServer {
+	var list []*countingServer
+	for _, s := range f.servers {
+		if s.service == service {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// setPause sets the time that servers take before they answer.
+func (f *linkedFleet) setPause(pause time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pause = pause
+}
+
 // countingServer is a server that counts the runs of each request.
 type countingServer struct {
 	id, service, domain string
@@ -193,6 +240,12 @@
 // address returns the IP address and port of the server.
 func (s *countingServer) address() string { return strings.TrimPrefix(s.http.URL, "http://") }
 
+// die closes the server's connections, and has it accept no others.
+func (s *countingServer) die() {
+	_ = s.http.Listener.Close() // it is closed once
+	s.http.CloseClientConnections()
+}
+
 // ServeHTTP implements http.Handler.
 func (s *countingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Attempt-Id")
@@ -211,7 +264,13 @@
 	if last == 0 {
 		s.fleet.addRun(id, r.RemoteAddr, s.id)
 	}
-	time.Sleep(eventPause)
+	s.fleet.mu.Lock()
+	pause := s.fleet.pause
+	s.fleet.mu.Unlock()
+	if limit := s.fleet.limits[s.service]; limit > 0 {
+		h.Set("Server-Limit", strconv.FormatFloat(limit, 'f', 2, 64))
+	}
+	time.Sleep(pause)
 	if s.service == "shop" {
 		_, _ = io.WriteString(w, "done")
 		return
--- a/acaciad/daemon/partitioned_report_test.go
+++ b/acaciad/daemon/partitioned_report_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -90,3 +91,49 @@
 	}
 	return n
 }
+
+// mostWithin returns the largest number of runs at a server that began within a window, in a span
+// of time.
+func (f *linkedFleet) mostWithin(window time.Duration, from, to time.Time, server string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var began []time.Time
+	for _, runs := range f.runs {
+		for _, r := range runs {
+			if r.server == server && !r.at.Before(from) && r.at.Before(to) {
+				began = append(began, r.at)
+			}
+		}
+	}
+	slices.SortFunc(began, time.Time.Compare)
+	most, first := 0, 0
+	for i, at := range began {
+		for !began[first].After(at.Add(-window)) {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// checkNoEvidence checks that no VM took the cut for a crash of servers, or servers for cold.
+func (f *linkedFleet) checkNoEvidence() {
+	f.Helper()
+	for i, vm := range f.vms {
+		for _, line := range []string{"servers may come back cold", "prompt parts are suspected"} {
+			f.Check(strings.Contains(vm.log.String(), line), qt.IsFalse, qt.Commentf("vm-%d logged %q", i, line))
+		}
+	}
+}
+
+// dials returns the number of connections that VMs tried to open to servers.
+func (f *linkedFleet) dials(servers []*countingServer, vms ...int) int {
+	n := 0
+	for _, i := range vms {
+		counts := f.vms[i].link.Dials()
+		for _, s := range servers {
+			n += counts[s.address()]
+		}
+	}
+	return n
+}
