--- a/acaciad/forwarding/detours.go
+++ b/acaciad/forwarding/detours.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -75,8 +77,7 @@
 		return true
 	}
 	_, err := connection.Read(make([]byte, 1))
-	timeout, ok := err.(net.Error)
-	return err != nil && !(ok && timeout.Timeout())
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // MayAsk reports whether a neighbour may be asked for a backend server that the own path did not
@@ -88,12 +89,12 @@
 }
 
 // ReachedByNeighbour records that a neighbour reaches a backend server that the own path does not
-// reach. asked states that MayAsk was called.
-func (d *Detours) ReachedByNeighbour(address string, asked bool) {
+// reach, after MayAsk.
+func (d *Detours) ReachedByNeighbour(address string) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.detours.ReachedByNeighbour(address, asked, now) {
+	if !d.detours.ReachedByNeighbour(address, now) {
 		return
 	}
 	if suppressed, ok := d.log.allow(now); ok {
--- a/acaciad/proxy/path.go
+++ b/acaciad/proxy/path.go
@@ -57,20 +57,12 @@
 	return state == reach.CutOff
 }
 
-// throughNeighbour sends a request through a neighbour. It reports false if none takes it on. asked
-// states that the budget of detours was asked.
-func (h *Handler) throughNeighbour(ctx context.Context, asked bool, build func() forwarding.Request) (*http.Response, transmission, error, bool) {
+// throughNeighbour sends a request through a neighbour. It reports false if none takes it on.
+func (h *Handler) throughNeighbour(ctx context.Context, build func() forwarding.Request) (*http.Response, transmission, error, bool) {
 	if h.Neighbours == nil || ctx.Err() != nil {
 		return nil, transmission{}, nil, false
 	}
-	request := build()
 	response, how, err := h.Neighbours.Send(ctx, build)
-	switch {
-	case err == nil:
-		h.Detours.ReachedByNeighbour(request.Address, asked)
-	case how.Reason == forwarding.ReasonDialFailed:
-		h.Detours.Dead(request.Address)
-	}
 	return response, transmission{Transmission: how}, err, !errors.Is(err, forwarding.ErrNoNeighbour)
 }
 
@@ -86,7 +78,7 @@
 // request was sent. mayAbandon reports whether the attempt may be abandoned while it hangs.
 func (h *Handler) transmit(ctx context.Context, address string, mayAbandon func() bool, build func() forwarding.Request) (*http.Response, transmission, error) {
 	if h.isCutOff(ctx) || h.isDetoured(address) {
-		if response, how, err, done := h.throughNeighbour(ctx, false, build); done {
+		if response, how, err, done := h.throughNeighbour(ctx, build); done {
 			return response, how, err
 		}
 	}
@@ -94,16 +86,32 @@
 	if err == nil || how.Sent || ctx.Err() != nil || h.Neighbours == nil {
 		return response, how, err
 	}
-	asks := !h.isCutOff(ctx)
-	if asks && !h.Detours.MayAsk(address) {
+	if h.isCutOff(ctx) {
+		if response, how, err, done := h.throughNeighbour(ctx, build); done {
+			return response, how, err
+		}
 		return nil, how, err
 	}
-	if response, how, err, done := h.throughNeighbour(ctx, asks, build); done {
+	if !h.Detours.MayAsk(address) {
+		return nil, how, err
+	}
+	if response, how, err, done := h.throughNeighbour(ctx, build); done {
+		h.noteDetour(address, err == nil, how.Reason == forwarding.ReasonDialFailed)
 		return response, how, err
 	}
 	return nil, how, err
 }
 
+// noteDetour records whether neighbours reach a backend server that the own path did not reach.
+func (h *Handler) noteDetour(address string, reached, dead bool) {
+	switch {
+	case reached:
+		h.Detours.ReachedByNeighbour(address)
+	case dead:
+		h.Detours.Dead(address)
+	}
+}
+
 // isDetoured reports whether a backend server is reached through neighbours only.
 func (h *Handler) isDetoured(address string) bool {
 	return h.Neighbours != nil && h.Detours.Choose(address)
@@ -116,12 +124,7 @@
 		return false
 	}
 	reached, known := h.Neighbours.Reaches(ctx, server.Name, server.Address)
-	switch {
-	case reached:
-		h.Detours.ReachedByNeighbour(server.Address, true)
-	case known:
-		h.Detours.Dead(server.Address)
-	}
+	h.noteDetour(server.Address, reached, known)
 	return reached
 }
 
--- a/core/forwarding/detours.go
+++ b/core/forwarding/detours.go
@@ -74,11 +74,9 @@
 }
 
 // ReachedByNeighbour records that a neighbour reaches a backend server that the own path does not
-// reach. asked states that MayAsk was called. It reports whether the detour is new.
-func (d *Detours) ReachedByNeighbour(address string, asked bool, now time.Time) bool {
-	if asked {
-		d.available = min(d.available+1, detourBurst)
-	}
+// reach, after MayAsk. It reports whether the detour is new.
+func (d *Detours) ReachedByNeighbour(address string, now time.Time) bool {
+	d.available = min(d.available+1, detourBurst)
 	known := d.detours[address]
 	isNew := known == nil || !known.active
 	if isNew {
--- a/core/forwarding/detours_test.go
+++ b/core/forwarding/detours_test.go
@@ -22,8 +22,8 @@
 	}
 	c.Check(choose(), qt.Equals, [2]bool{false, false})
 	c.Check(d.MayAsk("s", now), qt.IsTrue)
-	c.Check(d.ReachedByNeighbour("s", true, now), qt.IsTrue)
-	c.Check(d.ReachedByNeighbour("s", false, now), qt.IsFalse)
+	c.Check(d.ReachedByNeighbour("s", now), qt.IsTrue)
+	c.Check(d.ReachedByNeighbour("s", now), qt.IsFalse)
 	c.Check(choose(), qt.Equals, [2]bool{true, false})
 	now = now.Add(time.Second)
 	c.Check(choose(), qt.Equals, [2]bool{true, true})
@@ -72,7 +72,7 @@
 	d := forwarding.NewDetours(now)
 	for i := range 700 {
 		c.Assert(d.MayAsk(strconv.Itoa(i), now), qt.IsTrue)
-		d.ReachedByNeighbour(strconv.Itoa(i), true, now)
+		d.ReachedByNeighbour(strconv.Itoa(i), now)
 	}
 	c.Check(d.Len(), qt.Equals, 700)
 }
