--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -249,7 +249,7 @@
 		Ending:       d.ending,
 		Path:         d.monitor,
 		Neighbours:   d.asker,
-		Detours:      forwarding.NewDetours(d.monitor.Dial, d.registry, logger, now),
+		Detours:      forwarding.NewDetours(options.DialServer, d.registry, logger, now),
 	}
 	d.lendPath()
 	engines.OnStatement = d.handler.HearAt
--- a/acaciad/forwarding/detours.go
+++ b/acaciad/forwarding/detours.go
@@ -21,7 +21,8 @@
 // Detours knows the backend servers that are reached through neighbours only, while the own path
 // reaches others. It is safe for concurrent use.
 type Detours struct {
-	// Dial opens a connection to a backend server on the own path.
+	// Dial opens a connection to a backend server on the own path, for a check that no Monitor
+	// should take for a request.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Logger logs when a detour begins and ends.
 	Logger *logrus.Logger
