acaciad/forwarding: a probe whose connection was accepted has 2 s for its answer

Sound servers that were silent for a second counted as unreachable: TestSilentServersAreNoCut had 4 of 164 requests fail and 12 run twice, none with this. Dropping such probes instead failed TestCutIsSeen/silent, links that accept and bring nothing; both pass now.

--- a/acaciad/forwarding/probe.go
+++ b/acaciad/forwarding/probe.go
@@ -12,9 +12,12 @@
 
 // Limits of probes.
 const (
-	// probeTimeout bounds the connection and the first byte of a probe. It allows for
-	// several round trips between regions.
+	// probeTimeout bounds the connection of a probe. It allows for several round trips between
+	// regions.
 	probeTimeout = 250 * time.Millisecond
+	// answerTimeout bounds the answer of a probe whose connection was established: sound backend
+	// servers may be busy, or silent for a second or so.
+	answerTimeout = 2 * time.Second
 	// resetWait is how long a probe without a request waits whether its connection is
 	// reset.
 	resetWait = 100 * time.Millisecond
@@ -119,6 +122,7 @@
 	if m.ProbeRequest != nil {
 		request = m.ProbeRequest(t.Address)
 	}
+	deadline = time.Now().Add(answerTimeout)
 	if len(request) == 0 {
 		deadline = time.Now().Add(resetWait)
 	}
