acaciad/neighbours: some daemons of each other failure domain are known

When all VMs of a failure domain were cut off from the backend servers, their requests failed, because a VM knew only the daemons of its own failure domain, which were cut off as well.

The registry now also reads up to eight rows of each other failure domain with each read: those that follow the name which the VM would have there, so that hundreds of VMs do not all ask the same few. The store's detour goes on to use the own failure domain.

TestDaemonsKnowSomeOfOtherFailureDomains: each of 40 daemons knows eight, and none is known by more than 16 of 20.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -108,6 +108,7 @@
 	// and lender forwards those of neighbours.
 	monitor *forwarding.Monitor
 	asker   *forwarding.Asker
+	known   knownNeighbours // only the registry's task uses it
 	lender  *forwarding.Lender
 	// memory is what the process may hold of what others send it.
 	memory *memory.Budget
@@ -160,6 +161,7 @@
 	d.neighbours = &neighbours.Registry{
 		VM: s.Name, FailureDomain: s.FailureDomain, Address: s.NeighboursAddress, Cores: s.Cores, ColdStart: s.ColdStart,
 		Table: relayableTable, OnUpdate: d.setNeighbours, OnMembers: d.setMembers, Logger: logger,
+		Domains: slices.Sorted(maps.Keys(s.Regions)), OnDistant: d.setDistantNeighbours,
 		Random: rand.New(rand.NewPCG(uint64(now.UnixNano()), 3)),
 	}
 	cloud := platform.NewCloudClient(s.CloudAddress, s.Name, s.UsageWindow, cloudTimeout)
--- a/acaciad/daemon/forwarding.go
+++ b/acaciad/daemon/forwarding.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"acaciapath.example/acaciad/forwarding"
@@ -64,10 +65,36 @@
 	return targets
 }
 
-// setNeighbours passes the neighbours to what uses them.
+// knownNeighbours are the neighbours that the registry found last.
+type knownNeighbours struct {
+	// near are those of the own failure domain, or all if it has none, and distant some of each
+	// other failure domain.
+	near, distant []detour.Neighbour
+}
+
+// all returns all of them, each once.
+func (k knownNeighbours) all() []detour.Neighbour {
+	all := slices.Clone(k.near)
+	for _, n := range k.distant {
+		if !slices.Contains(all, n) {
+			all = append(all, n)
+		}
+	}
+	return all
+}
+
+// setNeighbours passes the neighbours of the own failure domain to what uses them. The registry
+// calls it and setDistantNeighbours one after the other.
 func (d *Daemon) setNeighbours(neighbours []detour.Neighbour) {
 	d.storeTransport.SetNeighbours(neighbours)
-	d.asker.SetNeighbours(neighbours)
+	d.known.near = neighbours
+	d.asker.SetNeighbours(d.known.all())
+}
+
+// setDistantNeighbours passes neighbours of other failure domains to what uses them.
+func (d *Daemon) setDistantNeighbours(neighbours []detour.Neighbour) {
+	d.known.distant = neighbours
+	d.asker.SetNeighbours(d.known.all())
 }
 
 // firstService returns the first service that a backend server serves, or an empty string.
--- a/acaciad/neighbours/registry.go
+++ b/acaciad/neighbours/registry.go
@@ -76,6 +76,11 @@
 	Table table.Service
 	// OnUpdate is called with the neighbours after each read.
 	OnUpdate func([]detour.Neighbour)
+	// Domains are the failure domains of which some daemons are read as well, and OnDistant is
+	// called with those of other failure domains than the own one after each such read, if it is
+	// set.
+	Domains   []string
+	OnDistant func([]detour.Neighbour)
 	// OnMembers is called with the daemons of the failure domain, including this one,
 	// after each read.
 	OnMembers func([]follow.Member)
@@ -201,6 +206,13 @@
 		r.Logger.WithField("neighbours", len(neighbours)).Info("number of known neighbours changed")
 	}
 	r.OnUpdate(neighbours)
+	if r.OnDistant != nil {
+		distant, ok := r.readDistant(ctx, now)
+		if !ok {
+			return retryInterval
+		}
+		r.OnDistant(distant)
+	}
 	r.refresh.Store(false)
 	r.readCount++
 	interval := readInterval
