--- a/acaciad/forwarding/detours.go
+++ b/acaciad/forwarding/detours.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -19,7 +21,8 @@
 // Detours knows the backend servers that are reached through neighbours only, while the own path
 // reaches others. It is safe for concurrent use.
 type Detours struct {
-	// Dial opens a connection to a backend server on the own path.
+	// Dial opens a connection to a backend server on the own path, for a check that no Monitor
+	// should take for a request.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Logger logs when a detour begins and ends.
 	Logger *logrus.Logger
@@ -75,8 +78,7 @@
 		return true
 	}
 	_, err := connection.Read(make([]byte, 1))
-	timeout, ok := err.(net.Error)
-	return err != nil && !(ok && timeout.Timeout())
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // MayAsk reports whether a neighbour may be asked for a backend server that the own path did not
@@ -88,12 +90,12 @@
 }
 
 // ReachedByNeighbour records that a neighbour reaches a backend server that the own path does not
-// reach. asked states that MayAsk was called.
-func (d *Detours) ReachedByNeighbour(address string, asked bool) {
+// reach, after MayAsk.
+func (d *Detours) ReachedByNeighbour(address string) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.detours.ReachedByNeighbour(address, asked, now) {
+	if !d.detours.ReachedByNeighbour(address, now) {
 		return
 	}
 	if suppressed, ok := d.log.allow(now); ok {
