--- a/acaciad/forwarding/probe.go
+++ b/acaciad/forwarding/probe.go
@@ -17,7 +17,7 @@
 	probeTimeout = 250 * time.Millisecond
 	// answerTimeout bounds the answer of a probe whose connection was established: sound backend
 	// servers may be busy, or silent for a second or so.
-	answerTimeout = 2 * time.Second
+	answerTimeout = 1500 * time.Millisecond
 	// resetWait is how long a probe without a request waits whether its connection is
 	// reset.
 	resetWait = 100 * time.Millisecond
--- a/core/forwarding/probes.go
+++ b/core/forwarding/probes.go
@@ -24,7 +24,7 @@
 	// tick is the time between two calls of Probes while the own path is suspected.
 	tick = 25 * time.Millisecond
 	// probeLifetime is the time after which a probe without an outcome is forgotten.
-	probeLifetime = 2 * time.Second
+	probeLifetime = 3 * time.Second
 )
 
 // probing is the state of the probes.
--- a/core/forwarding/reach.go
+++ b/core/forwarding/reach.go
@@ -91,8 +91,11 @@
 	minDoubt = 30 * time.Millisecond
 	// minFullDoubt replaces minDoubt while backend servers may be at their limit.
 	minFullDoubt = time.Second
-	// maxDoubt is how long the own path is suspected after the last sign.
-	maxDoubt = time.Second
+	// maxDoubt is how long the own path is suspected after the last sign. It covers a probe of a
+	// link that accepts connections and stays silent.
+	maxDoubt = 2 * time.Second
+	// failureMemory is how long a failure counts that led to no suspicion.
+	failureMemory = time.Second
 	// restoredWithin is the time within which minRestoredServers must answer.
 	restoredWithin = 2 * time.Second
 )
@@ -253,7 +256,7 @@
 	}
 	if r.state == Direct {
 		for a, f := range r.failures {
-			if now.Sub(f.at) > maxDoubt {
+			if now.Sub(f.at) > failureMemory {
 				delete(r.failures, a)
 			}
 		}
