core/responses: the end of a connection before its upload arrived is no end of an answer

A server acknowledges what it has received in the segment that ends its output, so that bytes which are not acknowledged at that time show that it did not receive the request. Connections of core/responses now ask for them at the end of the input (SIOCOUTQ).

--- a/acaciad/proxy/early_answer_test.go
+++ b/acaciad/proxy/early_answer_test.go
@@ -156,3 +156,35 @@
 		}
 	}
 }
+
+// TestAnswerThatEndsBeforeItsUploadArrivedIsNotComplete has a backend server answer as above to
+// an upload that the kernel has taken as a whole, but that has not arrived at the server.
+func TestAnswerThatEndsBeforeItsUploadArrivedIsNotComplete(t *testing.T) {
+	for name, test := range map[string]struct{ path, service, contentType, part string }{
+		"unsafe": {"/order/", "shop", "text/plain", "0123"},
+		"safe":   {"/look/", "shop", "text/plain", "0123"},
+		"stream": {"/quote/", "llm", "text/event-stream", events(1, 3)},
+	} {
+		for _, size := range []int{256 << 10, 1 << 20} {
+			for _, resets := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s/%d bytes/resets=%t", name, size, resets), func(t *testing.T) {
+					f := newUploadFixture(t)
+					f.startEarly("i-1", test.service, &earlyServer{
+						answer: "Content-Type: " + test.contentType + "\r\n\r\n" + test.part, resets: resets, delay: 20 * time.Millisecond,
+					})
+					complete := 0
+					const tries = 8
+					for range tries {
+						a := f.do(f.request(f.Context(), http.MethodPost, test.path, strings.Repeat("u", size)))
+						if a.err == nil && a.status == http.StatusOK {
+							complete++
+						}
+						f.directory.SetServers(nil, time.Now())
+						f.directory.SetServers(f.specs, time.Now())
+					}
+					f.Check(complete, qt.Equals, 0, qt.Commentf("of %d", tries))
+				})
+			}
+		}
+	}
+}
--- a/core/responses/conn.go
+++ b/core/responses/conn.go
@@ -5,7 +5,10 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // DialFunc opens a connection, as net.Dialer.DialContext does.
@@ -33,21 +36,48 @@
 }
 
 // Read implements net.Conn. It returns io.ErrUnexpectedEOF at the end of the input if a write
-// has failed, or does not end.
+// has failed or does not end, or if the peer has not received all that was written.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err != io.EOF { // never wrapped
 		return n, err
 	}
-	for end := time.Now().Add(writeGrace); c.writing.Load() > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(writeGrace); c.isSending() && time.Now().Before(end); {
 		time.Sleep(writePollInterval)
 	}
-	if c.writing.Load() > 0 || c.failed.Load() {
+	if c.isSending() || c.failed.Load() {
 		err = io.ErrUnexpectedEOF
 	}
 	return n, err
 }
 
+// isSending reports whether the peer has not received all that was written or is being written.
+func (c *conn) isSending() bool { return c.writing.Load() > 0 || unacknowledged(c.Conn) > 0 }
+
+// unacknowledged returns the number of bytes that were written and that the peer has not
+// acknowledged, or 0 if the operating system does not tell. A peer acknowledges what it has
+// received in the segment that ends its output.
+func unacknowledged(connection net.Conn) int {
+	withFile, ok := connection.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	file, err := withFile.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	err = file.Control(func(fd uintptr) {
+		if queued, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); err == nil {
+			n = queued
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 const (
 	// writeGrace is how long the rest of a request may take after the end of the response. A
 	// write that has seen a reset returns at once.
