acaciad/proxy: a status that is none is no answer

net/http's client passes on any three characters that it can read as a number, and its server panics below 100. core/responses now returns an error for a response whose status is not in 200 to 599 or whose version is not 1.x.

--- a/core/responses/transport.go
+++ b/core/responses/transport.go
@@ -12,6 +12,10 @@
 	"github.com/ansel1/merry/v2"
 )
 
+// ErrNoAnswer is returned for a response that is no answer: its status is not one of an answer, or
+// it has another version of the protocol. The request may have been executed.
+var ErrNoAnswer = merry.Sentinel("responses: the response is no answer")
+
 // errUploadIncomplete is returned at the end of the body of a response whose connection ended
 // before the request was sent.
 var errUploadIncomplete = merry.Sentinel("responses: the connection ended before the request was sent, so that the response may be incomplete")
@@ -39,7 +43,7 @@
 // CloseIdleConnections closes the connections that are not in use.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
-// RoundTrip implements http.RoundTripper. The body of a response that ends with its connection
+// RoundTrip implements http.RoundTripper. It returns ErrNoAnswer as Check does. The body of a response that ends with its connection
 // ends with an error if the request was not sent by then. net/http does not send the rest of it.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	u := &upload{}
@@ -51,12 +55,32 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := Check(response); err != nil {
+		_ = response.Body.Close() // which closes the connection
+		return nil, err
+	}
 	if EndsWithConnection(response) {
 		response.Body = &unframedBody{ReadCloser: response.Body, upload: u}
 	}
 	return response, nil
 }
 
+// Statuses of answers: those of success, of redirection and of failure.
+const (
+	minStatus = http.StatusOK
+	maxStatus = 599
+)
+
+// Check returns ErrNoAnswer if a response is no answer. net/http also returns responses with a
+// status below 100 or above 599, those by which a server switches to another protocol, and those
+// of other versions of the protocol.
+func Check(r *http.Response) error {
+	if r.StatusCode < minStatus || r.StatusCode > maxStatus || r.ProtoMajor != 1 {
+		return merry.Wrap(ErrNoAnswer, merry.AppendMessagef("status %d, version %d.%d", r.StatusCode, r.ProtoMajor, r.ProtoMinor))
+	}
+	return nil
+}
+
 // EndsWithConnection reports whether nothing but the end of its connection shows the end of a
 // response.
 func EndsWithConnection(r *http.Response) bool {
