entryd: answers that are none, and answers whose connection ends under their upload

The client of backend servers now uses the transport of core/responses. A call that runs once is marked as lost then, others are sent to another server if there is one.

Before, TestAnswerThatEndsUnderItsUploadIsNotComplete (8 MiB, reset 20 ms after the part) had 2, 2 and 4 complete answers of 6 each for calls that run once, repeatable calls and chat, and none for streams, which have an event that ends them. TestStatusThatIsNoneIsNoAnswer failed for plain services with 000 and 099 (closed connection), 101, 600, 999 and the versions 2.0 and 0.9 (delivered).

--- a/entryd/backend/client.go
+++ b/entryd/backend/client.go
@@ -15,6 +15,7 @@
 
 	"acaciapath.example/core/engine"
 	"acaciapath.example/core/replica"
+	"acaciapath.example/core/responses"
 	"acaciapath.example/core/telemetry"
 
 	"github.com/ansel1/merry/v2"
@@ -55,14 +56,14 @@
 	return &Client{pooled: transport, unpooled: transport}
 }
 
-func newTransport(unpooled bool) *http.Transport {
-	return &http.Transport{
+func newTransport(unpooled bool) *responses.Transport {
+	return responses.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 		DisableKeepAlives:   unpooled,
-	}
+	})
 }
 
 // Close closes the idle connections.
