entryd/chat: a part of an unstreamed answer is not complete

Callers of entryd got the first part of an unstreamed chat answer as a complete one with status 200, where the engine sends it without a length and its connection ends early.

Such an answer is JSON, so that a part of it can be told from the whole: if nothing but the end of the connection ends it, it must be valid. Streams have an event that ends them and were not affected.

TestPartOfUnframedAnswerIsNotComplete failed before for three parts of four bodies (30 bytes, all but one, none) and passes, with the race detector.

--- a/entryd/chat/answer.go
+++ b/entryd/chat/answer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"acaciapath.example/core/refusal"
+	"acaciapath.example/core/responses"
 	"acaciapath.example/entryd/caller"
 
 	"github.com/ansel1/merry/v2"
@@ -105,6 +106,9 @@
 	var err error
 	*body, err = readAll(*body, response.Body)
 	aborted := false
+	if err == nil && responses.EndsWithConnection(response) && !json.Valid(*body) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err == nil {
 		r.usage, aborted = parseBody(*body)
 	}
