acaciad: neighbours are asked whether they reach a server before they are sent its request

With one server hung, 2 of 75 requests were sent through other VMs that did not reach it either, and with a whole service dead they opened 8 to 27 connections there (TestDeadServersAreNoCut). One question for a server at a time, remembered for 5 s if the answer is no; a request waits 100 ms for it.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -253,7 +253,7 @@
 		Neighbours:   d.asker,
 		Detours:      forwarding.NewDetours(options.DialServer, d.registry, logger, now),
 	}
-	d.lendPath()
+	d.lendPath(options.DialServer)
 	engines.OnStatement = d.handler.HearAt
 	return d
 }
--- a/acaciad/daemon/forwarding.go
+++ b/acaciad/daemon/forwarding.go
@@ -29,13 +29,14 @@
 	d.lender = forwarding.NewLender(metrics)
 }
 
-// lendPath completes the lender, once there is a handler of the daemon's own requests.
-func (d *Daemon) lendPath() {
+// lendPath completes the lender, once there is a handler of the daemon's own requests. dial opens
+// connections to backend servers for checks, which are no evidence of the own path.
+func (d *Daemon) lendPath(dial proxy.DialFunc) {
 	l, h := d.lender, d.handler
 	l.Admission = reach.NewAdmission(d.settings.Cores, d.settings.MemoryBytes, d.ports.maxCallers, d.ports.neighbours.Limits().Connections)
 	l.Directory, l.Await, l.Hanging = d.directory, d.awaitPath, d.monitor.Hanging
 	l.Detoured = h.Detours.Choose
-	l.OwnRequests, l.Send, l.Accepts = h.InProgress, h.Client.Send, h.Client.Accepts
+	l.OwnRequests, l.Send, l.Accepts = h.InProgress, h.Client.Send, proxy.NewClient(dial).Accepts
 	l.OnAnswer, l.OnLost = h.HearForwarded, h.RecordForwardedLoss
 	l.Timeout = func(header http.Header) time.Duration { return h.Wire.ParseRequest(header).Timeout }
 	l.MaxBodyBytes = d.maxForwardedBody
--- a/acaciad/proxy/path.go
+++ b/acaciad/proxy/path.go
@@ -80,10 +80,10 @@
 	watch *forwarding.Watch
 }
 
-// transmit sends a request to the backend server at address. It goes through a neighbour while the
+// transmit sends a request to a backend server. It goes through a neighbour while the
 // own path is cut off or does not reach that server, and at once if that turns out before the
 // request was sent. mayAbandon reports whether the attempt may be abandoned while it hangs.
-func (h *Handler) transmit(ctx context.Context, address string, mayAbandon func() bool, build func() forwarding.Request) (*http.Response, transmission, error) {
+func (h *Handler) transmit(ctx context.Context, server, address string, mayAbandon func() bool, build func() forwarding.Request) (*http.Response, transmission, error) {
 	if h.isCutOff(ctx) || h.isDetoured(address) {
 		if response, how, err, done := h.throughNeighbour(ctx, build); done {
 			return response, how, err
@@ -99,40 +99,50 @@
 		}
 		return nil, how, err
 	}
-	if !h.Detours.MayAsk(address) {
+	select {
+	case only := <-h.onlyNeighboursReach(server, address):
+		if !only {
+			return nil, how, err
+		}
+	case <-time.After(checkWait): // the server may be tried once more later
+		return nil, how, err
+	case <-ctx.Done():
 		return nil, how, err
 	}
 	if response, how, err, done := h.throughNeighbour(ctx, build); done {
-		h.noteDetour(address, err == nil, how.Reason == forwarding.ReasonDialFailed)
 		return response, how, err
 	}
 	return nil, how, err
 }
 
-// noteDetour records whether neighbours reach a backend server that the own path did not reach.
-func (h *Handler) noteDetour(address string, reached, dead bool) {
-	switch {
-	case reached:
-		h.Detours.ReachedByNeighbour(address)
-	case dead:
-		h.Detours.Dead(address)
-	}
-}
+// checkWait is how long a request waits until a neighbour says that it reaches a backend server. One
+// that does answers within a few round trips.
+const checkWait = 100 * time.Millisecond
 
 // isDetoured reports whether a backend server is reached through neighbours only.
 func (h *Handler) isDetoured(address string) bool {
 	return h.Neighbours != nil && h.Detours.Choose(address)
 }
 
-// onlyNeighboursReach reports whether a neighbour reaches a backend server that the own path does
-// not reach.
-func (h *Handler) onlyNeighboursReach(ctx context.Context, server replica.Spec) bool {
-	if h.Neighbours == nil || !h.Detours.MayAsk(server.Address) {
-		return false
-	}
-	reached, known := h.Neighbours.Reaches(ctx, server.Name, server.Address)
-	h.noteDetour(server.Address, reached, known)
-	return reached
+// onlyNeighboursReach finds out whether neighbours reach a backend server that the own path did not
+// reach, and remembers that. It sends the outcome, once, on the channel that it returns.
+func (h *Handler) onlyNeighboursReach(server, address string) <-chan bool {
+	outcome := make(chan bool, 1)
+	if h.Neighbours == nil || !h.Detours.MayAsk(address) {
+		outcome <- false
+		return outcome
+	}
+	go func() {
+		reached, known := h.Neighbours.Reaches(context.Background(), server, address)
+		switch {
+		case reached:
+			h.Detours.ReachedByNeighbour(address)
+		case known:
+			h.Detours.Dead(address)
+		}
+		outcome <- reached
+	}()
+	return outcome
 }
 
 // transmitDirectly sends a request on the own path.
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -332,7 +332,7 @@
 	cacheCopy := x.cacheCopy
 	x.cacheCopy = ""
 	build := func() forwarding.Request { return x.newRequest(ctx, reservation, cacheCopy) }
-	response, how, err := x.handler.transmit(ctx, reservation.Spec.Address, x.mayAbandon(), build)
+	response, how, err := x.handler.transmit(ctx, reservation.Spec.Name, reservation.Spec.Address, x.mayAbandon(), build)
 	x.transmission = how
 	x.attempts[len(x.attempts)-1].via = how.Via
 	switch {
--- a/core/forwarding/detours.go
+++ b/core/forwarding/detours.go
@@ -11,11 +11,11 @@
 	checkTimeout = 2 * time.Second
 	// deadMemory is how long neighbours are not asked again for a backend server that they do not
 	// reach either.
-	deadMemory = 2 * time.Second
+	deadMemory = 5 * time.Second
 )
 
-// Budget of requests that neighbours are asked to send because one backend server was not reached.
-// Those that a neighbour sends cost nothing.
+// Budget of questions to neighbours whether they reach a backend server. Those that end with a detour
+// cost nothing.
 const (
 	detourBurst     = 20
 	detourPerSecond = 4
@@ -57,19 +57,20 @@
 	return true, check
 }
 
-// MayAsk reports whether a neighbour may be asked to send a request whose backend server the own
-// path did not reach, and takes it from the budget.
+// MayAsk reports whether neighbours may be asked whether they reach a backend server that the own
+// path did not reach, and takes that from the budget. They are asked once at a time for each.
 func (d *Detours) MayAsk(address string, now time.Time) bool {
 	if elapsed := now.Sub(d.updated); elapsed > 0 {
 		d.available = min(d.available+detourPerSecond*elapsed.Seconds(), detourBurst)
 		d.updated = now
 	}
 	known := d.detours[address]
-	dead := known != nil && !known.active && now.Before(known.checkAt)
-	if dead || d.available < 1 {
+	if known != nil && (known.active || now.Before(known.checkAt)) || d.available < 1 {
 		return false
 	}
 	d.available--
+	d.forget(now)
+	d.detours[address] = &serverDetour{checkAt: now.Add(checkTimeout)}
 	return true
 }
 
@@ -111,7 +112,7 @@
 // not used for a while.
 func (d *Detours) forget(now time.Time) {
 	for address, known := range d.detours {
-		if now.Sub(known.checkAt) > deadMemory*5 {
+		if now.Sub(known.checkAt) > 2*deadMemory {
 			delete(d.detours, address)
 		}
 	}
