core/forwarding: a server that answered during a cut is not probed again at once

Cause: each answer began another round of probes. With two servers, one that answered was probed again and again until the other one had an outcome.

--- a/core/forwarding/probes.go
+++ b/core/forwarding/probes.go
@@ -131,10 +131,10 @@
 	var candidates, failed []Target
 	for _, t := range r.targets {
 		_, pending := r.probes.pending[t.Address]
-		_, answered := r.answered[t.Address]
+		at, answered := r.answered[t.Address]
 		f, hasFailed := r.failures[t.Address]
 		switch {
-		case pending, answered && len(r.targets) > minRestoredServers:
+		case pending, answered && now.Sub(at) <= restoredWithin:
 		case r.state == Suspect && hasFailed:
 			if now.Sub(f.at) >= repeatAfter {
 				failed = append(failed, t)
--- a/core/forwarding/reach.go
+++ b/core/forwarding/reach.go
@@ -279,6 +279,7 @@
 		r.dismiss(now)
 		return
 	}
+	last, answered := r.answered[address]
 	r.answered[address] = now
 	count := 0
 	for _, at := range r.answered {
@@ -291,7 +292,9 @@
 		r.pause = 0
 		return
 	}
-	r.probes.next = now
+	if !answered || now.Sub(last) > restoredWithin {
+		r.probes.next = now
+	}
 }
 
 // Lose records that an open connection ended without an answer.
--- a/core/forwarding/reach_test.go
+++ b/core/forwarding/reach_test.go
@@ -295,3 +295,31 @@
 	}
 	c.Assert(r.State(now), qt.Equals, forwarding.CutOff)
 }
+
+// TestServerThatAnsweredIsNotProbedAgain has one of two backend servers answer again and again
+// during a cut, and the other one not.
+func TestServerThatAnsweredIsNotProbedAgain(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	var r forwarding.Reach
+	r.SetTargets([]forwarding.Target{{Address: "s0", FailureDomain: "a"}, {Address: "s1", FailureDomain: "a"}})
+	for i := range 4 {
+		r.Observe([]string{"s0", "s1"}[i%2], forwarding.Reset, start.Add(time.Duration(i)*20*time.Millisecond))
+	}
+	now := start.Add(100 * time.Millisecond)
+	c.Assert(r.State(now), qt.Equals, forwarding.CutOff)
+	probes := 0
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		for _, t := range r.Probes(now, random) {
+			if t.Address == "s0" {
+				probes++
+				r.Observe("s0", forwarding.Opened, now)
+			}
+		}
+	}
+	c.Assert(probes, qt.Equals, 1)
+	c.Assert(r.State(now), qt.Equals, forwarding.CutOff)
+	r.Observe("s1", forwarding.Opened, now)
+	c.Assert(r.State(now), qt.Equals, forwarding.Direct)
+}
