--- a/acaciad/forwarding/detours.go
+++ b/acaciad/forwarding/detours.go
@@ -104,11 +104,18 @@
 	}
 }
 
-// Dead records that neighbours do not reach a backend server either.
-func (d *Detours) Dead(address string) {
+// NotReachedByNeighbours records that neighbours do not reach a backend server either.
+func (d *Detours) NotReachedByNeighbours(address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.detours.Dead(address, time.Now())
+	d.detours.NotReachedByNeighbours(address, time.Now())
+}
+
+// Knowledge returns what is known of a backend server that the own path did not reach.
+func (d *Detours) Knowledge(address string) forwarding.Knowledge {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.detours.Knowledge(address, time.Now())
 }
 
 // Reached records that the own path reaches a backend server.
--- a/acaciad/proxy/path.go
+++ b/acaciad/proxy/path.go
@@ -138,13 +138,39 @@
 		case reached:
 			h.Detours.ReachedByNeighbour(address)
 		case known:
-			h.Detours.Dead(address)
+			h.Detours.NotReachedByNeighbours(address)
 		}
 		outcome <- reached
 	}()
 	return outcome
 }
 
+// knowledgeWait is how long it is awaited what neighbours say of a backend server, and
+// knowledgeInterval the time between two looks.
+const (
+	knowledgeWait     = 2 * time.Second
+	knowledgeInterval = 20 * time.Millisecond
+)
+
+// isReachedElsewhere reports whether neighbours reach a backend server that the own path does not
+// reach. It waits for what they say.
+func (h *Handler) isReachedElsewhere(server, address string) bool {
+	if h.Neighbours == nil {
+		return false
+	}
+	for end := time.Now().Add(knowledgeWait); time.Now().Before(end); time.Sleep(knowledgeInterval) {
+		switch h.Detours.Knowledge(address) {
+		case reach.Detoured:
+			return true
+		case reach.Dead:
+			return false
+		case reach.Unknown:
+			return <-h.onlyNeighboursReach(server, address)
+		}
+	}
+	return false
+}
+
 // transmitDirectly sends a request on the own path.
 func (h *Handler) transmitDirectly(ctx context.Context, mayAbandon func() bool, request forwarding.Request) (*http.Response, transmission, error) {
 	path := h.path()
@@ -213,13 +239,13 @@
 }
 
 // blamesServer reports whether the failure of the current attempt is evidence against its backend
-// server. It is not while only the own path is cut off, and the failure of a neighbour tells nothing
+// server. It is not while only the own path fails, and the failure of a neighbour tells nothing
 // unless that could not connect to the backend server.
-func (x *exchange) blamesServer(ctx context.Context) bool {
+func (x *exchange) blamesServer(ctx context.Context, server replica.Spec) bool {
 	if x.transmission.Via != "" {
 		return x.transmission.Reason == forwarding.ReasonDialFailed
 	}
-	return !x.handler.pathFails(ctx)
+	return !x.handler.pathFails(ctx) && !x.handler.isDetoured(server.Address)
 }
 
 // requestCount counts requests in progress. It is safe for concurrent use.
--- a/acaciad/proxy/quarantine.go
+++ b/acaciad/proxy/quarantine.go
@@ -132,7 +132,7 @@
 	now := time.Now()
 	go func() {
 		ctx := context.Background()
-		if !h.Client.Accepts(server.Address) && !h.pathFails(ctx) && !<-h.onlyNeighboursReach(server.Name, server.Address) {
+		if !h.Client.Accepts(server.Address) && !h.pathFails(ctx) && !h.isReachedElsewhere(server.Name, server.Address) {
 			h.Guard.RecordCrash(id, parts, server.Instance(), now)
 		}
 	}()
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -287,7 +287,7 @@
 		reservation.Finish(directory.Misdirected, time.Now())
 	case r == rejected:
 		reservation.Finish(directory.Rejected, time.Now())
-	case x.request.Context().Err() == nil && ctx.Err() == nil && x.outcome != outcomeCallerLeft && x.blamesServer(ctx):
+	case x.request.Context().Err() == nil && ctx.Err() == nil && x.outcome != outcomeCallerLeft && x.blamesServer(ctx, reservation.Spec):
 		if x.runProgress.lost {
 			x.loseContact(reservation)
 		}
@@ -307,7 +307,7 @@
 func (x *exchange) finishFailed(ctx context.Context, reservation *directory.Reservation, a *attempt, r result) {
 	a.result = r.String()
 	outcome := directory.Neutral
-	blames := x.blamesServer(ctx)
+	blames := x.blamesServer(ctx, reservation.Spec)
 	if ctx.Err() == nil && blames {
 		outcome = directory.Failed
 	}
--- a/core/forwarding/detours.go
+++ b/core/forwarding/detours.go
@@ -21,13 +21,27 @@
 	detourPerSecond = 4
 )
 
-// serverDetour is what is known of a backend server that the own path does not reach.
+// Knowledge is what is known of a backend server that the own path did not reach.
+type Knowledge int
+
+// Knowledge of backend servers.
+const (
+	// Unknown means that neighbours were not asked lately.
+	Unknown Knowledge = iota
+	// Asking means that they are being asked.
+	Asking
+	// Detoured means that a neighbour reaches the backend server.
+	Detoured
+	// Dead means that neighbours do not reach it either.
+	Dead
+)
+
+// serverDetour is what is known of a backend server that the own path did not reach.
 type serverDetour struct {
-	// active states that a neighbour reaches the backend server.
-	active bool
-	// checkAt is when the own path is checked next, if active is set, and otherwise the time until
-	// which neighbours are not asked again.
-	checkAt time.Time
+	knowledge Knowledge
+	// until is when the own path is checked next, if knowledge is Detoured, and otherwise the time
+	// until which neighbours are not asked again.
+	until time.Time
 }
 
 // Detours knows the backend servers that the own path does not reach although neighbours do, while
@@ -48,15 +62,24 @@
 // ReachedByNeighbour.
 func (d *Detours) Choose(address string, now time.Time) (detoured, check bool) {
 	known := d.detours[address]
-	if known == nil || !known.active {
+	if known == nil || known.knowledge != Detoured {
 		return false, false
 	}
-	if check = !now.Before(known.checkAt); check {
-		known.checkAt = now.Add(checkTimeout)
+	if check = !now.Before(known.until); check {
+		known.until = now.Add(checkTimeout)
 	}
 	return true, check
 }
 
+// Knowledge returns what is known of a backend server.
+func (d *Detours) Knowledge(address string, now time.Time) Knowledge {
+	known := d.detours[address]
+	if known == nil || known.knowledge != Detoured && !now.Before(known.until) {
+		return Unknown
+	}
+	return known.knowledge
+}
+
 // MayAsk reports whether neighbours may be asked whether they reach a backend server that the own
 // path did not reach, and takes that from the budget. They are asked once at a time for each.
 func (d *Detours) MayAsk(address string, now time.Time) bool {
@@ -65,12 +88,12 @@
 		d.updated = now
 	}
 	known := d.detours[address]
-	if known != nil && (known.active || now.Before(known.checkAt)) || d.available < 1 {
+	if known != nil && (known.knowledge == Detoured || now.Before(known.until)) || d.available < 1 {
 		return false
 	}
 	d.available--
 	d.forget(now)
-	d.detours[address] = &serverDetour{checkAt: now.Add(checkTimeout)}
+	d.detours[address] = &serverDetour{knowledge: Asking, until: now.Add(checkTimeout)}
 	return true
 }
 
@@ -79,25 +102,25 @@
 func (d *Detours) ReachedByNeighbour(address string, now time.Time) bool {
 	d.available = min(d.available+1, detourBurst)
 	known := d.detours[address]
-	isNew := known == nil || !known.active
+	isNew := known == nil || known.knowledge != Detoured
 	if isNew {
 		d.forget(now)
-		d.detours[address] = &serverDetour{active: true, checkAt: now.Add(checkInterval)}
+		d.detours[address] = &serverDetour{knowledge: Detoured, until: now.Add(checkInterval)}
 	}
 	return isNew
 }
 
 // NotReached records that the own path still does not reach a backend server.
 func (d *Detours) NotReached(address string, now time.Time) {
-	if known := d.detours[address]; known != nil && known.active {
-		known.checkAt = now.Add(checkInterval)
+	if known := d.detours[address]; known != nil && known.knowledge == Detoured {
+		known.until = now.Add(checkInterval)
 	}
 }
 
-// Dead records that neighbours do not reach a backend server either.
-func (d *Detours) Dead(address string, now time.Time) {
+// NotReachedByNeighbours records that neighbours do not reach a backend server either.
+func (d *Detours) NotReachedByNeighbours(address string, now time.Time) {
 	d.forget(now)
-	d.detours[address] = &serverDetour{checkAt: now.Add(deadMemory)}
+	d.detours[address] = &serverDetour{knowledge: Dead, until: now.Add(deadMemory)}
 }
 
 // Reached records that the own path reaches a backend server. It reports whether that ends a
@@ -105,14 +128,14 @@
 func (d *Detours) Reached(address string) bool {
 	known := d.detours[address]
 	delete(d.detours, address)
-	return known != nil && known.active
+	return known != nil && known.knowledge == Detoured
 }
 
 // forget removes what is no longer of use: backend servers that were dead, and detours that were
 // not used for a while.
 func (d *Detours) forget(now time.Time) {
 	for address, known := range d.detours {
-		if now.Sub(known.checkAt) > 2*deadMemory {
+		if now.Sub(known.until) > 2*deadMemory {
 			delete(d.detours, address)
 		}
 	}
@@ -122,7 +145,7 @@
 func (d *Detours) Len() int {
 	n := 0
 	for _, known := range d.detours {
-		if known.active {
+		if known.knowledge == Detoured {
 			n++
 		}
 	}
--- a/core/forwarding/detours_test.go
+++ b/core/forwarding/detours_test.go
@@ -21,8 +21,13 @@
 		return [2]bool{detoured, check}
 	}
 	c.Check(choose(), qt.Equals, [2]bool{false, false})
+	c.Check(d.Knowledge("s", now), qt.Equals, forwarding.Unknown)
 	c.Check(d.MayAsk("s", now), qt.IsTrue)
+	c.Check(d.MayAsk("s", now), qt.IsFalse) // a neighbour is being asked
+	c.Check(d.Knowledge("s", now), qt.Equals, forwarding.Asking)
 	c.Check(d.ReachedByNeighbour("s", now), qt.IsTrue)
+	c.Check(d.Knowledge("s", now), qt.Equals, forwarding.Detoured)
+	c.Check(d.MayAsk("s", now), qt.IsFalse)
 	c.Check(d.ReachedByNeighbour("s", now), qt.IsFalse)
 	c.Check(choose(), qt.Equals, [2]bool{true, false})
 	now = now.Add(time.Second)
@@ -51,7 +56,7 @@
 			at := now.Add(time.Duration(second)*time.Second + time.Duration(i)*time.Millisecond)
 			if address := strconv.Itoa(i % 100); d.MayAsk(address, at) {
 				asked++
-				d.Dead(address, at)
+				d.NotReachedByNeighbours(address, at)
 			}
 		}
 	}
@@ -60,7 +65,9 @@
 
 	d = forwarding.NewDetours(now)
 	c.Check(d.MayAsk("s", now), qt.IsTrue)
-	d.Dead("s", now)
+	d.NotReachedByNeighbours("s", now)
+	c.Check(d.Knowledge("s", now.Add(4*time.Second)), qt.Equals, forwarding.Dead)
+	c.Check(d.Knowledge("s", now.Add(5*time.Second)), qt.Equals, forwarding.Unknown)
 	c.Check(d.MayAsk("s", now.Add(4*time.Second)), qt.IsFalse)
 	c.Check(d.MayAsk("s", now.Add(5*time.Second)), qt.IsTrue)
 }
