core/forwarding: a suspicion begins with one probe

One answer ends it, and others follow after 50 ms. The cut, no-cut and restored tests of acaciad/daemon pass, and TestColdServersGetWhatTheyTolerate.

--- a/core/forwarding/probes.go
+++ b/core/forwarding/probes.go
@@ -10,7 +10,7 @@
 const (
 	// firstProbes is the number of probes with which a suspicion begins. One answer is
 	// enough to end it.
-	firstProbes = 2
+	firstProbes = 1
 	// laterProbes is the number of pending probes after moreProbesAfter.
 	laterProbes     = 6
 	moreProbesAfter = 50 * time.Millisecond
