--- a/acaciad/daemon/partitioned_neighbours_test.go
+++ b/acaciad/daemon/partitioned_neighbours_test.go
@@ -133,6 +133,7 @@
 			f.Logf("from 2 s later on: %v", after)
 			f.Check(f.forwarded(restored.Add(2*time.Second), ended), qt.Equals, 0)
 			f.Check(after.share() >= 0.9, qt.IsTrue)
+			f.checkNoEvidence()
 			f.checkRuns()
 		})
 	}
