core/connections: callers that speak HTTP/1.0 see that an answer was broken off

The platform's callers speak HTTP/1.1 and were not affected.

Cause: net/http ends an answer without a length to such a caller by closing its connection, and closes it as well if the handler panics with http.ErrAbortHandler. Both daemons now have the connection be reset in that case.

--- a/core/connections/conn.go
+++ b/core/connections/conn.go
@@ -103,6 +103,9 @@
 	return nil
 }
 
+// SetLinger sets how the connection is closed, if it can do that.
+func (c *conn) SetLinger(seconds int) error { return SetLinger(c.Conn, seconds) }
+
 // endIdle ends the wait for another head. A request whose head is complete is still served.
 func (c *conn) endIdle() {
 	c.ending.Store(true)
--- a/core/connections/guard.go
+++ b/core/connections/guard.go
@@ -76,6 +76,7 @@
 			_ = guarded.SetReadDeadline(time.Now().Add(unreadTime)) // an error shows in the read
 		}
 	})
+	ResetAborted(server)
 }
 
 // unreadTime is how long the rest of a body is awaited that the handler has not read.
--- a/entryd/caller/listener.go
+++ b/entryd/caller/listener.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"acaciapath.example/core/connections"
 	"acaciapath.example/core/refusal"
 )
 
@@ -108,6 +109,9 @@
 	closed    atomic.Bool
 }
 
+// SetLinger sets how the connection is closed, if it can do that.
+func (c *connection) SetLinger(seconds int) error { return connections.SetLinger(c.Conn, seconds) }
+
 // Close closes the connection.
 func (c *connection) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
--- a/entryd/caller/server.go
+++ b/entryd/caller/server.go
@@ -91,6 +91,7 @@
 		connections:   newChannelListener(s.listener.Addr()),
 		headerTimeout: headerTimeout,
 	}
+	connections.ResetAborted(g.server)
 	g.tracker = connections.Track(g.server)
 	s.generations = append(s.generations, g)
 	go func() { _ = g.tracker.Serve(g.connections) }()
