--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -251,8 +251,9 @@
 		Ending:       d.ending,
 		Path:         d.monitor,
 		Neighbours:   d.asker,
+		Detours:      forwarding.NewDetours(options.DialServer, d.registry, logger, now),
 	}
-	d.lendPath()
+	d.lendPath(options.DialServer)
 	engines.OnStatement = d.handler.HearAt
 	return d
 }
--- a/acaciad/daemon/forwarding.go
+++ b/acaciad/daemon/forwarding.go
@@ -12,6 +12,7 @@
 	"acaciapath.example/core/detour"
 	reach "acaciapath.example/core/forwarding"
 	"acaciapath.example/core/replica"
+	"acaciapath.example/platform"
 )
 
 // defaultForwardedBody is the maximum size of the body of a forwarded request if the catalog sets
@@ -23,16 +24,19 @@
 func (d *Daemon) newForwarding(dial proxy.DialFunc, now time.Time) {
 	metrics := forwarding.NewMetrics(d.registry)
 	d.monitor = forwarding.NewMonitor(dial, d.targets, d.logger, d.registry, rand.New(rand.NewPCG(uint64(now.UnixNano()), 4)))
+	d.monitor.ProbeRequest = d.probeRequest
 	d.asker = forwarding.NewAsker(d.settings.Name, d.settings.FailureDomain, metrics, d.logger, rand.New(rand.NewPCG(uint64(now.UnixNano()), 5)))
 	d.lender = forwarding.NewLender(metrics)
 }
 
-// lendPath completes the lender, once there is a handler of the daemon's own requests.
-func (d *Daemon) lendPath() {
+// lendPath completes the lender, once there is a handler of the daemon's own requests. dial opens
+// connections to backend servers for checks, which are no evidence of the own path.
+func (d *Daemon) lendPath(dial proxy.DialFunc) {
 	l, h := d.lender, d.handler
 	l.Admission = reach.NewAdmission(d.settings.Cores, d.settings.MemoryBytes, d.ports.maxCallers, d.ports.neighbours.Limits().Connections)
 	l.Directory, l.Await, l.Hanging = d.directory, d.awaitPath, d.monitor.Hanging
-	l.OwnRequests, l.Send = h.InProgress, h.Client.Send
+	l.Detoured = h.Detours.Choose
+	l.OwnRequests, l.Send, l.Accepts = h.InProgress, h.Client.Send, proxy.NewClient(dial).Accepts
 	l.OnAnswer, l.OnLost = h.HearForwarded, h.RecordForwardedLoss
 	l.Timeout = func(header http.Header) time.Duration { return h.Wire.ParseRequest(header).Timeout }
 	l.MaxBodyBytes = d.maxForwardedBody
@@ -55,6 +59,21 @@
 	return defaultForwardedBody
 }
 
+// probeRequest returns the request by which the backend server at an address is probed, or an empty
+// one if there is none.
+func (d *Daemon) probeRequest(address string) []byte {
+	server, listed := d.directory.At(address)
+	view := d.directory.View()
+	if !listed || view == nil {
+		return nil
+	}
+	service := view.Index.Service(firstService(server))
+	if service == nil {
+		return nil
+	}
+	return platform.ProbeRequest(address, service.Engine != nil, service.HealthPath)
+}
+
 // targets returns the backend servers that can be probed.
 func (d *Daemon) targets() []reach.Target {
 	specs := d.directory.All()
--- a/acaciad/forwarding/asker.go
+++ b/acaciad/forwarding/asker.go
@@ -16,6 +16,7 @@
 
 	"acaciapath.example/core/detour"
 	"acaciapath.example/core/forwarding"
+	"acaciapath.example/core/keepalive"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
@@ -42,6 +43,9 @@
 	// askDialTimeout bounds the establishment of a connection to a neighbour. It allows for
 	// several round trips between regions.
 	askDialTimeout = 250 * time.Millisecond
+	// allCutOffMemory is how long it is remembered that neighbours were cut off themselves. They
+	// are asked again within this time.
+	allCutOffMemory = 2 * time.Second
 	// maxIdlePerNeighbour and idleTimeout limit the idle connections to neighbours.
 	maxIdlePerNeighbour = 8
 	idleTimeout         = 5 * time.Second
@@ -53,6 +57,8 @@
 	// expectTimeout is how long it may take to answer that.
 	minExpectBytes = 16 << 10
 	expectTimeout  = time.Second
+	// reachesTimeout bounds a call that asks whether a neighbour reaches a backend server.
+	reachesTimeout = time.Second
 	// keepAliveInterval and keepAliveProbes are those of connections to backend servers.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 3
@@ -71,10 +77,13 @@
 	// request if a reused connection turns out to be closed.
 	pooled, singleUse http.RoundTripper
 
-	mu       sync.Mutex // guards selector, random and log
+	mu       sync.Mutex // guards the fields below
 	selector *forwarding.Selector
 	random   *rand.Rand
 	log      changeLog
+	// reachedAt is when a neighbour last reached a backend server, and allCutOffAt when none
+	// took a request on and some were cut off themselves.
+	reachedAt, allCutOffAt time.Time
 }
 
 // NewAsker returns an asker of a daemon that has no neighbours until SetNeighbours is called.
@@ -89,12 +98,9 @@
 
 // newAskTransport returns a transport for calls of neighbours.
 func newAskTransport(singleUse bool) *http.Transport {
-	dialer := &net.Dialer{
-		Timeout: askDialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
-		},
-	}
+	dialer := keepalive.NewDialer(askDialTimeout, net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
+	})
 	return &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerNeighbour, IdleConnTimeout: idleTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes, DisableCompression: true, DisableKeepAlives: singleUse,
@@ -116,6 +122,18 @@
 	return a.selector.HasNeighbours()
 }
 
+// AllCutOff reports whether the neighbours that were asked lately do not reach backend servers
+// either, or there are no neighbours. Then the backend servers themselves have failed rather than
+// the paths to them.
+func (a *Asker) AllCutOff(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.selector.HasNeighbours() {
+		return true
+	}
+	return now.Sub(a.allCutOffAt) < allCutOffMemory && now.Sub(a.reachedAt) >= allCutOffMemory
+}
+
 // InProgress returns the number of requests that neighbours forward for this daemon.
 func (a *Asker) InProgress() int {
 	a.mu.Lock()
@@ -128,9 +146,9 @@
 // asked. Errors are ErrNoNeighbour, ErrNotSent and ErrBroken; the request may have been sent only
 // with the last one.
 func (a *Asker) Send(ctx context.Context, build func() Request) (*http.Response, Transmission, error) {
-	var asked []string
+	var asked, unreached []string
 	var last Transmission
-	serversUnreached := 0
+	cutOff := false
 	for len(asked) < maxAsked && ctx.Err() == nil {
 		a.mu.Lock()
 		via, ok := a.selector.Begin(asked, time.Now(), a.random)
@@ -142,6 +160,7 @@
 		response, how, err := a.ask(ctx, via, build())
 		last = how
 		if err == nil {
+			a.noteAlsoCutOff(unreached)
 			return response, how, nil
 		}
 		a.end(via)
@@ -149,20 +168,31 @@
 		if how.Sent {
 			return nil, how, err
 		}
+		cutOff = cutOff || how.Reason == ReasonCutOff
 		if how.Reason == ReasonDialFailed {
-			serversUnreached++
+			unreached = append(unreached, via)
 		}
-		if how.Reason.concernsServer() || serversUnreached >= maxServersUnreached {
+		if how.Reason.concernsServer() || len(unreached) >= maxServersUnreached {
 			return nil, how, err
 		}
 	}
-	if serversUnreached > 0 || ctx.Err() != nil {
+	if len(unreached) > 0 || ctx.Err() != nil {
 		return nil, last, ErrNotSent
 	}
-	a.noteNone(asked, last)
+	a.noteNone(asked, last, cutOff)
 	return nil, last, ErrNoNeighbour
 }
 
+// noteAlsoCutOff records that neighbours did not reach a backend server that another one reaches.
+func (a *Asker) noteAlsoCutOff(neighbours []string) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, n := range neighbours {
+		a.selector.Failed(n, forwarding.AlsoCutOff, now)
+	}
+}
+
 // end counts the end of a request at a neighbour.
 func (a *Asker) end(via string) {
 	a.mu.Lock()
@@ -244,6 +274,54 @@
 	return request.HTTP(ctx)
 }
 
+// Reaches asks neighbours whether they reach a backend server, until one does. known is false if
+// none answers.
+func (a *Asker) Reaches(ctx context.Context, server, address string) (reached, known bool) {
+	ctx, cancel := context.WithTimeout(ctx, reachesTimeout)
+	defer cancel()
+	var asked, unreached []string
+	for len(unreached) < maxServersUnreached && len(asked) < maxAsked {
+		a.mu.Lock()
+		via, ok := a.selector.Begin(asked, time.Now(), a.random)
+		a.mu.Unlock()
+		if !ok {
+			break
+		}
+		asked = append(asked, via)
+		switch a.check(ctx, via, server, address) {
+		case resultAnswered:
+			a.noteAlsoCutOff(unreached)
+			return true, true
+		case string(ReasonDialFailed):
+			unreached = append(unreached, via)
+		}
+	}
+	return false, len(unreached) > 0
+}
+
+// check asks one neighbour whether it reaches a backend server. It returns resultAnswered, a reason
+// or an empty string.
+func (a *Asker) check(ctx context.Context, via, server, address string) string {
+	defer a.end(via)
+	call, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+via+"/", http.NoBody)
+	if err != nil {
+		return ""
+	}
+	call.Header[headerCheck], call.Header[headerFrom] = []string{server + " " + address}, []string{a.VM}
+	response, err := a.pooled.RoundTrip(call)
+	if err != nil {
+		return ""
+	}
+	_ = response.Body.Close() // it has no answer
+	switch words := strings.Fields(response.Header.Get(headerResult)); {
+	case len(words) == 1 && words[0] == resultAnswered:
+		return resultAnswered
+	case len(words) == 2:
+		return words[1]
+	}
+	return ""
+}
+
 // HTTP returns the request as net/http sends it.
 func (r Request) HTTP(ctx context.Context) *http.Request {
 	out := (&http.Request{
@@ -301,6 +379,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.selector.Answered(via)
+	a.reachedAt = time.Now()
 	if a.log.answered(via, time.Now()) {
 		a.Logger.WithField("neighbour", via).Info("backend servers reached through a neighbour")
 	}
@@ -318,11 +397,15 @@
 	}
 }
 
-// noteNone logs that no neighbour took a request on.
-func (a *Asker) noteNone(asked []string, last Transmission) {
+// noteNone records that no neighbour took a request on. cutOff states that some are cut off
+// themselves.
+func (a *Asker) noteNone(asked []string, last Transmission, cutOff bool) {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if cutOff {
+		a.allCutOffAt = now
+	}
 	if suppressed, ok := a.log.none(now); ok {
 		a.Logger.WithFields(logrus.Fields{"asked": len(asked), "error": string(last.Reason), "not-logged": suppressed}).
 			Warn("no neighbour takes requests on, sending them on the own path")
--- a/acaciad/forwarding/probe.go
+++ b/acaciad/forwarding/probe.go
@@ -12,9 +12,12 @@
 
 // Limits of probes.
 const (
-	// probeTimeout bounds the connection and the first byte of a probe. It allows for
-	// several round trips between regions.
+	// probeTimeout bounds the connection of a probe. It allows for several round trips between
+	// regions.
 	probeTimeout = 250 * time.Millisecond
+	// answerTimeout bounds the answer of a probe whose connection was established: sound backend
+	// servers may be busy, or silent for a second or so.
+	answerTimeout = 1500 * time.Millisecond
 	// resetWait is how long a probe without a request waits whether its connection is
 	// reset.
 	resetWait = 100 * time.Millisecond
@@ -115,12 +118,17 @@
 	defer connection.Close()
 	stop := context.AfterFunc(ctx, func() { connection.Close() })
 	defer stop()
-	if m.ProbeRequest == nil {
+	var request []byte
+	if m.ProbeRequest != nil {
+		request = m.ProbeRequest(t.Address)
+	}
+	deadline = time.Now().Add(answerTimeout)
+	if len(request) == 0 {
 		deadline = time.Now().Add(resetWait)
 	}
 	err = connection.SetDeadline(deadline)
-	if err == nil && m.ProbeRequest != nil {
-		_, err = connection.Write(m.ProbeRequest(t.Address))
+	if err == nil && len(request) > 0 {
+		_, err = connection.Write(request)
 	}
 	if err == nil {
 		_, err = connection.Read(make([]byte, 1))
@@ -128,7 +136,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if contact, ok := contactOf(err); ok && contact == forwarding.TimedOut && m.ProbeRequest == nil {
+	if contact, ok := contactOf(err); ok && contact == forwarding.TimedOut && len(request) == 0 {
 		err = nil // it was not reset
 	}
 	m.recordProbe(t, err)
--- a/acaciad/proxy/path.go
+++ b/acaciad/proxy/path.go
@@ -10,6 +10,7 @@
 
 	"acaciapath.example/acaciad/forwarding"
 	reach "acaciapath.example/core/forwarding"
+	"acaciapath.example/core/replica"
 )
 
 // Path tells whether the daemon reaches backend servers on its own path. *forwarding.Monitor
@@ -26,6 +27,8 @@
 type Neighbours interface {
 	Send(ctx context.Context, build func() forwarding.Request) (*http.Response, forwarding.Transmission, error)
 	HasNeighbours() bool
+	AllCutOff(now time.Time) bool
+	Reaches(ctx context.Context, server, address string) (reached, known bool)
 }
 
 // directPath is the path of a daemon without neighbours.
@@ -55,13 +58,19 @@
 	return state == reach.CutOff
 }
 
+// pathFails reports whether the own path is cut off, while neighbours reach backend servers or may.
+// Lost connections are no evidence against backend servers then.
+func (h *Handler) pathFails(ctx context.Context) bool {
+	return h.isCutOff(ctx) && h.Neighbours != nil && !h.Neighbours.AllCutOff(time.Now())
+}
+
 // throughNeighbour sends a request through a neighbour. It reports false if none takes it on.
-func (h *Handler) throughNeighbour(ctx context.Context, build func() forwarding.Request) (*http.Response, forwarding.Transmission, error, bool) {
+func (h *Handler) throughNeighbour(ctx context.Context, build func() forwarding.Request) (*http.Response, transmission, error, bool) {
 	if h.Neighbours == nil || ctx.Err() != nil {
-		return nil, forwarding.Transmission{}, nil, false
+		return nil, transmission{}, nil, false
 	}
 	response, how, err := h.Neighbours.Send(ctx, build)
-	return response, how, err, !errors.Is(err, forwarding.ErrNoNeighbour)
+	return response, transmission{Transmission: how}, err, !errors.Is(err, forwarding.ErrNoNeighbour)
 }
 
 // transmission tells what is known of the request that was sent in the current attempt.
@@ -71,25 +80,71 @@
 	watch *forwarding.Watch
 }
 
-// transmit sends a request on the own path, or through a neighbour while that is cut off. If the
-// own path turns out to be cut off before the request was sent, it goes through a neighbour at
-// once. mayAbandon reports whether the attempt may be abandoned while it hangs.
-func (h *Handler) transmit(ctx context.Context, mayAbandon func() bool, build func() forwarding.Request) (*http.Response, transmission, error) {
-	if h.isCutOff(ctx) {
-		if response, how, err, asked := h.throughNeighbour(ctx, build); asked {
-			return response, transmission{Transmission: how}, err
+// transmit sends a request to a backend server. It goes through a neighbour while the
+// own path is cut off or does not reach that server, and at once if that turns out before the
+// request was sent. mayAbandon reports whether the attempt may be abandoned while it hangs.
+func (h *Handler) transmit(ctx context.Context, server, address string, mayAbandon func() bool, build func() forwarding.Request) (*http.Response, transmission, error) {
+	if h.isCutOff(ctx) || h.isDetoured(address) {
+		if response, how, err, done := h.throughNeighbour(ctx, build); done {
+			return response, how, err
 		}
 	}
 	response, how, err := h.transmitDirectly(ctx, mayAbandon, build())
-	if err == nil || how.Sent || !h.isCutOff(ctx) {
+	if err == nil || how.Sent || ctx.Err() != nil || h.Neighbours == nil {
 		return response, how, err
 	}
-	if response, how, err, asked := h.throughNeighbour(ctx, build); asked {
-		return response, transmission{Transmission: how}, err
+	if h.isCutOff(ctx) {
+		if response, how, err, done := h.throughNeighbour(ctx, build); done {
+			return response, how, err
+		}
+		return nil, how, err
+	}
+	select {
+	case only := <-h.onlyNeighboursReach(server, address):
+		if !only {
+			return nil, how, err
+		}
+	case <-time.After(checkWait): // the server may be tried once more later
+		return nil, how, err
+	case <-ctx.Done():
+		return nil, how, err
+	}
+	if response, how, err, done := h.throughNeighbour(ctx, build); done {
+		return response, how, err
 	}
 	return nil, how, err
 }
 
+// checkWait is how long a request waits until a neighbour says that it reaches a backend server. One
+// that does answers within a few round trips.
+const checkWait = 100 * time.Millisecond
+
+// isDetoured reports whether a backend server is reached through neighbours only.
+func (h *Handler) isDetoured(address string) bool {
+	return h.Neighbours != nil && h.Detours.Choose(address)
+}
+
+// onlyNeighboursReach finds out whether neighbours reach a backend server that the own path did not
+// reach, and remembers that. It sends the outcome, once, on the channel that it returns.
+func (h *Handler) onlyNeighboursReach(server, address string) <-chan bool {
+	outcome := make(chan bool, 1)
+	if h.Neighbours == nil || !h.Detours.MayAsk(address) {
+		outcome <- false
+		return outcome
+	}
+	go func() {
+		reached, known := h.Neighbours.Reaches(context.Background(), server, address)
+		switch {
+		case reached:
+			h.Detours.ReachedByNeighbour(address)
+		case known:
+			h.Detours.Dead(address)
+		}
+		outcome <- reached
+	}()
+	return outcome
+}
+
 // transmitDirectly sends a request on the own path.
 func (h *Handler) transmitDirectly(ctx context.Context, mayAbandon func() bool, request forwarding.Request) (*http.Response, transmission, error) {
 	path := h.path()
@@ -130,6 +185,20 @@
 	return b.ReadCloser.Close()
 }
 
+// acceptsConnections reports whether the backend server of the current attempt is known to accept
+// connections, by what neighbours say if this VM may be cut off from it.
+func (x *exchange) acceptsConnections(ctx context.Context, server replica.Spec) bool {
+	h := x.handler
+	if h.Client.Accepts(server.Address) {
+		return true
+	}
+	if x.transmission.Via == "" && !h.isCutOff(ctx) && !h.isDetoured(server.Address) || h.Neighbours == nil {
+		return false
+	}
+	reached, _ := h.Neighbours.Reaches(ctx, server.Name, server.Address)
+	return reached
+}
+
 // mayAbandon returns a function that reports whether the next attempt may be abandoned while its
 // path hangs: the request can be sent once more, through a neighbour.
 func (x *exchange) mayAbandon() func() bool {
@@ -144,13 +213,13 @@
 }
 
 // blamesServer reports whether the failure of the current attempt is evidence against its backend
-// server. It is not while the own path is cut off, and the failure of a neighbour tells nothing
+// server. It is not while only the own path is cut off, and the failure of a neighbour tells nothing
 // unless that could not connect to the backend server.
 func (x *exchange) blamesServer(ctx context.Context) bool {
 	if x.transmission.Via != "" {
 		return x.transmission.Reason == forwarding.ReasonDialFailed
 	}
-	return !x.handler.isCutOff(ctx)
+	return !x.handler.pathFails(ctx)
 }
 
 // requestCount counts requests in progress. It is safe for concurrent use.
