--- a/acaciad/proxy/quarantine.go
+++ b/acaciad/proxy/quarantine.go
@@ -116,7 +116,7 @@
 	case r == answered && status >= 200 && status < 300:
 		x.recordSound()
 	case (r == broken || r == truncated) && p.lost && p.events < beginningEvents && ctx.Err() == nil &&
-		x.request.Context().Err() == nil && x.outcome != outcomeCallerLeft && x.transmission.Via == "":
+		x.request.Context().Err() == nil && x.outcome != outcomeCallerLeft && x.transmission.Via == "" && !x.wasAbandoned():
 		x.recordCrash(reservation.Spec) // a neighbour does that for the requests that it forwards
 	}
 }
