acaciad/soak: VMs are cut off from all backend servers

All daemons, in processes of their own, reach a server through one relay, whose address is in the server's entry, so that a link for each daemon would need dialing of its own in the program. The relay instead resets the connections of single clients (relay.SetBlocked); the soak tells daemons apart by the process that owns the client's socket, which it asks the kernel for by sock_diag.

Such a cut is of one kind: new connections are accepted and reset.

--- a/acaciad/soak/faults_test.go
+++ b/acaciad/soak/faults_test.go
@@ -31,11 +31,15 @@
 	// of these.
 	restores bool
 	backups  []*platformtest.Backup
+	// cutsServers states that VMs are also cut off from all backend servers.
+	cutsServers bool
+	cuts        *cuts
 }
 
 func newFaultInjector(cl *cluster, seed uint64) *faultInjector {
 	return &faultInjector{
 		cluster: cl, random: rand.New(rand.NewPCG(seed, 1)), began: time.Now(), secondKey: true, restarting: make(map[*vm]bool),
+		cuts: &cuts{cluster: cl, vms: make(map[*vm]int)},
 	}
 }
 
@@ -45,6 +49,9 @@
 		if f.restores {
 			f.backUpOrRestore()
 		}
+		if f.cutsServers {
+			f.cutFromServers(ctx)
+		}
 		f.injectFault(ctx)
 		sleep.For(ctx, f.randomMilliseconds(100, 700))
 	}
--- a/acaciad/soak/soak_test.go
+++ b/acaciad/soak/soak_test.go
@@ -20,6 +20,7 @@
 	firstSeed        = flag.Uint64("first", 1, "first seed of the soak")
 	seedCount        = flag.Int("seeds", 2, "number of seeds of the soak")
 	restoreSeedCount = flag.Int("restore-seeds", 1, "number of seeds of the soak with restorations of the store")
+	cutSeedCount     = flag.Int("cut-seeds", 1, "number of seeds of the soak with VMs that are cut off from servers")
 	readerSeedCount  = flag.Int("reader-seeds", 1, "number of seeds of the soak with readers")
 	soakLength       = flag.Duration("length", 8*time.Second, "how long a seed's faults last")
 )
@@ -52,7 +53,7 @@
 		seeds = append(seeds, *firstSeed+uint64(i))
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(qt.New(t), binary, seed, daemonCount, false) })
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(qt.New(t), binary, seed, daemonCount, noChange) })
 	}
 }
 
@@ -65,7 +66,9 @@
 		seeds = append(seeds, *firstSeed+uint64(i))
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(qt.New(t), binary, seed, daemonCount, true) })
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			runSeed(qt.New(t), binary, seed, daemonCount, func(f *faultInjector) { f.restores = true })
+		})
 	}
 }
 
@@ -75,18 +78,31 @@
 	binary := build(t, t.TempDir())
 	for i := range *readerSeedCount {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(qt.New(t), binary, seed, largeDaemonCount, false) })
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(qt.New(t), binary, seed, largeDaemonCount, noChange) })
 	}
 }
 
-// runSeed runs the test with one seed and a number of daemons. restores states that the store
-// is also restored from copies.
-func runSeed(c *qt.C, binary string, seed uint64, daemons int, restores bool) {
+// TestSoakWithCuts runs seeds in which VMs are also cut off from all backend servers.
+func TestSoakWithCuts(t *testing.T) {
+	binary := build(t, t.TempDir())
+	for i := range *cutSeedCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			runSeed(qt.New(t), binary, seed, daemonCount, func(f *faultInjector) { f.cutsServers = true })
+		})
+	}
+}
+
+// noChange keeps the faults that are injected by default.
+func noChange(*faultInjector) {}
+
+// runSeed runs the test with one seed and a number of daemons. change selects other faults.
+func runSeed(c *qt.C, binary string, seed uint64, daemons int, change func(*faultInjector)) {
 	dir, err := os.MkdirTemp("", "acaciapath-soak-")
 	c.Assert(err, qt.IsNil)
 	cl := newCluster(c, binary, dir, daemons)
 	injector := newFaultInjector(cl, seed)
-	injector.restores = restores
+	change(injector)
 	c.Cleanup(func() {
 		if !c.Failed() {
 			_ = os.RemoveAll(dir)
@@ -103,6 +119,9 @@
 	injector.run(ctx)
 	load.group.Wait()
 	cl.checkRecovery()
+	if injector.cutsServers {
+		injector.checkForwarding()
+	}
 	cl.checkAnswers(load.outcomes)
 	cl.checkReceivedRequests()
 	cl.checkUsage(load.outcomes)
--- a/standin/relay/doc.go
+++ b/standin/relay/doc.go
@@ -4,5 +4,5 @@
 // A Relay forwards connections to one address. Data dropped by a partition is
 // lost: a connection that lost data forwards nothing more in that direction and
 // is closed when the partition ends. Data received while the relay is frozen is
-// forwarded once it is unfrozen.
+// forwarded once it is unfrozen. Single clients can be cut off as well.
 package relay
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -46,6 +46,7 @@
 	target  string
 	faults  Faults
 	changed chan struct{} // closed and replaced by SetFaults
+	blocked func(client net.Addr) bool
 	pairs   map[*connPair]struct{}
 	closed  bool
 }
@@ -91,6 +92,21 @@
 	}
 }
 
+// SetBlocked sets which clients are cut off from the target, or none if blocked is nil. Their open
+// connections are reset, and so are new ones after they were accepted.
+func (r *Relay) SetBlocked(blocked func(client net.Addr) bool) {
+	r.mu.Lock()
+	r.blocked = blocked
+	var pairs []*connPair
+	for p := range r.pairs {
+		pairs = append(pairs, p)
+	}
+	r.mu.Unlock()
+	for _, p := range pairs {
+		p.resetIfBlocked(blocked)
+	}
+}
+
 // CloseConnections closes all open connections. The relay keeps listening.
 func (r *Relay) CloseConnections() {
 	r.mu.Lock()
@@ -173,6 +189,12 @@
 	if _, ok := p.awaitUnfrozen(); !ok {
 		return
 	}
+	p.relay.mu.Lock()
+	blocked := p.relay.blocked
+	p.relay.mu.Unlock()
+	if p.resetIfBlocked(blocked) {
+		return
+	}
 	_, target, _ := p.relay.state()
 	targetConn, err := net.DialTimeout("tcp", target, dialTimeout)
 	if err != nil {
@@ -193,6 +215,18 @@
 	wg.Wait()
 }
 
+// resetIfBlocked resets the connections if the client is cut off, and reports whether it is.
+func (p *connPair) resetIfBlocked(blocked func(client net.Addr) bool) bool {
+	if blocked == nil || !blocked(p.clientConn.RemoteAddr()) {
+		return false
+	}
+	if tcp, ok := p.clientConn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // the connection may have ended
+	}
+	p.closeBoth()
+	return true
+}
+
 // closeBoth closes both connections immediately.
 func (p *connPair) closeBoth() {
 	p.closeOnce.Do(func() {
--- a/standin/relay/relay_test.go
+++ b/standin/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -151,3 +152,27 @@
 	defer clientConn.Close()
 	checkClosed(c, clientConn)
 }
+
+// TestBlockedClients cuts off one of two clients.
+func TestBlockedClients(t *testing.T) {
+	c := qt.New(t)
+	r, accepted := start(c)
+	one, _ := connect(c, r, accepted)
+	two, twoTarget := connect(c, r, accepted)
+	r.SetBlocked(func(client net.Addr) bool { return client.String() != two.LocalAddr().String() })
+	read := func(conn net.Conn) error {
+		c.Assert(conn.SetReadDeadline(time.Now().Add(arrivalTimeout)), qt.IsNil)
+		_, err := conn.Read(make([]byte, 1))
+		return err
+	}
+	c.Assert(read(one), qt.ErrorIs, syscall.ECONNRESET)
+	later, err := net.Dial("tcp", r.Address())
+	c.Assert(err, qt.IsNil)
+	defer later.Close()
+	c.Assert(read(later), qt.ErrorIs, syscall.ECONNRESET)
+	send(c, twoTarget, "x")
+	c.Assert(read(two), qt.IsNil)
+	r.SetBlocked(nil)
+	_, restored := connect(c, r, accepted)
+	c.Assert(restored, qt.IsNotNil)
+}
