--- a/acaciad/proxy/path.go
+++ b/acaciad/proxy/path.go
@@ -58,10 +58,14 @@
 	return state == reach.CutOff
 }
 
-// pathFails reports whether the own path is cut off, while neighbours reach backend servers or may.
-// Lost connections are no evidence against backend servers then.
+// pathFails reports whether the own path is cut off, so that lost connections are no evidence
+// against backend servers. If connections are refused and neighbours do not reach backend servers
+// either, these have failed themselves.
 func (h *Handler) pathFails(ctx context.Context) bool {
-	return h.isCutOff(ctx) && h.Neighbours != nil && !h.Neighbours.AllCutOff(time.Now())
+	if !h.isCutOff(ctx) {
+		return false
+	}
+	return h.path().Hanging().Err() != nil || h.Neighbours != nil && !h.Neighbours.AllCutOff(time.Now())
 }
 
 // throughNeighbour sends a request through a neighbour. It reports false if none takes it on.
@@ -180,10 +184,10 @@
 	end(err == nil)
 	if err != nil {
 		watch.Stop()
-		if how.Sent && ctx.Err() == nil {
+		if how.Sent && ctx.Err() == nil && !watch.Abandoned() {
 			path.Lost(request.Address, how.Reused)
 		}
-		return nil, transmission{Transmission: how}, err
+		return nil, transmission{Transmission: how, watch: watch}, err
 	}
 	watch.Progress(time.Now())
 	response.Body = &watchedBody{ReadCloser: response.Body, watch: watch}
@@ -245,7 +249,12 @@
 	if x.transmission.Via != "" {
 		return x.transmission.Reason == forwarding.ReasonDialFailed
 	}
-	return !x.handler.pathFails(ctx) && !x.handler.isDetoured(server.Address)
+	return !x.wasAbandoned() && !x.handler.pathFails(ctx) && !x.handler.isDetoured(server.Address)
+}
+
+// wasAbandoned reports whether the current attempt was abandoned because its path hangs.
+func (x *exchange) wasAbandoned() bool {
+	return x.transmission.watch != nil && x.transmission.watch.Abandoned()
 }
 
 // requestCount counts requests in progress. It is safe for concurrent use.
