--- a/core/forwarding/reach.go
+++ b/core/forwarding/reach.go
@@ -300,8 +300,13 @@
 // Lose records that an open connection ended without an answer.
 func (r *Reach) Lose(now time.Time) { r.suspect(LostConnection, now) }
 
-// Silent records that requests wait and nothing arrives from any backend server.
-func (r *Reach) Silent(now time.Time) { r.suspect(Silence, now) }
+// Silent records that requests wait and nothing arrives from any backend server. The silence
+// of a single backend server tells nothing about the path.
+func (r *Reach) Silent(now time.Time) {
+	if len(r.targets) > 1 {
+		r.suspect(Silence, now)
+	}
+}
 
 // Pause records that the process did not run for a while. Connections that failed
 // meanwhile are no evidence.
--- a/core/forwarding/reach_test.go
+++ b/core/forwarding/reach_test.go
@@ -323,3 +323,13 @@
 	r.Observe("s1", forwarding.Opened, now)
 	c.Assert(r.State(now), qt.Equals, forwarding.Direct)
 }
+
+// TestSlowServerIsNotProbed has the only backend server take long for a request.
+func TestSlowServerIsNotProbed(t *testing.T) {
+	c := qt.New(t)
+	var r forwarding.Reach
+	r.SetTargets([]forwarding.Target{{Address: "s0", FailureDomain: "a"}})
+	r.Silent(start)
+	c.Assert(r.State(start), qt.Equals, forwarding.Direct)
+	c.Assert(r.Probes(start, rand.New(rand.NewPCG(1, 2))), qt.HasLen, 0)
+}
