--- a/acaciad/forwarding/asker.go
+++ b/acaciad/forwarding/asker.go
@@ -57,8 +57,6 @@
 	// expectTimeout is how long it may take to answer that.
 	minExpectBytes = 16 << 10
 	expectTimeout  = time.Second
-	// reachesTimeout bounds a call that asks whether a neighbour reaches a backend server.
-	reachesTimeout = time.Second
 	// keepAliveInterval and keepAliveProbes are those of connections to backend servers.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 3
@@ -274,54 +272,6 @@
 	return request.HTTP(ctx)
 }
 
-// Reaches asks neighbours whether they reach a backend server, until one does. known is false if
-// none answers.
-func (a *Asker) Reaches(ctx context.Context, server, address string) (reached, known bool) {
-	ctx, cancel := context.WithTimeout(ctx, reachesTimeout)
-	defer cancel()
-	var asked, unreached []string
-	for len(unreached) < maxServersUnreached && len(asked) < maxAsked {
-		a.mu.Lock()
-		via, ok := a.selector.Begin(asked, time.Now(), a.random)
-		a.mu.Unlock()
-		if !ok {
-			break
-		}
-		asked = append(asked, via)
-		switch a.check(ctx, via, server, address) {
-		case resultAnswered:
-			a.noteAlsoCutOff(unreached)
-			return true, true
-		case string(ReasonDialFailed):
-			unreached = append(unreached, via)
-		}
-	}
-	return false, len(unreached) > 0
-}
-
-// check asks one neighbour whether it reaches a backend server. It returns resultAnswered, a reason
-// or an empty string.
-func (a *Asker) check(ctx context.Context, via, server, address string) string {
-	defer a.end(via)
-	call, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+via+"/", http.NoBody)
-	if err != nil {
-		return ""
-	}
-	call.Header[headerCheck], call.Header[headerFrom] = []string{server + " " + address}, []string{a.VM}
-	response, err := a.pooled.RoundTrip(call)
-	if err != nil {
-		return ""
-	}
-	_ = response.Body.Close() // it has no answer
-	switch words := strings.Fields(response.Header.Get(headerResult)); {
-	case len(words) == 1 && words[0] == resultAnswered:
-		return resultAnswered
-	case len(words) == 2:
-		return words[1]
-	}
-	return ""
-}
-
 // HTTP returns the request as net/http sends it.
 func (r Request) HTTP(ctx context.Context) *http.Request {
 	out := (&http.Request{
--- a/acaciad/forwarding/lender.go
+++ b/acaciad/forwarding/lender.go
@@ -209,17 +209,6 @@
 	l.forward(w, r, asker, server, l.request(r, body, server))
 }
 
-// answerCheck answers whether the lender reaches a backend server.
-func (l *Lender) answerCheck(w http.ResponseWriter, r *http.Request, asker string, server replica.Spec) {
-	if !l.Accepts(server.Address) {
-		l.refuse(w, r, asker, ReasonDialFailed)
-		return
-	}
-	l.Metrics.countLent("checked")
-	w.Header()[headerResult] = []string{resultAnswered}
-	w.WriteHeader(http.StatusNoContent)
-}
-
 // hostOf returns the host of an address.
 func hostOf(address string) string {
 	host, _, err := net.SplitHostPort(address)
--- a/acaciad/proxy/path.go
+++ b/acaciad/proxy/path.go
@@ -69,12 +69,12 @@
 }
 
 // throughNeighbour sends a request through a neighbour. It reports false if none takes it on.
-func (h *Handler) throughNeighbour(ctx context.Context, build func() forwarding.Request) (*http.Response, transmission, error, bool) {
+func (h *Handler) throughNeighbour(ctx context.Context, build func() forwarding.Request) (response *http.Response, how transmission, done bool, err error) {
 	if h.Neighbours == nil || ctx.Err() != nil {
-		return nil, transmission{}, nil, false
+		return nil, transmission{}, false, nil
 	}
-	response, how, err := h.Neighbours.Send(ctx, build)
-	return response, transmission{Transmission: how}, err, !errors.Is(err, forwarding.ErrNoNeighbour)
+	response, sent, err := h.Neighbours.Send(ctx, build)
+	return response, transmission{Transmission: sent}, !errors.Is(err, forwarding.ErrNoNeighbour), err
 }
 
 // transmission tells what is known of the request that was sent in the current attempt.
@@ -89,7 +89,7 @@
 // request was sent. mayAbandon reports whether the attempt may be abandoned while it hangs.
 func (h *Handler) transmit(ctx context.Context, server, address string, mayAbandon func() bool, build func() forwarding.Request) (*http.Response, transmission, error) {
 	if h.isCutOff(ctx) || h.isDetoured(address) {
-		if response, how, err, done := h.throughNeighbour(ctx, build); done {
+		if response, how, done, err := h.throughNeighbour(ctx, build); done {
 			return response, how, err
 		}
 	}
@@ -98,7 +98,7 @@
 		return response, how, err
 	}
 	if h.isCutOff(ctx) {
-		if response, how, err, done := h.throughNeighbour(ctx, build); done {
+		if response, how, done, err := h.throughNeighbour(ctx, build); done {
 			return response, how, err
 		}
 		return nil, how, err
@@ -113,7 +113,7 @@
 	case <-ctx.Done():
 		return nil, how, err
 	}
-	if response, how, err, done := h.throughNeighbour(ctx, build); done {
+	if response, how, done, err := h.throughNeighbour(ctx, build); done {
 		return response, how, err
 	}
 	return nil, how, err
