acaciad/neighbours: one call of the store reads the rows of all failure domains

Reading some daemons of each other failure domain took one or two more calls for each.

All rows are now read in the one call that read those of the own failure domain, and the daemons of other domains are picked from them. Only with 500 rows or more is there a second call, for the own ones. The rows of 370 VMs have about 70 KB, read every four to six minutes. TestDaemonsKnowSomeOfOtherFailureDomains and TestVMsCutOffFromServersServe pass as before.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -161,8 +161,8 @@
 	d.neighbours = &neighbours.Registry{
 		VM: s.Name, FailureDomain: s.FailureDomain, Address: s.NeighboursAddress, Cores: s.Cores, ColdStart: s.ColdStart,
 		Table: relayableTable, OnUpdate: d.setNeighbours, OnMembers: d.setMembers, Logger: logger,
-		Domains: slices.Sorted(maps.Keys(s.Regions)), OnDistant: d.setDistantNeighbours,
-		Random: rand.New(rand.NewPCG(uint64(now.UnixNano()), 3)),
+		OnDistant: d.setDistantNeighbours,
+		Random:    rand.New(rand.NewPCG(uint64(now.UnixNano()), 3)),
 	}
 	cloud := platform.NewCloudClient(s.CloudAddress, s.Name, s.UsageWindow, cloudTimeout)
 	terms := lease.Terms{Name: lease.UsageReportsName, Holder: instance, Duration: s.LeaseDuration}
--- a/acaciad/neighbours/distant_test.go
+++ b/acaciad/neighbours/distant_test.go
@@ -35,7 +35,6 @@
 			r := &neighbours.Registry{
 				VM: vm, FailureDomain: domain, Address: vm + ":1", ColdStart: true, Table: &platform.Table{Store: p.client},
 				OnUpdate: func([]detour.Neighbour) {}, OnMembers: func([]follow.Member) {},
-				Domains: []string{"brest-a", "rennes-a", "vannes-a"},
 				OnDistant: func(n []detour.Neighbour) {
 					mu.Lock()
 					defer mu.Unlock()
--- a/acaciad/neighbours/registry.go
+++ b/acaciad/neighbours/registry.go
@@ -47,7 +47,7 @@
 // a few are enough.
 const maxNeighbours = 16
 
-// maxRows is the maximum number of rows that are read.
+// maxRows is the maximum number of rows that are read at a time.
 const maxRows = 500
 
 // keyPrefix is the prefix of the keys of rows. The failure domain and the VM follow.
@@ -76,10 +76,8 @@
 	Table table.Service
 	// OnUpdate is called with the neighbours after each read.
 	OnUpdate func([]detour.Neighbour)
-	// Domains are the failure domains of which some daemons are read as well, and OnDistant is
-	// called with those of other failure domains than the own one after each such read, if it is
-	// set.
-	Domains   []string
+	// OnDistant is called with some daemons of each other failure domain after each read, if it
+	// is set.
 	OnDistant func([]detour.Neighbour)
 	// OnMembers is called with the daemons of the failure domain, including this one,
 	// after each read.
@@ -177,27 +175,24 @@
 	}
 }
 
-// read reads the rows of the daemon's failure domain, or of all if there are none, and
-// returns the time until the next read.
+// read reads the rows and returns the time until the next read.
 func (r *Registry) read(ctx context.Context, now time.Time) time.Duration {
-	var neighbours []detour.Neighbour
-	for i, rowPrefix := range []string{keyPrefix + r.FailureDomain + "/", keyPrefix} {
-		rows, err := r.Table.List(ctx, &table.ListPayload{Prefix: rowPrefix, Limit: maxRows})
-		if err != nil {
-			r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot read neighbour rows, will retry")
-			if r.knownCount == 0 {
-				return checkInterval
-			}
-			return retryInterval
-		}
-		var members []follow.Member
-		neighbours, members = r.parseRows(rows, now)
-		if i == 0 {
-			r.OnMembers(members)
-		}
-		if len(neighbours) > 0 {
-			break
+	rows, err := r.Table.List(ctx, &table.ListPayload{Prefix: keyPrefix, Limit: maxRows})
+	near := rowsOf(rows, keyPrefix+r.FailureDomain+"/")
+	if err == nil && len(rows) == maxRows { // there may be more
+		near, err = r.Table.List(ctx, &table.ListPayload{Prefix: keyPrefix + r.FailureDomain + "/", Limit: maxRows})
+	}
+	if err != nil {
+		r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot read neighbour rows, will retry")
+		if r.knownCount == 0 {
+			return checkInterval
 		}
+		return retryInterval
+	}
+	neighbours, members := r.parseRows(near, now)
+	r.OnMembers(members)
+	if len(neighbours) == 0 {
+		neighbours, _ = r.parseRows(rows, now)
 	}
 	r.Random.Shuffle(len(neighbours), func(i, j int) { neighbours[i], neighbours[j] = neighbours[j], neighbours[i] })
 	neighbours = neighbours[:min(len(neighbours), maxNeighbours)]
@@ -207,11 +202,7 @@
 	}
 	r.OnUpdate(neighbours)
 	if r.OnDistant != nil {
-		distant, ok := r.readDistant(ctx, now)
-		if !ok {
-			return retryInterval
-		}
-		r.OnDistant(distant)
+		r.OnDistant(r.distant(rows, now))
 	}
 	r.refresh.Store(false)
 	r.readCount++
@@ -225,6 +216,17 @@
 	return interval + time.Duration(r.Random.Int64N(int64(interval/2)))
 }
 
+// rowsOf returns the rows whose keys have a prefix.
+func rowsOf(rows []*table.Row, prefix string) []*table.Row {
+	var found []*table.Row
+	for _, row := range rows {
+		if strings.HasPrefix(row.Key, prefix) {
+			found = append(found, row)
+		}
+	}
+	return found
+}
+
 // parseRows returns the daemons in rows that have not expired: as neighbours, without
 // this daemon itself, and as members.
 func (r *Registry) parseRows(rows []*table.Row, now time.Time) (neighbours []detour.Neighbour, members []follow.Member) {
