--- a/acaciad/directory/collector.go
+++ b/acaciad/directory/collector.go
@@ -23,6 +23,10 @@
 		"Backend servers that name a limit of requests a second, by service.", []string{"service"}, nil)
 	descCold = prometheus.NewDesc("acaciapath_cold_servers",
 		"Backend servers that may be cold, which get a part of the requests that they tolerate, by service.", []string{"service"}, nil)
+	descBrittle = prometheus.NewDesc("acaciapath_brittle_servers",
+		"Backend servers that may be brittle, of whose slots the daemon uses its part, by service.", []string{"service"}, nil)
+	descWaiting = prometheus.NewDesc("acaciapath_waiting_requests",
+		"Requests that wait in the daemon for room at brittle backend servers, by service.", []string{"service"}, nil)
 	descEvacuated = prometheus.NewDesc("acaciapath_evacuated_since_seconds",
 		"When the daemon learned that a failure domain is evacuated, in Unix seconds.", []string{"failure_domain"}, nil)
 	descRouteHomes = prometheus.NewDesc("acaciapath_route_homes",
@@ -53,7 +57,7 @@
 // Describe implements prometheus.Collector.
 func (d *Directory) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, desc := range []*prometheus.Desc{
-		descServers, descRunning, descReading, descLimited, descCold, descEvacuated, descRouteHomes,
+		descServers, descRunning, descReading, descLimited, descCold, descBrittle, descWaiting, descEvacuated, descRouteHomes,
 		descBusiest, descCrowded, descSlow, descRevision,
 	} {
 		descriptions <- desc
@@ -103,6 +107,8 @@
 		metrics <- prometheus.MustNewConstMetric(descReading, prometheus.GaugeValue, float64(unreadTokens), name)
 		metrics <- prometheus.MustNewConstMetric(descLimited, prometheus.GaugeValue, float64(pool.Limited()), name)
 		metrics <- prometheus.MustNewConstMetric(descCold, prometheus.GaugeValue, float64(len(pool.ColdServers(now))), name)
+		metrics <- prometheus.MustNewConstMetric(descBrittle, prometheus.GaugeValue, float64(pool.BrittleServers(now)), name)
+		metrics <- prometheus.MustNewConstMetric(descWaiting, prometheus.GaugeValue, float64(d.lines[name].len()), name)
 		for lane := placement.Patient; lane <= placement.ShortPauses; lane++ {
 			collectBalance(metrics, pool.Balance(lane, now), name, lane.String())
 		}
--- a/acaciad/directory/directory.go
+++ b/acaciad/directory/directory.go
@@ -35,6 +35,8 @@
 	// drainStates holds the drain states of the listed backend servers that a request
 	// has been sent to, or that drain.
 	drainStates drainStates
+	// lines are the requests that wait for room at brittle servers, by service.
+	lines map[string]*line
 	// statements holds what backend servers say of themselves in answers.
 	statements placement.Statements
 	// defaultDrainTime is how long a draining backend server is expected to serve
@@ -63,6 +65,7 @@
 		pools:            make(map[string]*placement.Pool),
 		pressures:        make(map[string]*order.Pressure),
 		drainStates:      make(drainStates),
+		lines:            make(map[string]*line),
 		defaultDrainTime: defaultDrainTime,
 		random:           random,
 	}
@@ -259,6 +262,15 @@
 func (d *Directory) Reserve(service string, requirements placement.Requirements, now time.Time) *Reservation {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !isRestricted(requirements) && d.lines[service].isBefore(requirements.Priority) {
+		return nil
+	}
+	return d.reserveLocked(service, requirements, now)
+}
+
+// reserveLocked reserves a slot, as Reserve does, before the requests that wait for room. The caller
+// holds d.mu.
+func (d *Directory) reserveLocked(service string, requirements placement.Requirements, now time.Time) *Reservation {
 	pool := d.pools[service]
 	if pool == nil {
 		return nil
@@ -268,7 +280,7 @@
 		return nil
 	}
 	reservation := &Reservation{
-		Spec: s.Spec, Running: s.Running, UnreadTokens: s.PendingPromptTokens,
+		Spec: s.Spec, Running: s.Running, UnreadTokens: s.PendingPromptTokens, reservedAt: now, service: service,
 		directory: d, pool: pool, server: s, requirements: requirements, drainState: d.drainStates.of(s),
 	}
 	reservation.heldTokens = s.BeginRequest(requirements, now)
--- a/acaciad/directory/reservation.go
+++ b/acaciad/directory/reservation.go
@@ -37,7 +37,10 @@
 	// this daemon had there before the reservation.
 	Running, UnreadTokens int
 
-	directory    *Directory
+	directory *Directory
+	service   string
+	// reservedAt is when the slot was reserved.
+	reservedAt   time.Time
 	pool         *placement.Pool
 	server       *placement.Server
 	requirements placement.Requirements
@@ -118,13 +121,18 @@
 	defer r.directory.mu.Unlock()
 	r.markPromptReadLocked(now)
 	r.server.FinishRequest(r.heldTokens, now)
+	if outcome != Rejected {
+		r.server.ForgetRequest(r.reservedAt)
+	}
+	defer r.directory.lines[r.service].wake()
 	switch outcome {
 	case Succeeded:
 		r.pool.RecordSuccess(r.server, now)
+		r.pool.ObserveRunTime(now.Sub(r.reservedAt))
 	case Failed:
 		r.server.RecordFailure(now)
 	case Rejected:
-		r.server.RecordRejection(now)
+		r.pool.RecordRoomRejection(r.server, r.reservedAt, now)
 	case Misdirected:
 		r.pool.SetMisdirected(r.server)
 	}
--- a/acaciad/proxy/forward.go
+++ b/acaciad/proxy/forward.go
@@ -25,6 +25,7 @@
 	info := x.handler.Wire.ParseResponse(response, x.metadata.AttemptID)
 	if info.MatchesRequest {
 		x.recordLimit(reservation, info)
+		x.recordBrittle(reservation, info)
 	}
 	isOurs := info.MatchesRequest || info.Anonymous && !x.connectionReused
 	if isOurs {
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -191,6 +191,8 @@
 	runMove *runMove
 	// runProgress is the progress of the current run on a backend server.
 	runProgress runProgress
+	// waited states that the request has waited for room at brittle servers.
+	waited bool
 	// connectionReused states that the connection of the current attempt had carried
 	// another request before.
 	connectionReused bool
@@ -303,6 +305,7 @@
 		OutputTokens:     x.metadata.Work.ExpectedOutputTokens,
 		FirstEventTarget: x.route.LatencyTarget,
 		OnlyVersion:      x.planned || x.receiving,
+		Priority:         x.view.Index.Priority(x.route, x.account),
 		Version:          x.origin.Version,
 	}
 	if required.Generates {
--- a/acaciad/proxy/run.go
+++ b/acaciad/proxy/run.go
@@ -60,7 +60,7 @@
 	for len(x.attempts) < maxAttempts {
 		reservation := x.moveTarget
 		if x.moveTarget = nil; reservation == nil {
-			reservation = x.reserveNext(last)
+			reservation = x.reserveNext(ctx, last)
 		}
 		if reservation == nil {
 			break
@@ -118,12 +118,15 @@
 // reserveNext reserves a slot on a backend server that was not tried yet, or
 // returns nil. It takes a retry from the budget unless the last attempt did not
 // reach its backend server.
-func (x *exchange) reserveNext(last result) *directory.Reservation {
+func (x *exchange) reserveNext(ctx context.Context, last result) *directory.Reservation {
 	if len(x.attempts) > 0 && x.checkQuarantine() != nil {
 		return nil
 	}
 	now := time.Now()
 	reservation := x.reserve(now)
+	if reservation == nil {
+		reservation = x.awaitRoom(ctx)
+	}
 	if reservation == nil {
 		return nil
 	}
@@ -214,7 +217,10 @@
 	}
 	if wait, limited := x.handler.Directory.ReturnTime(x.service, x.requirements, time.Now()); limited {
 		reason := "servers-limited"
-		if x.handler.Directory.HasCold(x.service, time.Now()) {
+		switch now := time.Now(); {
+		case x.handler.Directory.HasBrittle(x.service, now):
+			reason = "servers-brittle"
+		case x.handler.Directory.HasCold(x.service, now):
 			reason = "servers-cold"
 		}
 		return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: max(wait, retryAfterFailure)}
--- a/acaciapath/explain/cause.go
+++ b/acaciapath/explain/cause.go
@@ -18,6 +18,7 @@
 	"stream-version-not-known-yet": "the caller took up a stream, and the VM could not read from the store which software version began it",
 	"stream-version-not-serving":   "the caller took up a stream whose software version has no server left that takes requests",
 	"servers-limited":              "all backend servers of the service name limits of requests a second, and this VM's part of them was used up",
+	"servers-brittle":              "the backend servers of the service say that they are brittle, and there was no room in this VM's part of their slots",
 	"shut-down-may-have-run":       "the VM stopped while a backend server was running the request",
 	"shutting-down":                "the VM was about to stop, too soon for the request",
 	"catalog-unknown":              "the VM had not read the configuration yet",
--- a/core/placement/availability.go
+++ b/core/placement/availability.go
@@ -21,11 +21,13 @@
 	Cold
 	// Evacuated means that the operator evacuates the failure domain of the server.
 	Evacuated
+	// Brittle means that this daemon's part of the brittle server is used up.
+	Brittle
 )
 
 // String returns the name of the availability in logs and metrics.
 func (a Availability) String() string {
-	return [...]string{"available", "leaving", "misdirected", "paused", "limited", "cold", "evacuated"}[a]
+	return [...]string{"available", "leaving", "misdirected", "paused", "limited", "cold", "evacuated", "brittle"}[a]
 }
 
 // Availability returns whether a server may get a request at now.
@@ -43,6 +45,8 @@
 		return Limited
 	case s.IsCold(now) && s.cold.nextRequest(now) > 0:
 		return Cold
+	case p.IsBrittle(s, now) && p.nextBrittle(s, now) == sendNone:
+		return Brittle
 	}
 	return Available
 }
--- a/core/placement/cold.go
+++ b/core/placement/cold.go
@@ -145,6 +145,9 @@
 // have crashed, and come back cold before its entry says so, and so may all servers of its
 // failure domain. It returns the number of servers that were not believed to be cold before.
 func (p *Pool) LoseContact(s *Server, now time.Time) int {
+	if p.IsBrittle(s, now) {
+		s.brittle.loseBrittle(s.Running, now)
+	}
 	if p.Cold == nil {
 		return 0
 	}
--- a/core/placement/evacuation.go
+++ b/core/placement/evacuation.go
@@ -14,6 +14,7 @@
 	p.markEvacuated()
 	p.assignLanes()
 	p.divideLimits(now)
+	p.divideBrittle(now)
 }
 
 // markEvacuated sets Evacuated of all servers.
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -47,6 +47,9 @@
 	Version     string
 	// Homes are the failure domains in which the request may be executed.
 	Homes Homes
+	// Priority is the priority of the request; 0 is the most urgent. It decides which request
+	// gets the room of brittle servers first.
+	Priority int
 }
 
 // Server is the state of a backend server as one entry daemon knows it.
@@ -86,6 +89,7 @@
 	// instance is Spec.Instance().
 	instance string
 	cold     coldState
+	brittle  brittleShare
 }
 
 // Pool holds the backend servers of one service.
@@ -123,6 +127,10 @@
 	// returning is when the last caller that was refused because of limits was told to
 	// return.
 	returning time.Time
+	// runTime is the mean time in which recent requests ran.
+	runTime meanInterval
+	// brittle is what the servers say of being brittle, or nil if they are not.
+	brittle *brittleness
 	// evacuated are the failure domains that are evacuated. SetEvacuated sets them.
 	evacuated map[string]bool
 }
@@ -158,6 +166,7 @@
 	p.assignLanes()
 	p.divideLimits(now)
 	p.divideCold(now)
+	p.divideBrittle(now)
 	return added, removed
 }
 
@@ -365,6 +374,9 @@
 	if s.IsCold(now) {
 		c += coldServerTokens
 	}
+	if p.IsBrittle(s, now) {
+		c += p.brittleCost(s, now)
+	}
 	if slices.Contains(requirements.FailedServers, s.Spec.Name) {
 		c += failedServerTokens
 	}
@@ -422,6 +434,7 @@
 		s.Limit.take()
 	}
 	s.cold.beginRequest(now)
+	s.brittle.begin(s.Running-1, now)
 	s.PendingPromptTokens += requirements.PromptTokens + int(copyCostRatio*float64(requirements.CopiedKVTokens))
 	return held
 }
--- a/core/placement/rate_limit.go
+++ b/core/placement/rate_limit.go
@@ -117,6 +117,7 @@
 	}
 	p.divideLimits(now)
 	p.divideCold(now)
+	p.divideBrittle(now)
 	p.deal()
 }
 
@@ -177,7 +178,7 @@
 }
 
 // maxReturnTime is the longest time after which a caller is told to return because of
-// limits, pauses and cold servers.
+// limits, pauses, and cold and brittle servers.
 const maxReturnTime = 10 * time.Second
 
 // pausedReturnRate is the rate at which callers are told to return to each server after its
@@ -185,7 +186,7 @@
 const pausedReturnRate = 20
 
 // ReturnTime returns when a caller that is refused now should return because the limits of
-// the servers that accept its request are used up, or they are in a pause or cold, or false if
+// the servers that accept its request are used up, or they are in a pause, cold or brittle, or false if
 // that does not explain that there is no server. Callers are told to return one after the other,
 // at the rate of the limits.
 func (p *Pool) ReturnTime(requirements Requirements, now time.Time) (time.Duration, bool) {
@@ -208,6 +209,10 @@
 		case Cold:
 			explained = true
 			wait, rate = min(wait, s.cold.nextRequest(now)), rate+s.cold.share.rate
+		case Brittle:
+			explained = true
+			d, r := p.brittleReturn(s, now)
+			wait, rate = min(wait, d), rate+r
 		}
 	}
 	if !explained {
