--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -207,6 +207,8 @@
 	failedRuns   int
 	// keepsAttempt states that the current attempt must not be abandoned any more.
 	keepsAttempt atomic.Bool
+	// waited states that the request has waited for room at brittle servers.
+	waited bool
 	// stream identifies a stream that can be taken up again, and pickedService is the service
 	// that was picked for it. It goes on at the service that began it.
 	stream        origin.Stream
@@ -305,6 +307,7 @@
 		OutputTokens:     x.metadata.Work.ExpectedOutputTokens,
 		FirstEventTarget: x.route.LatencyTarget,
 		OnlyVersion:      x.planned || x.receiving,
+		Priority:         x.view.Index.Priority(x.route, x.account),
 		Version:          x.origin.Version,
 	}
 	if required.Generates {
