--- a/acaciad/forwarding/asker.go
+++ b/acaciad/forwarding/asker.go
@@ -39,7 +39,7 @@
 	maxAsked = 4
 	// maxServersUnreached is the number of neighbours that do not reach the backend server, from
 	// which that is its own fault.
-	maxServersUnreached = 2
+	maxServersUnreached = 3
 	// askDialTimeout bounds the establishment of a connection to a neighbour. It allows for
 	// several round trips between regions.
 	askDialTimeout = 250 * time.Millisecond
