--- a/acaciad/forwarding/pair_test.go
+++ b/acaciad/forwarding/pair_test.go
@@ -56,7 +56,7 @@
 }
 
 // newPair starts a backend server that answers as answer does, a lender and an asker.
-func newPair(t *testing.T, answer http.HandlerFunc) *pair {
+func newPair(t testing.TB, answer http.HandlerFunc) *pair {
 	c := qt.New(t)
 	p := &pair{C: c, answer: answer, others: http.NotFound, state: reach.Direct}
 	p.server = loopback.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/acaciapath/explain/cause.go
+++ b/acaciapath/explain/cause.go
@@ -48,9 +48,16 @@
 	if cause == "" || outcome == "served" || len(attempts) == 0 {
 		return cause
 	}
-	for _, word := range strings.Fields(attempts[len(attempts)-1]) {
+	last := strings.Fields(attempts[len(attempts)-1])
+	for _, word := range last {
 		if detail := attemptResults[word]; detail != "" {
-			return cause + ": " + detail
+			cause += ": " + detail
+			break
+		}
+	}
+	for _, word := range last {
+		if via, ok := strings.CutPrefix(word, "via="); ok {
+			cause += "; the VM did not reach the backend server and sent the request through the one at " + via
 		}
 	}
 	return cause
--- a/acaciapath/explain/explain_test.go
+++ b/acaciapath/explain/explain_test.go
@@ -25,10 +25,10 @@
 }
 
 // TestReports checks the reports of a request whose answer ended early and of a request
-// that no backend server accepted. Lines of other requests, other VMs and other backend
+// that no backend server accepted, also one that went through a neighbour. Lines of other requests, other VMs and other backend
 // servers must be left out.
 func TestReports(t *testing.T) {
-	for _, id := range []string{"4c33e5b8", "77aa"} {
+	for _, id := range []string{"4c33e5b8", "77aa", "51b0"} {
 		qt.New(t).Run(id, func(c *qt.C) {
 			report, err := explain.Find(id, testLogs())
 			c.Assert(err, qt.IsNil)
