acaciad/proxy: tests of attempts through neighbours fail on three more wrong variants

Seen failing: no evidence (cold belief) from a cut, requests that may run once abandoned although the route allows several attempts, pauses heard by the lender.

--- a/acaciad/proxy/path_test.go
+++ b/acaciad/proxy/path_test.go
@@ -11,8 +11,10 @@
 	"testing"
 	"time"
 
+	"acaciapath.example/acaciad/directory"
 	"acaciapath.example/acaciad/forwarding"
 	"acaciapath.example/acaciad/proxy"
+	"acaciapath.example/core/catalog"
 	"acaciapath.example/core/detour"
 	reach "acaciapath.example/core/forwarding"
 	"acaciapath.example/core/retry"
@@ -308,6 +310,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newLentFixture(t, test.burst)
+			c := testCatalog()
+			c.Revision++
+			for i := range c.Routes {
+				c.Routes[i].MaxReplicas = 3
+			}
+			f.directory.SetCatalog(c, time.Now())
 			one, two := f.startServer("i-1", "shop", 0), f.startServer("i-2", "shop", 0)
 			one.SetPause(1200 * time.Millisecond)
 			two.SetPause(1200 * time.Millisecond)
@@ -370,6 +378,12 @@
 // are not suspected, and their servers not avoided.
 func TestLostConnectionsOfACutAreNoEvidence(t *testing.T) {
 	f := newLentFixture(t, 0)
+	c := testCatalog()
+	c.Revision++
+	for i := range c.Services {
+		c.Services[i].Cold = &catalog.Cold{PerSecond: 1000, Duration: 5 * time.Second}
+	}
+	f.directory.SetCatalog(c, time.Now())
 	one := f.startServer("i-1", "llm", longStreamEvents)
 	one.SetPause(eventInterval)
 	answers := make(chan answer, 4)
@@ -478,12 +492,18 @@
 	shop := f.startServer("i-1", "shop", 0)
 	shop.SetResponseMode(platformtest.Overloaded)
 	shop.SetRetryAfter("30")
+	of := directory.New("z", time.Second, rand.New(rand.NewPCG(1, 2)))
+	of.SetServers(f.specs, time.Now())
+	lender := f.lenderHandler()
+	lender.Directory, f.lender.Directory, f.lender.OnAnswer = of, of, lender.HearForwarded
 	f.path.set(reach.CutOff)
 	for range 3 {
 		f.Check(f.send(http.MethodPost, "/order/", "x").status, qt.Equals, http.StatusServiceUnavailable)
 	}
 	f.Check(receivedCount(shop), qt.Equals, 1)
-	f.Check(f.directory.IsPaused(f.specs[0].Instance(), time.Now()), qt.IsTrue)
+	for _, d := range []*directory.Directory{f.directory, of} {
+		f.Check(d.IsPaused(f.specs[0].Instance(), time.Now()), qt.IsTrue)
+	}
 }
 
 // TestHasLeavesTheBudget has a look at a budget take nothing from it.
