--- a/core/responses/transport.go
+++ b/core/responses/transport.go
@@ -43,8 +43,9 @@
 // CloseIdleConnections closes the connections that are not in use.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
-// RoundTrip implements http.RoundTripper. It returns ErrNoAnswer as Check does. The body of a response that ends with its connection
-// ends with an error if the request was not sent by then. net/http does not send the rest of it.
+// RoundTrip implements http.RoundTripper. It returns ErrNoAnswer as Check does. The body of a
+// response that ends with its connection ends with an error if the request was not sent by then.
+// net/http does not send the rest of it.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	u := &upload{}
 	trace := &httptrace.ClientTrace{
