--- /dev/null
+++ b/review/second/fleet/replica.go
@@ -0,0 +1,138 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"acaciapath.example/standin/loopback"
+)
+
+// signature is the signature of all replicas.
+const signature = "3e1b.07.stand-in"
+
+// Replica is a replica whose streams name its software version in each event, and whose other
+// answers have a fixed body.
+type Replica struct {
+	ID, Version, Service, Zone string
+	// Events is the number of events of a stream, or 0 if the replica does not stream, and Pause
+	// the time before each of them, or before the answer.
+	Events int
+	Pause  time.Duration
+
+	server *httptest.Server
+	born   int64
+
+	mu       sync.Mutex // guards the fields below
+	sequence int
+	runs     []Run
+}
+
+// Run is a request that a replica ran.
+type Run struct {
+	Attempt, LastEventID string
+	Began                time.Time
+}
+
+// PlainBody is the body of an answer that is no stream.
+const PlainBody = "0123456789abcdefghij"
+
+// Start starts the replica.
+func (r *Replica) Start() {
+	r.born = time.Now().UnixMilli()
+	r.server = loopback.NewServer(http.HandlerFunc(r.serve))
+}
+
+// Close stops the replica and resets its channels.
+func (r *Replica) Close() {
+	r.server.CloseClientConnections()
+	r.server.Close()
+}
+
+// Address returns the IP address and port of the replica.
+func (r *Replica) Address() string { return strings.TrimPrefix(r.server.URL, "http://") }
+
+// Write writes the entry of the replica.
+func (f *Fleet) Write(r *Replica, state string) {
+	r.mu.Lock()
+	r.sequence++
+	sequence := r.sequence
+	r.mu.Unlock()
+	f.Record("operator's view: replica %s (%s, version %s) writes state %s", r.ID, r.Service, r.Version, state)
+	f.Store.Write("servers", r.ID, map[string]any{
+		"service": r.Service, "address": r.Address(), "zone": r.Zone, "version": r.Version, "slots": 64, "state": state,
+		"coldRemainingMs": 0, "sequence": sequence, "born": r.born,
+	})
+}
+
+// Remove removes the entry of the replica.
+func (f *Fleet) Remove(r *Replica) {
+	f.Record("operator's view: entry of replica %s is removed", r.ID)
+	f.Store.Remove("servers", r.ID)
+}
+
+// Runs returns the requests that the replica ran.
+func (r *Replica) Runs() []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Run(nil), r.runs...)
+}
+
+// serve serves one request.
+func (r *Replica) serve(w http.ResponseWriter, request *http.Request) {
+	switch request.URL.Path {
+	case "/healthz":
+		w.Header().Set("X-Replica-Id", r.ID)
+		return
+	case "/acaciapath/report":
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, `{"phase":"mixed","modelList":[],"busy":false,"sequence":1,"waiting":0,"running":0,"kvUsedCount":0,"kvTotalCount":500000,"cacheHandles":0,"state":"ready","runs":[]}`)
+		return
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return
+	}
+	h := w.Header()
+	h.Set("X-Attempt-Id", request.Header.Get("X-Attempt-Id"))
+	if request.Header.Get("X-Expected-Replica") != r.ID {
+		h.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	r.mu.Lock()
+	r.runs = append(r.runs, Run{Attempt: request.Header.Get("X-Attempt-Id"), LastEventID: request.Header.Get("Last-Event-Id"), Began: time.Now()})
+	r.mu.Unlock()
+	h.Set("X-Replica-Signature", signature)
+	if r.Events == 0 {
+		time.Sleep(r.Pause)
+		h.Set("Content-Length", strconv.Itoa(len(PlainBody)))
+		_, _ = io.WriteString(w, PlainBody)
+		return
+	}
+	h.Set("Content-Type", "text/event-stream")
+	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id")) // none counts as 0
+	controller := http.NewResponseController(w)
+	for i := last + 1; i <= r.Events; i++ {
+		select {
+		case <-request.Context().Done():
+			return
+		case <-time.After(r.Pause):
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %s\n\n", i, r.Version, r.ID)
+		_ = controller.Flush()
+	}
+}
+
+// RecordRuns records what the replicas ran.
+func (f *Fleet) RecordRuns(replicas []*Replica) {
+	for _, r := range replicas {
+		for _, run := range r.Runs() {
+			f.Record("replica %s (version %s) ran attempt %s from event %q, begun at %.3f s", r.ID, r.Version, run.Attempt, run.LastEventID, run.Began.Sub(f.began).Seconds())
+		}
+	}
+}
