review: case 6, a daemon is killed in place of reset channels

The script stays within the doses of the site file: one of three daemons is killed after the late writes, also with TROUBLE=0.

--- a/review/second/6/main.go
+++ b/review/second/6/main.go
@@ -1,10 +1,9 @@
 // Command 6 plays case 6: the store answers the first report of streams of each daemon not at all
 // and performs it some seconds later, as its page allows, while the only replica of a software
-// version is replaced. Clients whose channels are reset afterwards take their streams up again.
+// version is replaced. A daemon is killed afterwards, and its clients take their streams up again.
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -15,14 +14,12 @@
 	"net/http/httputil"
 	"net/url"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"acaciapath.example/review/second/fleet"
 	"acaciapath.example/standin/loopback"
-	"acaciapath.example/standin/relay"
 )
 
 // Times and sizes of the case.
@@ -43,14 +40,15 @@
 	drainTime = 2500 * time.Millisecond
 	// absentTime is the time between the replica that leaves and the next one.
 	absentTime = 1500 * time.Millisecond
-	// streamCount is the number of streams, streamsAfter when they begin and resetAfter when their
-	// channels are reset, counted from the beginning of the replacement.
+	// streamCount is the number of streams, streamsAfter when they begin and killAfter when one of
+	// three daemons is killed, counted from the beginning of the replacement. It is started again
+	// after restartDelay.
 	streamCount  = 120
 	streamsAfter = 3500 * time.Millisecond
-	resetAfter   = 8 * time.Second
+	killAfter    = 8 * time.Second
+	restartDelay = 500 * time.Millisecond
 	events       = 60
 	eventPause   = 200 * time.Millisecond
-	deadline     = 20 * time.Second
 	// allowed is the number of streams that the rule allows to mix versions.
 	allowed = 2
 	// maxLostShare is the largest share of writes that platform_lost loses in the site file.
@@ -162,89 +160,6 @@
 	return ""
 }
 
-// stream is a stream of a client.
-type stream struct {
-	number   int
-	first    string
-	last     int
-	statuses []int
-	// versions are the versions of the events, in the order of their first event.
-	versions []string
-	complete bool
-}
-
-// attempt sends the stream to a daemon's address and receives events until it ends.
-func (s *stream) attempt(ctx context.Context, f *fleet.Fleet, address, id string) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/reply/x", strings.NewReader("prompt"))
-	if err != nil {
-		return
-	}
-	request.Host = fleet.Host
-	h := request.Header
-	h.Set("Authorization", "Bearer key-a")
-	h.Set("X-Attempt-Id", id)
-	end, _ := ctx.Deadline()
-	h.Set("X-Deadline-Ms", strconv.FormatInt(time.Until(end).Milliseconds(), 10))
-	h.Set("X-Model", "m")
-	h.Set("X-Token-Usage", "400,180")
-	h.Set("X-Prefix-Hash", fmt.Sprintf("%x:300,%x:100", 16+s.number%4, 4096+s.number))
-	if s.last > 0 {
-		h.Set("Last-Event-Id", strconv.Itoa(s.last))
-		h.Set("Resumes", s.first)
-	}
-	transport := &http.Transport{DisableKeepAlives: true}
-	defer transport.CloseIdleConnections()
-	response, err := transport.RoundTrip(request)
-	if err != nil {
-		s.statuses = append(s.statuses, 0)
-		f.Record("client: stream %d, attempt %s: %v", s.number, id, err)
-		return
-	}
-	defer response.Body.Close()
-	s.statuses = append(s.statuses, response.StatusCode)
-	if response.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(response.Body)
-		f.Record("client: stream %d, attempt %s: status %d %s", s.number, id, response.StatusCode, strings.TrimSpace(string(text)))
-		return
-	}
-	lines := bufio.NewScanner(response.Body)
-	number := 0
-	for lines.Scan() {
-		line := lines.Text()
-		if value, ok := strings.CutPrefix(line, "id: "); ok {
-			number, _ = strconv.Atoi(value)
-		}
-		value, ok := strings.CutPrefix(line, "data: ")
-		if !ok {
-			continue
-		}
-		if s.last == 0 {
-			s.first = id
-		}
-		s.last = number
-		version, _, _ := strings.Cut(value, " ")
-		if len(s.versions) == 0 || s.versions[len(s.versions)-1] != version {
-			s.versions = append(s.versions, version)
-			f.Record("client: stream %d, attempt %s: event %d comes from %s", s.number, id, number, value)
-		}
-	}
-	s.complete = lines.Err() == nil && s.last == events
-}
-
-// writeConfig writes the desired state.
-func writeConfig(f *fleet.Fleet) {
-	f.Store.Write("op", "config", map[string]any{
-		"version": 3,
-		"routes": []any{map[string]any{
-			"name": "reply", "host": fleet.Host, "prefix": "/reply/", "type": "streaming", "timeoutMs": deadline.Milliseconds(),
-			"targetLatencyMs": 800, "gapTargetMs": 600, "service": "llm", "maxAttempts": 2, "sessionAffinity": true, "streamResume": true, "priority": 1,
-		}},
-		"services": []any{map[string]any{"name": "llm", "healthPath": "/healthz", "runtime": map[string]any{"slots": 64, "kvCapacity": 500000, "stride": 3}}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 200000, "headerTimeoutMs": 5000, "idleTimeoutMs": 20000},
-		"tenants":  []any{map[string]any{"name": "tenant-a", "apiKeys": []string{"key-a"}}},
-	})
-}
-
 // play plays the case and returns its exit code.
 func play() (int, error) {
 	trouble := os.Getenv("TROUBLE") != "0"
@@ -263,10 +178,10 @@
 	defer front.Close()
 	defer front.CloseClientConnections()
 
-	writeConfig(f)
+	f.WriteStreamConfig()
 	var replicas []*fleet.Replica
 	add := func(id, version string) *fleet.Replica {
-		r := &fleet.Replica{ID: id, Version: version, Service: "llm", Zone: "zone-a", Events: events, Pause: eventPause}
+		r := &fleet.Replica{ID: id, Version: version, Service: "llm", Zone: "zone-a", Streams: true, Pause: eventPause}
 		r.Start()
 		replicas = append(replicas, r)
 		f.Write(r, "ready")
@@ -282,18 +197,13 @@
 	}
 	leaving := add("i-new-0", "v2")
 	zones := map[string]string{"zone-a": "region-a"}
-	links := make([]*relay.Relay, 3)
-	for i := range links {
-		vm, err := f.AddVM(fleet.Options{Name: fmt.Sprintf("edge-zone-a-%d", i+1), Zone: "zone-a", Zones: zones, Store: strings.TrimPrefix(front.URL, "http://"), Duties: []string{"usage_report"}})
+	vms := make([]*fleet.VM, 3)
+	for i := range vms {
+		vms[i], err = f.AddVM(fleet.Options{Name: fmt.Sprintf("edge-zone-a-%d", i+1), Zone: "zone-a", Zones: zones, Store: strings.TrimPrefix(front.URL, "http://"), Duties: []string{"usage_report"}})
 		if err != nil {
 			return 0, err
 		}
-		if links[i], err = relay.New("127.0.0.1:0"); err != nil {
-			return 0, err
-		}
-		defer links[i].Close()
-		links[i].SetTarget(vm.Frontend)
-		if err := vm.Start(); err != nil {
+		if err := vms[i].Start(); err != nil {
 			return 0, err
 		}
 	}
@@ -314,25 +224,27 @@
 	add("i-new-1", "v2")
 
 	time.Sleep(time.Until(began.Add(streamsAfter)))
-	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	ctx, cancel := context.WithTimeout(context.Background(), fleet.StreamDeadline)
 	defer cancel()
-	streams := make([]*stream, streamCount)
+	streams := make([]*fleet.Stream, streamCount)
 	var clients sync.WaitGroup
 	for i := range streams {
-		s := &stream{number: i}
+		s := &fleet.Stream{Number: i}
 		streams[i] = s
 		clients.Go(func() {
-			s.attempt(ctx, f, links[i%len(links)].Address(), fmt.Sprintf("first-%d", i))
-			for retry := 1; !s.complete && retry <= 3 && ctx.Err() == nil; retry++ {
+			s.Attempt(ctx, f, vms[i%len(vms)].Frontend, fmt.Sprintf("first-%d", i), events)
+			for retry := 1; !s.Complete && retry <= 3 && ctx.Err() == nil; retry++ {
 				time.Sleep(300 * time.Millisecond)
-				s.attempt(ctx, f, links[(i+retry)%len(links)].Address(), fmt.Sprintf("again-%d-%d", i, retry))
+				s.Attempt(ctx, f, vms[(i+retry)%len(vms)].Frontend, fmt.Sprintf("again-%d-%d", i, retry), events)
 			}
 		})
 	}
-	time.Sleep(time.Until(began.Add(resetAfter)))
-	f.Record("clients' channels are reset")
-	for _, link := range links {
-		link.CloseConnections()
+	time.Sleep(time.Until(began.Add(killAfter)))
+	f.Record("%s is killed", vms[0].Name)
+	vms[0].Kill()
+	time.Sleep(restartDelay)
+	if err := vms[0].Start(); err != nil {
+		return 0, err
 	}
 	clients.Wait()
 	f.RecordRuns(replicas)
@@ -340,20 +252,20 @@
 }
 
 // judge applies the rule.
-func judge(f *fleet.Fleet, store *lossyStore, streams []*stream, trouble bool) int {
+func judge(f *fleet.Fleet, store *lossyStore, streams []*fleet.Stream, trouble bool) int {
 	mixed, again, complete, second := 0, 0, 0, 0
 	for _, s := range streams {
-		f.Record("stream %d: first attempt %s, statuses %v, versions %v, last event %d", s.number, s.first, s.statuses, s.versions, s.last)
-		if len(s.versions) > 1 {
+		f.Record("stream %d: first attempt %s, statuses %v, versions %v, last event %d", s.Number, s.First, s.Statuses, s.Versions, s.Last)
+		if len(s.Versions) > 1 {
 			mixed++
 		}
-		if len(s.statuses) > 1 {
+		if len(s.Statuses) > 1 {
 			again++
 		}
-		if s.complete {
+		if s.Complete {
 			complete++
 		}
-		if len(s.versions) > 0 && s.versions[0] == "v2" {
+		if len(s.Versions) > 0 && s.Versions[0] == "v2" {
 			second++
 		}
 	}
@@ -365,7 +277,7 @@
 	f.Record("%s", result)
 	fmt.Println(result)
 	switch {
-	case second <= allowed || again < len(streams)/2 || trouble && (lost == 0 || float64(lost) > maxLostShare*float64(writes)):
+	case second <= allowed || again < len(streams)/4 || trouble && (lost == 0 || float64(lost) > maxLostShare*float64(writes)):
 		fmt.Println("the case did not come about")
 		return fleet.CannotRun
 	case mixed > allowed:
--- a/review/second/fleet/replica.go
+++ b/review/second/fleet/replica.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -16,14 +17,17 @@
 // signature is the signature of all replicas.
 const signature = "3e1b.07.stand-in"
 
+// eventTokens is the number of tokens in an event.
+const eventTokens = 3
+
 // Replica is a replica whose streams name its software version in each event, and whose other
 // answers have a fixed body.
 type Replica struct {
 	ID, Version, Service, Zone string
-	// Events is the number of events of a stream, or 0 if the replica does not stream, and Pause
-	// the time before each of them, or before the answer.
-	Events int
-	Pause  time.Duration
+	// Streams states that answers are streams, of an event for each eventTokens tokens out.
+	Streams bool
+	// Pause is the time before each event, or before the answer.
+	Pause time.Duration
 
 	server *httptest.Server
 	born   int64
@@ -35,8 +39,8 @@
 
 // Run is a request that a replica ran.
 type Run struct {
-	Attempt, LastEventID string
-	Began                time.Time
+	Version, Attempt, LastEventID string
+	Began                         time.Time
 }
 
 // PlainBody is the body of an answer that is no stream.
@@ -48,6 +52,23 @@
 	r.server = loopback.NewServer(http.HandlerFunc(r.serve))
 }
 
+// Restart starts a replica that was closed again, with the same id and address and another software
+// version.
+func (r *Replica) Restart(version string) error {
+	listener, err := net.Listen("tcp4", r.Address())
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.Version, r.born, r.sequence = version, time.Now().UnixMilli(), 0
+	r.mu.Unlock()
+	r.server = httptest.NewUnstartedServer(http.HandlerFunc(r.serve))
+	_ = r.server.Listener.Close() // it was not used
+	r.server.Listener = listener
+	r.server.Start()
+	return nil
+}
+
 // Close stops the replica and resets its channels.
 func (r *Replica) Close() {
 	r.server.CloseClientConnections()
@@ -61,21 +82,28 @@
 func (f *Fleet) Write(r *Replica, state string) {
 	r.mu.Lock()
 	r.sequence++
-	sequence := r.sequence
-	r.mu.Unlock()
-	f.Record("operator's view: replica %s (%s, version %s) writes state %s", r.ID, r.Service, r.Version, state)
-	f.Store.Write("servers", r.ID, map[string]any{
+	entry := map[string]any{
 		"service": r.Service, "address": r.Address(), "zone": r.Zone, "version": r.Version, "slots": 64, "state": state,
-		"coldRemainingMs": 0, "sequence": sequence, "born": r.born,
-	})
+		"coldRemainingMs": 0, "sequence": r.sequence, "born": r.born,
+	}
+	r.mu.Unlock()
+	f.Record("replica %s (%s, version %s) writes state %s", r.ID, r.Service, entry["version"], state)
+	f.Store.Write("servers", r.ID, entry)
 }
 
 // Remove removes the entry of the replica.
 func (f *Fleet) Remove(r *Replica) {
-	f.Record("operator's view: entry of replica %s is removed", r.ID)
+	f.Record("the entry of replica %s is removed", r.ID)
 	f.Store.Remove("servers", r.ID)
 }
 
+// bornAt returns the start of the replica in Unix milliseconds.
+func (r *Replica) bornAt() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.born
+}
+
 // Runs returns the requests that the replica ran.
 func (r *Replica) Runs() []Run {
 	r.mu.Lock()
@@ -91,7 +119,7 @@
 		return
 	case "/acaciapath/report":
 		w.Header().Set("Content-Type", "application/json")
-		_, _ = io.WriteString(w, `{"phase":"mixed","modelList":[],"busy":false,"sequence":1,"waiting":0,"running":0,"kvUsedCount":0,"kvTotalCount":500000,"cacheHandles":0,"state":"ready","runs":[]}`)
+		_, _ = fmt.Fprintf(w, `{"phase":"mixed","modelList":[],"busy":false,"sequence":1,"waiting":0,"running":0,"kvUsedCount":0,"kvTotalCount":500000,"cacheHandles":0,"state":"ready","runs":[],"born":%d}`, r.bornAt())
 		return
 	}
 	if _, err := io.Copy(io.Discard, request.Body); err != nil {
@@ -105,25 +133,28 @@
 		return
 	}
 	r.mu.Lock()
-	r.runs = append(r.runs, Run{Attempt: request.Header.Get("X-Attempt-Id"), LastEventID: request.Header.Get("Last-Event-Id"), Began: time.Now()})
+	version := r.Version
+	r.runs = append(r.runs, Run{Version: version, Attempt: request.Header.Get("X-Attempt-Id"), LastEventID: request.Header.Get("Last-Event-Id"), Began: time.Now()})
 	r.mu.Unlock()
 	h.Set("X-Replica-Signature", signature)
-	if r.Events == 0 {
+	if !r.Streams {
 		time.Sleep(r.Pause)
 		h.Set("Content-Length", strconv.Itoa(len(PlainBody)))
 		_, _ = io.WriteString(w, PlainBody)
 		return
 	}
 	h.Set("Content-Type", "text/event-stream")
+	_, tokens, _ := strings.Cut(request.Header.Get("X-Token-Usage"), ",")
+	out, _ := strconv.Atoi(tokens)                               // clients send a number
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id")) // none counts as 0
 	controller := http.NewResponseController(w)
-	for i := last + 1; i <= r.Events; i++ {
+	for i := last + 1; i <= out/eventTokens; i++ {
 		select {
 		case <-request.Context().Done():
 			return
 		case <-time.After(r.Pause):
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %s\n\n", i, r.Version, r.ID)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %s\n\n", i, version, r.ID)
 		_ = controller.Flush()
 	}
 }
@@ -132,7 +163,7 @@
 func (f *Fleet) RecordRuns(replicas []*Replica) {
 	for _, r := range replicas {
 		for _, run := range r.Runs() {
-			f.Record("replica %s (version %s) ran attempt %s from event %q, begun at %.3f s", r.ID, r.Version, run.Attempt, run.LastEventID, run.Began.Sub(f.began).Seconds())
+			f.Record("replica %s (version %s) ran attempt %s from event %q, begun at %.3f s", r.ID, run.Version, run.Attempt, run.LastEventID, run.Began.Sub(f.began).Seconds())
 		}
 	}
 }
