--- a/review/second/fleet/fleet.go
+++ b/review/second/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -38,14 +39,17 @@
 	dir   string
 	began time.Time
 
-	mu     sync.Mutex // guards record
+	mu     sync.Mutex // guards the fields below
 	record *os.File
+	// children are the processes that are killed if this one is told to stop.
+	children map[int]*os.Process
 }
 
 // VM is a daemon process.
 type VM struct {
 	Name, Frontend, Ready string
 
+	fleet   *Fleet
 	config  string
 	log     *os.File
 	mu      sync.Mutex // guards the fields below
@@ -63,7 +67,42 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Fleet{Store: platformtest.NewStore(), Cloud: platformtest.NewCloudAPI(), dir: dir, began: time.Now(), record: record}, nil
+	f := &Fleet{
+		Store: platformtest.NewStore(), Cloud: platformtest.NewCloudAPI(), dir: dir, began: time.Now(), record: record,
+		children: make(map[int]*os.Process),
+	}
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stops
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, child := range f.children {
+			_ = child.Kill() // it may have ended
+		}
+		_ = os.RemoveAll(dir)
+		os.Exit(CannotRun)
+	}()
+	return f, nil
+}
+
+// Start starts a process that is killed if this one is told to stop. Wait must be called.
+func (f *Fleet) Start(process *exec.Cmd) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := process.Start(); err != nil {
+		return err
+	}
+	f.children[process.Process.Pid] = process.Process
+	return nil
+}
+
+// Wait waits for the end of a process that Start started. How it ended does not matter.
+func (f *Fleet) Wait(process *exec.Cmd) {
+	_ = process.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.children, process.Process.Pid)
 }
 
 // Record writes a line to the record, with the time since the start.
@@ -148,7 +187,7 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &VM{Name: o.Name, Frontend: addresses[0], Ready: addresses[1], config: filepath.Join(f.dir, o.Name+".json")}
+	v := &VM{fleet: f, Name: o.Name, Frontend: addresses[0], Ready: addresses[1], config: filepath.Join(f.dir, o.Name+".json")}
 	if err := os.WriteFile(v.config, settings, 0o600); err != nil {
 		return nil, err
 	}
@@ -166,13 +205,13 @@
 	v.process = exec.Command("target/acaciad")
 	v.process.Env = []string{"ACACIAPATH_CONFIG=" + v.config, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	v.process.Stdout, v.process.Stderr = v.log, v.log
-	if err := v.process.Start(); err != nil {
+	if err := v.fleet.Start(v.process); err != nil {
 		return err
 	}
 	process, exited := v.process, make(chan struct{})
 	v.exited = exited
 	go func() {
-		_ = process.Wait() // how it ended shows in what it served
+		v.fleet.Wait(process)
 		close(exited)
 	}()
 	return nil
