--- a/review/second/fleet/replica.go
+++ b/review/second/fleet/replica.go
@@ -34,7 +34,9 @@
 
 	mu       sync.Mutex // guards the fields below
 	sequence int
-	runs     []Run
+	// leaving states that the replica says in all its answers that it leaves.
+	leaving bool
+	runs    []Run
 }
 
 // Run is a request that a replica ran.
@@ -60,7 +62,7 @@
 		return err
 	}
 	r.mu.Lock()
-	r.Version, r.born, r.sequence = version, time.Now().UnixMilli(), 0
+	r.Version, r.born, r.sequence, r.leaving = version, time.Now().UnixMilli(), 0, false
 	r.mu.Unlock()
 	r.server = httptest.NewUnstartedServer(http.HandlerFunc(r.serve))
 	_ = r.server.Listener.Close() // it was not used
@@ -82,6 +84,7 @@
 func (f *Fleet) Write(r *Replica, state string) {
 	r.mu.Lock()
 	r.sequence++
+	r.leaving = state == "draining"
 	entry := map[string]any{
 		"service": r.Service, "address": r.Address(), "zone": r.Zone, "version": r.Version, "slots": 64, "state": state,
 		"coldRemainingMs": 0, "sequence": r.sequence, "born": r.born,
@@ -113,6 +116,12 @@
 
 // serve serves one request.
 func (r *Replica) serve(w http.ResponseWriter, request *http.Request) {
+	r.mu.Lock()
+	leaving := r.leaving
+	r.mu.Unlock()
+	if leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	switch request.URL.Path {
 	case "/healthz":
 		w.Header().Set("X-Replica-Id", r.ID)
