--- a/review/second/8/main.go
+++ b/review/second/8/main.go
@@ -1,6 +1,6 @@
-// Command 8 plays case 8: replicas are replaced in place by another software version, under the ids
-// that they had, while the platform's store is away. Two of them crash after its return, so that their
-// streams are resumed.
+// Command 8 plays case 8: replicas crash and start again under the ids that they had, with another
+// software version, while the platform's store is away. Two of them crash again after its return, so
+// that their streams are resumed.
 package main
 
 import (
@@ -19,8 +19,8 @@
 	settleTime = 6 * time.Second
 	// awayTime is how long the store resets all channels: platform_down in the site file.
 	awayTime = 8 * time.Second
-	// replicaCount replicas serve, of which one is replaced at each of steps, and is back after
-	// backTime.
+	// replicaCount replicas serve, of which one crashes at each of steps, and is back after
+	// backTime. A replica that crashes reports nothing.
 	replicaCount = 8
 	backTime     = time.Second
 	// crashTime is when crashCount replicas crash for downTime: srv_crash in the site file, which
@@ -42,7 +42,7 @@
 	allowed = 2
 )
 
-// steps are when replicas are replaced.
+// steps are when replicas crash.
 var steps = []time.Duration{1 * time.Second, 4 * time.Second, 7 * time.Second}
 
 func main() {
@@ -103,13 +103,13 @@
 		store.SetTarget("")
 		store.CloseConnections()
 	}
-	var replaced sync.WaitGroup
+	var restarted sync.WaitGroup
 	for i, step := range steps {
 		at(step)
 		r := replicas[i]
-		f.Record("replica %s (version v1) ends", r.ID)
+		f.Record("replica %s (version v1) crashes", r.ID)
 		r.Close()
-		replaced.Go(func() {
+		restarted.Go(func() {
 			time.Sleep(backTime)
 			if err := r.Restart("v2"); err != nil {
 				f.Record("replica %s cannot start: %v", r.ID, err)
@@ -125,7 +125,7 @@
 	at(awayTime)
 	store.SetTarget(f.Store.Address())
 	f.Record("the store is there")
-	replaced.Wait()
+	restarted.Wait()
 	at(crashTime)
 	for _, r := range replicas[:crashCount] {
 		f.Record("replica %s (version v2) crashes", r.ID)
