--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -2,4 +2,4 @@
 # Plays case 7. TROUBLE=0 plays it without lost answers of the store.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/case-7 ] && [ -x target/acaciad ] || { echo "run the build of deploy/system.toml and review/build-2.sh first"; exit 2; }
-RECORD=review/7/record.txt exec timeout --kill-after=5 115 target/review-2/case-7
+RECORD=review/7/record.txt exec timeout --preserve-status --kill-after=5 115 target/review-2/case-7
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,5 +6,5 @@
 mkdir -p ../../target/review-2
 for program in */main.go; do
 	name=$(dirname "$program")
-	GOWORK=off GOPROXY=off go build -o "../../target/review-2/case-$name" "./$name"
+	GOWORK=off GOPROXY=off GOFLAGS=-buildvcs=false go build -o "../../target/review-2/case-$name" "./$name"
 done
--- a/review/second/6/main.go
+++ b/review/second/6/main.go
@@ -43,8 +43,8 @@
 var crashTimes = []time.Duration{3 * time.Second, 9 * time.Second, 15 * time.Second}
 
 func main() {
-	if len(os.Args) == 4 && os.Args[1] == "replica" {
-		if err := serve(os.Args[2], os.Args[3]); err != nil {
+	if len(os.Args) == 5 && os.Args[1] == "replica" {
+		if err := serve(os.Args[2], os.Args[3], os.Args[4]); err != nil {
 			fmt.Println(err)
 			os.Exit(1)
 		}
@@ -58,8 +58,9 @@
 	os.Exit(code)
 }
 
-// serve is a replica with an id at an address. Its answers end with their channels.
-func serve(id, address string) error {
+// serve is a replica with an id at an address, which was born at a Unix millisecond. Its answers end
+// with their channels.
+func serve(id, address, born string) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return err
@@ -69,12 +70,12 @@
 		if err != nil {
 			return err
 		}
-		go answer(connection, id)
+		go answer(connection, id, born)
 	}
 }
 
 // answer answers the request on a connection.
-func answer(connection net.Conn, id string) {
+func answer(connection net.Conn, id, born string) {
 	defer connection.Close()
 	r, err := http.ReadRequest(bufio.NewReader(connection))
 	if err != nil {
@@ -93,7 +94,7 @@
 		write("HTTP/1.1 200 OK\r\nX-Replica-Id: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", id)
 		return
 	case r.URL.Path == "/acaciapath/report":
-		write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n{\"phase\":\"mixed\",\"state\":\"ready\",\"runs\":[]}")
+		write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n{\"phase\":\"mixed\",\"state\":\"ready\",\"runs\":[],\"born\":%s}", born)
 		return
 	case r.Header.Get("X-Expected-Replica") != id:
 		write("HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", attempt)
@@ -121,13 +122,15 @@
 // replica is a replica process.
 type replica struct {
 	id, service, address string
+	born                 int64
 	process              *exec.Cmd
 	done                 chan struct{}
 }
 
 // start starts the process, whose output goes to the record.
 func (r *replica) start(f *fleet.Fleet) error {
-	r.process = exec.Command(os.Args[0], "replica", r.id, r.address)
+	r.born = time.Now().UnixMilli()
+	r.process = exec.Command(os.Args[0], "replica", r.id, r.address, strconv.FormatInt(r.born, 10))
 	out, err := r.process.StdoutPipe()
 	if err != nil {
 		return err
@@ -202,7 +205,7 @@
 			replicas = append(replicas, r)
 			f.Store.Write("servers", r.id, map[string]any{
 				"service": service, "address": address, "zone": "zone-a", "version": "v1", "slots": 64, "state": "ready",
-				"coldRemainingMs": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+				"coldRemainingMs": 0, "sequence": 1, "born": r.born,
 			})
 		}
 	}
@@ -243,7 +246,7 @@
 			f.Record("replica %s is back", r.id)
 			f.Store.Write("servers", r.id, map[string]any{
 				"service": r.service, "address": r.address, "zone": "zone-a", "version": "v1", "slots": 64, "state": "ready",
-				"coldRemainingMs": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+				"coldRemainingMs": 0, "sequence": 1, "born": r.born,
 			})
 		}
 	}
--- a/review/second/fleet/fleet.go
+++ b/review/second/fleet/fleet.go
@@ -226,23 +226,6 @@
 	}
 }
 
-// PID returns the process id of the daemon.
-func (v *VM) PID() int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.process.Process.Pid
-}
-
-// Exited reports whether the daemon has ended.
-func (v *VM) Exited() bool {
-	select {
-	case <-v.exited:
-		return true
-	default:
-		return false
-	}
-}
-
 // Kill kills the daemon and waits for its end.
 func (v *VM) Kill() {
 	v.Signal(syscall.SIGCONT)
