--- a/acaciad/origins/late_write_test.go
+++ b/acaciad/origins/late_write_test.go
@@ -96,7 +96,7 @@
 // that replaced it has written its row. It took back the plans and streams of the new one. Writes of
 // earlier builds have no condition, so that the row is looked at for a while.
 func TestLateWriteOfEarlierProcess(t *testing.T) {
-	for _, conditional := range []bool{true} {
+	for _, conditional := range []bool{true, false} {
 		t.Run(fmt.Sprintf("conditional=%v", conditional), func(t *testing.T) {
 			f := newFixture(t)
 			delays := f.delayWrites()
