--- a/acaciad/crashreports/exchange.go
+++ b/acaciad/crashreports/exchange.go
@@ -10,7 +10,9 @@
 
 	"acaciapath.example/core/epoch"
 	"acaciapath.example/core/gen/table"
+	"acaciapath.example/core/ownrow"
 	"acaciapath.example/core/platformapi"
+	"acaciapath.example/core/quarantine"
 	"acaciapath.example/platform"
 )
 
@@ -146,31 +148,66 @@
 		g.mu.Unlock()
 		return
 	}
-	report, hasRow := g.ledger.Report(), g.ownRow
+	report, hasRow, row := g.ledger.Report(), g.ownRow, g.rowLocked()
 	g.reportDue, g.reportedAt = time.Time{}, now
 	g.mu.Unlock()
 	if report.IsEmpty() && !hasRow {
 		return
 	}
-	write := &table.Write{Key: reportPrefix + g.VM, Delete: report.IsEmpty()}
-	var err error
-	if !write.Delete {
-		write.Value, err = encodeReport(report)
-	}
-	if err == nil {
-		_, err = g.commit(ctx, &table.CommitPayload{Writes: []*table.Write{write}})
-	}
+	foreign, err := writeRow(ctx, row, report)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
+	case foreign != nil:
+		g.mergeForeignLocked(foreign.Key, foreign.Value, now)
 	case err == nil:
-		g.ownRow = !write.Delete
+		g.ownRow = !report.IsEmpty()
 	case ctx.Err() == nil:
+		g.ownRow = true // the store may have it
 		g.reportDue = time.Now().Round(0).Add(retryInterval + g.spread())
 		g.Logger.WithField("error", platformapi.Reason(err)).Info("cannot write the crash report of this VM, will retry")
 	}
 }
 
+// writeRow writes a report to the row of this VM, or deletes the row if the report is empty. If
+// an earlier process of this VM has written the row meanwhile, it returns that row.
+func writeRow(ctx context.Context, row *ownrow.Row, report quarantine.Report) (foreign *table.Row, err error) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if report.IsEmpty() {
+		return row.Delete(ctx)
+	}
+	value, err := encodeReport(report)
+	if err != nil {
+		return nil, err
+	}
+	return row.Write(ctx, value)
+}
+
+// rowLocked returns the row of this VM. The caller holds g.mu.
+func (g *Guard) rowLocked() *ownrow.Row {
+	if g.row == nil {
+		g.row = ownrow.New(g.Table, reportPrefix+g.VM)
+	}
+	return g.row
+}
+
+// mergeForeignLocked takes over what an earlier process of this VM has written to the row, and
+// has it written again. The caller holds g.mu.
+func (g *Guard) mergeForeignLocked(key string, value []byte, now time.Time) {
+	g.ownRow = true
+	g.Logger.WithField("row", key).Info("an earlier process of this VM has written the crash report, writing it again")
+	if report, err := parseReport(value); err != nil {
+		g.Logger.WithError(err).WithField("row", key).Warn("invalid crash report ignored")
+	} else {
+		lifted, _ := g.ledger.Merge(report, true, now)
+		for _, part := range lifted {
+			g.removeLocked(part, changeDisproved, now)
+		}
+	}
+	g.scheduleReportLocked(now)
+}
+
 // maxTime returns the later of two times.
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
@@ -259,8 +296,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	seen := make(map[uint64]bool)
-	outdated := 0
+	outdated, ownSeen := 0, false
 	for _, row := range rows {
+		if row.Key == reportPrefix+g.VM && g.ownRowKnown {
+			ownSeen = ownSeen || !row.Deleted
+			g.checkOwnLocked(row, now)
+			continue
+		}
 		if vm, ok := strings.CutPrefix(row.Key, reportPrefix); ok && !row.Deleted {
 			if newest := g.applyReportLocked(vm, row, now); snapshot && !newest.IsZero() && outdated < maxRemovedReports && g.ledger.Outdated(newest, now) {
 				outdated++
@@ -274,6 +316,9 @@
 		}
 	}
 	if snapshot {
+		if g.ownRow && g.ownRowKnown && !ownSeen && g.rowLocked().Version() <= version {
+			g.scheduleReportLocked(now)
+		}
 		g.applyMissingLocked(seen, version, now)
 	}
 	g.ownRowKnown = true
@@ -282,6 +327,20 @@
 	return false
 }
 
+// checkOwnLocked has the row of this VM written again if another process has written or deleted
+// it. Late writes of earlier builds have no condition. The caller holds g.mu.
+func (g *Guard) checkOwnLocked(row platform.Row, now time.Time) {
+	own := g.rowLocked()
+	switch {
+	case row.Version <= own.Version():
+	case row.Deleted && g.ownRow:
+		g.scheduleReportLocked(now)
+	case !row.Deleted && own.IsForeign(row.Data):
+		own.Adopt(row.Version)
+		g.mergeForeignLocked(row.Key, row.Data, now)
+	}
+}
+
 // applyMissingLocked ends the quarantines whose rows are missing as of a version of the
 // store. If the store was restored from a copy since, they are not missing but lost: they
 // are written again, and so is the report of this daemon. The caller holds g.mu.
@@ -312,9 +371,6 @@
 // holds g.mu.
 func (g *Guard) applyReportLocked(vm string, row platform.Row, now time.Time) time.Time {
 	own := vm == g.VM
-	if own && g.ownRowKnown {
-		return time.Time{}
-	}
 	report, err := parseReport(row.Data)
 	if err != nil {
 		g.Logger.WithError(err).WithField("row", row.Key).Warn("invalid crash report ignored")
@@ -329,6 +385,7 @@
 	}
 	if own {
 		g.ownRow = true
+		g.rowLocked().Adopt(row.Version)
 		return time.Time{}
 	}
 	return report.Newest()
--- a/acaciad/crashreports/guard.go
+++ b/acaciad/crashreports/guard.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"acaciapath.example/core/gen/table"
+	"acaciapath.example/core/ownrow"
 	"acaciapath.example/core/quarantine"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -40,8 +41,9 @@
 	// reportDue is when the report is to be written, or zero, and reportedAt when it was
 	// last written.
 	reportDue, reportedAt time.Time
-	// ownRowKnown states that the row of this VM from before a restart has been looked for,
-	// and ownRow that there is a row.
+	// row is the row of this VM, or nil before it is used. ownRowKnown states that the one from
+	// before a restart has been looked for, and ownRow that there is one.
+	row                 *ownrow.Row
 	ownRowKnown, ownRow bool
 	// writes are the rows of quarantines that are to be written or deleted.
 	writes map[uint64]pendingWrite
--- a/core/ownrow/row.go
+++ b/core/ownrow/row.go
@@ -101,10 +101,14 @@
 // commit commits a write of the row.
 func (r *Row) commit(ctx context.Context, write *table.Write) (foreign *table.Row, err error) {
 	version := r.startWrite(write)
-	for range maxAttempts {
-		if write.Delete && version == 0 {
-			return nil, nil
+	if write.Delete && version == 0 { // a commit without an answer may have inserted it
+		row, err := r.Read(ctx)
+		if row == nil {
+			return nil, err
 		}
+		version = row.Version
+	}
+	for range maxAttempts {
 		rows, err := r.table.Commit(ctx, &table.CommitPayload{
 			Conditions: []*table.Condition{{Key: r.key, Version: version}}, Writes: []*table.Write{write},
 		})
@@ -127,6 +131,8 @@
 		}
 		version = current.Version
 		switch {
+		case version == 0 && write.Delete:
+			return nil, nil
 		case version == 0:
 		case !write.Delete && bytes.Equal(current.Value, write.Value):
 			return nil, nil // a commit without an answer has taken effect
