--- a/acaciad/neighbours/registry.go
+++ b/acaciad/neighbours/registry.go
@@ -11,6 +11,7 @@
 	"acaciapath.example/core/detour"
 	"acaciapath.example/core/follow"
 	"acaciapath.example/core/gen/table"
+	"acaciapath.example/core/ownrow"
 	"acaciapath.example/core/platformapi"
 	"acaciapath.example/core/sleep"
 
@@ -38,6 +39,10 @@
 	// lookUpSpread is the time over which the daemons look whether the store still has their
 	// rows, after it was restored from a copy.
 	lookUpSpread = 2 * time.Second
+	// lateWriteTime is how long writes of an earlier process may take effect after a restart,
+	// and watchInterval the time between two looks at the row until then.
+	lateWriteTime = 10 * time.Second
+	watchInterval = 3 * time.Second
 	// retryInterval is the time between two attempts while the store does not answer. A
 	// daemon that knows no neighbours tries every checkInterval.
 	retryInterval = 5 * time.Second
@@ -87,6 +92,8 @@
 	// Random spreads the reads of the daemons over time.
 	Random *rand.Rand
 
+	// row is the row of this daemon, or nil before it is used.
+	row *ownrow.Row
 	// knownCount is the number of known neighbours, and readCount that of reads so far.
 	knownCount, readCount int
 
@@ -103,15 +110,30 @@
 // rowKey returns the key of the daemon's row.
 func (r *Registry) rowKey() string { return keyPrefix + r.FailureDomain + "/" + r.VM }
 
+// ownRow returns the daemon's row.
+func (r *Registry) ownRow() *ownrow.Row {
+	if r.row == nil {
+		r.row = ownrow.New(r.Table, r.rowKey())
+	}
+	return r.row
+}
+
 // Run renews the daemon's row and reads those of other daemons until ctx is done.
 func (r *Registry) Run(ctx context.Context) {
-	var nextWrite, nextRead, lastRead, lookUp time.Time
+	var nextWrite, nextRead, lastRead, lookUp, watchUntil time.Time
+	if !r.ColdStart {
+		watchUntil = time.Now().Add(lateWriteTime)
+		lookUp = time.Now().Add(watchInterval)
+	}
 	for ctx.Err() == nil {
 		if r.restored.Swap(false) {
 			lookUp = time.Now().Add(time.Duration(r.Random.Int64N(int64(lookUpSpread))))
 		}
 		if now := time.Now(); !lookUp.IsZero() && !now.Before(lookUp) {
 			lookUp = time.Time{}
+			if now.Before(watchUntil) {
+				lookUp = now.Add(watchInterval)
+			}
 			if !r.isStored(ctx) {
 				nextWrite = now
 			}
@@ -146,21 +168,26 @@
 	firstReadInterval = 3 * time.Second
 )
 
-// isStored reports whether the store is known to have the daemon's row.
+// isStored reports whether the store is known to have the row as this daemon wrote it.
 func (r *Registry) isStored(ctx context.Context) bool {
-	rows, err := r.Table.Get(ctx, &table.GetPayload{Keys: []string{r.rowKey()}})
+	version := r.ownRow().Version()
+	row, err := r.ownRow().Read(ctx)
 	if err != nil {
 		r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot look up the neighbour row of this VM, writing it again")
 		return false
 	}
-	return len(rows) > 0
+	return row != nil && (row.Version <= version || !r.ownRow().IsForeign(row.Value))
 }
 
 // write writes the daemon's row and reports whether that succeeded.
 func (r *Registry) write(ctx context.Context, now time.Time) bool {
 	value, err := json.Marshal(entry{Address: r.Address, Cores: r.Cores, FailureDomain: r.FailureDomain, Written: now})
+	var foreign *table.Row
 	if err == nil {
-		_, err = r.Table.Commit(ctx, &table.CommitPayload{Writes: []*table.Write{{Key: r.rowKey(), Value: value}}})
+		foreign, err = r.ownRow().Write(ctx, value)
+	}
+	if foreign != nil { // the row is that of an earlier process, and no longer true
+		_, err = r.ownRow().Write(ctx, value)
 	}
 	if err != nil {
 		r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot write the neighbour row of this VM, will retry")
@@ -168,9 +195,10 @@
 	return err == nil
 }
 
-// Remove deletes the daemon's row when the daemon shuts down.
+// Remove deletes the daemon's row when the daemon shuts down, unless another process of this VM
+// has written it. Run must have returned.
 func (r *Registry) Remove(ctx context.Context) {
-	if _, err := r.Table.Commit(ctx, &table.CommitPayload{Writes: []*table.Write{{Key: r.rowKey(), Delete: true}}}); err != nil {
+	if _, err := r.ownRow().Delete(ctx); err != nil {
 		r.Logger.WithField("error", platformapi.Reason(err)).Info("cannot delete the neighbour row of this VM, it will expire")
 	}
 }
