--- a/acaciad/limitreports/sharer.go
+++ b/acaciad/limitreports/sharer.go
@@ -31,8 +31,9 @@
 	writeTimeout = 2 * time.Second
 )
 
-// maxWrites is the maximum number of rows in one transaction of the store.
-const maxWrites = 100
+// maxWrites is the maximum number of rows that are written in one transaction. The store accepts
+// 100 conditions and writes together.
+const maxWrites = 50
 
 // keyPrefix is the prefix of the keys of rows. The instance of a server follows.
 const keyPrefix = "limit/"
@@ -73,6 +74,8 @@
 	mu      sync.Mutex // guards the fields below
 	rows    map[string]limit
 	pending map[string]limit
+	// versions are the versions of the rows in the table, also of those that cannot be read.
+	versions map[string]uint64
 	// due is when the pending limits are to be written, or zero.
 	due time.Time
 }
@@ -80,7 +83,7 @@
 // NewSharer returns a sharer that knows no limits, whose exported fields must be set before
 // use.
 func NewSharer() *Sharer {
-	return &Sharer{wake: make(chan struct{}, 1), rows: make(map[string]limit), pending: make(map[string]limit)}
+	return &Sharer{wake: make(chan struct{}, 1), rows: make(map[string]limit), pending: make(map[string]limit), versions: make(map[string]uint64)}
 }
 
 // Record records that a server named a limit in an answer.
@@ -144,13 +147,13 @@
 // flush writes the pending limits that the table does not have yet.
 func (s *Sharer) flush(ctx context.Context) {
 	now := time.Now().Round(0)
-	writes, written := s.takePending(now)
-	if len(writes) == 0 {
+	commit, written := s.takePending(now)
+	if len(written) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	rows, err := s.Table.Commit(ctx, &table.CommitPayload{Writes: writes})
+	rows, err := s.Table.Commit(ctx, commit)
 	var version uint64
 	if len(rows) > 0 {
 		version = rows[0].Version
@@ -164,28 +167,48 @@
 			s.pending[instance] = l
 		case err == nil && l.ended:
 			delete(s.rows, instance)
+			delete(s.versions, instance)
 			s.Forget(instance)
 		case err == nil:
 			l.version = version
-			s.rows[instance] = l
+			s.rows[instance], s.versions[instance] = l, version
 		}
 	}
+	if conflict := platformapi.AsConflict(err); conflict != nil {
+		s.learnConflictLocked(conflict, now)
+		return
+	}
 	if err != nil {
 		s.due = now.Add(retryInterval + s.spread())
-		s.Logger.WithFields(logrus.Fields{"servers": len(writes), "error": platformapi.Reason(err)}).
+		s.Logger.WithFields(logrus.Fields{"servers": len(written), "error": platformapi.Reason(err)}).
 			Info("cannot report the limits of backend servers, will retry")
 	}
 }
 
-// takePending takes the pending limits, as many as one transaction holds.
-func (s *Sharer) takePending(now time.Time) ([]*table.Write, map[string]limit) {
+// learnConflictLocked applies the rows that other daemons have written meanwhile, and has those
+// limits written that are still to be. The caller holds s.mu.
+func (s *Sharer) learnConflictLocked(conflict *table.Conflict, now time.Time) {
+	for _, row := range conflict.Rows {
+		instance := strings.TrimPrefix(row.Key, keyPrefix)
+		if row.Version == 0 { // deleted, or the store was restored from a copy since
+			delete(s.versions, instance)
+			continue
+		}
+		s.applyLocked(instance, platform.Row{Key: row.Key, Data: row.Value, Version: row.Version}, false, now)
+	}
+	s.due = now.Add(s.spread())
+}
+
+// takePending takes the pending limits, as many as one transaction holds. Each row is written
+// under the condition that it is as this daemon knows it.
+func (s *Sharer) takePending(now time.Time) (*table.CommitPayload, map[string]limit) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var writes []*table.Write
+	commit := &table.CommitPayload{}
 	written := make(map[string]limit)
 	s.due = time.Time{}
 	for instance, l := range s.pending {
-		if len(writes) == maxWrites {
+		if len(written) == maxWrites {
 			s.due = now
 			break
 		}
@@ -194,6 +217,9 @@
 		if l.ended && !known || !l.ended && known && row.perSecond == l.perSecond && now.Sub(row.named) < refreshInterval {
 			continue // another daemon wrote it meanwhile
 		}
+		if known && row.named.After(l.named) {
+			continue // another daemon learned it later
+		}
 		write := &table.Write{Key: keyPrefix + instance, Delete: l.ended}
 		if !l.ended {
 			value, err := json.Marshal(storedLimit{PerSecond: l.perSecond, NamedMS: l.named.UnixMilli()})
@@ -203,9 +229,11 @@
 			}
 			write.Value = value
 		}
-		writes, written[instance] = append(writes, write), l
+		commit.Conditions = append(commit.Conditions, &table.Condition{Key: write.Key, Version: s.versions[instance]})
+		commit.Writes = append(commit.Writes, write)
+		written[instance] = l
 	}
-	return writes, written
+	return commit, written
 }
 
 // Apply applies rows of the table. snapshot states that they are all rows as of a version
@@ -232,6 +260,7 @@
 			continue
 		}
 		delete(s.rows, instance)
+		delete(s.versions, instance)
 		if written, _ := epoch.Split(row.version); written < current && now.Sub(row.named) < s.Memory {
 			// The store was restored from a copy without the row.
 			row.version = 0
@@ -245,10 +274,12 @@
 // applyLocked applies the row of a server, unless a later one is known. The caller holds
 // s.mu.
 func (s *Sharer) applyLocked(instance string, row platform.Row, snapshot bool, now time.Time) {
-	if row.Version < s.rows[instance].version {
+	if row.Version < s.versions[instance] {
 		return
 	}
+	s.versions[instance] = row.Version
 	if row.Deleted {
+		delete(s.versions, instance)
 		delete(s.rows, instance)
 		s.Forget(instance)
 		return
