--- a/acaciad/origins/exchange.go
+++ b/acaciad/origins/exchange.go
@@ -74,6 +74,8 @@
 		interval := writeInterval + time.Duration(r.Daemons())*writeSpread
 		if !r.write(ctx) {
 			interval = retryInterval + rand.N(retryInterval)
+		} else if r.isUnconfirmed() {
+			continue
 		}
 		sleep.For(ctx, interval+rand.N(writeSpread))
 	}
@@ -219,6 +221,9 @@
 	r.mu.Lock()
 	report := r.ledger.Report(now)
 	report.Epoch, report.EndedAt = r.ledger.Epoch(r.Epoch(), now), now
+	for service, plan := range report.Plans {
+		report.Plans[service] = plan.Confirm(now) // the report has all streams that began otherwise
+	}
 	r.mu.Unlock()
 	value, err := encodeReport(report)
 	if err == nil && len(report.Plans) > 0 {
@@ -240,6 +245,23 @@
 	return r.ownRow().Write(ctx, value)
 }
 
+// startWriting records that a report is being written.
+func (r *Registry) startWriting(report origin.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.writing == nil {
+		r.writing = &reportWrite{done: make(chan struct{})}
+	}
+	r.writing.reports = append(r.writing.reports, report)
+}
+
+// isUnconfirmed reports whether the plans are in use and others do not know that yet.
+func (r *Registry) isUnconfirmed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.writing != nil
+}
+
 // isChanged reports whether the row is to be written.
 func (r *Registry) isChanged() bool {
 	r.mu.Lock()
@@ -260,9 +282,7 @@
 	value, err := encodeReport(report)
 	var foreign *table.Row
 	if err == nil {
-		r.mu.Lock()
-		r.writing = &reportWrite{report: report, done: make(chan struct{})}
-		r.mu.Unlock()
+		r.startWriting(report)
 		foreign, err = r.commit(ctx, value)
 	}
 	if foreign != nil {
@@ -270,7 +290,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.writing != nil {
+	unconfirmed := err == nil && foreign == nil && report.IsUnconfirmed()
+	if r.writing != nil && !unconfirmed {
 		close(r.writing.done)
 		r.writing = nil
 	}
--- a/acaciad/origins/late_write_test.go
+++ b/acaciad/origins/late_write_test.go
@@ -126,3 +126,49 @@
 		})
 	}
 }
+
+// TestKilledBeforePlansAreKnownToBeWritten ends daemons after the store has performed the write of a
+// change of plans and before they hear of that, so that they go on by the old plans. Their streams
+// were taken for those of the new plans (ORDER).
+func TestKilledBeforePlansAreKnownToBeWritten(t *testing.T) {
+	f := newFixture(t)
+	one, stopOne := f.start("vm-1")
+	two, stopTwo := f.start("vm-2")
+	only := map[string]int{"v1": 4}
+	for _, r := range []*origins.Registry{one, two} {
+		r.SetListed(listed(only), time.Now())
+	}
+	for _, r := range []*origins.Registry{one, two} {
+		f.eventually(func() bool { return usesOnly(f, r, only) })
+	}
+	time.Sleep(500 * time.Millisecond) // nothing is left to write
+	f.store.SetFault(func(method, _ string) platformtest.Fault {
+		if method == "POST" {
+			return platformtest.ReplyLost
+		}
+		return platformtest.NoFault
+	})
+	for _, r := range []*origins.Registry{one, two} {
+		r.SetListed(listed(both), time.Now())
+		f.eventually(func() bool { return strings.Contains(f.storedPlan(r.VM), "v2") })
+	}
+	time.Sleep(400 * time.Millisecond) // streams no longer wait for the write
+	versions := make(map[string]string)
+	for i := range 24 {
+		id := fmt.Sprint(i)
+		versions[id] = f.begin(one, id)
+	}
+	stopOne()
+	stopTwo()
+	f.store.SetFault(nil)
+	three, _ := f.start("vm-3")
+	f.waitForRow(three)
+	known := 0
+	for id, version := range versions {
+		if found := f.version(three, id); found != "" {
+			known++
+			f.Check(found, qt.Equals, version, qt.Commentf("stream %s", id))
+		}
+	}
+	f.Check(known > len(versions)/4, qt.IsTrue, qt.Commentf("%d of %d streams are known", known, len(versions)))
+}
--- a/acaciad/origins/registry.go
+++ b/acaciad/origins/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,7 +66,7 @@
 	plansDue time.Time
 	// reading is the latest read of all reports, which may have ended.
 	reading *reading
-	// writing is the report that is being written, or nil.
+	// writing is the write of a change of plans, or of another report, or nil.
 	writing *reportWrite
 	// reportedAt and failedAt are when the reports were made that were last written, and that
 	// last could not be. written is closed and replaced at the end of each write.
@@ -73,13 +74,20 @@
 	written              chan struct{}
 }
 
-// reportWrite is the write of a report.
+// reportWrite is the write of a report, and of another one which confirms that its plans are in
+// use.
 type reportWrite struct {
-	report origin.Report
-	// done is closed when the write has ended.
+	reports []origin.Report
+	// done is closed when the writes have ended.
 	done chan struct{}
 }
 
+// differs reports whether others may take a stream that begins at a version for one of another
+// version until the writes have ended.
+func (w *reportWrite) differs(service string, stream origin.Stream, version string) bool {
+	return slices.ContainsFunc(w.reports, func(r origin.Report) bool { return r.Plans[service].Differs(stream, version, r.At) })
+}
+
 // NewRegistry returns a registry that knows no streams, whose exported fields must be set
 // before use.
 func NewRegistry() *Registry {
@@ -170,11 +178,8 @@
 func (r *Registry) Choose(ctx context.Context, service string, stream origin.Stream) (version string, ok bool) {
 	r.mu.Lock()
 	version, ok = r.ledger.Choose(service, stream)
-	write, changes := r.writing, false
-	if write != nil && ok {
-		next, planned := write.report.Plans[service].Plan.Pick(stream)
-		changes = planned && next != version
-	}
+	write := r.writing
+	changes := write != nil && ok && write.differs(service, stream, version)
 	r.mu.Unlock()
 	if !changes {
 		return version, ok
--- a/core/origin/ledger.go
+++ b/core/origin/ledger.go
@@ -20,6 +20,10 @@
 	maxFormer = 8
 )
 
+// unconfirmedTime is how long a plan counts as possibly in use after a report that replaces it,
+// unless the daemon confirms that.
+const unconfirmedTime = 24 * time.Hour
+
 // followTime is the time within which daemons in touch follow a change of plans.
 const followTime = 10 * time.Second
 
@@ -352,7 +356,7 @@
 			}
 		}
 		if p := r.Plans[q.Service].Plan; len(p) > 0 && r.EndedAt.IsZero() && !r.isGone(q.Since) {
-			final = final && (plan == nil || slices.Equal(plan, p))
+			final = final && (plan == nil || slices.Equal(plan, p)) && r.Plans[q.Service].isConfirmed(r.At)
 			plan = p
 		}
 	}
--- a/core/origin/report.go
+++ b/core/origin/report.go
@@ -40,11 +40,38 @@
 	// Plan is in use since Since.
 	Plan  Plan
 	Since time.Time
-	// Former are the plans that were in use before a restart of the daemon. Streams that
-	// began under them are not known to it.
+	// Former are the plans that were in use before a restart of the daemon, whose streams are
+	// not known to it, and the one that may still be in use until the daemon has reported that
+	// it uses Plan.
 	Former []FormerPlan
 }
 
+// isConfirmed reports whether Plan is in use according to a report that was written at a time.
+func (p PlanReport) isConfirmed(at time.Time) bool {
+	return !slices.ContainsFunc(p.Former, func(f FormerPlan) bool { return f.Until.After(at) })
+}
+
+// Differs reports whether a stream begins at another version than the given one by a plan that may
+// be in use after a time.
+func (p PlanReport) Differs(stream Stream, version string, at time.Time) bool {
+	plans := []Plan{p.Plan}
+	for _, f := range p.Former {
+		if f.Until.After(at) {
+			plans = append(plans, f.Plan)
+		}
+	}
+	return slices.ContainsFunc(plans, func(plan Plan) bool {
+		other, ok := plan.Pick(stream)
+		return ok && other != version
+	})
+}
+
+// Confirm returns p without the plans that may still be in use at a time.
+func (p PlanReport) Confirm(at time.Time) PlanReport {
+	p.Former = slices.DeleteFunc(slices.Clone(p.Former), func(f FormerPlan) bool { return f.Until.After(at) })
+	return p
+}
+
 // FormerPlan is a plan that was in use until Until.
 type FormerPlan struct {
 	Plan  Plan
@@ -61,6 +88,16 @@
 	return Origin{}, false
 }
 
+// IsUnconfirmed reports whether other daemons cannot tell yet that the plans of a report are in use.
+func (r Report) IsUnconfirmed() bool {
+	for _, p := range r.Plans {
+		if !p.isConfirmed(r.At) {
+			return true
+		}
+	}
+	return false
+}
+
 // MayDiffer reports whether other daemons may have other plans than those of a report that is
 // about to be used: it replaces a plan, or has several versions.
 func (l *Ledger) MayDiffer(r Report) bool {
@@ -103,8 +140,9 @@
 	return r
 }
 
-// next returns the report of a service when its plan is replaced. The streams that began under
-// the old plan before the daemon started are not known, so that it becomes a former plan.
+// next returns the report of a service when its plan is replaced. The old plan becomes a former
+// one: it stays in use until the daemon knows that the report was written, and streams that began
+// under it before the daemon started are not known.
 func (p PlanReport) next(plan Plan, startedAt, now time.Time) PlanReport {
 	if slices.Equal(plan, p.Plan) {
 		return p
@@ -118,14 +156,24 @@
 	if len(p.Plan) > 0 && p.Since.Before(startedAt) && now.Sub(startedAt) < Memory {
 		n.Former = append(n.Former, FormerPlan{Plan: p.Plan, Until: startedAt})
 	}
+	if len(p.Plan) > 0 {
+		n.Former = append(n.Former, FormerPlan{Plan: p.Plan, Until: now.Add(unconfirmedTime)})
+	}
 	n.Former = n.Former[max(len(n.Former)-maxFormer, 0):]
 	return n
 }
 
 // SetReported records that others can read a report of this daemon, so that its plans are in
-// use. It reports whether streams have begun since that it lacks.
+// use. It reports whether another one is needed: others do not know that the plans are in use, or
+// streams have begun since that the report lacks.
 func (l *Ledger) SetReported(r Report) bool {
-	l.reported = r.Plans
+	l.reported = make(map[string]PlanReport)
+	for service, p := range r.Plans {
+		l.reported[service] = p.Confirm(r.At)
+	}
+	if r.IsUnconfirmed() {
+		return true
+	}
 	for stream, s := range l.streams {
 		if !s.at.Before(r.At) && l.isException(stream, s) {
 			return true
