--- a/acaciad/soak/callers_test.go
+++ b/acaciad/soak/callers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -22,6 +23,10 @@
 	// complete states that the answer was received completely.
 	complete bool
 	ended    time.Time
+	// resumes is the id of the request that brought the first event of a stream that is taken
+	// up again after lastEvent, or empty.
+	resumes   string
+	lastEvent int
 }
 
 // callers collects the outcomes of concurrent callers. Each caller keeps its own
@@ -29,9 +34,14 @@
 type callers struct {
 	mu       sync.Mutex
 	outcomes []outcome
+	streams  []stream
 	group    sync.WaitGroup
 }
 
+// stream has the ids of the requests for a stream that broke off: the first one, and those by
+// which the caller took it up again.
+type stream []string
+
 // paths lists the paths that callers request, with equal probability.
 var paths = []string{"/look/", "/order/", "/quote/", "/reply/"}
 
@@ -51,12 +61,42 @@
 				c.mu.Lock()
 				c.outcomes = append(c.outcomes, o)
 				c.mu.Unlock()
+				if o.path == "/reply/" && o.status == http.StatusOK && !o.complete && strings.Contains(o.body, "\n\n") {
+					c.takeUp(client, cl, o, random)
+				}
 				time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
 			}
 		})
 	}
 }
 
+// maxTakeUps is the number of times that a caller takes a stream up.
+const maxTakeUps = 4
+
+// takeUp takes a stream up again that broke off, at any daemons.
+func (c *callers) takeUp(client *http.Transport, cl *cluster, o outcome, random *rand.Rand) {
+	ids, first := stream{o.id}, o.id
+	body := o.body[:strings.LastIndex(o.body, "\n\n")+2]
+	for range maxTakeUps {
+		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+		again := outcome{
+			id: fmt.Sprintf("%s-%d", first, len(ids)), path: o.path, key: o.key, vm: cl.vms[random.IntN(len(cl.vms))],
+			resumes: first, lastEvent: strings.Count(body, "\n\n"),
+		}
+		again.sendRequest(client)
+		ids = append(ids, again.id)
+		if again.status == http.StatusOK {
+			body += again.body[:strings.LastIndex("\n\n"+again.body, "\n\n")]
+		}
+		if again.complete && again.status == http.StatusOK {
+			break
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streams = append(c.streams, ids)
+}
+
 // sendRequest sends the request and records the answer.
 func (o *outcome) sendRequest(client *http.Transport) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
@@ -78,6 +118,10 @@
 		request.Header.Set("X-Token-Usage", "100,20")
 		request.Header.Set("X-Prefix-Hash", "5c1e:80,91bd:20")
 	}
+	if o.resumes != "" {
+		request.Header.Set("Resumes", o.resumes)
+		request.Header.Set("Last-Event-Id", strconv.Itoa(o.lastEvent))
+	}
 	response, err := client.RoundTrip(request)
 	if err != nil {
 		o.ended = time.Now()
--- a/acaciad/soak/cluster_test.go
+++ b/acaciad/soak/cluster_test.go
@@ -43,7 +43,9 @@
 	log            *os.File
 	storeLink      *relay.Relay
 
-	mu      sync.Mutex // guards the fields below
+	mu sync.Mutex // guards the fields below
+	// binary is the daemon that is started next.
+	binary  string
 	process *exec.Cmd
 	exited  chan error
 	// killed states that the daemon was killed, so that usage may be lost.
@@ -58,6 +60,8 @@
 type server struct {
 	*platformtest.Server
 	service string
+	// version is the version of its software.
+	version string
 	link    *relay.Relay
 }
 
@@ -106,7 +110,7 @@
 // addServer starts a backend server whose streams have the given number of events, and
 // registers it.
 func (cl *cluster) addServer(id, service string, events int) {
-	s := &server{Server: platformtest.NewServer(id, events), service: service}
+	s := &server{Server: platformtest.NewServer(id, events), service: service, version: "v1"}
 	cl.Cleanup(s.Close)
 	s.SetPause(10 * time.Millisecond)
 	if events > 0 {
@@ -120,7 +124,7 @@
 // register writes the entry of a backend server, with the address of its link.
 func (cl *cluster) register(s *server, state string) {
 	entry := s.Entry(s.service, "z", state)
-	entry["address"] = s.link.Address()
+	entry["address"], entry["version"] = s.link.Address(), s.version
 	cl.written.Lock()
 	defer cl.written.Unlock()
 	cl.store.Write("servers", s.ID, entry)
@@ -196,7 +200,7 @@
 
 // addVM writes the settings of a daemon to dir and starts it.
 func (cl *cluster) addVM(name, dir string) {
-	v := &vm{name: name, callersAddress: freeAddress(cl.C), configPath: filepath.Join(dir, name+".json"), storeLink: cl.newLink(cl.store.Address())}
+	v := &vm{name: name, binary: cl.binary, callersAddress: freeAddress(cl.C), configPath: filepath.Join(dir, name+".json"), storeLink: cl.newLink(cl.store.Address())}
 	neighbours, err := netip.ParseAddrPort(freeAddress(cl.C))
 	cl.Assert(err, qt.IsNil)
 	port := int(neighbours.Port())
@@ -219,15 +223,15 @@
 	cl.Assert(err, qt.IsNil)
 	cl.Cleanup(func() { _ = v.log.Close() })
 	cl.vms = append(cl.vms, v)
-	cl.Assert(v.start(cl.binary), qt.IsNil)
+	cl.Assert(v.start(), qt.IsNil)
 	cl.Cleanup(v.kill)
 }
 
 // start starts the daemon process.
-func (v *vm) start(binary string) error {
+func (v *vm) start() error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.process = exec.Command(binary)
+	v.process = exec.Command(v.binary)
 	v.process.Env = append(os.Environ(), "ACACIAPATH_CONFIG="+v.configPath)
 	v.process.Stdout, v.process.Stderr = v.log, v.log
 	if err := v.process.Start(); err != nil {
@@ -239,6 +243,13 @@
 	return nil
 }
 
+// setBinary has another daemon started next.
+func (v *vm) setBinary(binary string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.binary = binary
+}
+
 // signal sends a signal to the daemon.
 func (v *vm) signal(s syscall.Signal) {
 	v.mu.Lock()
--- a/acaciad/soak/faults_test.go
+++ b/acaciad/soak/faults_test.go
@@ -34,6 +34,8 @@
 	// cutsServers states that VMs are also cut off from all backend servers.
 	cutsServers bool
 	cuts        *cuts
+	// upgrades are the builds by which daemons are replaced, or nil.
+	upgrades *upgrades
 }
 
 func newFaultInjector(cl *cluster, seed uint64) *faultInjector {
@@ -52,6 +54,9 @@
 		if f.cutsServers {
 			f.cutFromServers(ctx)
 		}
+		if f.upgrades != nil {
+			f.replaceDaemon()
+		}
 		f.injectFault(ctx)
 		sleep.For(ctx, f.randomMilliseconds(100, 700))
 	}
@@ -151,7 +156,7 @@
 	f.group.Go(func() {
 		select {
 		case <-v.exited:
-			_ = v.start(f.cluster.binary) // the checks detect a daemon that does not start
+			_ = v.start() // the checks detect a daemon that does not start
 		case <-time.After(hangupExitTime):
 		}
 		f.mu.Lock()
@@ -181,7 +186,7 @@
 			v.signal(syscall.SIGKILL)
 			<-v.exited
 		}
-		_ = v.start(f.cluster.binary) // the checks detect a daemon that does not start
+		_ = v.start() // the checks detect a daemon that does not start
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.restarting[v] = false
--- a/acaciad/soak/soak_test.go
+++ b/acaciad/soak/soak_test.go
@@ -22,6 +22,8 @@
 	restoreSeedCount = flag.Int("restore-seeds", 1, "number of seeds of the soak with restorations of the store")
 	cutSeedCount     = flag.Int("cut-seeds", 1, "number of seeds of the soak with VMs that are cut off from servers")
 	readerSeedCount  = flag.Int("reader-seeds", 1, "number of seeds of the soak with readers")
+	upgradeSeedCount = flag.Int("upgrade-seeds", 1, "number of seeds of the soak with daemons of the production version")
+	upgradeRestores  = flag.Bool("upgrade-restores", false, "also restore the store in the soak with daemons of the production version")
 	soakLength       = flag.Duration("length", 8*time.Second, "how long a seed's faults last")
 )
 
@@ -123,6 +125,9 @@
 		injector.checkForwarding()
 	}
 	cl.checkAnswers(load.outcomes)
+	if injector.upgrades != nil {
+		cl.checkVersions(load.streams)
+	}
 	cl.checkReceivedRequests()
 	cl.checkUsage(load.outcomes)
 	cl.checkReports()
