--- a/acaciad/crashreports/late_write_test.go
+++ b/acaciad/crashreports/late_write_test.go
@@ -67,6 +67,7 @@
 	s.eventually("all crashes are written", s.reports("vm-1", 0, 1, 2, 3))
 	s.store.ApplyLate()
 	s.Assert(s.reports("vm-1", 0, 1, 2, 3)(), qt.IsTrue)
+	s.Check(s.store.LateReplacements(), qt.HasLen, 0)
 }
 
 // TestLateWriteOfEarlierProcess has a write of a daemon that was killed performed after the daemon that
--- a/acaciad/limitreports/late_write_test.go
+++ b/acaciad/limitreports/late_write_test.go
@@ -52,6 +52,7 @@
 		c.Assert(string(rows[0].Data), qt.Contains, `"per-second":2,`)
 	}
 	eventually(c, start(c, store).knows("a@1", 2))
+	c.Check(store.LateReplacements(), qt.HasLen, 0)
 }
 
 // TestDaemonsLearnLimitAtOnce has many daemons learn changes of a limit at once. The last one must
