--- a/standin/loopback/ports.go
+++ b/standin/loopback/ports.go
@@ -104,16 +104,13 @@
 		for f.next < f.blockEnd {
 			port := f.next
 			f.next++
-			listener, err := listen(port)
+			err := probe(port)
 			if errors.Is(err, syscall.EADDRINUSE) {
 				continue
 			}
 			if err != nil {
 				return 0, err
 			}
-			if err := listener.Close(); err != nil {
-				return 0, merry.Prepend(err, "loopback: close")
-			}
 			return port, nil
 		}
 		if err := f.claimBlock(); err != nil {
@@ -122,6 +119,21 @@
 	}
 }
 
+// probe listens on a port and stops listening. No process may be started meanwhile: until its exec, it
+// would hold a copy of the listener, and the port would stay in use.
+func probe(port int) error {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	listener, err := listen(port)
+	if err != nil {
+		return err
+	}
+	if err := listener.Close(); err != nil {
+		return merry.Prepend(err, "loopback: close")
+	}
+	return nil
+}
+
 // claimBlock claims the next block whose first port is not in use, by listening on that
 // port. If the port is in use, another process has probably claimed the block. It
 // returns ErrNoPort if no block is left.
--- a/standin/loopback/ports_test.go
+++ b/standin/loopback/ports_test.go
@@ -260,3 +260,39 @@
 	_, err = ephemeralRangeStart(c.TempDir())
 	c.Assert(err, qt.IsNotNil)
 }
+
+// TestPortIsFreeBesideStartsOfProcesses finds ports while processes are started, each of which holds
+// copies of the listeners that are open until its exec. Daemons of tests found their ports in use.
+func TestPortIsFreeBesideStartsOfProcesses(t *testing.T) {
+	c := qt.New(t)
+	const ports = 1500
+	stop := make(chan struct{})
+	var starters sync.WaitGroup
+	for range 4 {
+		starters.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_ = exec.Command("true").Run()
+				}
+			}
+		})
+	}
+	f := newTestFinder(c)
+	used := 0
+	for range ports {
+		port, err := f.freePort()
+		c.Assert(err, qt.IsNil)
+		listener, err := net.Listen("tcp4", address(port))
+		if err != nil {
+			used++
+			continue
+		}
+		c.Assert(listener.Close(), qt.IsNil)
+	}
+	close(stop)
+	starters.Wait()
+	c.Assert(used, qt.Equals, 0)
+}
