--- a/acaciad/proxy/events.go
+++ b/acaciad/proxy/events.go
@@ -28,9 +28,12 @@
 	// errRunStopped is returned when the connection of a stream without a length ended while
 	// the daemon had the run stopped.
 	errRunStopped = merry.Sentinel("proxy: the run was stopped before its stream was complete")
-	// errServerStopped is returned when the connection of a stream without a length ended
+	// errServerStopped is returned when the connection of an answer without a length ended
 	// because the backend server, which drained, stopped.
-	errServerStopped = merry.Sentinel("proxy: the backend server stopped, so that its stream may be incomplete")
+	errServerStopped = merry.Sentinel("proxy: the backend server stopped, so that its answer may be incomplete")
+	// errServerCrashed is returned when the connection of an answer without a length ended and
+	// the backend server, which did not drain, accepts no others.
+	errServerCrashed = merry.Sentinel("proxy: the backend server ended, so that its answer may be incomplete")
 )
 
 // forwardEvents forwards complete events to the caller as they arrive. It returns
@@ -70,14 +73,21 @@
 // stopped. A server that stops closes its connections and its listener in any order.
 const stopCheckDelay = 20 * time.Millisecond
 
-// endedByStop reports whether the end of a response says nothing, because it is that of its
-// connection and the backend server, which drained, accepts no others.
-func (x *exchange) endedByStop(ctx context.Context, reservation *directory.Reservation, response *http.Response) bool {
-	if !responses.EndsWithConnection(response) || reservation.Draining().Err() == nil {
-		return false
+// checkEnd returns an error if the end of a response says nothing, because it is that of its
+// connection and the backend server accepts no others. The system ends the connections of a killed
+// process in order, also in the middle of an answer.
+func (x *exchange) checkEnd(ctx context.Context, reservation *directory.Reservation, response *http.Response) error {
+	if !responses.EndsWithConnection(response) {
+		return nil
 	}
 	sleep.For(ctx, stopCheckDelay)
-	return !x.acceptsConnections(ctx, reservation.Spec)
+	switch {
+	case x.acceptsConnections(ctx, reservation.Spec):
+		return nil
+	case reservation.Draining().Err() != nil:
+		return errServerStopped
+	}
+	return errServerCrashed
 }
 
 // startStream handles the first event from a backend server: it marks the prompt as
--- a/acaciad/proxy/forward.go
+++ b/acaciad/proxy/forward.go
@@ -78,10 +78,14 @@
 		err = whole.readFrom(response.Body)
 	}
 	success := response.StatusCode < http.StatusBadRequest
+	if err == io.EOF {
+		if endErr := x.checkEnd(ctx, reservation, response); endErr != nil {
+			err = endErr
+		}
+	}
 	x.answerEnd = describeEnd(response, err)
 	switch {
-	case err == io.EOF && x.endedByStop(ctx, reservation, response):
-		x.answerEnd = errServerStopped.Error()
+	case err == errServerStopped:
 		return broken
 	case err == io.EOF:
 	case err == errBufferFull && success:
@@ -124,8 +128,8 @@
 	if err == nil {
 		_, err = io.Copy(x.writer, response.Body)
 	}
-	if err == nil && x.endedByStop(ctx, reservation, response) {
-		err = errServerStopped
+	if err == nil {
+		err = x.checkEnd(ctx, reservation, response)
 	}
 	x.answerEnd = describeEnd(response, err)
 	if err != nil {
@@ -170,8 +174,8 @@
 	switch {
 	case end == streamClosed && stopped:
 		err = errRunStopped
-	case to == nil && err == nil && x.endedByStop(ctx, reservation, response):
-		err = errServerStopped
+	case to == nil && err == nil:
+		err = x.checkEnd(ctx, reservation, response)
 	}
 	x.answerEnd = describeEnd(response, err)
 	if to != nil && err != nil && x.request.Context().Err() == nil && !errors.Is(err, errCallerLeft) {
--- a/acaciad/proxy/stopped_server_test.go
+++ b/acaciad/proxy/stopped_server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -53,9 +54,9 @@
 	s.answered <- connection
 }
 
-// TestStopOfServerDoesNotEndAnswers has backend servers that drain stop during answers without a
-// length, whose connections they end in order. The part of an answer must not look complete. The
-// answer of a server that only drains is complete.
+// TestStopOfServerDoesNotEndAnswers has backend servers stop during answers without a length, whose
+// connections they end in order: servers that drain, and ones that are killed (review/6, MIXED and ORDER). The part
+// of an answer must not look complete. The answer of a server that goes on is complete.
 func TestStopOfServerDoesNotEndAnswers(t *testing.T) {
 	for name, test := range map[string]struct{ path, service, contentType, part string }{
 		"stream":           {"/quote/", "llm", "text/event-stream", events(1, 3)},
@@ -64,15 +65,16 @@
 		"safe":             {"/look/", "shop", "text/plain", "0123"},
 		"long":             {"/order/", "shop", "text/plain", strings.Repeat("0123456789abcdef", 1<<17)},
 	} {
-		for _, stops := range []bool{true, false} {
-			t.Run(name+"/stops="+map[bool]string{true: "true", false: "false"}[stops], func(t *testing.T) {
+		for _, state := range []struct{ drains, stops bool }{{true, true}, {true, false}, {false, true}, {false, false}} {
+			stops := state.stops
+			t.Run(fmt.Sprintf("%s/drains=%v,stops=%v", name, state.drains, stops), func(t *testing.T) {
 				f := newFixture(t, 2)
 				f.loadCatalog()
 				s := f.startStopping(test.service, test.contentType, test.part)
 				answers := make(chan answer, 1)
 				go func() { answers <- f.send(http.MethodPost, test.path, "x") }()
 				connection := <-s.answered
-				f.specs[0].Draining = true
+				f.specs[0].Draining = state.drains
 				f.directory.SetServers(f.specs, time.Now())
 				if stops {
 					_ = s.listener.Close()
