--- a/acaciad/crashreports/late_write_test.go
+++ b/acaciad/crashreports/late_write_test.go
@@ -3,29 +3,15 @@
 import (
 	"fmt"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	tablegen "acaciapath.example/core/gen/table"
 	"acaciapath.example/platform"
-	"acaciapath.example/platform/platformtest"
 
 	qt "github.com/frankban/quicktest"
 )
 
-// delayWrites makes the store delay transactions while the result is true.
-func (s *table) delayWrites() *atomic.Bool {
-	delays := &atomic.Bool{}
-	s.store.SetFault(func(method, _ string) platformtest.Fault {
-		if method == "POST" && delays.Load() {
-			return platformtest.AppliedLate
-		}
-		return platformtest.NoFault
-	})
-	return delays
-}
-
 // stored returns the row of a VM, or an empty string if there is none.
 func (s *table) stored(vm string) string {
 	for _, row := range s.store.Rows(platform.TableReports, "") {
@@ -54,7 +40,7 @@
 // with a crashing part (BUDGET).
 func TestLateWriteReplacesNoNewerReport(t *testing.T) {
 	s := newTable(t)
-	delays := s.delayWrites()
+	delays := s.store.DelayWrites()
 	g := s.start("vm-1")
 	delays.Store(true)
 	g.crash(0, 7)
@@ -102,7 +88,7 @@
 // its successor and the first write of that one, which takes over its crashes.
 func TestLateWriteDuringRestart(t *testing.T) {
 	s := newTable(t)
-	delays := s.delayWrites()
+	delays := s.store.DelayWrites()
 	g := s.start("vm-1")
 	g.crash(0, 7)
 	s.eventually("the report is written", s.reports("vm-1", 0))
--- a/acaciad/limitreports/late_write_test.go
+++ b/acaciad/limitreports/late_write_test.go
@@ -1,7 +1,6 @@
 package limitreports_test
 
 import (
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,18 +10,6 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// delayWrites makes a store delay transactions while the result is true.
-func delayWrites(store *platformtest.Store) *atomic.Bool {
-	delays := &atomic.Bool{}
-	store.SetFault(func(method, _ string) platformtest.Fault {
-		if method == "POST" && delays.Load() {
-			return platformtest.AppliedLate
-		}
-		return platformtest.NoFault
-	})
-	return delays
-}
-
 // TestLateWritesReplaceNoNewerLimit has writes performed after a server has named another limit: the
 // one of an earlier limit, and the deletion after its end. The other daemons sent it too much then, or
 // as if it named none (LIMIT).
@@ -30,7 +17,7 @@
 	c := qt.New(t)
 	store := platformtest.NewStore()
 	c.Cleanup(store.Close)
-	delays := delayWrites(store)
+	delays := store.DelayWrites()
 	one, two := start(c, store), start(c, store)
 	delay := func(change func()) {
 		late := store.Late()
--- a/acaciad/neighbours/late_write_test.go
+++ b/acaciad/neighbours/late_write_test.go
@@ -13,7 +13,6 @@
 	"acaciapath.example/core/follow"
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/platform"
-	"acaciapath.example/platform/platformtest"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
@@ -63,12 +62,7 @@
 	first, stop := p.start("10.0.0.1:1")
 	p.waitForRow("10.0.0.1:1", 10*time.Second)
 	stop()
-	p.store.SetFault(func(method, _ string) platformtest.Fault {
-		if method == "POST" {
-			return platformtest.AppliedLate
-		}
-		return platformtest.NoFault
-	})
+	p.store.DelayWrites().Store(true)
 	first.Remove(p.Context())
 	p.Assert(p.store.Late(), qt.Equals, 1)
 	_, stop = p.start("10.0.0.1:2")
--- a/acaciad/origins/late_write_test.go
+++ b/acaciad/origins/late_write_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,18 +13,6 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// delayWrites makes the store delay transactions while the result is true.
-func (f *fixture) delayWrites() *atomic.Bool {
-	delays := &atomic.Bool{}
-	f.store.SetFault(func(method, _ string) platformtest.Fault {
-		if method == "POST" && delays.Load() {
-			return platformtest.AppliedLate
-		}
-		return platformtest.NoFault
-	})
-	return delays
-}
-
 // usesOnly reports whether the streams of a registry begin at all of the given versions, and at no
 // others.
 func usesOnly(f *fixture, r *origins.Registry, versions map[string]int) bool {
@@ -57,7 +44,7 @@
 // another software version (review/7, ORDER).
 func TestLateWriteReplacesNoNewerPlans(t *testing.T) {
 	f := newFixture(t)
-	delays := f.delayWrites()
+	delays := f.store.DelayWrites()
 	one, stop := f.start("vm-1")
 	two, _ := f.start("vm-2")
 	f.waitForRow(one)
@@ -99,7 +86,7 @@
 	for _, conditional := range []bool{true, false} {
 		t.Run(fmt.Sprintf("conditional=%v", conditional), func(t *testing.T) {
 			f := newFixture(t)
-			delays := f.delayWrites()
+			delays := f.store.DelayWrites()
 			_, stop := f.start("vm-1")
 			f.eventually(func() bool { return len(f.store.Rows("acaciapath", "control")) == 1 })
 			delays.Store(true)
