--- a/acaciad/neighbours/registry.go
+++ b/acaciad/neighbours/registry.go
@@ -37,12 +37,10 @@
 	// checkInterval is how often the registry checks whether a write or a read is due.
 	checkInterval = time.Second
 	// lookUpSpread is the time over which the daemons look whether the store still has their
-	// rows, after it was restored from a copy.
+	// rows, after it was restored from a copy or they were restarted.
 	lookUpSpread = 2 * time.Second
-	// lateWriteTime is how long writes of an earlier process may take effect after a restart,
-	// and watchInterval the time between two looks at the row until then.
-	lateWriteTime = 10 * time.Second
-	watchInterval = 3 * time.Second
+	// lateWriteTime is how long writes of an earlier process may take effect after a restart.
+	lateWriteTime = 7 * time.Second
 	// retryInterval is the time between two attempts while the store does not answer. A
 	// daemon that knows no neighbours tries every checkInterval.
 	retryInterval = 5 * time.Second
@@ -120,10 +118,9 @@
 
 // Run renews the daemon's row and reads those of other daemons until ctx is done.
 func (r *Registry) Run(ctx context.Context) {
-	var nextWrite, nextRead, lastRead, lookUp, watchUntil time.Time
+	var nextWrite, nextRead, lastRead, lookUp time.Time
 	if !r.ColdStart {
-		watchUntil = time.Now().Add(lateWriteTime)
-		lookUp = time.Now().Add(watchInterval)
+		lookUp = time.Now().Add(lateWriteTime + time.Duration(r.Random.Int64N(int64(lookUpSpread))))
 	}
 	for ctx.Err() == nil {
 		if r.restored.Swap(false) {
@@ -131,9 +128,6 @@
 		}
 		if now := time.Now(); !lookUp.IsZero() && !now.Before(lookUp) {
 			lookUp = time.Time{}
-			if now.Before(watchUntil) {
-				lookUp = now.Add(watchInterval)
-			}
 			if !r.isStored(ctx) {
 				nextWrite = now
 			}
--- a/acaciad/origins/exchange.go
+++ b/acaciad/origins/exchange.go
@@ -42,9 +42,9 @@
 	// callTimeout bounds a call of the store.
 	callTimeout = 1500 * time.Millisecond
 	// lateWriteTime is how long writes of an earlier process may take effect after a restart,
-	// and watchInterval the time between two reads of the row until then.
-	lateWriteTime = 10 * time.Second
-	watchInterval = 2500 * time.Millisecond
+	// and lateWriteSpread is added at random before the row is read then.
+	lateWriteTime   = 7 * time.Second
+	lateWriteSpread = time.Second
 )
 
 // Run writes the row of this daemon when it changes, until ctx is done. It first reads the row
@@ -55,7 +55,7 @@
 		sleep.For(ctx, retryInterval)
 	}
 	if restarted {
-		go r.watchOwn(ctx)
+		go r.checkOwn(ctx)
 		sleep.For(ctx, startDelay+rand.N(startSpread))
 	}
 	for ctx.Err() == nil {
@@ -123,19 +123,18 @@
 	return r.row
 }
 
-// watchOwn looks whether writes of an earlier process of this VM replace the row, until they can
+// checkOwn looks whether writes of an earlier process of this VM have replaced the row, once they
 // no longer take effect. Those of earlier builds have no condition.
-func (r *Registry) watchOwn(ctx context.Context) {
-	for began := time.Now(); ctx.Err() == nil && time.Since(began) < lateWriteTime; {
-		sleep.For(ctx, watchInterval)
-		rows, err := r.Table.Get(ctx, &table.GetPayload{Keys: []string{r.ownRow().Key()}})
-		if err != nil {
-			continue // the next one may succeed
-		}
-		for _, row := range rows {
-			if own := r.ownRow(); row.Version > own.Version() && own.IsForeign(row.Value) {
-				r.mergeForeign(row)
-			}
+func (r *Registry) checkOwn(ctx context.Context) {
+	sleep.For(ctx, lateWriteTime+rand.N(lateWriteSpread))
+	own := r.ownRow()
+	rows, err := r.Table.Get(ctx, &table.GetPayload{Keys: []string{own.Key()}})
+	for ; err != nil && ctx.Err() == nil; rows, err = r.Table.Get(ctx, &table.GetPayload{Keys: []string{own.Key()}}) {
+		sleep.For(ctx, retryInterval)
+	}
+	for _, row := range rows {
+		if row.Version > own.Version() && own.IsForeign(row.Value) {
+			r.mergeForeign(row)
 		}
 	}
 }
