--- a/acaciad/neighbours/registry.go
+++ b/acaciad/neighbours/registry.go
@@ -120,6 +120,9 @@
 func (r *Registry) Run(ctx context.Context) {
 	var nextWrite, nextRead, lastRead, lookUp time.Time
 	if !r.ColdStart {
+		// Without this, the first write would fail where the row of an earlier process is left, and with
+		// it those that a collector has joined with it.
+		_, _ = r.ownRow().Read(ctx) // the first write tells as well
 		lookUp = time.Now().Add(lateWriteTime + time.Duration(r.Random.Int64N(int64(lookUpSpread))))
 	}
 	for ctx.Err() == nil {
