--- a/core/ownrow/row.go
+++ b/core/ownrow/row.go
@@ -38,6 +38,8 @@
 	version uint64
 	// sent has the digests of the latest values that this process has sent, at most maxSent.
 	sent [][sha256.Size]byte
+	// uncertain states that the latest commit was not answered, so that version may be outdated.
+	uncertain bool
 	// unanswered has the versions in the conditions of the latest commits without an answer,
 	// at most maxUnanswered.
 	unanswered []uint64
@@ -72,6 +74,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.uncertain = false
 	if len(rows) == 0 {
 		r.version = 0
 		return nil, nil
@@ -100,13 +103,22 @@
 
 // commit commits a write of the row.
 func (r *Row) commit(ctx context.Context, write *table.Write) (foreign *table.Row, err error) {
-	version := r.startWrite(write)
-	if write.Delete && version == 0 { // a commit without an answer may have inserted it
+	version, uncertain := r.startWrite(write)
+	if uncertain { // a conflict would also hold up the writes that a collector joins with this one
 		row, err := r.Read(ctx)
-		if row == nil {
+		switch {
+		case err != nil:
 			return nil, err
+		case row == nil:
+			version = 0
+		case row.Version != version && r.IsForeign(row.Value):
+			return row, nil
+		default:
+			version = row.Version
 		}
-		version = row.Version
+	}
+	if write.Delete && version == 0 {
+		return nil, nil
 	}
 	for range maxAttempts {
 		rows, err := r.table.Commit(ctx, &table.CommitPayload{
@@ -143,15 +155,16 @@
 	return nil, ErrContended
 }
 
-// startWrite records a value that is about to be sent, and returns the version to replace.
-func (r *Row) startWrite(write *table.Write) uint64 {
+// startWrite records a value that is about to be sent, and returns the version to replace and
+// whether it may be outdated.
+func (r *Row) startWrite(write *table.Write) (version uint64, uncertain bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !write.Delete {
 		r.sent = append(r.sent, sha256.Sum256(write.Value))
 		r.sent = r.sent[max(0, len(r.sent)-maxSent):]
 	}
-	return r.version
+	return r.version, r.uncertain
 }
 
 // setWritten records the rows of a commit that took effect, and returns the version of the row,
@@ -175,6 +188,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.uncertain = true
 	r.unanswered = append(r.unanswered, version)
 	r.unanswered = r.unanswered[max(0, len(r.unanswered)-maxUnanswered):]
 }
