--- a/review/third/11/main.go
+++ b/review/third/11/main.go
@@ -1,13 +1,17 @@
-// Case 11: hostile clients send heads inside the limit with long lists of prompt parts, and chunked
-// bodies that mostly stop one byte short. The daemon must stay within the memory of its machine.
+// Case 11: during a release of replicas a machine is added. The store loses the answer of the write of its
+// first plan, and the machine is killed. Streams that began there must go on at their version.
 package main
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"maps"
+	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -15,240 +19,203 @@
 	"acaciapath.example/review/third/lab"
 )
 
-// What the hostile clients send.
 const (
-	// hostilePerMachine is the number of their channels at a machine.
-	hostilePerMachine = 2000
-	// hostileAddresses is the number of addresses from which they come.
-	hostileAddresses = 60
-	// completePercent is the share of the bodies that are sent to the end, in percent.
-	completePercent = 30
-	// promptParts is the number of entries of X-Prefix-Hash. The head stays below the
-	// 16,384 bytes of the limits.
-	promptParts = 3900
-	// chunkBytes is the size of the one chunk of a body.
-	chunkBytes = 4096
-	// headPause is the time between the head and the body of a request.
-	headPause = 300 * time.Millisecond
-	// hostileDeadline is the deadline that they state.
-	hostileDeadline = 12 * time.Second
-	// hostileRetry is the time until they open another channel after one was refused or ended.
-	hostileRetry = 200 * time.Millisecond
+	// replicas is the number of replicas of the service, and released that of those that are
+	// replaced by ones of another version, one each releaseGap.
+	replicas, released = 12, 3
+	releaseGap         = time.Second
+	// events and pause are the number of events of a stream and the time between two.
+	events = 40
+	pause  = 100 * time.Millisecond
+	// steady is the time before the release, and releaseAt its begin within a period of ten
+	// seconds of the wall clock.
+	steady, releaseAt = 12 * time.Second, 300 * time.Millisecond
+	// lateBy is how much later the write whose answer is lost is done.
+	lateBy = 5 * time.Second
+	// streams is the number of streams at the new machine, and killAfter the time from their
+	// begin to the kill.
+	streams   = 40
+	killAfter = 1500 * time.Millisecond
+	// deadline is that of the requests, and takeUpPause the time from the end of a channel to the
+	// next attempt.
+	deadline, takeUpPause = 6 * time.Second, 100 * time.Millisecond
+	// maxTakeUps is the number of attempts to take a stream up again.
+	maxTakeUps = 3
+	// allowed is the number of streams with events of two versions that the rule allows.
+	allowed = 2
 )
 
-// The platform's part, and the length of the run.
-const (
-	// memoryMB is the memory of a machine (sites/calcetin-ruta.toml).
-	memoryMB = 284
-	// memoryInterval is how often the platform looks at the memory of a process.
-	memoryInterval = 20 * time.Millisecond
-	// restartDelay is the time from the end of a process to its next start.
-	restartDelay = 500 * time.Millisecond
-	// minEnds is the number of ends of a process from which a machine counts, and minMachines
-	// that of such machines from which the rule is broken.
-	minEnds, minMachines = 3, 2
-	// calm is the time without hostile clients, and runTime bounds the time with them.
-	calm, runTime = 3 * time.Second, 75 * time.Second
-	// calmRunTime is the time of a run without the disruption.
-	calmRunTime = 15 * time.Second
-)
-
-// The ordinary callers, one at each machine.
-const (
-	ordinaryInterval = 250 * time.Millisecond
-	ordinaryDeadline = 2 * time.Second
-)
+// replica is a replica and its version.
+type replica struct {
+	*platformtest.Server
+	version, zone string
+}
 
 func main() {
 	if len(os.Args) != 2 {
 		os.Exit(lab.CannotRun)
 	}
 	l := lab.New(os.Args[1])
-	var files syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil || files.Cur < 2*hostilePerMachine+1000 {
-		l.Fail("too few file descriptors: %d", files.Cur)
-	}
-	for i := range 3 {
-		shop := platformtest.NewServer(fmt.Sprint("i-shop-", i), 0)
-		shop.SetPause(60 * time.Millisecond)
-		l.Register(shop, "tienda", lab.ZoneNames[i], "ready")
-	}
-	for i := range 9 {
-		model := platformtest.NewServer(fmt.Sprint("i-model-", i), 20)
-		model.SetPause(500 * time.Millisecond)
-		l.Register(model, "asistente", lab.ZoneNames[i%3], "ready")
+	var all []*replica
+	add := func(i int, version string) *replica {
+		r := &replica{Server: platformtest.NewServer(fmt.Sprintf("i-%s-%02d", version, i), events), version: version, zone: lab.ZoneNames[i%3]}
+		r.SetPause(pause)
+		register(l, r, "ready")
+		all = append(all, r)
+		return r
+	}
+	var old []*replica
+	for i := range replicas {
+		old = append(old, add(i, "v1"))
 	}
 	lab.Config{
 		Version: 3, Limits: lab.DefaultLimits(),
-		Routes: []lab.Route{
-			{Name: "order-status", Type: "safe", Service: "tienda", TimeoutMS: 2000, TargetMS: 400, MaxAttempts: 2},
-			{Name: "curation-letter", Type: "streaming", Service: "asistente", TimeoutMS: 12000, TargetMS: 2000, MaxAttempts: 1, Engine: true},
-		},
-		Services: []map[string]any{
-			{"name": "tienda", "healthPath": "/healthz", "maxConnections": 110},
-			{"name": "asistente", "healthPath": "/healthz", "maxConnections": 370},
-		},
+		Routes: []lab.Route{{
+			Name: "stylist-reply", Type: "streaming", Service: "asistente", TimeoutMS: 6000, TargetMS: 800, MaxAttempts: 2, StreamResume: true, Engine: true,
+		}},
+		Services: []map[string]any{{"name": "asistente", "healthPath": "/healthz", "maxConnections": 370}},
 	}.Write(l.Store)
+	store := l.NewLateStore()
+	store.Delay = lateBy
+	newName := ""
+	if l.Trouble {
+		store.Loses = func(key string) bool { return newName != "" && key == "stream-origins/"+newName }
+	}
+	options := lab.DaemonOptions{Store: store.Address(), Duties: []string{"usage_report"}}
 	for _, zone := range lab.ZoneNames {
-		l.AddDaemon(zone, lab.DaemonOptions{MemoryMB: memoryMB}).Start()
+		l.AddDaemon(zone, options).Start()
 	}
 	for _, d := range l.Daemons {
 		d.AwaitReady()
 	}
-	time.Sleep(calm)
-	r := &run{Lab: l, end: make(chan struct{}), ends: make([]atomic.Int64, len(l.Daemons))}
-	for i := range l.Daemons {
-		r.tasks.Go(func() { r.supervise(i) })
-		r.tasks.Go(func() { r.callOrdinarily(i) })
-	}
-	length := calmRunTime
-	if l.Trouble {
-		length = runTime
-		l.Note("%d hostile channels at each of %d machines begin", hostilePerMachine, minMachines)
-		for _, d := range l.Daemons[:minMachines] {
-			for i := range hostilePerMachine {
-				r.tasks.Go(func() { r.press(d, i) })
-			}
-		}
-	}
-	for end := time.Now().Add(length); time.Now().Before(end) && r.machinesEnded() < minMachines; {
-		time.Sleep(100 * time.Millisecond)
-	}
-	close(r.end)
-	r.tasks.Wait()
-	l.Verdict(r.machinesEnded() >= minMachines, "processes ended over %d MB by machine: %s; ordinary requests served %d, not served %d",
-		memoryMB, r.endsText(), r.served.Load(), r.unserved.Load())
+	others := slices.Clone(l.Daemons)
+	time.Sleep(steady)
+	now := time.Now()
+	time.Sleep(now.Truncate(10 * time.Second).Add(10*time.Second + releaseAt).Sub(now))
+	for i := range released {
+		add(i, "v2")
+		register(l, old[i], "draining")
+		l.Note("release: %s replaces %s", "i-v2", old[i].ID)
+		time.Sleep(releaseGap)
+	}
+	added := l.AddDaemon("cuenca-a", options)
+	newName = added.Name
+	added.Start()
+	added.AwaitReady()
+	c := &clients{Lab: l, held: make(map[string]map[string]int)}
+	for i := range streams {
+		c.tasks.Go(func() { c.receive(i, added, others) })
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(killAfter)
+	added.Signal(syscall.SIGKILL)
+	c.tasks.Wait()
+	writes, lost := store.Writes()
+	l.Note("store: %d of %d writes lost their answers", lost, writes)
+	c.judge(all)
+}
+
+// register writes the entry of a replica with its version.
+func register(l *lab.Lab, r *replica, state string) {
+	entry := r.Entry("asistente", r.zone, state)
+	entry["version"], entry["slots"] = r.version, 64
+	l.Store.Write("servers", r.ID, entry)
 }
 
-// run is what happens at the same time.
-type run struct {
+// clients receive streams.
+type clients struct {
 	*lab.Lab
-	end   chan struct{}
 	tasks sync.WaitGroup
-	// ends are the numbers of ends of the processes, by machine.
-	ends             []atomic.Int64
-	served, unserved atomic.Int64
-}
 
-// ended reports whether the run is over.
-func (r *run) ended() bool {
-	select {
-	case <-r.end:
-		return true
-	default:
-		return false
-	}
+	mu sync.Mutex // guards the fields below
+	// attempts are the ids of the attempts of each stream that brought events.
+	streams [][]string
+	// held are the numbers of events by replica, for each attempt.
+	held            map[string]map[string]int
+	takenUp, wentOn int
 }
 
-// machinesEnded returns the number of machines whose processes ended minEnds times.
-func (r *run) machinesEnded() int {
-	n := 0
-	for i := range r.ends {
-		if r.ends[i].Load() >= minEnds {
-			n++
+// receive receives a stream, and takes it up again at another machine when its channel ends.
+func (c *clients) receive(client int, first *lab.Daemon, others []*lab.Daemon) {
+	firstID, last := lab.NewAttemptID(), 0
+	ids := []string{firstID}
+	n, complete := c.attempt(first, firstID, "", 0)
+	last += n
+	for i := 0; n > 0 && !complete && i < maxTakeUps; i++ {
+		time.Sleep(takeUpPause)
+		id := lab.NewAttemptID()
+		var got int
+		got, complete = c.attempt(others[(client+i)%len(others)], id, firstID, last)
+		c.mu.Lock()
+		c.takenUp++
+		if got > 0 {
+			c.wentOn++
+			ids = append(ids, id)
 		}
+		c.mu.Unlock()
+		last += got
 	}
-	return n
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streams = append(c.streams, ids)
 }
 
-// endsText returns the numbers of ends.
-func (r *run) endsText() string {
-	var list []string
-	for i := range r.ends {
-		list = append(list, fmt.Sprint(r.ends[i].Load()))
+// attempt sends one request and returns the number of complete events and whether the answer was
+// complete.
+func (c *clients) attempt(d *lab.Daemon, id, resumes string, last int) (count int, complete bool) {
+	r := lab.Request{Method: "POST", Path: "/stylist-reply/1", ID: id, Deadline: deadline, Body: "{}", Header: map[string]string{
+		"X-Model": "m", "X-Token-Usage": "2890,60", "X-Prefix-Hash": fmt.Sprintf("5c1e07a2:2500,%s:390", id),
+	}}
+	if resumes != "" {
+		r.Header["Last-Event-Id"], r.Header["Resumes"] = fmt.Sprint(last), resumes
+	}
+	connection, err := lab.Dial("", d.Callers)
+	if err != nil {
+		c.Note("%s at %s: %v", id, d.Name, err)
+		return 0, false
 	}
-	return strings.Join(list, ", ")
-}
-
-// supervise kills the process of a machine when it exceeds the machine's memory, and starts it
-// again, as the platform does. Only anonymous memory counts.
-func (r *run) supervise(machine int) {
-	d := r.Daemons[machine]
-	most := 0.0
-	for !r.ended() {
-		time.Sleep(memoryInterval)
-		now, _ := d.MemoryMB()
-		most = max(most, now)
-		if now <= memoryMB && !d.HasEnded() {
-			continue
-		}
-		r.Note("%s has %.0f MB of anonymous memory, over %d MB: killed", d.Name, now, memoryMB)
-		d.Kill()
-		r.ends[machine].Add(1)
-		time.Sleep(restartDelay)
-		if !r.ended() {
-			d.Start()
-		}
+	defer connection.Close()
+	_ = connection.SetDeadline(time.Now().Add(deadline)) // an error shows in the read
+	_, _ = io.WriteString(connection, r.Head(fmt.Sprint(len(r.Body)))+r.Body)
+	response, err := http.ReadResponse(bufio.NewReader(connection), &http.Request{Method: r.Method})
+	if err != nil {
+		c.Note("%s at %s: %v", id, d.Name, err)
+		return 0, false
 	}
-	r.Note("%s had at most %.0f MB of anonymous memory", d.Name, most)
-}
-
-// callOrdinarily sends requests of an ordinary caller to a machine.
-func (r *run) callOrdinarily(machine int) {
-	d := r.Daemons[machine]
-	for !r.ended() {
-		a := lab.Send(d.Callers, lab.Request{
-			Method: "GET", Path: "/order-status/1", ID: lab.NewAttemptID(), Deadline: ordinaryDeadline, From: "127.9.9.9",
-		})
-		if a.Status == 200 && a.Signed && a.Complete {
-			r.served.Add(1)
-		} else {
-			r.unserved.Add(1)
-			r.Note("ordinary request at %s: status %d %s %v", d.Name, a.Status, strings.TrimSpace(a.Body), a.Err)
-		}
-		time.Sleep(ordinaryInterval)
+	data, err := io.ReadAll(response.Body)
+	if response.StatusCode == http.StatusOK {
+		count = strings.Count(string(data), "\n\n")
 	}
+	c.Note("%s at %s, resumes %q after %d: %d, %d events, complete %t", id, d.Name, resumes, last, response.StatusCode, count, err == nil)
+	return count, err == nil && response.StatusCode == http.StatusOK
 }
 
-// press is one hostile client: it sends one request after the other, each on a new channel.
-func (r *run) press(d *lab.Daemon, client int) {
-	for !r.ended() {
-		r.sendHostile(d, client)
-		select {
-		case <-time.After(hostileRetry):
-		case <-r.end:
+// judge finds the streams that hold events of two versions.
+func (c *clients) judge(all []*replica) {
+	versions := make(map[string]map[string]bool) // by attempt
+	for _, r := range all {
+		for _, received := range r.ReceivedRequests() {
+			if !received.Ran {
+				continue
+			}
+			id := received.Header.Get("X-Attempt-Id")
+			if versions[id] == nil {
+				versions[id] = make(map[string]bool)
+			}
+			versions[id][r.version] = true
+			c.Note("%s (%s) runs %s after event %q", r.ID, r.version, id, received.Header.Get("Last-Event-Id"))
 		}
 	}
-}
-
-// sendHostile sends one hostile request and keeps its channel open until the daemon closes it.
-func (r *run) sendHostile(d *lab.Daemon, client int) {
-	c, err := lab.Dial(fmt.Sprintf("127.8.8.%d", 1+client%hostileAddresses), d.Callers)
-	if err != nil {
-		return
-	}
-	closed := make(chan struct{})
-	defer close(closed)
-	go func() {
-		select {
-		case <-r.end:
-		case <-closed:
+	mixed := 0
+	for _, ids := range c.streams {
+		held := make(map[string]bool)
+		for _, id := range ids {
+			maps.Copy(held, versions[id])
 		}
-		_ = c.Close() // it may be closed already
-	}()
-	_ = c.SetDeadline(time.Now().Add(2 * hostileDeadline)) // an error shows in the write
-	request := lab.Request{
-		Method: "POST", Path: "/curation-letter/1", ID: lab.NewAttemptID(), Deadline: hostileDeadline, Key: lab.HostileKey,
-		Header: map[string]string{
-			"Transfer-Encoding": "chunked", "X-Model": "m", "X-Token-Usage": "3720,60",
-			"X-Prefix-Hash": strings.TrimSuffix(strings.Repeat("1:1,", promptParts), ","),
-		},
-	}
-	if _, err := c.Write([]byte(request.Head(""))); err != nil {
-		return
-	}
-	time.Sleep(headPause)
-	body := fmt.Sprintf("%x\r\n", chunkBytes) + strings.Repeat("x", chunkBytes-1)
-	if client%100 < completePercent {
-		body += "x\r\n0\r\n\r\n"
-	}
-	if _, err := c.Write([]byte(body)); err != nil {
-		return
-	}
-	buffer := make([]byte, 512)
-	for {
-		if _, err := c.Read(buffer); err != nil {
-			return
+		if len(held) > 1 {
+			mixed++
+			c.Note("stream %s holds events of %v", strings.Join(ids, ", "), slices.Sorted(maps.Keys(held)))
 		}
 	}
+	c.Verdict(mixed > allowed, "%d of %d streams hold events of two versions, allowed %d; %d attempts to take up, %d went on", mixed, len(c.streams), allowed, c.takenUp, c.wentOn)
 }
--- a/review/third/13/main.go
+++ b/review/third/13/main.go
@@ -1,22 +1,62 @@
-// Case 13: a client sends paths with an encoded slash. They must be run by the service of the route whose
-// prefix begins the path as it was sent.
+// Case 13: hostile clients send heads inside the limit with long lists of prompt parts, and chunked
+// bodies that mostly stop one byte short. The daemon must stay within the memory of its machine.
 package main
 
 import (
 	"fmt"
 	"os"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"acaciapath.example/platform/platformtest"
 	"acaciapath.example/review/third/lab"
 )
 
+// What the hostile clients send.
 const (
-	// repeats is the number of requests for each path.
-	repeats = 20
-	// deadline is that of the requests.
-	deadline = 2 * time.Second
+	// hostilePerMachine is the number of their channels at a machine.
+	hostilePerMachine = 2000
+	// hostileAddresses is the number of addresses from which they come.
+	hostileAddresses = 60
+	// completePercent is the share of the bodies that are sent to the end, in percent.
+	completePercent = 30
+	// promptParts is the number of entries of X-Prefix-Hash. The head stays below the
+	// 16,384 bytes of the limits.
+	promptParts = 3900
+	// chunkBytes is the size of the one chunk of a body.
+	chunkBytes = 4096
+	// headPause is the time between the head and the body of a request.
+	headPause = 300 * time.Millisecond
+	// hostileDeadline is the deadline that they state.
+	hostileDeadline = 12 * time.Second
+	// hostileRetry is the time until they open another channel after one was refused or ended.
+	hostileRetry = 200 * time.Millisecond
+)
+
+// The platform's part, and the length of the run.
+const (
+	// memoryMB is the memory of a machine (sites/calcetin-ruta.toml).
+	memoryMB = 284
+	// memoryInterval is how often the platform looks at the memory of a process.
+	memoryInterval = 20 * time.Millisecond
+	// restartDelay is the time from the end of a process to its next start.
+	restartDelay = 500 * time.Millisecond
+	// minEnds is the number of ends of a process from which a machine counts, and minMachines
+	// that of such machines from which the rule is broken.
+	minEnds, minMachines = 3, 2
+	// calm is the time without hostile clients, and runTime bounds the time with them.
+	calm, runTime = 3 * time.Second, 75 * time.Second
+	// calmRunTime is the time of a run without the disruption.
+	calmRunTime = 15 * time.Second
+)
+
+// The ordinary callers, one at each machine.
+const (
+	ordinaryInterval = 250 * time.Millisecond
+	ordinaryDeadline = 2 * time.Second
 )
 
 func main() {
@@ -24,42 +64,191 @@
 		os.Exit(lab.CannotRun)
 	}
 	l := lab.New(os.Args[1])
-	public := platformtest.NewServer("i-catalogue", 0)
-	l.Register(public, "catalogue", "quito-a", "ready")
-	billing := platformtest.NewServer("i-billing", 0)
-	l.Register(billing, "billing", "quito-a", "ready")
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil || files.Cur < 2*hostilePerMachine+1000 {
+		l.Fail("too few file descriptors: %d", files.Cur)
+	}
+	for i := range 3 {
+		shop := platformtest.NewServer(fmt.Sprint("i-shop-", i), 0)
+		shop.SetPause(60 * time.Millisecond)
+		l.Register(shop, "tienda", lab.ZoneNames[i], "ready")
+	}
+	for i := range 9 {
+		model := platformtest.NewServer(fmt.Sprint("i-model-", i), 20)
+		model.SetPause(500 * time.Millisecond)
+		l.Register(model, "asistente", lab.ZoneNames[i%3], "ready")
+	}
 	lab.Config{
 		Version: 3, Limits: lab.DefaultLimits(),
 		Routes: []lab.Route{
-			{Name: "shop", Type: "unsafe", Service: "catalogue", TimeoutMS: 2000, TargetMS: 400, MaxAttempts: 1},
-			{Name: "shop/renewals", Type: "unsafe", Service: "billing", TimeoutMS: 2000, TargetMS: 400, MaxAttempts: 1},
+			{Name: "order-status", Type: "safe", Service: "tienda", TimeoutMS: 2000, TargetMS: 400, MaxAttempts: 2},
+			{Name: "curation-letter", Type: "streaming", Service: "asistente", TimeoutMS: 12000, TargetMS: 2000, MaxAttempts: 1, Engine: true},
+		},
+		Services: []map[string]any{
+			{"name": "tienda", "healthPath": "/healthz", "maxConnections": 110},
+			{"name": "asistente", "healthPath": "/healthz", "maxConnections": 370},
 		},
-		Services: []map[string]any{{"name": "catalogue", "maxConnections": 110}, {"name": "billing", "maxConnections": 110}},
 	}.Write(l.Store)
 	for _, zone := range lab.ZoneNames {
-		l.AddDaemon(zone, lab.DaemonOptions{}).Start()
+		l.AddDaemon(zone, lab.DaemonOptions{MemoryMB: memoryMB}).Start()
 	}
 	for _, d := range l.Daemons {
 		d.AwaitReady()
 	}
-	path := "/shop/renewals-2026"
+	time.Sleep(calm)
+	r := &run{Lab: l, end: make(chan struct{}), ends: make([]atomic.Int64, len(l.Daemons))}
+	for i := range l.Daemons {
+		r.tasks.Go(func() { r.supervise(i) })
+		r.tasks.Go(func() { r.callOrdinarily(i) })
+	}
+	length := calmRunTime
 	if l.Trouble {
-		path = "/shop/renewals%2F2026"
-	}
-	for i := range repeats {
-		d := l.Daemons[i%len(l.Daemons)]
-		r := lab.Request{Method: "POST", Path: path, ID: lab.NewAttemptID(), Body: "x", Deadline: deadline}
-		a := lab.Send(d.Callers, r)
-		l.Note("%s to %s: POST %s is answered %d", r.ID, d.Name, path, a.Status)
-	}
-	wrong := 0
-	for _, service := range []*platformtest.Server{public, billing} {
-		for _, received := range service.ReceivedRequests() {
-			l.Note("%s runs %s: %s %s", service.ID, received.Header.Get("X-Attempt-Id"), received.Method, received.Path)
-			if service == billing && !strings.HasPrefix(received.Path, "/shop/renewals/") {
-				wrong++
+		length = runTime
+		l.Note("%d hostile channels at each of %d machines begin", hostilePerMachine, minMachines)
+		for _, d := range l.Daemons[:minMachines] {
+			for i := range hostilePerMachine {
+				r.tasks.Go(func() { r.press(d, i) })
 			}
 		}
 	}
-	l.Verdict(wrong > 0, "%s", fmt.Sprintf("%d of %d requests for %s, which begins with the prefix /shop/ only, were run by the service of the prefix /shop/renewals/", wrong, repeats, path))
+	for end := time.Now().Add(length); time.Now().Before(end) && r.machinesEnded() < minMachines; {
+		time.Sleep(100 * time.Millisecond)
+	}
+	close(r.end)
+	r.tasks.Wait()
+	l.Verdict(r.machinesEnded() >= minMachines, "processes ended over %d MB by machine: %s; ordinary requests served %d, not served %d",
+		memoryMB, r.endsText(), r.served.Load(), r.unserved.Load())
+}
+
+// run is what happens at the same time.
+type run struct {
+	*lab.Lab
+	end   chan struct{}
+	tasks sync.WaitGroup
+	// ends are the numbers of ends of the processes, by machine.
+	ends             []atomic.Int64
+	served, unserved atomic.Int64
+}
+
+// ended reports whether the run is over.
+func (r *run) ended() bool {
+	select {
+	case <-r.end:
+		return true
+	default:
+		return false
+	}
+}
+
+// machinesEnded returns the number of machines whose processes ended minEnds times.
+func (r *run) machinesEnded() int {
+	n := 0
+	for i := range r.ends {
+		if r.ends[i].Load() >= minEnds {
+			n++
+		}
+	}
+	return n
+}
+
+// endsText returns the numbers of ends.
+func (r *run) endsText() string {
+	var list []string
+	for i := range r.ends {
+		list = append(list, fmt.Sprint(r.ends[i].Load()))
+	}
+	return strings.Join(list, ", ")
+}
+
+// supervise kills the process of a machine when it exceeds the machine's memory, and starts it
+// again, as the platform does. Only anonymous memory counts.
+func (r *run) supervise(machine int) {
+	d := r.Daemons[machine]
+	most := 0.0
+	for !r.ended() {
+		time.Sleep(memoryInterval)
+		now, _ := d.MemoryMB()
+		most = max(most, now)
+		if now <= memoryMB && !d.HasEnded() {
+			continue
+		}
+		r.Note("%s has %.0f MB of anonymous memory, over %d MB: killed", d.Name, now, memoryMB)
+		d.Kill()
+		r.ends[machine].Add(1)
+		time.Sleep(restartDelay)
+		if !r.ended() {
+			d.Start()
+		}
+	}
+	r.Note("%s had at most %.0f MB of anonymous memory", d.Name, most)
+}
+
+// callOrdinarily sends requests of an ordinary caller to a machine.
+func (r *run) callOrdinarily(machine int) {
+	d := r.Daemons[machine]
+	for !r.ended() {
+		a := lab.Send(d.Callers, lab.Request{
+			Method: "GET", Path: "/order-status/1", ID: lab.NewAttemptID(), Deadline: ordinaryDeadline, From: "127.9.9.9",
+		})
+		if a.Status == 200 && a.Signed && a.Complete {
+			r.served.Add(1)
+		} else {
+			r.unserved.Add(1)
+			r.Note("ordinary request at %s: status %d %s %v", d.Name, a.Status, strings.TrimSpace(a.Body), a.Err)
+		}
+		time.Sleep(ordinaryInterval)
+	}
+}
+
+// press is one hostile client: it sends one request after the other, each on a new channel.
+func (r *run) press(d *lab.Daemon, client int) {
+	for !r.ended() {
+		r.sendHostile(d, client)
+		select {
+		case <-time.After(hostileRetry):
+		case <-r.end:
+		}
+	}
+}
+
+// sendHostile sends one hostile request and keeps its channel open until the daemon closes it.
+func (r *run) sendHostile(d *lab.Daemon, client int) {
+	c, err := lab.Dial(fmt.Sprintf("127.8.8.%d", 1+client%hostileAddresses), d.Callers)
+	if err != nil {
+		return
+	}
+	closed := make(chan struct{})
+	defer close(closed)
+	go func() {
+		select {
+		case <-r.end:
+		case <-closed:
+		}
+		_ = c.Close() // it may be closed already
+	}()
+	_ = c.SetDeadline(time.Now().Add(2 * hostileDeadline)) // an error shows in the write
+	request := lab.Request{
+		Method: "POST", Path: "/curation-letter/1", ID: lab.NewAttemptID(), Deadline: hostileDeadline, Key: lab.HostileKey,
+		Header: map[string]string{
+			"Transfer-Encoding": "chunked", "X-Model": "m", "X-Token-Usage": "3720,60",
+			"X-Prefix-Hash": strings.TrimSuffix(strings.Repeat("1:1,", promptParts), ","),
+		},
+	}
+	if _, err := c.Write([]byte(request.Head(""))); err != nil {
+		return
+	}
+	time.Sleep(headPause)
+	body := fmt.Sprintf("%x\r\n", chunkBytes) + strings.Repeat("x", chunkBytes-1)
+	if client%100 < completePercent {
+		body += "x\r\n0\r\n\r\n"
+	}
+	if _, err := c.Write([]byte(body)); err != nil {
+		return
+	}
+	buffer := make([]byte, 512)
+	for {
+		if _, err := c.Read(buffer); err != nil {
+			return
+		}
+	}
 }
--- a/review/third/15/main.go
+++ b/review/third/15/main.go
@@ -1,16 +1,10 @@
-// Case 15: during a release of replicas a machine is added. The store loses the answer of the write of its
-// first plan, and the machine is killed. Streams that began there must go on at their version.
+// Case 15: hostile clients leave chunked bodies one byte short of their end, on more channels than the
+// daemon admits. The machine says that it is ready and takes no other channel.
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"maps"
-	"net/http"
 	"os"
-	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -19,203 +13,195 @@
 	"acaciapath.example/review/third/lab"
 )
 
+// What the hostile clients send.
 const (
-	// replicas is the number of replicas of the service, and released that of those that are
-	// replaced by ones of another version, one each releaseGap.
-	replicas, released = 12, 3
-	releaseGap         = time.Second
-	// events and pause are the number of events of a stream and the time between two.
-	events = 40
-	pause  = 100 * time.Millisecond
-	// steady is the time before the release, and releaseAt its begin within a period of ten
-	// seconds of the wall clock.
-	steady, releaseAt = 12 * time.Second, 300 * time.Millisecond
-	// lateBy is how much later the write whose answer is lost is done.
-	lateBy = 5 * time.Second
-	// streams is the number of streams at the new machine, and killAfter the time from their
-	// begin to the kill.
-	streams   = 40
-	killAfter = 1500 * time.Millisecond
-	// deadline is that of the requests, and takeUpPause the time from the end of a channel to the
-	// next attempt.
-	deadline, takeUpPause = 6 * time.Second, 100 * time.Millisecond
-	// maxTakeUps is the number of attempts to take a stream up again.
-	maxTakeUps = 3
-	// allowed is the number of streams with events of two versions that the rule allows.
-	allowed = 2
+	// hostileChannels is their number at the machine, and hostileAddresses that of the addresses
+	// from which they come.
+	hostileChannels, hostileAddresses = 2600, 60
+	// chunkBytes is the size of the one chunk of a body, of which the last byte is missing.
+	chunkBytes = 1024
+	// hostileDeadline is the deadline that they state.
+	hostileDeadline = 12 * time.Second
+	// hostileRetry is the time until they open another channel after one was refused or ended.
+	hostileRetry = 200 * time.Millisecond
 )
 
-// replica is a replica and its version.
-type replica struct {
-	*platformtest.Server
-	version, zone string
-}
+// The ordinary callers and the length of the run.
+const (
+	// ordinaryClients is the number of ordinary callers. Seven must try for the rule to apply.
+	ordinaryClients = 10
+	// ordinaryInterval is the time between two requests of one, each on a new channel.
+	ordinaryInterval = 200 * time.Millisecond
+	ordinaryDeadline = 2 * time.Second
+	// readyInterval is how often the platform asks whether the machine is ready.
+	readyInterval = time.Second
+	// contact is contactMs of the small deployments.
+	contact = 4 * time.Second
+	// calm is the time before the hostile clients begin, and runTime the time with them.
+	calm, runTime = 5 * time.Second, 15 * time.Second
+)
 
 func main() {
 	if len(os.Args) != 2 {
 		os.Exit(lab.CannotRun)
 	}
 	l := lab.New(os.Args[1])
-	var all []*replica
-	add := func(i int, version string) *replica {
-		r := &replica{Server: platformtest.NewServer(fmt.Sprintf("i-%s-%02d", version, i), events), version: version, zone: lab.ZoneNames[i%3]}
-		r.SetPause(pause)
-		register(l, r, "ready")
-		all = append(all, r)
-		return r
-	}
-	var old []*replica
-	for i := range replicas {
-		old = append(old, add(i, "v1"))
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil || files.Cur < hostileChannels+1000 {
+		l.Fail("too few file descriptors: %d", files.Cur)
+	}
+	for i, zone := range lab.ZoneNames {
+		shop := platformtest.NewServer(fmt.Sprint("i-shop-", i), 0)
+		shop.SetPause(60 * time.Millisecond)
+		l.Register(shop, "tienda", zone, "ready")
+		model := platformtest.NewServer(fmt.Sprint("i-model-", i), 20)
+		l.Register(model, "asistente", zone, "ready")
 	}
 	lab.Config{
 		Version: 3, Limits: lab.DefaultLimits(),
-		Routes: []lab.Route{{
-			Name: "stylist-reply", Type: "streaming", Service: "asistente", TimeoutMS: 6000, TargetMS: 800, MaxAttempts: 2, StreamResume: true, Engine: true,
-		}},
-		Services: []map[string]any{{"name": "asistente", "healthPath": "/healthz", "maxConnections": 370}},
+		Routes: []lab.Route{
+			{Name: "order-status", Type: "safe", Service: "tienda", TimeoutMS: 2000, TargetMS: 400, MaxAttempts: 2},
+			{Name: "curation-letter", Type: "streaming", Service: "asistente", TimeoutMS: 12000, TargetMS: 2000, MaxAttempts: 1, Engine: true},
+		},
+		Services: []map[string]any{
+			{"name": "tienda", "healthPath": "/healthz", "maxConnections": 110},
+			{"name": "asistente", "healthPath": "/healthz", "maxConnections": 370},
+		},
 	}.Write(l.Store)
-	store := l.NewLateStore()
-	store.Delay = lateBy
-	newName := ""
-	if l.Trouble {
-		store.Loses = func(key string) bool { return newName != "" && key == "stream-origins/"+newName }
-	}
-	options := lab.DaemonOptions{Store: store.Address(), Duties: []string{"usage_report"}}
 	for _, zone := range lab.ZoneNames {
-		l.AddDaemon(zone, options).Start()
+		l.AddDaemon(zone, lab.DaemonOptions{}).Start()
 	}
 	for _, d := range l.Daemons {
 		d.AwaitReady()
 	}
-	others := slices.Clone(l.Daemons)
-	time.Sleep(steady)
-	now := time.Now()
-	time.Sleep(now.Truncate(10 * time.Second).Add(10*time.Second + releaseAt).Sub(now))
-	for i := range released {
-		add(i, "v2")
-		register(l, old[i], "draining")
-		l.Note("release: %s replaces %s", "i-v2", old[i].ID)
-		time.Sleep(releaseGap)
-	}
-	added := l.AddDaemon("cuenca-a", options)
-	newName = added.Name
-	added.Start()
-	added.AwaitReady()
-	c := &clients{Lab: l, held: make(map[string]map[string]int)}
-	for i := range streams {
-		c.tasks.Go(func() { c.receive(i, added, others) })
-		time.Sleep(5 * time.Millisecond)
-	}
-	time.Sleep(killAfter)
-	added.Signal(syscall.SIGKILL)
-	c.tasks.Wait()
-	writes, lost := store.Writes()
-	l.Note("store: %d of %d writes lost their answers", lost, writes)
-	c.judge(all)
-}
-
-// register writes the entry of a replica with its version.
-func register(l *lab.Lab, r *replica, state string) {
-	entry := r.Entry("asistente", r.zone, state)
-	entry["version"], entry["slots"] = r.version, 64
-	l.Store.Write("servers", r.ID, entry)
+	r := &run{Lab: l, machine: l.Daemons[0], end: make(chan struct{}), taken: time.Now(), notReady: time.Now()}
+	for i := range ordinaryClients {
+		r.tasks.Go(func() { r.callOrdinarily(i) })
+	}
+	r.tasks.Go(r.askReady)
+	time.Sleep(calm)
+	if l.Trouble {
+		l.Note("%d hostile clients begin", hostileChannels)
+		for i := range hostileChannels {
+			r.tasks.Go(func() { r.press(i) })
+		}
+	}
+	time.Sleep(runTime)
+	close(r.end)
+	r.tasks.Wait()
+	l.Verdict(r.longest >= contact, "longest time in which the machine said that it was ready, %d clients tried and none was answered: %.1f s, allowed less than %.1f s; ordinary requests answered %d, not answered %d",
+		ordinaryClients, r.longest.Seconds(), contact.Seconds(), r.answered, r.unanswered)
 }
 
-// clients receive streams.
-type clients struct {
+// run is what happens at the same time.
+type run struct {
 	*lab.Lab
-	tasks sync.WaitGroup
+	machine *lab.Daemon
+	end     chan struct{}
+	tasks   sync.WaitGroup
 
 	mu sync.Mutex // guards the fields below
-	// attempts are the ids of the attempts of each stream that brought events.
-	streams [][]string
-	// held are the numbers of events by replica, for each attempt.
-	held            map[string]map[string]int
-	takenUp, wentOn int
+	// taken is when the machine last answered a request on a new channel, and notReady when it
+	// last did not say that it is ready.
+	taken, notReady time.Time
+	// longest is the longest time without either.
+	longest              time.Duration
+	answered, unanswered int
 }
 
-// receive receives a stream, and takes it up again at another machine when its channel ends.
-func (c *clients) receive(client int, first *lab.Daemon, others []*lab.Daemon) {
-	firstID, last := lab.NewAttemptID(), 0
-	ids := []string{firstID}
-	n, complete := c.attempt(first, firstID, "", 0)
-	last += n
-	for i := 0; n > 0 && !complete && i < maxTakeUps; i++ {
-		time.Sleep(takeUpPause)
-		id := lab.NewAttemptID()
-		var got int
-		got, complete = c.attempt(others[(client+i)%len(others)], id, firstID, last)
-		c.mu.Lock()
-		c.takenUp++
-		if got > 0 {
-			c.wentOn++
-			ids = append(ids, id)
+// ended reports whether the run is over.
+func (r *run) ended() bool {
+	select {
+	case <-r.end:
+		return true
+	default:
+		return false
+	}
+}
+
+// askReady asks the machine whether it is ready, as the platform does.
+func (r *run) askReady() {
+	for !r.ended() {
+		ready := r.machine.IsReady()
+		r.mu.Lock()
+		if !ready {
+			r.notReady = time.Now()
 		}
-		c.mu.Unlock()
-		last += got
+		r.mu.Unlock()
+		r.Note("ready: %t", ready)
+		time.Sleep(readyInterval)
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.streams = append(c.streams, ids)
 }
 
-// attempt sends one request and returns the number of complete events and whether the answer was
-// complete.
-func (c *clients) attempt(d *lab.Daemon, id, resumes string, last int) (count int, complete bool) {
-	r := lab.Request{Method: "POST", Path: "/stylist-reply/1", ID: id, Deadline: deadline, Body: "{}", Header: map[string]string{
-		"X-Model": "m", "X-Token-Usage": "2890,60", "X-Prefix-Hash": fmt.Sprintf("5c1e07a2:2500,%s:390", id),
-	}}
-	if resumes != "" {
-		r.Header["Last-Event-Id"], r.Header["Resumes"] = fmt.Sprint(last), resumes
-	}
-	connection, err := lab.Dial("", d.Callers)
-	if err != nil {
-		c.Note("%s at %s: %v", id, d.Name, err)
-		return 0, false
+// callOrdinarily sends requests of an ordinary caller, each on a new channel. Any answer counts.
+func (r *run) callOrdinarily(client int) {
+	for !r.ended() {
+		a := lab.Send(r.machine.Callers, lab.Request{
+			Method: "GET", Path: "/order-status/1", ID: lab.NewAttemptID(), Deadline: ordinaryDeadline, From: fmt.Sprintf("127.9.9.%d", 1+client),
+		})
+		r.record(client, a)
+		time.Sleep(ordinaryInterval)
 	}
-	defer connection.Close()
-	_ = connection.SetDeadline(time.Now().Add(deadline)) // an error shows in the read
-	_, _ = io.WriteString(connection, r.Head(fmt.Sprint(len(r.Body)))+r.Body)
-	response, err := http.ReadResponse(bufio.NewReader(connection), &http.Request{Method: r.Method})
-	if err != nil {
-		c.Note("%s at %s: %v", id, d.Name, err)
-		return 0, false
+}
+
+// record records how an ordinary request ended.
+func (r *run) record(client int, a lab.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	since := r.taken
+	if r.notReady.After(since) {
+		since = r.notReady
 	}
-	data, err := io.ReadAll(response.Body)
-	if response.StatusCode == http.StatusOK {
-		count = strings.Count(string(data), "\n\n")
+	r.longest = max(r.longest, now.Sub(since))
+	if a.Status != 0 {
+		r.taken = now
+		r.answered++
+		return
 	}
-	c.Note("%s at %s, resumes %q after %d: %d, %d events, complete %t", id, d.Name, resumes, last, response.StatusCode, count, err == nil)
-	return count, err == nil && response.StatusCode == http.StatusOK
+	r.unanswered++
+	r.Note("client %d: no answer: %v", client, a.Err)
 }
 
-// judge finds the streams that hold events of two versions.
-func (c *clients) judge(all []*replica) {
-	versions := make(map[string]map[string]bool) // by attempt
-	for _, r := range all {
-		for _, received := range r.ReceivedRequests() {
-			if !received.Ran {
-				continue
-			}
-			id := received.Header.Get("X-Attempt-Id")
-			if versions[id] == nil {
-				versions[id] = make(map[string]bool)
-			}
-			versions[id][r.version] = true
-			c.Note("%s (%s) runs %s after event %q", r.ID, r.version, id, received.Header.Get("Last-Event-Id"))
+// press is one hostile client.
+func (r *run) press(client int) {
+	for !r.ended() {
+		r.sendHostile(client)
+		select {
+		case <-time.After(hostileRetry):
+		case <-r.end:
 		}
 	}
-	mixed := 0
-	for _, ids := range c.streams {
-		held := make(map[string]bool)
-		for _, id := range ids {
-			maps.Copy(held, versions[id])
+}
+
+// sendHostile sends one hostile request and keeps its channel open until the daemon closes it.
+func (r *run) sendHostile(client int) {
+	c, err := lab.Dial(fmt.Sprintf("127.8.8.%d", 1+client%hostileAddresses), r.machine.Callers)
+	if err != nil {
+		return
+	}
+	closed := make(chan struct{})
+	defer close(closed)
+	go func() {
+		select {
+		case <-r.end:
+		case <-closed:
 		}
-		if len(held) > 1 {
-			mixed++
-			c.Note("stream %s holds events of %v", strings.Join(ids, ", "), slices.Sorted(maps.Keys(held)))
+		_ = c.Close() // it may be closed already
+	}()
+	_ = c.SetDeadline(time.Now().Add(2 * hostileDeadline)) // an error shows in the write
+	request := lab.Request{
+		Method: "POST", Path: "/curation-letter/1", ID: lab.NewAttemptID(), Deadline: hostileDeadline, Key: lab.HostileKey,
+		Header: map[string]string{"Transfer-Encoding": "chunked", "X-Model": "m", "X-Token-Usage": "3720,60", "X-Prefix-Hash": "5c1e07a2:3000,91bd3f06:720"},
+	}
+	body := make([]byte, chunkBytes-1)
+	if _, err := c.Write(append([]byte(request.Head("")+fmt.Sprintf("%x\r\n", chunkBytes)), body...)); err != nil {
+		return
+	}
+	buffer := make([]byte, 512)
+	for {
+		if _, err := c.Read(buffer); err != nil {
+			return
 		}
 	}
-	c.Verdict(mixed > allowed, "%d of %d streams hold events of two versions, allowed %d; %d attempts to take up, %d went on", mixed, len(c.streams), allowed, c.takenUp, c.wentOn)
 }
