--- a/review/third/lab/late.go
+++ b/review/third/lab/late.go
@@ -16,6 +16,9 @@
 	"acaciapath.example/standin/loopback"
 )
 
+// maxTransactionBytes bounds what is read of a transaction.
+const maxTransactionBytes = 4 << 20
+
 // LateStore is an address of the store at which the answers of some writes are lost, and the writes are
 // done later.
 type LateStore struct {
