review/13: callers on kept channels, whose charges run and are never answered

The rule is LOST now: with each end of the process the unsafe requests under way ran at a replica and their kept channels end without an answer (platform/headers.go, parseParts, not counted in the memory budget).

--- a/review/third/13/main.go
+++ b/review/third/13/main.go
@@ -3,8 +3,13 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net/http"
 	"os"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -44,19 +49,25 @@
 	memoryInterval = 20 * time.Millisecond
 	// restartDelay is the time from the end of a process to its next start.
 	restartDelay = 500 * time.Millisecond
-	// minEnds is the number of ends of a process from which a machine counts, and minMachines
-	// that of such machines from which the rule is broken.
+	// minEnds is the number of ends of each process after which the run is over, and minMachines
+	// the number of machines with hostile clients.
 	minEnds, minMachines = 3, 2
+	// allowed is the number of requests from kept channels that a machine may pass on and leave
+	// without an answer.
+	allowed = 3
 	// calm is the time without hostile clients, and runTime bounds the time with them.
 	calm, runTime = 3 * time.Second, 75 * time.Second
 	// calmRunTime is the time of a run without the disruption.
 	calmRunTime = 15 * time.Second
 )
 
-// The ordinary callers, one at each machine.
+// The ordinary callers at each machine, each with a kept channel.
 const (
-	ordinaryInterval = 250 * time.Millisecond
+	ordinaryClients  = 10
+	ordinaryInterval = 20 * time.Millisecond
 	ordinaryDeadline = 2 * time.Second
+	// ordinaryRetry is the time until one opens another channel.
+	ordinaryRetry = 200 * time.Millisecond
 )
 
 func main() {
@@ -68,10 +79,12 @@
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil || files.Cur < 2*hostilePerMachine+1000 {
 		l.Fail("too few file descriptors: %d", files.Cur)
 	}
+	var shops []*platformtest.Server
 	for i := range 3 {
 		shop := platformtest.NewServer(fmt.Sprint("i-shop-", i), 0)
 		shop.SetPause(60 * time.Millisecond)
 		l.Register(shop, "tienda", lab.ZoneNames[i], "ready")
+		shops = append(shops, shop)
 	}
 	for i := range 9 {
 		model := platformtest.NewServer(fmt.Sprint("i-model-", i), 20)
@@ -81,7 +94,7 @@
 	lab.Config{
 		Version: 3, Limits: lab.DefaultLimits(),
 		Routes: []lab.Route{
-			{Name: "order-status", Type: "safe", Service: "tienda", TimeoutMS: 2000, TargetMS: 400, MaxAttempts: 2},
+			{Name: "renewal-charge", Type: "unsafe", Service: "tienda", TimeoutMS: 2000, TargetMS: 400, MaxAttempts: 1},
 			{Name: "curation-letter", Type: "streaming", Service: "asistente", TimeoutMS: 12000, TargetMS: 2000, MaxAttempts: 1, Engine: true},
 		},
 		Services: []map[string]any{
@@ -96,10 +109,12 @@
 		d.AwaitReady()
 	}
 	time.Sleep(calm)
-	r := &run{Lab: l, end: make(chan struct{}), ends: make([]atomic.Int64, len(l.Daemons))}
+	r := &run{Lab: l, end: make(chan struct{}), ends: make([]atomic.Int64, len(l.Daemons)), closed: make([][]string, len(l.Daemons))}
 	for i := range l.Daemons {
 		r.tasks.Go(func() { r.supervise(i) })
-		r.tasks.Go(func() { r.callOrdinarily(i) })
+		for range ordinaryClients {
+			r.tasks.Go(func() { r.callOrdinarily(i) })
+		}
 	}
 	length := calmRunTime
 	if l.Trouble {
@@ -116,8 +131,9 @@
 	}
 	close(r.end)
 	r.tasks.Wait()
-	l.Verdict(r.machinesEnded() >= minMachines, "processes ended over %d MB by machine: %s; ordinary requests served %d, not served %d",
-		memoryMB, r.endsText(), r.served.Load(), r.unserved.Load())
+	lost := r.countLost(shops)
+	l.Verdict(slices.Max(lost) > allowed, "requests of kept channels that were passed on and left without an answer, by machine: %v, allowed %d each; ends of processes over %d MB: %s; ordinary requests answered %d, not answered %d",
+		lost, allowed, memoryMB, r.endsText(), r.served.Load(), r.unserved.Load())
 }
 
 // run is what happens at the same time.
@@ -128,6 +144,31 @@
 	// ends are the numbers of ends of the processes, by machine.
 	ends             []atomic.Int64
 	served, unserved atomic.Int64
+
+	mu sync.Mutex // guards closed
+	// closed are the requests whose kept channels ended without an answer, by machine.
+	closed [][]string
+}
+
+// countLost returns the number of requests of kept channels that replicas ran and that got no answer, by
+// machine.
+func (r *run) countLost(shops []*platformtest.Server) []int {
+	ran := make(map[string]bool)
+	for _, shop := range shops {
+		for _, received := range shop.ReceivedRequests() {
+			ran[received.Header.Get("X-Attempt-Id")] = ran[received.Header.Get("X-Attempt-Id")] || received.Ran
+		}
+	}
+	lost := make([]int, len(r.closed))
+	for machine, ids := range r.closed {
+		for _, id := range ids {
+			if ran[id] {
+				lost[machine]++
+				r.Note("%s ran at a replica, and its kept channel at %s ended without an answer", id, r.Daemons[machine].Name)
+			}
+		}
+	}
+	return lost
 }
 
 // ended reports whether the run is over.
@@ -183,18 +224,46 @@
 	r.Note("%s had at most %.0f MB of anonymous memory", d.Name, most)
 }
 
-// callOrdinarily sends requests of an ordinary caller to a machine.
+// callOrdinarily sends requests of an ordinary caller to a machine, on a channel that it keeps.
 func (r *run) callOrdinarily(machine int) {
-	d := r.Daemons[machine]
 	for !r.ended() {
-		a := lab.Send(d.Callers, lab.Request{
-			Method: "GET", Path: "/order-status/1", ID: lab.NewAttemptID(), Deadline: ordinaryDeadline, From: "127.9.9.9",
-		})
-		if a.Status == 200 && a.Signed && a.Complete {
-			r.served.Add(1)
-		} else {
+		r.keepChannel(machine)
+		time.Sleep(ordinaryRetry)
+	}
+}
+
+// keepChannel sends requests on one channel until that ends.
+func (r *run) keepChannel(machine int) {
+	d := r.Daemons[machine]
+	c, err := lab.Dial("127.9.9.9", d.Callers)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for answered := 0; !r.ended(); answered++ {
+		request := lab.Request{Method: "POST", Path: "/renewal-charge/1", ID: lab.NewAttemptID(), Body: "{}", Deadline: ordinaryDeadline}
+		_ = c.SetDeadline(time.Now().Add(ordinaryDeadline)) // an error shows in the read
+		if _, err = io.WriteString(c, request.Head(strconv.Itoa(len(request.Body)))+request.Body); err != nil {
+			return
+		}
+		response, err := http.ReadResponse(reader, &http.Request{Method: request.Method})
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+		}
+		if err != nil {
 			r.unserved.Add(1)
-			r.Note("ordinary request at %s: status %d %s %v", d.Name, a.Status, strings.TrimSpace(a.Body), a.Err)
+			r.Note("%s at %s after %d answers on its channel: %v", request.ID, d.Name, answered, err)
+			if answered > 0 {
+				r.mu.Lock()
+				r.closed[machine] = append(r.closed[machine], request.ID)
+				r.mu.Unlock()
+			}
+			return
+		}
+		r.served.Add(1)
+		if response.Close {
+			return
 		}
 		time.Sleep(ordinaryInterval)
 	}
