--- a/review/third/11/main.go
+++ b/review/third/11/main.go
@@ -49,6 +49,8 @@
 type replica struct {
 	*platformtest.Server
 	version, zone string
+	// born is its start in Unix milliseconds.
+	born int64
 }
 
 func main() {
@@ -58,7 +60,7 @@
 	l := lab.New(os.Args[1])
 	var all []*replica
 	add := func(i int, version string) *replica {
-		r := &replica{Server: platformtest.NewServer(fmt.Sprintf("i-%s-%02d", version, i), events), version: version, zone: lab.ZoneNames[i%3]}
+		r := &replica{Server: platformtest.NewServer(fmt.Sprintf("i-%s-%02d", version, i), events), version: version, zone: lab.ZoneNames[i%3], born: time.Now().UnixMilli()}
 		r.SetPause(pause)
 		register(l, r, "ready")
 		all = append(all, r)
@@ -94,6 +96,7 @@
 	time.Sleep(now.Truncate(10 * time.Second).Add(10*time.Second + releaseAt).Sub(now))
 	for i := range released {
 		add(i, "v2")
+		old[i].SetLeaving(true)
 		register(l, old[i], "draining")
 		l.Note("release: %s replaces %s", "i-v2", old[i].ID)
 		time.Sleep(releaseGap)
@@ -118,7 +121,7 @@
 // register writes the entry of a replica with its version.
 func register(l *lab.Lab, r *replica, state string) {
 	entry := r.Entry("asistente", r.zone, state)
-	entry["version"], entry["slots"] = r.version, 64
+	entry["version"], entry["slots"], entry["born"] = r.version, 64, r.born
 	l.Store.Write("servers", r.ID, entry)
 }
 
