--- a/review/third/12/main.go
+++ b/review/third/12/main.go
@@ -77,6 +77,7 @@
 	for _, zone := range lab.ZoneNames {
 		for _, s := range servers[zone] {
 			l.Note("%s drains", s.ID)
+			s.SetLeaving(true)
 			register(l, s, zone, "draining", true)
 			if drained++; drained == drainsBefore && l.Trouble {
 				time.Sleep(drainGap / 2)
