review/11: versions as the client's events show them, one retry, any moment on request

What counts are now the versions in the events that a client received, not the replicas that ran its attempts; a client takes its stream up once, with the rest of its deadline; replicas leave after drainMs and say so. The begin of the release within a period of the plans is stated in the claim, and MOMENT=any leaves it out.

Code at fault: core/origin/ledger.go (Choose), acaciad/proxy/origin.go (mayBegin).

--- a/review/third/11/main.go
+++ b/review/third/11/main.go
@@ -12,10 +12,10 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
-	"acaciapath.example/platform/platformtest"
 	"acaciapath.example/review/third/lab"
 )
 
@@ -24,6 +24,8 @@
 	// replaced by ones of another version, one each releaseGap.
 	replicas, released = 12, 3
 	releaseGap         = time.Second
+	// drainTime is drainMs and a little longer.
+	drainTime = 3 * time.Second
 	// events and pause are the number of events of a stream and the time between two.
 	events = 40
 	pause  = 100 * time.Millisecond
@@ -39,36 +41,21 @@
 	// deadline is that of the requests, and takeUpPause the time from the end of a channel to the
 	// next attempt.
 	deadline, takeUpPause = 6 * time.Second, 100 * time.Millisecond
-	// maxTakeUps is the number of attempts to take a stream up again.
-	maxTakeUps = 3
+	// maxTakeUps is the number of attempts to take a stream up again, the client's retries of the
+	// sheet.
+	maxTakeUps = 1
 	// allowed is the number of streams with events of two versions that the rule allows.
 	allowed = 2
 )
 
-// replica is a replica and its version.
-type replica struct {
-	*platformtest.Server
-	version, zone string
-	// born is its start in Unix milliseconds.
-	born int64
-}
-
 func main() {
 	if len(os.Args) != 2 {
 		os.Exit(lab.CannotRun)
 	}
 	l := lab.New(os.Args[1])
-	var all []*replica
-	add := func(i int, version string) *replica {
-		r := &replica{Server: platformtest.NewServer(fmt.Sprintf("i-%s-%02d", version, i), events), version: version, zone: lab.ZoneNames[i%3], born: time.Now().UnixMilli()}
-		r.SetPause(pause)
-		register(l, r, "ready")
-		all = append(all, r)
-		return r
-	}
-	var old []*replica
+	var old []*lab.Replica
 	for i := range replicas {
-		old = append(old, add(i, "v1"))
+		old = append(old, l.NewReplica(fmt.Sprintf("i-a-%02d", i), "asistente", lab.ZoneNames[i%3], "v1", events, pause))
 	}
 	lab.Config{
 		Version: 3, Limits: lab.DefaultLimits(),
@@ -79,9 +66,9 @@
 	}.Write(l.Store)
 	store := l.NewLateStore()
 	store.Delay = lateBy
-	newName := ""
+	var newKey atomic.Pointer[string] // set when the machine is added
 	if l.Trouble {
-		store.Loses = func(key string) bool { return newName != "" && key == "stream-origins/"+newName }
+		store.Loses = func(key string) bool { known := newKey.Load(); return known != nil && key == *known }
 	}
 	options := lab.DaemonOptions{Store: store.Address(), Duties: []string{"usage_report"}}
 	for _, zone := range lab.ZoneNames {
@@ -93,19 +80,22 @@
 	others := slices.Clone(l.Daemons)
 	time.Sleep(steady)
 	now := time.Now()
+	if os.Getenv("MOMENT") == "any" {
+		now = now.Add(-releaseAt - time.Duration(now.UnixNano()%int64(10*time.Second))) // no wait
+	}
 	time.Sleep(now.Truncate(10 * time.Second).Add(10*time.Second + releaseAt).Sub(now))
 	for i := range released {
-		add(i, "v2")
-		old[i].SetLeaving(true)
-		register(l, old[i], "draining")
-		l.Note("release: %s replaces %s", "i-v2", old[i].ID)
+		l.NewReplica(fmt.Sprintf("i-b-%02d", i), "asistente", old[i].Zone, "v2", events, pause)
+		old[i].Drain(drainTime)
+		l.Note("release: i-b-%02d (v2) replaces %s (v1)", i, old[i].ID)
 		time.Sleep(releaseGap)
 	}
 	added := l.AddDaemon("cuenca-a", options)
-	newName = added.Name
+	key := "stream-origins/" + added.Name
+	newKey.Store(&key)
 	added.Start()
 	added.AwaitReady()
-	c := &clients{Lab: l, held: make(map[string]map[string]int)}
+	c := &clients{Lab: l}
 	for i := range streams {
 		c.tasks.Go(func() { c.receive(i, added, others) })
 		time.Sleep(5 * time.Millisecond)
@@ -115,14 +105,7 @@
 	c.tasks.Wait()
 	writes, lost := store.Writes()
 	l.Note("store: %d of %d writes lost their answers", lost, writes)
-	c.judge(all)
-}
-
-// register writes the entry of a replica with its version.
-func register(l *lab.Lab, r *replica, state string) {
-	entry := r.Entry("asistente", r.zone, state)
-	entry["version"], entry["slots"], entry["born"] = r.version, 64, r.born
-	l.Store.Write("servers", r.ID, entry)
+	c.judge()
 }
 
 // clients receive streams.
@@ -131,42 +114,39 @@
 	tasks sync.WaitGroup
 
 	mu sync.Mutex // guards the fields below
-	// attempts are the ids of the attempts of each stream that brought events.
-	streams [][]string
-	// held are the numbers of events by replica, for each attempt.
-	held            map[string]map[string]int
+	// streams are the versions in the events of each stream.
+	streams         []map[string]bool
 	takenUp, wentOn int
 }
 
 // receive receives a stream, and takes it up again at another machine when its channel ends.
 func (c *clients) receive(client int, first *lab.Daemon, others []*lab.Daemon) {
-	firstID, last := lab.NewAttemptID(), 0
-	ids := []string{firstID}
-	n, complete := c.attempt(first, firstID, "", 0)
-	last += n
-	for i := 0; n > 0 && !complete && i < maxTakeUps; i++ {
+	firstID, held, end := lab.NewAttemptID(), make(map[string]bool), time.Now().Add(deadline)
+	last, complete := c.attempt(first, firstID, "", 0, end, held)
+	for i := 0; last > 0 && !complete && i < maxTakeUps; i++ {
 		time.Sleep(takeUpPause)
-		id := lab.NewAttemptID()
 		var got int
-		got, complete = c.attempt(others[(client+i)%len(others)], id, firstID, last)
+		got, complete = c.attempt(others[(client+i)%len(others)], lab.NewAttemptID(), firstID, last, end, held)
 		c.mu.Lock()
 		c.takenUp++
 		if got > 0 {
 			c.wentOn++
-			ids = append(ids, id)
 		}
 		c.mu.Unlock()
 		last += got
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.streams = append(c.streams, ids)
+	c.streams = append(c.streams, held)
+	if len(held) > 1 {
+		c.Note("stream %s holds events of %v", firstID, slices.Sorted(maps.Keys(held)))
+	}
 }
 
-// attempt sends one request and returns the number of complete events and whether the answer was
-// complete.
-func (c *clients) attempt(d *lab.Daemon, id, resumes string, last int) (count int, complete bool) {
-	r := lab.Request{Method: "POST", Path: "/stylist-reply/1", ID: id, Deadline: deadline, Body: "{}", Header: map[string]string{
+// attempt sends one request, adds the versions in the complete events that came to held, and returns
+// their number and whether the answer was complete.
+func (c *clients) attempt(d *lab.Daemon, id, resumes string, last int, end time.Time, held map[string]bool) (count int, complete bool) {
+	r := lab.Request{Method: "POST", Path: "/stylist-reply/1", ID: id, Deadline: time.Until(end), Body: "{}", Header: map[string]string{
 		"X-Model": "m", "X-Token-Usage": "2890,60", "X-Prefix-Hash": fmt.Sprintf("5c1e07a2:2500,%s:390", id),
 	}}
 	if resumes != "" {
@@ -178,7 +158,7 @@
 		return 0, false
 	}
 	defer connection.Close()
-	_ = connection.SetDeadline(time.Now().Add(deadline)) // an error shows in the read
+	_ = connection.SetDeadline(end) // an error shows in the read
 	_, _ = io.WriteString(connection, r.Head(fmt.Sprint(len(r.Body)))+r.Body)
 	response, err := http.ReadResponse(bufio.NewReader(connection), &http.Request{Method: r.Method})
 	if err != nil {
@@ -187,37 +167,24 @@
 	}
 	data, err := io.ReadAll(response.Body)
 	if response.StatusCode == http.StatusOK {
-		count = strings.Count(string(data), "\n\n")
+		whole := string(data)[:strings.LastIndex("\n\n"+string(data), "\n\n")]
+		for event := range strings.SplitSeq(whole, "\n\n") {
+			if _, version, ok := strings.Cut(event, "\ndata: "); ok {
+				held[strings.TrimSpace(version)] = true
+				count++
+			}
+		}
 	}
 	c.Note("%s at %s, resumes %q after %d: %d, %d events, complete %t", id, d.Name, resumes, last, response.StatusCode, count, err == nil)
 	return count, err == nil && response.StatusCode == http.StatusOK
 }
 
-// judge finds the streams that hold events of two versions.
-func (c *clients) judge(all []*replica) {
-	versions := make(map[string]map[string]bool) // by attempt
-	for _, r := range all {
-		for _, received := range r.ReceivedRequests() {
-			if !received.Ran {
-				continue
-			}
-			id := received.Header.Get("X-Attempt-Id")
-			if versions[id] == nil {
-				versions[id] = make(map[string]bool)
-			}
-			versions[id][r.version] = true
-			c.Note("%s (%s) runs %s after event %q", r.ID, r.version, id, received.Header.Get("Last-Event-Id"))
-		}
-	}
+// judge counts the streams that hold events of two versions.
+func (c *clients) judge() {
 	mixed := 0
-	for _, ids := range c.streams {
-		held := make(map[string]bool)
-		for _, id := range ids {
-			maps.Copy(held, versions[id])
-		}
+	for _, held := range c.streams {
 		if len(held) > 1 {
 			mixed++
-			c.Note("stream %s holds events of %v", strings.Join(ids, ", "), slices.Sorted(maps.Keys(held)))
 		}
 	}
 	c.Verdict(mixed > allowed, "%d of %d streams hold events of two versions, allowed %d; %d attempts to take up, %d went on", mixed, len(c.streams), allowed, c.takenUp, c.wentOn)
