review/13: machines in touch, channels that stay open not counted, hostile clients over a second

The daemons run for over contactMs before the hostile clients begin; a channel that was still open when its client gave up no longer counts; the hostile clients begin over a second, within what the link of a machine takes.

Code at fault: platform/headers.go (ParseRequest, parseParts), acaciad/proxy/quarantine.go (newSharedParts): the parsed parts of a prompt are not counted in the daemon's memory budget.

--- a/review/third/13/main.go
+++ b/review/third/13/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -37,6 +38,8 @@
 	headPause = 300 * time.Millisecond
 	// hostileDeadline is the deadline that they state.
 	hostileDeadline = 12 * time.Second
+	// hostileSpread is the time within which they begin, so that a link of 1,000 Mbit/s has room.
+	hostileSpread = time.Second
 	// hostileRetry is the time until they open another channel after one was refused or ended.
 	hostileRetry = 200 * time.Millisecond
 )
@@ -55,8 +58,8 @@
 	// allowed is the number of requests from kept channels that a machine may pass on and leave
 	// without an answer.
 	allowed = 3
-	// calm is the time without hostile clients, and runTime bounds the time with them.
-	calm, runTime = 3 * time.Second, 75 * time.Second
+	// calm is the time without hostile clients, over contactMs (4,000), and runTime bounds the time with them.
+	calm, runTime = 6 * time.Second, 75 * time.Second
 	// calmRunTime is the time of a run without the disruption.
 	calmRunTime = 15 * time.Second
 )
@@ -254,7 +257,7 @@
 		if err != nil {
 			r.unserved.Add(1)
 			r.Note("%s at %s after %d answers on its channel: %v", request.ID, d.Name, answered, err)
-			if answered > 0 {
+			if answered > 0 && !errors.Is(err, os.ErrDeadlineExceeded) { // otherwise the channel is open
 				r.mu.Lock()
 				r.closed[machine] = append(r.closed[machine], request.ID)
 				r.mu.Unlock()
@@ -271,6 +274,7 @@
 
 // press is one hostile client: it sends one request after the other, each on a new channel.
 func (r *run) press(d *lab.Daemon, client int) {
+	time.Sleep(hostileSpread * time.Duration(client) / hostilePerMachine)
 	for !r.ended() {
 		r.sendHostile(d, client)
 		select {
