review/14: hostile channels that the machine takes count as taken; the case was review/15

A sceptic's look at the case. A channel that stays open until its client gives up counts as taken, and so does each channel of a hostile client that is answered or open for over a second.

Code at fault: core/connections/guard.go (admit), core/connections/limits.go (DefaultPace).

--- a/review/third/15/main.go
+++ b/review/third/14/main.go
@@ -1,10 +1,12 @@
-// Case 15: hostile clients leave chunked bodies one byte short of their end, on more channels than the
+// Case 14: hostile clients leave chunked bodies one byte short of their end, on more channels than the
 // daemon admits. The machine says that it is ready and takes no other channel.
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -22,6 +24,8 @@
 	chunkBytes = 1024
 	// hostileDeadline is the deadline that they state.
 	hostileDeadline = 12 * time.Second
+	// hostileTaken is the time after which a hostile channel that is still open counts as taken.
+	hostileTaken = time.Second
 	// hostileRetry is the time until they open another channel after one was refused or ended.
 	hostileRetry = 200 * time.Millisecond
 )
@@ -89,7 +93,8 @@
 	time.Sleep(runTime)
 	close(r.end)
 	r.tasks.Wait()
-	l.Verdict(r.longest >= contact, "longest time in which the machine said that it was ready, %d clients tried and none was answered: %.1f s, allowed less than %.1f s; ordinary requests answered %d, not answered %d",
+	r.findLongest()
+	l.Verdict(r.longest >= contact, "longest time in which the machine said that it was ready, %d ordinary clients tried and it took no channel, also of hostile ones: %.1f s, allowed less than %.1f s; ordinary requests answered %d, not answered %d",
 		ordinaryClients, r.longest.Seconds(), contact.Seconds(), r.answered, r.unanswered)
 }
 
@@ -107,6 +112,28 @@
 	// longest is the longest time without either.
 	longest              time.Duration
 	answered, unanswered int
+	// spans are the times without either, and hostileTaken when hostile channels that the machine
+	// took were opened.
+	spans        []span
+	hostileTaken []time.Time
+}
+
+// span is a time in which the machine said that it was ready and took no channel of an ordinary client.
+type span struct{ from, to time.Time }
+
+// findLongest finds the longest part of a span in which it took no hostile channel either.
+func (r *run) findLongest() {
+	slices.SortFunc(r.hostileTaken, time.Time.Compare)
+	for _, s := range r.spans {
+		from := s.from
+		for _, at := range r.hostileTaken {
+			if at.After(from) && at.Before(s.to) {
+				r.longest = max(r.longest, at.Sub(from))
+				from = at
+			}
+		}
+		r.longest = max(r.longest, s.to.Sub(from))
+	}
 }
 
 // ended reports whether the run is over.
@@ -153,8 +180,8 @@
 	if r.notReady.After(since) {
 		since = r.notReady
 	}
-	r.longest = max(r.longest, now.Sub(since))
-	if a.Status != 0 {
+	r.spans = append(r.spans, span{since, now})
+	if a.Status != 0 || errors.Is(a.Err, os.ErrDeadlineExceeded) { // a channel that stays open is taken
 		r.taken = now
 		r.answered++
 		return
@@ -198,10 +225,16 @@
 	if _, err := c.Write(append([]byte(request.Head("")+fmt.Sprintf("%x\r\n", chunkBytes)), body...)); err != nil {
 		return
 	}
+	opened, answered := time.Now(), 0
 	buffer := make([]byte, 512)
-	for {
-		if _, err := c.Read(buffer); err != nil {
-			return
-		}
+	for err == nil {
+		var n int
+		n, err = c.Read(buffer)
+		answered += n
+	}
+	if answered > 0 || time.Since(opened) > hostileTaken { // it was not closed unread
+		r.mu.Lock()
+		r.hostileTaken = append(r.hostileTaken, opened)
+		r.mu.Unlock()
 	}
 }
