keepalive: what a sender has given up is not sent any more

The former holder had closed the connection of a call that ran out of time in order, so that its system went on sending the order at doubling intervals.

Connections of core/keepalive are reset when they are closed, also by the end of the process, which discards what was not acknowledged. Calls of the platform's API have TCP_USER_TIMEOUT of a sixth of the lease as well, for a process that is stopped.

standin/relay has links that send again as TCP does.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -164,8 +164,8 @@
 		OnDistant: d.setDistantNeighbours,
 		Random:    rand.New(rand.NewPCG(uint64(now.UnixNano()), 3)),
 	}
-	cloud := platform.NewCloudClient(s.CloudAddress, s.Name, s.UsageWindow, cloudTimeout)
 	terms := lease.Terms{Name: lease.UsageReportsName, Holder: instance, Duration: s.LeaseDuration}
+	cloud := platform.NewCloudClient(s.CloudAddress, s.Name, s.UsageWindow, cloudTimeout, terms.Transit())
 	d.keeper = lease.NewKeeper(directTable, terms, initialLeasePoll, newClock(now))
 	d.keeper.FollowEpochs(d.store.Epochs)
 	d.usage = &control.Usage{
--- a/core/keepalive/dialer_linux_test.go
+++ b/core/keepalive/dialer_linux_test.go
@@ -84,3 +84,22 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(n, qt.Equals, 64<<20)
 }
+
+// TestDataThatIsNotAcknowledgedIsLost checks the options that end what a closed or stopped sender has
+// under way.
+func TestDataThatIsNotAcknowledgedIsLost(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { listener.Close() })
+	dialer := keepalive.NewCallDialer(time.Second, 500*time.Millisecond)
+	connection, err := dialer.DialContext(context.Background(), "tcp", listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Assert(option(c, connection, unix.TCP_USER_TIMEOUT), qt.Equals, 500)
+	peer, err := listener.Accept()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { peer.Close() })
+	c.Assert(connection.Close(), qt.IsNil)
+	_, err = peer.Read(make([]byte, 1))
+	c.Assert(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -12,6 +12,9 @@
 	// marginDivisor gives the time between the end of the holder's grant and the
 	// earliest time at which another process may acquire the lease.
 	marginDivisor = 4
+	// transitDivisor gives the time for which a send may be under way. It is greater than
+	// marginDivisor.
+	transitDivisor = 6
 	// renewDivisor gives the time after which a lease is renewed.
 	renewDivisor = 4
 	// retryDivisor gives the time after which a failed call is retried.
@@ -38,6 +41,11 @@
 // and the difference in the rates of two monotonic clocks.
 func (t Terms) Margin() time.Duration { return t.Duration / marginDivisor }
 
+// Transit returns how long what was sent may stay under way, also if its sender is stopped and cannot
+// cancel it. It is shorter than Margin, so that it has arrived, or is lost, before another process
+// acquires the lease.
+func (t Terms) Transit() time.Duration { return t.Duration / transitDivisor }
+
 // Lease is the state machine of one process for one lease. It has at most one
 // request in flight. It is not safe for concurrent use.
 type Lease struct {
--- a/core/platformapi/client.go
+++ b/core/platformapi/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -16,6 +15,7 @@
 	"acaciapath.example/core/gen/table"
 	"acaciapath.example/core/gen/usage"
 	"acaciapath.example/core/gen/vms"
+	"acaciapath.example/core/keepalive"
 
 	goahttp "goa.design/goa/v3/http"
 )
@@ -51,10 +51,11 @@
 )
 
 // New returns a client of the platform at address, which consists of an IP
-// address and a port. Each call fails after timeout.
+// address and a port. Each call fails after timeout. What it has sent does not arrive any
+// more then.
 func New(address string, timeout time.Duration) *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         keepalive.NewCallDialer(dialTimeout, timeout).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleConnectionTimeout,
 	}
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -1,9 +1,12 @@
 package relay
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -24,6 +27,11 @@
 	// Frozen makes the relay hold back data in both directions, and new
 	// connections, until it is unfrozen.
 	Frozen bool
+	// Lossy makes the relay hold back data in both directions as a link does that loses all
+	// packets: it is sent again at doubling intervals, the first of which after the link is sound
+	// again arrives, also if its sender has closed the connection since. A reset loses it.
+	// Connections that are opened meanwhile carry nothing.
+	Lossy bool
 	// Delay is the time by which data is delayed in each direction. Delay ≥ 0.
 	Delay time.Duration
 }
@@ -42,9 +50,11 @@
 	listener net.Listener
 	wg       sync.WaitGroup
 
-	mu      sync.Mutex // guards the fields below
-	target  string
-	faults  Faults
+	mu     sync.Mutex // guards the fields below
+	target string
+	faults Faults
+	// soundAt is when the link was last lossy.
+	soundAt time.Time
 	changed chan struct{} // closed and replaced by SetFaults
 	blocked func(client net.Addr) bool
 	pairs   map[*connPair]struct{}
@@ -79,6 +89,9 @@
 func (r *Relay) SetFaults(f Faults) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.faults.Lossy && !f.Lossy {
+		r.soundAt = time.Now()
+	}
 	r.faults = f
 	close(r.changed)
 	r.changed = make(chan struct{})
@@ -186,7 +199,12 @@
 func (p *connPair) run() {
 	defer p.relay.remove(p)
 	defer p.closeBoth()
-	if _, ok := p.awaitUnfrozen(); !ok {
+	faults, ok := p.awaitUnfrozen()
+	if !ok {
+		return
+	}
+	if faults.Lossy {
+		_, _ = io.Copy(io.Discard, p.clientConn) // until the client gives up
 		return
 	}
 	p.relay.mu.Lock()
@@ -240,19 +258,59 @@
 	})
 }
 
+// chunk is what was read from a connection at a time.
+type chunk struct {
+	data []byte
+	at   time.Time
+	// err is the end of the connection, or nil.
+	err error
+}
+
+// maxChunks is the number of chunks of each direction that wait to be forwarded.
+const maxChunks = 16
+
+// read reads from a connection until it ends, and closes reset if it was reset. The chunks are sent to
+// the channel that it returns.
+func (p *connPair) read(from net.Conn, reset chan<- struct{}) <-chan chunk {
+	chunks := make(chan chunk, maxChunks)
+	p.relay.wg.Go(func() {
+		defer close(chunks)
+		for {
+			buffer := make([]byte, bufferSize)
+			n, err := from.Read(buffer)
+			if errors.Is(err, syscall.ECONNRESET) {
+				close(reset)
+			}
+			select {
+			case chunks <- chunk{buffer[:n], time.Now(), err}:
+			case <-p.done:
+				return
+			}
+			if err != nil {
+				return
+			}
+		}
+	})
+	return chunks
+}
+
 // forward copies data in one direction until the connection ends. After data was
 // dropped, nothing more is forwarded in this direction, and the end of the
 // connection is not passed on either, because a partition would hide it from the
 // other side.
 func (p *connPair) forward(to, from net.Conn, fromTarget bool) {
-	buffer := make([]byte, bufferSize)
+	reset := make(chan struct{})
 	dropped := false
-	for {
-		n, err := from.Read(buffer)
+	for c := range p.read(from, reset) {
 		faults, ok := p.awaitUnfrozen()
 		if !ok {
 			return
 		}
+		if !p.awaitSound(c.at, reset) {
+			p.closeBoth()
+			return
+		}
+		err := c.err
 		dropped = dropped || faults.drops(fromTarget)
 		switch {
 		case dropped:
@@ -260,7 +318,7 @@
 		case !p.sleep(faults.Delay):
 			return
 		default:
-			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+			if _, writeErr := to.Write(c.data); writeErr != nil {
 				err = writeErr
 			}
 		}
@@ -276,6 +334,43 @@
 	}
 }
 
+// firstRetransmission is the time after which data that was not acknowledged is sent again, the
+// least one of Linux. It doubles with each further time.
+const firstRetransmission = 200 * time.Millisecond
+
+// awaitSound waits until data that was sent at a time arrives, if the link is lossy. It reports false
+// if it is lost.
+func (p *connPair) awaitSound(sent time.Time, reset <-chan struct{}) bool {
+	faults, _, changed := p.relay.state()
+	if !faults.Lossy {
+		return true
+	}
+	for faults.Lossy {
+		select {
+		case <-changed:
+		case <-p.done:
+			return false
+		}
+		faults, _, changed = p.relay.state()
+	}
+	p.relay.mu.Lock()
+	soundAt := p.relay.soundAt
+	p.relay.mu.Unlock()
+	next := sent
+	for wait := firstRetransmission; next.Before(soundAt); wait *= 2 {
+		next = next.Add(wait)
+	}
+	timer := time.NewTimer(time.Until(next))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-reset:
+	case <-p.done:
+	}
+	return false
+}
+
 // markDropped records that data was lost, and closes the connections if the
 // partition has already ended.
 func (p *connPair) markDropped() {
--- a/standin/relay/relay_test.go
+++ b/standin/relay/relay_test.go
@@ -178,3 +178,49 @@
 	_, restored := connect(c, r, accepted)
 	c.Assert(restored, qt.IsNotNil)
 }
+
+// TestLossyLink has data under way on a link that loses all packets. It arrives when it is sent again
+// after the link is sound, unless the sender has reset the connection.
+func TestLossyLink(t *testing.T) {
+	for _, end := range []string{"open", "closed", "reset"} {
+		t.Run(end, func(t *testing.T) {
+			c := qt.New(t)
+			r, accepted := start(c)
+			clientConn, targetConn := connect(c, r, accepted)
+			r.SetFaults(relay.Faults{Lossy: true})
+			sent := time.Now()
+			send(c, clientConn, "late")
+			switch end {
+			case "closed":
+				_ = clientConn.Close()
+			case "reset":
+				c.Assert(clientConn.(*net.TCPConn).SetLinger(0), qt.IsNil)
+				_ = clientConn.Close()
+			}
+			time.Sleep(300 * time.Millisecond)
+			checkSilent(c, targetConn)
+			r.SetFaults(relay.Faults{})
+			if end == "reset" {
+				checkClosed(c, targetConn)
+				return
+			}
+			receive(c, targetConn, "late")
+			c.Assert(time.Since(sent) > 550*time.Millisecond, qt.IsTrue, qt.Commentf("sent again after 0.2, 0.6, 1.4 s"))
+		})
+	}
+}
+
+// TestConnectionOpenedOnLossyLink checks that it carries nothing.
+func TestConnectionOpenedOnLossyLink(t *testing.T) {
+	c := qt.New(t)
+	r, accepted := start(c)
+	r.SetFaults(relay.Faults{Lossy: true})
+	clientConn, err := net.Dial("tcp", r.Address())
+	c.Assert(err, qt.IsNil)
+	defer clientConn.Close()
+	send(c, clientConn, "lost")
+	time.Sleep(silencePeriod)
+	r.SetFaults(relay.Faults{})
+	time.Sleep(silencePeriod)
+	c.Assert(accepted, qt.HasLen, 0)
+}
