soak: links that send again, releases, and VMs that are added and replaced

Each VM now has a link to the cloud API. In all soaks links to it, to the store and to backend servers lose all packets for up to 2 s; what was sent before is sent again as TCP does. TestSoakWithUpgrades replaces the engines one after the other by ones of the next version, adds a VM, and replaces VMs by new ones of either build. The earlier faults of a seed are drawn as before.

--- a/acaciad/soak/callers_test.go
+++ b/acaciad/soak/callers_test.go
@@ -55,7 +55,7 @@
 			for n := 0; ctx.Err() == nil; n++ {
 				o := outcome{
 					id: fmt.Sprintf("%d-%d-%d", seed, i, n), path: paths[random.IntN(len(paths))],
-					key: []string{"key-a", "key-a", "key-b"}[random.IntN(3)], vm: cl.vms[random.IntN(len(cl.vms))],
+					key: []string{"key-a", "key-a", "key-b"}[random.IntN(3)], vm: cl.pickVM(random),
 				}
 				o.sendRequest(client)
 				c.mu.Lock()
@@ -80,7 +80,7 @@
 	for range maxTakeUps {
 		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
 		again := outcome{
-			id: fmt.Sprintf("%s-%d", first, len(ids)), path: o.path, key: o.key, vm: cl.vms[random.IntN(len(cl.vms))],
+			id: fmt.Sprintf("%s-%d", first, len(ids)), path: o.path, key: o.key, vm: cl.pickVM(random),
 			resumes: first, lastEvent: strings.Count(body, "\n\n"),
 		}
 		again.sendRequest(client)
--- a/acaciad/soak/cluster_test.go
+++ b/acaciad/soak/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -35,13 +36,13 @@
 	shutdownGrace = 8 * time.Second
 )
 
-// vm is an entry VM: a daemon process, and its link to the store.
+// vm is an entry VM: a daemon process, and its links to the store and to the cloud API.
 type vm struct {
-	name           string
-	callersAddress string
-	configPath     string
-	log            *os.File
-	storeLink      *relay.Relay
+	name                 string
+	callersAddress       string
+	configPath           string
+	log                  *os.File
+	storeLink, cloudLink *relay.Relay
 
 	mu sync.Mutex // guards the fields below
 	// binary is the daemon that is started next.
@@ -63,18 +64,24 @@
 	// version is the version of its software.
 	version string
 	link    *relay.Relay
+	// gone states that it was replaced for good.
+	gone bool
 }
 
 // cluster is a platform of stand-ins with daemons.
 type cluster struct {
 	*qt.C
 	binary  string
+	dir     string
 	store   *platformtest.Store
 	cloud   *platformtest.CloudAPI
-	vms     []*vm
 	servers []*server
 	version int
 
+	mu sync.Mutex // guards vms
+	// vms are the VMs that callers use.
+	vms []*vm
+
 	// written is held while the operator or a backend server writes, and while the store is
 	// restored from a copy.
 	written sync.Mutex
@@ -82,18 +89,18 @@
 
 // newCluster starts the stand-ins and a number of daemons, which log to files in dir.
 func newCluster(c *qt.C, binary, dir string, daemons int) *cluster {
-	cl := &cluster{C: c, binary: binary, store: platformtest.NewStore(), cloud: platformtest.NewCloudAPI()}
+	cl := &cluster{C: c, binary: binary, dir: dir, store: platformtest.NewStore(), cloud: platformtest.NewCloudAPI()}
 	c.Cleanup(cl.store.Close)
 	c.Cleanup(cl.cloud.Close)
 	for i := range shopCount {
-		cl.addServer(fmt.Sprintf("shop-%d", i), "shop", 0)
+		cl.addServer(fmt.Sprintf("shop-%d", i), "shop", "v1", 0)
 	}
 	for i := range engineCount {
-		cl.addServer(fmt.Sprintf("engine-%d", i), "llm", eventCount)
+		cl.addServer(fmt.Sprintf("engine-%d", i), "llm", "v1", eventCount)
 	}
 	cl.writeConfig(true)
 	for i := range daemons {
-		cl.addVM(fmt.Sprintf("vm-%d", i), dir)
+		cl.addVM(fmt.Sprintf("vm-%d", i), binary)
 	}
 	return cl
 }
@@ -109,8 +116,8 @@
 
 // addServer starts a backend server whose streams have the given number of events, and
 // registers it.
-func (cl *cluster) addServer(id, service string, events int) {
-	s := &server{Server: platformtest.NewServer(id, events), service: service, version: "v1"}
+func (cl *cluster) addServer(id, service, version string, events int) {
+	s := &server{Server: platformtest.NewServer(id, events), service: service, version: version}
 	cl.Cleanup(s.Close)
 	s.SetPause(10 * time.Millisecond)
 	if events > 0 {
@@ -198,9 +205,19 @@
 	return address
 }
 
-// addVM writes the settings of a daemon to dir and starts it.
-func (cl *cluster) addVM(name, dir string) {
-	v := &vm{name: name, binary: cl.binary, callersAddress: freeAddress(cl.C), configPath: filepath.Join(dir, name+".json"), storeLink: cl.newLink(cl.store.Address())}
+// pickVM returns one of the VMs that callers use.
+func (cl *cluster) pickVM(random *rand.Rand) *vm {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.vms[random.IntN(len(cl.vms))]
+}
+
+// addVM writes the settings of a daemon and starts it.
+func (cl *cluster) addVM(name, binary string) {
+	v := &vm{
+		name: name, binary: binary, callersAddress: freeAddress(cl.C), configPath: filepath.Join(cl.dir, name+".json"),
+		storeLink: cl.newLink(cl.store.Address()), cloudLink: cl.newLink(cl.cloud.Address()),
+	}
 	neighbours, err := netip.ParseAddrPort(freeAddress(cl.C))
 	cl.Assert(err, qt.IsNil)
 	port := int(neighbours.Port())
@@ -215,15 +232,17 @@
 			"retryBudgetRatio": 0.2, "retryBudgetExtra": 20, "retryWindowS": 10, "drainMs": 2500,
 		},
 		"platform": map[string]string{"address": v.storeLink.Address()},
-		"cloud":    map[string]any{"address": cl.cloud.Address(), "duties": []string{"usage_report"}},
+		"cloud":    map[string]any{"address": v.cloudLink.Address(), "duties": []string{"usage_report"}},
 	})
 	cl.Assert(err, qt.IsNil)
 	cl.Assert(os.WriteFile(v.configPath, settings, 0o600), qt.IsNil)
-	v.log, err = os.Create(filepath.Join(dir, name+".log"))
+	v.log, err = os.Create(filepath.Join(cl.dir, name+".log"))
 	cl.Assert(err, qt.IsNil)
 	cl.Cleanup(func() { _ = v.log.Close() })
-	cl.vms = append(cl.vms, v)
 	cl.Assert(v.start(), qt.IsNil)
+	cl.mu.Lock()
+	cl.vms = append(cl.vms, v)
+	cl.mu.Unlock()
 	cl.Cleanup(v.kill)
 }
 
--- a/acaciad/soak/faults_test.go
+++ b/acaciad/soak/faults_test.go
@@ -23,6 +23,8 @@
 	// history lists the injected faults, for the report of a failure.
 	history []string
 	began   time.Time
+	// losses draws the links that lose all packets.
+	losses *rand.Rand
 	// secondKey states that the configuration has the second key.
 	secondKey  bool
 	restarting map[*vm]bool
@@ -40,7 +42,7 @@
 
 func newFaultInjector(cl *cluster, seed uint64) *faultInjector {
 	return &faultInjector{
-		cluster: cl, random: rand.New(rand.NewPCG(seed, 1)), began: time.Now(), secondKey: true, restarting: make(map[*vm]bool),
+		cluster: cl, random: rand.New(rand.NewPCG(seed, 1)), losses: rand.New(rand.NewPCG(seed, 4)), began: time.Now(), secondKey: true, restarting: make(map[*vm]bool),
 		cuts: &cuts{cluster: cl, vms: make(map[*vm]int)},
 	}
 }
@@ -56,7 +58,10 @@
 		}
 		if f.upgrades != nil {
 			f.replaceDaemon()
+			f.replaceVM()
+			f.releaseEngine(ctx)
 		}
+		f.losePackets(ctx)
 		f.injectFault(ctx)
 		sleep.For(ctx, f.randomMilliseconds(100, 700))
 	}
@@ -66,11 +71,40 @@
 	for _, server := range f.cluster.servers {
 		server.SetResponseMode(platformtest.Normal)
 		server.link.SetFaults(relay.Faults{})
+		if server.gone {
+			continue
+		}
 		server.SetDraining(0)
 		f.cluster.register(server, "ready")
 	}
 }
 
+// losePackets has a link lose all packets for 0.3 to 2 s, in one of three calls: one of a VM to the
+// cloud API or the store, or one to a backend server. What is under way is sent again as TCP does.
+func (f *faultInjector) losePackets(ctx context.Context) {
+	if f.losses.IntN(3) > 0 {
+		return
+	}
+	vms := f.faultyVMs()
+	v := vms[f.losses.IntN(len(vms))]
+	servers := f.cluster.presentServers()
+	b := servers[f.losses.IntN(len(servers))]
+	name, link := v.name+" to the cloud API", v.cloudLink
+	switch f.losses.IntN(4) {
+	case 0:
+		name, link = v.name+" to the store", v.storeLink
+	case 1:
+		name, link = "link to "+b.ID, b.link
+	}
+	duration := time.Duration(300+f.losses.IntN(1700)) * time.Millisecond
+	f.record("loses all packets: " + name + " " + duration.String())
+	link.SetFaults(relay.Faults{Lossy: true})
+	f.group.Go(func() {
+		sleep.For(ctx, duration)
+		link.SetFaults(relay.Faults{})
+	})
+}
+
 // maxBackups is the number of copies of the store that are kept. One is made about every 0.5 s.
 const maxBackups = 10
 
@@ -104,7 +138,8 @@
 func (f *faultInjector) injectFault(ctx context.Context) {
 	vms := f.faultyVMs()
 	v := vms[f.random.IntN(len(vms))]
-	b := f.cluster.servers[f.random.IntN(len(f.cluster.servers))]
+	servers := f.cluster.presentServers()
+	b := servers[f.random.IntN(len(servers))]
 	duration := f.randomMilliseconds(300, 2000)
 	switch f.random.IntN(12) {
 	case 0:
@@ -284,7 +319,6 @@
 		f.cluster.unregister(b)
 		b.link.CloseConnections()
 		sleep.For(ctx, duration)
-		b.SetDraining(0)
-		f.cluster.register(b, "ready")
+		f.cluster.bringBack(b)
 	})
 }
--- a/acaciad/soak/upgrades_test.go
+++ b/acaciad/soak/upgrades_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -24,24 +25,23 @@
 	// replaced is the number of daemons that were replaced, and last the last one of them.
 	replaced int
 	last     *vm
+	// random draws releases of engines and VMs that are added or replaced, released and newVMs
+	// count them.
+	random           *rand.Rand
+	released, newVMs int
 }
 
 // TestSoakWithUpgrades runs seeds in which the daemons of the production version are replaced by
-// those of the present one, one after the other, and back again. Two versions of the engines serve
-// side by side, and callers take up streams that break off.
+// those of the present one, one after the other, and back again. Meanwhile engines are replaced by
+// ones of the next software version, VMs are added and replaced by new ones, and callers take up
+// streams that break off.
 func TestSoakWithUpgrades(t *testing.T) {
 	builds := [2]string{buildProduction(t), build(t, t.TempDir())}
 	for i := range *upgradeSeedCount {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			runSeed(qt.New(t), builds[0], seed, daemonCount, func(f *faultInjector) {
-				f.upgrades, f.restores = &upgrades{builds: builds}, *upgradeRestores
-				for i, s := range f.cluster.servers {
-					if s.service == "llm" && i%2 == 0 {
-						s.version = "v2"
-						f.cluster.register(s, "ready")
-					}
-				}
+				f.upgrades, f.restores = &upgrades{builds: builds, random: rand.New(rand.NewPCG(seed, 6))}, *upgradeRestores
 			})
 		})
 	}
@@ -76,7 +76,7 @@
 // another fault is restarting that daemon.
 func (f *faultInjector) replaceDaemon() {
 	vms := f.cluster.vms
-	turn, v := f.upgrades.replaced/len(vms), vms[f.upgrades.replaced%len(vms)]
+	turn, v := f.upgrades.replaced/daemonCount, vms[f.upgrades.replaced%len(vms)]
 	if f.random.IntN(2) == 0 || f.isRestarting(v) || f.upgrades.last != nil && f.isRestarting(f.upgrades.last) {
 		return
 	}
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -25,7 +25,7 @@
 	// DropFromTarget makes the relay drop data sent by the target.
 	DropFromTarget bool
 	// Frozen makes the relay hold back data in both directions, and new
-	// connections, until it is unfrozen.
+	// connections, until it is unfrozen. A reset loses the data.
 	Frozen bool
 	// Lossy makes the relay hold back data in both directions as a link does that loses all
 	// packets: it is sent again at doubling intervals, the first of which after the link is sound
@@ -302,11 +302,12 @@
 	reset := make(chan struct{})
 	dropped := false
 	for c := range p.read(from, reset) {
+		before, _, _ := p.relay.state()
 		faults, ok := p.awaitUnfrozen()
 		if !ok {
 			return
 		}
-		if !p.awaitSound(c.at, reset) {
+		if before.Frozen && isClosed(reset) || !p.awaitSound(c.at, reset) {
 			p.closeBoth()
 			return
 		}
@@ -334,6 +335,16 @@
 	}
 }
 
+// isClosed reports whether a channel without values is closed.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // firstRetransmission is the time after which data that was not acknowledged is sent again, the
 // least one of Linux. It doubles with each further time.
 const firstRetransmission = 200 * time.Millisecond
