connections: bodies that stand still make room for new connections

When the limit is reached the guard made room only among connections without a complete head.

Connections that wait for bytes of a body are listed as well; the one that waits longest makes room, a body after 0.25 s. Its request is answered 408, which is true.

--- a/core/connections/conn.go
+++ b/core/connections/conn.go
@@ -40,12 +40,17 @@
 	guard   *Guard
 	address string
 
-	// element is the place in the list of idle connections, or nil, and counted states that the
-	// connection is one of those that are open. Both are guarded by guard.mu.
-	element *list.Element
-	counted bool
-
-	mu sync.Mutex // makes changes of inRequest and of the read deadline one step
+	// element is the place in one of the guard's lists, in, since waitsSince, or nil, and counted
+	// states that the connection is one of those that are open. All are guarded by guard.mu.
+	element    *list.Element
+	in         *list.List
+	waitsSince time.Time
+	counted    bool
+
+	mu sync.Mutex // makes changes of inRequest, the fields below and the read deadline one step
+	// readsBody states that the body of a request is being read, and expelled that this has ended
+	// early, since the connection makes room for another.
+	readsBody, expelled bool
 	// inRequest states that a head is complete and its request has not ended.
 	inRequest atomic.Bool
 	// ending states that the connection is closed instead of waiting for another head.
@@ -68,9 +73,23 @@
 	}
 }
 
+// list adds the connection to a list. The caller holds guard.mu.
+func (c *conn) list(in *list.List, now time.Time) {
+	c.in, c.waitsSince = in, now
+	c.element = in.PushBack(c)
+}
+
+// unlist removes the connection from its list. The caller holds guard.mu.
+func (c *conn) unlist() {
+	if c.element != nil {
+		c.in.Remove(c.element)
+		c.element, c.in = nil, nil
+	}
+}
+
 // endHead records that a head is complete. Reads are not limited until awaitHead, nor are writes.
 func (c *conn) endHead() {
-	c.guard.setIdle(c, false)
+	c.guard.await(c, nil, time.Now())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inRequest.Store(true)
@@ -82,7 +101,7 @@
 	c.release()
 	c.headBytes = 0
 	c.inRequest.Store(false)
-	c.guard.setIdle(c, true)
+	c.guard.await(c, c.guard.idle, time.Now())
 }
 
 // release gives back the memory of the head.
@@ -116,13 +135,63 @@
 	}
 }
 
+// beginBody records that the body of a request is being read.
+func (c *conn) beginBody() {
+	c.mu.Lock()
+	c.readsBody = true
+	c.mu.Unlock()
+	c.guard.await(c, c.guard.bodies, time.Now())
+}
+
+// endBody records that it is not any more, and reports whether the connection was expelled before.
+func (c *conn) endBody() (expelled bool) {
+	c.mu.Lock()
+	c.readsBody, expelled = false, c.expelled
+	c.mu.Unlock()
+	c.guard.await(c, nil, time.Now())
+	return expelled
+}
+
+// readRequest reads while a request runs.
+func (c *conn) readRequest(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	readsBody := c.readsBody
+	c.mu.Unlock()
+	if n > 0 && readsBody {
+		c.guard.await(c, c.guard.bodies, time.Now())
+	}
+	return n, err
+}
+
+// expel ends the wait for the rest of a body. A request whose body is complete is still served.
+func (c *conn) expel() {
+	c.ending.Store(true)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readsBody {
+		c.expelled = true
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // an error means that it is closed already
+	}
+}
+
+// SetReadDeadline sets the time until which reads wait. Those of an expelled connection do not.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.expelled {
+		t = time.Unix(1, 0)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Read reads within the limits of the guard.
 func (c *conn) Read(p []byte) (int, error) {
 	// While a request runs, net/http watches for the end of the connection by a read of one byte,
 	// which begins before the handler. If it is a head that has room for one byte only, the
 	// deadline of its last read still applies.
 	if c.inRequest.Load() || len(p) == 1 {
-		return c.Conn.Read(p)
+		return c.readRequest(p)
 	}
 	if c.headErr != nil {
 		return 0, c.headErr
--- a/core/connections/guard.go
+++ b/core/connections/guard.go
@@ -34,13 +34,14 @@
 
 	mu   sync.Mutex // guards the fields below
 	open int
-	// idle are the connections that have no complete request, the one that waits longest first.
-	idle *list.List
+	// idle are the connections that have no complete head, and bodies those whose request has a
+	// body that is being read, the one of each that waits longest for bytes first.
+	idle, bodies *list.List
 }
 
 // NewGuard returns a guard without connections.
 func NewGuard(budget *memory.Budget, limits Limits, onRefused func(address, reason string)) *Guard {
-	g := &Guard{Budget: budget, OnRefused: onRefused, idle: list.New()}
+	g := &Guard{Budget: budget, OnRefused: onRefused, idle: list.New(), bodies: list.New()}
 	g.SetLimits(limits)
 	return g
 }
@@ -103,42 +104,64 @@
 		if err != nil {
 			return nil, err
 		}
-		if c := l.guard.admit(inner); c != nil {
+		if c := l.guard.admit(inner, time.Now()); c != nil {
 			return c, nil
 		}
 	}
 }
 
-// admit returns a guarded connection. If there are too many, the one that is idle longest is
-// closed. If none is idle, inner is closed before anything is read, so that its other end knows
-// that no request was run, and admit returns nil.
-func (g *Guard) admit(inner net.Conn) net.Conn {
+// minBodyWait is how long a body must have stood still before its connection makes room for another
+// one.
+const minBodyWait = 250 * time.Millisecond
+
+// admit returns a guarded connection. If there are too many, the one that waits longest for bytes of a
+// head or a body is closed. If none waits, inner is closed before anything is read, so that its other
+// end knows that no request was run, and admit returns nil.
+func (g *Guard) admit(inner net.Conn, now time.Time) net.Conn {
 	c := &conn{Conn: inner, guard: g, address: hostOf(inner)}
 	g.mu.Lock()
 	var evicted *conn
+	ofBody := false
 	if g.open >= g.limits.Load().Connections {
-		oldest := g.idle.Front()
-		if oldest == nil {
+		if evicted, ofBody = g.longestWaiting(now); evicted == nil {
 			g.mu.Unlock()
 			_ = inner.Close() // nothing was read
 			g.OnRefused(c.address, ReasonConnections)
 			return nil
 		}
-		evicted = g.idle.Remove(oldest).(*conn)
-		evicted.element = nil
+		evicted.unlist()
 		evicted.leave()
 	}
 	g.open++
 	c.counted = true
-	c.element = g.idle.PushBack(c)
+	c.list(g.idle, now)
 	g.mu.Unlock()
 	if evicted != nil {
-		evicted.endIdle()
+		if ofBody {
+			evicted.expel()
+		} else {
+			evicted.endIdle()
+		}
 		g.OnRefused(evicted.address, ReasonConnections)
 	}
 	return c
 }
 
+// longestWaiting returns the connection that waits longest for bytes, or nil if none makes room, and
+// whether they are those of a body. The caller holds g.mu.
+func (g *Guard) longestWaiting(now time.Time) (longest *conn, ofBody bool) {
+	if front := g.idle.Front(); front != nil {
+		longest = front.Value.(*conn)
+	}
+	if front := g.bodies.Front(); front != nil {
+		body := front.Value.(*conn)
+		if now.Sub(body.waitsSince) >= minBodyWait && (longest == nil || body.waitsSince.Before(longest.waitsSince)) {
+			return body, true
+		}
+	}
+	return longest, false
+}
+
 // hostOf returns the address of the other end of a connection, without its port.
 func hostOf(c net.Conn) string {
 	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
@@ -148,23 +171,21 @@
 	return host
 }
 
-// setIdle adds a connection to those that are idle, or removes it.
-func (g *Guard) setIdle(c *conn, idle bool) {
+// await records that a connection waits for bytes of a head (in g.idle) or a body (in g.bodies) from
+// now on, or for none if in is nil.
+func (g *Guard) await(c *conn, in *list.List, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	switch {
-	case idle && c.element == nil && c.counted:
-		c.element = g.idle.PushBack(c)
-	case !idle && c.element != nil:
-		g.idle.Remove(c.element)
-		c.element = nil
+	c.unlist()
+	if in != nil && c.counted {
+		c.list(in, now)
 	}
 }
 
 // remove forgets a connection that is closed.
 func (g *Guard) remove(c *conn) {
-	g.setIdle(c, false)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	c.unlist()
 	c.leave()
 }
--- a/core/connections/guard_test.go
+++ b/core/connections/guard_test.go
@@ -36,7 +36,16 @@
 		defer s.mu.Unlock()
 		s.reasons = append(s.reasons, reason)
 	})
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") })}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body := &memory.Body{Budget: s.budget, Holder: "body", MaxWait: waitLimit}
+		defer body.Release()
+		if err := connections.ReadBody(w, r, body, 1<<10, time.Now().Add(waitLimit)); err != nil {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusRequestTimeout)
+			return
+		}
+		_, _ = io.WriteString(w, "answer")
+	})}
 	s.guard.Protect(server)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	s.Assert(err, qt.IsNil)
@@ -147,6 +156,42 @@
 	}
 }
 
+// TestUnfinishedBodyMakesRoom has bodies that stand still take all connections. Others were closed unread
+// until the bodies were too slow, ten seconds later (review/14, RECOVER). The one that stood still longest must be
+// told that its request was not run, and one that goes on must be served.
+func TestUnfinishedBodyMakesRoom(t *testing.T) {
+	s := newGuardedServer(t, guardLimits)
+	type client struct {
+		net.Conn
+		*bufio.Reader
+	}
+	var clients []client
+	for range 3 {
+		c, r := s.dial()
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab")
+		s.Assert(err, qt.IsNil)
+		clients = append(clients, client{c, r})
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(300 * time.Millisecond)
+	_, err := io.WriteString(clients[0], "c") // the second one stands still longest now
+	s.Assert(err, qt.IsNil)
+	time.Sleep(20 * time.Millisecond)
+	c, r := s.dial()
+	s.Check(exchange(c, r, 1), qt.Equals, http.StatusOK)
+	s.Check(s.lastReason(), qt.Equals, connections.ReasonConnections)
+	response, err := http.ReadResponse(clients[1].Reader, nil)
+	s.Assert(err, qt.IsNil)
+	s.Check(response.StatusCode, qt.Equals, http.StatusRequestTimeout)
+	for i, rest := range map[int]string{0: "d\r\n0\r\n\r\n", 2: "cd\r\n0\r\n\r\n"} {
+		_, err = io.WriteString(clients[i], rest)
+		s.Assert(err, qt.IsNil)
+		response, err := http.ReadResponse(clients[i].Reader, nil)
+		s.Assert(err, qt.IsNil)
+		s.Check(response.StatusCode, qt.Equals, http.StatusOK)
+	}
+}
+
 // TestPace checks when a body is too slow.
 func TestPace(t *testing.T) {
 	c := qt.New(t)
