proxy: the memory of parsed parts of prompts is taken from the budget

The parts were parsed before the body was read and counted nowhere.

They are parsed once the body is complete, and 64 bytes each are taken from the budget before, for the client account. Without memory the request is refused with 503, which is true.

--- a/acaciad/proxy/body.go
+++ b/acaciad/proxy/body.go
@@ -52,6 +52,26 @@
 	return nil
 }
 
+// partMemory is the memory of a part of a prompt: its parsed form, and twice that by which requests with
+// the same part are known.
+const partMemory = 64
+
+// parseParts parses the parts of the prompt, whose memory is taken from the budget. Nothing is parsed
+// before the body is complete: a client may hold that back.
+func (x *exchange) parseParts() *refusal {
+	h := x.handler
+	bytes := partMemory * int64(h.Wire.CountParts(x.request.Header))
+	if bytes > 0 && !h.Buffers.Reserve(x.bodyHolder(), bytes) {
+		return partsNoMemory
+	}
+	x.partsMemory = bytes
+	x.metadata.Work.Parts = h.Wire.ParseParts(x.request.Header)
+	return nil
+}
+
+// releaseParts gives the memory of parseParts back. The parts must not be used afterwards.
+func (x *exchange) releaseParts() { x.handler.Buffers.Release(x.bodyHolder(), x.partsMemory) }
+
 // bodyHolder returns who holds the memory of the body: the client account, or else the address of
 // the caller.
 func (x *exchange) bodyHolder() string {
--- a/acaciad/proxy/handler.go
+++ b/acaciad/proxy/handler.go
@@ -119,6 +119,7 @@
 	x.bodyUnread = r.ContentLength != 0
 	x.body = &memory.Body{Budget: h.Buffers, MaxWait: maxBodyWait}
 	defer x.body.Release()
+	defer x.releaseParts()
 	if h.Draining.Err() != nil {
 		w.Header().Set("Connection", "close")
 	}
@@ -149,6 +150,7 @@
 	bodyTooLarge      = &refusal{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
 	bodyTooSlow       = &refusal{status: http.StatusRequestTimeout, reason: "body-too-slow"}
 	bodyNoMemory      = &refusal{status: http.StatusServiceUnavailable, reason: "no-memory-for-body", retryAfter: retryAfterNoMemory}
+	partsNoMemory     = &refusal{status: http.StatusServiceUnavailable, reason: "no-memory-for-prompt-parts", retryAfter: retryAfterNoMemory}
 	bodyIncomplete    = &refusal{status: http.StatusBadRequest, reason: "body-incomplete"}
 	outsideHomes      = &refusal{status: http.StatusServiceUnavailable, reason: "no-server-in-homes", retryAfter: retryAfterHomes}
 	evacuatedHomes    = &refusal{status: http.StatusServiceUnavailable, reason: "evacuated", retryAfter: retryAfterHomes}
@@ -181,6 +183,8 @@
 	body          *memory.Body
 	// bodyUnread states that the caller may still be sending the body.
 	bodyUnread bool
+	// partsMemory is the memory that was taken for the parts of the prompt, in bytes.
+	partsMemory int64
 
 	// mayHaveExecuted states that the request may have run on a backend server.
 	mayHaveExecuted bool
@@ -260,6 +264,9 @@
 	if refused := x.readBody(index.Catalog.Limits.BodyBytes); refused != nil {
 		return refused
 	}
+	if refused := x.parseParts(); refused != nil {
+		return refused
+	}
 	if x.comesTooLate() {
 		return shuttingDown
 	}
--- a/acaciad/proxy/lending.go
+++ b/acaciad/proxy/lending.go
@@ -36,6 +36,7 @@
 		return
 	}
 	metadata := h.Wire.ParseRequest(request.Header)
+	metadata.Work.Parts = h.Wire.ParseParts(request.Header)
 	whole := quarantine.RequestID(h.Wire.ForwardedAccount(request.Header), request.Target.RequestURI(), request.Body.Segments()...)
 	parts := []quarantine.Part{{ID: whole, Whole: true}}
 	if view := h.Directory.View(); view != nil {
