usage: totals and parts that exceed a row are written to several

Parts are split by their encoded size. Totals go to rows that are named by their digest, before the row of the window, which then has a list that earlier builds cannot take for totals. A flush counts only rejected parts against its bound. The size is rowBytes of the settings, less the encoding. The stand-in of the store refuses larger rows.

--- a/core/usage/fake_test.go
+++ b/core/usage/fake_test.go
@@ -10,7 +10,10 @@
 	"acaciapath.example/core/gen/table"
 )
 
-var errNoReply = errors.New("no reply")
+var (
+	errNoReply  = errors.New("no reply")
+	errTooLarge = errors.New("row too large")
+)
 
 // fault is a fault injected into one call of a fakeTable or fakePlatform.
 type fault int
@@ -30,7 +33,9 @@
 	commits int
 	// nextFault returns the fault of the next call; nil means no faults.
 	nextFault func(method string) fault
-	history   history
+	// rowBytes is the largest value that is accepted, or 0.
+	rowBytes int
+	history  history
 	// beforeCall runs before each call, to interleave another process.
 	beforeCall func()
 }
@@ -121,6 +126,11 @@
 }
 
 func (t *fakeTable) apply(p *table.CommitPayload) ([]*table.Row, error) {
+	for _, w := range p.Writes {
+		if t.rowBytes > 0 && len(w.Value) > t.rowBytes {
+			return nil, errTooLarge
+		}
+	}
 	var failed []*table.Row
 	for _, c := range p.Conditions {
 		row := t.rows[c.Key]
--- a/core/usage/model_test.go
+++ b/core/usage/model_test.go
@@ -68,7 +68,7 @@
 func linesIn(value []byte) string {
 	var window usage.Window
 	if err := json.Unmarshal(value, &window); err != nil {
-		panic(err)
+		return string(value) // the totals are in several rows
 	}
 	return fmt.Sprintf("%+v", window.Lines)
 }
--- a/core/usage/part.go
+++ b/core/usage/part.go
@@ -14,6 +14,7 @@
 	partPrefix   = "usage/part/"
 	closedPrefix = "usage/closed/"
 	windowPrefix = "usage/window/"
+	splitPrefix  = "usage/split/"
 	// ProgressKey is the key of the row that holds the Progress.
 	ProgressKey = "usage/reported"
 )
--- a/core/usage/prune.go
+++ b/core/usage/prune.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -21,10 +22,10 @@
 	settledRetention = maxEmptyAge + 2*maxPartAge
 	// maxPrunedWindows is the maximum number of windows pruned in one transaction.
 	// Each has two rows.
-	maxPrunedWindows = maxDeletedRows / 3
+	maxPrunedWindows = maxDeletedRows / 4
 	// maxPrunedMarks is the maximum number of marks of adopted parts pruned in one
-	// transaction.
-	maxPrunedMarks = maxDeletedRows / 3
+	// transaction, and of rows of totals that did not fit into one.
+	maxPrunedMarks = maxDeletedRows / 4
 )
 
 // Prune deletes the rows of settled windows and the marks of adopted parts that are no
@@ -39,12 +40,16 @@
 	if err != nil {
 		return 0, merry.Prepend(err, "usage: list marks of adopted parts")
 	}
+	splits, err := r.expiredKeys(ctx, splitPrefix, maxPrunedMarks, now)
+	if err != nil {
+		return 0, merry.Prepend(err, "usage: list rows of large windows")
+	}
 	var writes []*table.Write
 	for _, key := range closed {
 		writes = append(writes, &table.Write{Key: key, Delete: true},
 			&table.Write{Key: windowPrefix + strings.TrimPrefix(key, closedPrefix), Delete: true})
 	}
-	for _, key := range marks {
+	for _, key := range slices.Concat(marks, splits) {
 		writes = append(writes, &table.Write{Key: key, Delete: true})
 	}
 	if len(writes) == 0 {
--- a/core/usage/recover.go
+++ b/core/usage/recover.go
@@ -99,10 +99,10 @@
 				continue
 			}
 			// Writers whose parts are rejected look for the totals.
-			if err := r.insertRow(ctx, WindowKey(window.Start), window, grant); err != nil {
+			if err := r.insertWindow(ctx, window, grant); err != nil {
 				return err
 			}
-			if err := r.insertRow(ctx, ClosedKey(window.Start), closure{Window: window.Start}, grant); err != nil {
+			if err := r.insertRow(ctx, ClosedKey(window.Start), encode(closure{Window: window.Start}), grant); err != nil {
 				return err
 			}
 			if err := r.moveParts(ctx, window, WindowStart(now, length), length, grant); err != nil {
--- a/core/usage/reporter.go
+++ b/core/usage/reporter.go
@@ -66,6 +66,8 @@
 	// Reported is what all processes know of reported windows. It is nil if the table is
 	// never restored.
 	Reported Reported
+	// RowBytes is the size that rows do not exceed. RowBytes > 0.
+	RowBytes int
 
 	table  table.Service
 	usage  usageport.Service
@@ -88,7 +90,7 @@
 // NewReporter returns a Reporter that reads and writes rows and sends reports to
 // usage, under the lease of holder.
 func NewReporter(rows table.Service, usage usageport.Service, holder LeaseHolder) *Reporter {
-	return &Reporter{table: rows, usage: usage, holder: holder, lastWritten: make(map[string]time.Time), reportedLate: make(map[time.Time]bool)}
+	return &Reporter{RowBytes: DefaultRowBytes, table: rows, usage: usage, holder: holder, lastWritten: make(map[string]time.Time), reportedLate: make(map[time.Time]bool)}
 }
 
 // Settle closes, fixes and reports the earliest window that is due, and returns it,
@@ -277,43 +279,33 @@
 // fixWindow returns the fixed totals of a window. If no reporter has fixed them yet,
 // it closes the window to further parts and stores the sums of all parts.
 func (r *Reporter) fixWindow(ctx context.Context, start time.Time, grant *lease.Grant) (*Window, error) {
-	fixed, err := r.fixedWindow(ctx, start)
+	fixed, err := readWindow(ctx, r.table, start)
 	if fixed != nil || err != nil {
 		return fixed, err
 	}
-	if err := r.insertRow(ctx, ClosedKey(start), closure{Window: start}, grant); err != nil {
+	if err := r.insertRow(ctx, ClosedKey(start), encode(closure{Window: start}), grant); err != nil {
 		return nil, err
 	}
 	window, err := r.sumParts(ctx, start)
 	if err != nil {
 		return nil, err
 	}
-	if err := r.insertRow(ctx, WindowKey(start), window, grant); err != nil {
+	if err := r.insertWindow(ctx, &window, grant); err != nil {
 		return nil, err
 	}
-	fixed, err = r.fixedWindow(ctx, start)
+	fixed, err = readWindow(ctx, r.table, start)
 	if fixed == nil && err == nil {
 		return nil, ErrRestored
 	}
 	return fixed, err
 }
 
-// fixedWindow returns the fixed totals of a window, or nil if they are not fixed.
-func (r *Reporter) fixedWindow(ctx context.Context, start time.Time) (*Window, error) {
-	row, err := r.getRow(ctx, WindowKey(start))
-	if err != nil || row == nil {
-		return nil, err
-	}
-	window, err := decode[Window](row.Value)
-	return &window, err
-}
-
 // insertRow writes a row unless it exists. It returns nil only if the row is known to
 // exist, and ErrSuperseded if the lease has changed hands.
-func (r *Reporter) insertRow(ctx context.Context, key string, content any, grant *lease.Grant) error {
+func (r *Reporter) insertRow(ctx context.Context, key string, value []byte, grant *lease.Grant) error {
 	_, err := r.table.Commit(ctx, &table.CommitPayload{
 		Conditions: []*table.Condition{{Key: key}, grant.Condition()},
-		Writes:     []*table.Write{{Key: key, Value: encode(content)}},
+		Writes:     []*table.Write{{Key: key, Value: value}},
 	})
 	if platformapi.AsConflict(err) == nil {
 		return err
--- a/core/usage/writer.go
+++ b/core/usage/writer.go
@@ -20,7 +20,7 @@
 // for the case that the table is restored from a backup.
 const maxInsertedParts = 64
 
-// maxFlushAttempts is the maximum number of attempts to write parts in one Flush. A
+// maxFlushAttempts is the maximum number of attempts to write parts in one Flush that fail. A
 // part that finds its window closed moves on to a later window.
 const maxFlushAttempts = 16
 
@@ -33,6 +33,9 @@
 // merged into one part for each window, with one line for each key, and the number of
 // windows is bounded. So the memory needed does not grow with the length of an outage.
 type Writer struct {
+	// RowBytes is the size that rows do not exceed. RowBytes > 0.
+	RowBytes int
+
 	table    table.Service
 	vm       string
 	instance string
@@ -75,7 +78,7 @@
 // NewWriter returns a Writer for a process on the VM with the given name. instance
 // must differ for each process that ever runs on the VM. Neither may contain a slash.
 func NewWriter(service table.Service, vm, instance string) *Writer {
-	return &Writer{table: service, vm: vm, instance: instance}
+	return &Writer{RowBytes: DefaultRowBytes, table: service, vm: vm, instance: instance}
 }
 
 // Add queues a part to be written by Flush. Its usage is counted in its own window, or
@@ -134,18 +137,22 @@
 		return err
 	}
 	for w.hasAgain() {
-		if err := w.send(ctx, w.nextPart(now, length), length); err != nil {
+		if _, err := w.send(ctx, w.nextPart(now, length), length); err != nil {
 			return err
 		}
 	}
-	for range maxFlushAttempts {
+	for rejected := 0; rejected < maxFlushAttempts; {
 		sent := w.nextPart(now, length)
 		if sent == nil {
 			return w.flushAdopted(ctx, now, length)
 		}
-		if err := w.send(ctx, sent, length); err != nil {
+		counted, err := w.send(ctx, sent, length)
+		if err != nil {
 			return err
 		}
+		if !counted {
+			rejected++
+		}
 	}
 	if len(w.Pending()) > 0 {
 		return ErrWindowClosed
@@ -229,8 +236,12 @@
 	if len(w.waiting) == 0 {
 		return nil
 	}
-	part := w.waiting[0]
-	w.waiting = slices.Delete(w.waiting, 0, 1)
+	part, rest := splitPart(w.waiting[0], w.RowBytes)
+	if len(rest.Lines) > 0 {
+		w.waiting[0] = rest
+	} else {
+		w.waiting = slices.Delete(w.waiting, 0, 1)
+	}
 	if !part.Window.IsZero() {
 		part.Window = WindowStart(part.Window, length)
 	}
@@ -251,27 +262,27 @@
 	return w.earliestOpen
 }
 
-// send sends a part once. It returns nil if the outcome is known: the part was
-// inserted, or its window is closed and its usage waits for a later window.
-func (w *Writer) send(ctx context.Context, sent *sentPart, length time.Duration) error {
+// send sends a part once. It returns no error if the outcome is known: the part was
+// inserted, and counted is true, or its window is closed and its usage waits for a later window.
+func (w *Writer) send(ctx context.Context, sent *sentPart, length time.Duration) (counted bool, err error) {
 	key := PartKey(sent.part.Window, sent.name)
-	_, err := w.table.Commit(ctx, &table.CommitPayload{
+	_, err = w.table.Commit(ctx, &table.CommitPayload{
 		Conditions: []*table.Condition{{Key: ClosedKey(sent.part.Window)}, {Key: key}},
 		Writes:     []*table.Write{{Key: key, Value: encode(sent.part)}},
 	})
 	if err == nil {
 		w.resolve(sent, true, length)
-		return nil
+		return true, nil
 	}
 	if platformapi.AsConflict(err) == nil {
-		return merry.Prepend(err, "usage: write part")
+		return false, merry.Prepend(err, "usage: write part")
 	}
-	counted, err := w.wasCounted(ctx, sent)
+	counted, err = w.wasCounted(ctx, sent)
 	if err != nil {
-		return merry.Prepend(err, "usage: check whether part was counted")
+		return false, merry.Prepend(err, "usage: check whether part was counted")
 	}
 	w.resolve(sent, counted, length)
-	return nil
+	return counted, nil
 }
 
 // wasCounted reports whether an earlier attempt had inserted a part that was rejected
@@ -285,17 +296,13 @@
 	if len(rows) > 0 {
 		return true, nil
 	}
-	rows, err = w.table.Get(ctx, &table.GetPayload{Keys: []string{WindowKey(sent.part.Window)}})
+	window, err := readWindow(ctx, w.table, sent.part.Window)
 	if err != nil {
 		return false, err
 	}
-	if len(rows) == 0 {
+	if window == nil {
 		return w.wasReported(ctx, sent)
 	}
-	window, err := decode[Window](rows[0].Value)
-	if err != nil {
-		return false, err
-	}
 	if slices.Contains(window.Parts, sent.name) {
 		return true, nil
 	}
