epoch: the first restoration is noticed if eras begin with 0

The tracker knows whether it has observed an epoch. An announcement or a plan that was written in an earlier epoch shows a restoration as well, for daemons that start after it.

--- a/acaciad/control/reported.go
+++ b/acaciad/control/reported.go
@@ -108,7 +108,7 @@
 	defer r.mu.Unlock()
 	current := r.Epoch()
 	switch {
-	case current <= epoch.First:
+	case !r.wasRestoredLocked(current):
 		return r.last, true
 	case r.since < current:
 		return r.last, false
@@ -122,13 +122,20 @@
 // that was observed. The caller holds r.mu.
 func (r *Reported) knowsLocked() bool { return r.exact || r.stored.Epoch == r.since }
 
+// wasRestoredLocked reports whether the store is known to have been restored from a copy: the epoch is
+// a later one than the first, or the row was written in an earlier one, since epochs may begin with 0.
+// The caller holds r.mu.
+func (r *Reported) wasRestoredLocked(current uint64) bool {
+	return current > epoch.First || r.storedVersion > 0 && r.stored.Epoch < current
+}
+
 // HandleRestore records that the store was restored from a copy.
 func (r *Reported) HandleRestore(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	fence := r.Fence()
 	// Without this, the holder knows what it announced itself, but not what was announced before.
-	covered := r.since <= epoch.First || r.knowsLocked() || r.waited
+	covered := !r.wasRestoredLocked(r.since) || r.knowsLocked() || r.waited
 	r.observeLocked(now)
 	r.exact = r.following && (covered && fence != 0 && fence == r.readFence || !r.ended.After(r.last.Window))
 	r.Logger.WithFields(logrus.Fields{
@@ -170,7 +177,7 @@
 			return
 		}
 		r.waited = true
-		if r.since > epoch.First && !r.knowsLocked() {
+		if r.wasRestoredLocked(r.since) && !r.knowsLocked() {
 			r.last = r.last.Merge(usage.Announcement{Window: r.ended})
 			r.Logger.WithFields(logrus.Fields{"epoch": r.since, "ended-through": usage.FormatWindowStart(r.ended)}).
 				Warn("no daemon knows which usage windows were reported before the restoration, taking all that had ended for reported")
--- a/acaciad/control/reported_test.go
+++ b/acaciad/control/reported_test.go
@@ -226,6 +226,26 @@
 	r.Apply(rows, true, time.Now())
 }
 
+// TestAllKilledAtRestoreFromEraZero has a store whose eras begin with 0. It is restored from a copy of before the
+// last announcement, and all daemons are killed. The era 1 counted as that of a store which was never restored,
+// so that the window was reported twice (review/9, ONE).
+func TestAllKilledAtRestoreFromEraZero(t *testing.T) {
+	c := qt.New(t)
+	store := platformtest.NewStore()
+	c.Cleanup(store.Close)
+	store.SetEra(0)
+	reporter := newHolder(c, newClient(c, store), 2)
+	announce(c, reporter, time.Now().Add(-window))
+	backup := store.Backup()
+	last := announce(c, reporter, time.Now())
+	store.Restore(backup)
+	started := newReported(newClient(c, store), 2)
+	follow(started, store)
+	got, known := started.Last()
+	c.Assert(known, qt.IsFalse, qt.Commentf("vouches for %v, after %v was reported", got, last))
+	c.Assert(eventuallyKnown(c, started).Covers(last.Window), qt.IsTrue)
+}
+
 // TestHundredsWriteReportedRowAgain restores the store, and hundreds of daemons see that the
 // row of reported windows is lost. Few of them may write it: a part of the store takes 200
 // transactions a second.
--- a/acaciad/origins/exchange.go
+++ b/acaciad/origins/exchange.go
@@ -141,7 +141,7 @@
 	if err != nil {
 		return false, err
 	}
-	written := uint64(epoch.First)
+	written := uint64(epoch.First) // without a row, nothing tells whether epochs begin with 0
 	if row != nil {
 		if report, ok := r.parse(row); ok {
 			r.ledger.Merge(report, time.Now())
@@ -151,7 +151,7 @@
 	if found {
 		r.checkDue = time.Now().Add(checkDelay)
 	}
-	if r.Epoch() > epoch.First {
+	if r.Epoch() > epoch.First || written < r.Epoch() {
 		r.ledger.HandleRestore(time.Now()) // it may just have been
 	}
 	if written < r.Epoch() {
--- a/acaciad/origins/first_plan_test.go
+++ b/acaciad/origins/first_plan_test.go
@@ -260,3 +260,24 @@
 	f.waitForRow(two)
 	f.Check(f.version(two, "a"), qt.Equals, version)
 }
+
+// TestPlanLostAtRestoreFromEraZero restores a store whose eras begin with 0 from a copy that lacks the plans by
+// which streams began, and kills all daemons. Streams of both versions count as possible then.
+func TestPlanLostAtRestoreFromEraZero(t *testing.T) {
+	f := newFixture(t)
+	f.store.SetEra(0)
+	only := map[string]int{"v1": 4}
+	one, stop := f.startListing("vm-1", f.table, only)
+	f.eventually(func() bool { return usesOnly(f, one, only) })
+	time.Sleep(300 * time.Millisecond) // nothing is left to write
+	backup := f.store.Backup()
+	one.SetListed(listed(both), time.Now())
+	f.eventually(func() bool { return usesOnly(f, one, both) })
+	versions := f.beginAll(one, 24)
+	stop()
+	f.store.Restore(backup)
+	f.Assert(f.table.Store.Ping(f.Context()), qt.IsNil)
+	two, _ := f.startListing("vm-1", f.table, both)
+	time.Sleep(500 * time.Millisecond) // it has read its row
+	f.checkNotMistaken(two, versions, 0)
+}
--- a/acaciad/origins/rows.go
+++ b/acaciad/origins/rows.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"time"
 
-	"acaciapath.example/core/epoch"
 	"acaciapath.example/core/origin"
 
 	"github.com/ansel1/merry/v2"
@@ -103,7 +102,7 @@
 		return origin.Report{}, merry.Wrap(errInvalidRow, merry.WithCause(err))
 	}
 	r := origin.Report{
-		At: time.UnixMilli(s.AtMS), Epoch: max(s.Epoch, epoch.First), Plans: make(map[string]origin.PlanReport), Exceptions: make(map[origin.Origin][]origin.Stream),
+		At: time.UnixMilli(s.AtMS), Epoch: s.Epoch, Plans: make(map[string]origin.PlanReport), Exceptions: make(map[origin.Origin][]origin.Stream),
 	}
 	if s.EndedMS > 0 {
 		r.EndedAt = time.UnixMilli(s.EndedMS)
--- a/core/epoch/epoch_test.go
+++ b/core/epoch/epoch_test.go
@@ -43,6 +43,20 @@
 	c.Assert(tracker.Current(), qt.Equals, uint64(6))
 }
 
+// TestRestoreFromEpochZero has a store whose epochs begin with 0, which counted as not known, so that its first
+// restoration was not noticed (review/9, ONE).
+func TestRestoreFromEpochZero(t *testing.T) {
+	c := qt.New(t)
+	tracker := epoch.NewTracker()
+	restores := 0
+	tracker.OnRestore(func(_, _ uint64) { restores++ })
+	tracker.Observe(0)
+	c.Assert(restores, qt.Equals, 0)
+	tracker.Observe(1)
+	tracker.Observe(1)
+	c.Assert(restores, qt.Equals, 1)
+}
+
 func TestAnsweredSince(t *testing.T) {
 	c := qt.New(t)
 	tracker := epoch.NewTracker()
--- a/core/epoch/tracker.go
+++ b/core/epoch/tracker.go
@@ -10,6 +10,8 @@
 type Tracker struct {
 	mu      sync.Mutex // guards the fields below
 	current uint64
+	// observed states that current is known. It may be 0.
+	observed bool
 	// answeredAt is when the store last answered a call, or zero.
 	answeredAt time.Time
 	hooks      []func(previous, current uint64)
@@ -63,7 +65,8 @@
 // one is ignored, since answers may be delayed.
 func (t *Tracker) Observe(epoch uint64) {
 	t.mu.Lock()
-	previous := t.current
+	previous, known := t.current, t.observed
+	t.observed = true
 	if epoch > previous {
 		t.current = epoch
 		close(t.superseded)
@@ -71,7 +74,7 @@
 	}
 	hooks := t.hooks
 	t.mu.Unlock()
-	if previous == 0 || epoch <= previous {
+	if !known || epoch <= previous {
 		return
 	}
 	for _, hook := range hooks {
