daemon: settings without a row size keep the default

The row of TestInvalidRows that is nested too deeply had 165 KB, which the stand-in of the store refuses like the platform; it has 40 KB now and is nested 20,000 levels, above the 10,000 that the decoder allows.

--- a/acaciad/daemon/daemon.go
+++ b/acaciad/daemon/daemon.go
@@ -178,7 +178,9 @@
 		Billing:       config.Billing{Window: s.UsageWindow, Grace: s.UsageDeadline - settleMargin},
 		Logger:        logger,
 	}
-	d.usage.Writer.RowBytes, d.usage.Reporter.RowBytes = s.StoreRowBytes, s.StoreRowBytes
+	if s.StoreRowBytes > 0 {
+		d.usage.Writer.RowBytes, d.usage.Reporter.RowBytes = s.StoreRowBytes, s.StoreRowBytes
+	}
 	d.usage.StartHandOver = d.storeTransport.StartHandOver
 	d.usage.Reporter.SettleWhenComplete = true
 	d.usage.Reporter.Epoch = d.store.Epochs.Current
--- a/acaciad/origins/registry_test.go
+++ b/acaciad/origins/registry_test.go
@@ -426,7 +426,7 @@
 	f := newFixture(t)
 	invalid := map[string]string{
 		"cut":    `{"at-ms":1,"groups":[{"service":"llm","la`,
-		"nested": strings.Repeat(`{"groups":`, 15_000) + strings.Repeat("}", 15_000),
+		"nested": `{"groups":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + "}",
 		"range":  `{"at-ms":1e400,"groups":[]}`,
 		"weight": `{"at-ms":1,"groups":[{"service":"llm","lane":"urgent","plan":[{"version":"v1","weight":1000000000}]}]}`,
 		"bytes":  `{"at-ms":1,"exceptions":[{"service":"llm","version":"v1","streams":"AAAA"}]}`,
