--- a/acaciad/soak/faults_test.go
+++ b/acaciad/soak/faults_test.go
@@ -79,8 +79,11 @@
 	}
 }
 
-// losePackets has a link lose all packets for 0.3 to 2 s, in one of three calls: one of a VM to the
-// cloud API or the store, or one to a backend server. What is under way is sent again as TCP does.
+// lossGap is the time between the losses of the links of a VM.
+const lossGap = 400 * time.Millisecond
+
+// losePackets has links lose all packets for 0.3 to 3 s, in one of three calls: those of a VM to the cloud
+// API and the store, one of these, or one to a backend server. What is under way is sent again as TCP does.
 func (f *faultInjector) losePackets(ctx context.Context) {
 	if f.losses.IntN(3) > 0 {
 		return
@@ -89,19 +92,26 @@
 	v := vms[f.losses.IntN(len(vms))]
 	servers := f.cluster.presentServers()
 	b := servers[f.losses.IntN(len(servers))]
-	name, link := v.name+" to the cloud API", v.cloudLink
-	switch f.losses.IntN(4) {
+	name, links := v.name+" to the cloud API and the store", []*relay.Relay{v.cloudLink, v.storeLink}
+	switch f.losses.IntN(5) {
 	case 0:
-		name, link = v.name+" to the store", v.storeLink
+		name, links = v.name+" to the store", links[1:]
 	case 1:
-		name, link = "link to "+b.ID, b.link
+		name, links = v.name+" to the cloud API", links[:1]
+	case 2:
+		name, links = "link to "+b.ID, []*relay.Relay{b.link}
 	}
-	duration := time.Duration(300+f.losses.IntN(1700)) * time.Millisecond
+	duration := time.Duration(300+f.losses.IntN(2700)) * time.Millisecond
 	f.record("loses all packets: " + name + " " + duration.String())
-	link.SetFaults(relay.Faults{Lossy: true})
 	f.group.Go(func() {
+		for _, link := range links { // what is reported in between is under way when the lease ends
+			link.SetFaults(relay.Faults{Lossy: true})
+			sleep.For(ctx, lossGap)
+		}
 		sleep.For(ctx, duration)
-		link.SetFaults(relay.Faults{})
+		for _, link := range links {
+			link.SetFaults(relay.Faults{})
+		}
 	})
 }
 
