usage: a part that was handed over is not counted beside its adopted copy

A part that a process hands over at its end may reach two neighbours. One inserts it, the other is told so and adopts it, which counts nothing. A restoration of the store that loses the row made both count it: the second by its adopted copy, the first by sending the write again.

A part that may have been handed over, or was sent before a restoration, is inserted only while there is no mark of its adoption; it is adopted only while its own row is missing. A writer whose part was rejected takes the mark for counted also before the window is settled.

TestPartHandedOverTwiceIsCountedOnce failed before, with 16 requests for 8, and passes; the other tests of core/usage pass.

--- a/acaciad/control/usage.go
+++ b/acaciad/control/usage.go
@@ -152,7 +152,10 @@
 // BeginShutdown marks the beginning of the shutdown. From now on, parts that cannot be
 // written are handed over to other daemons at once, since the store may be
 // unavailable for longer than the shutdown takes.
-func (u *Usage) BeginShutdown() { u.shuttingDown.Store(true) }
+func (u *Usage) BeginShutdown() {
+	u.Writer.StartHandOver()
+	u.shuttingDown.Store(true)
+}
 
 // Finish writes the remaining usage at the end of the shutdown. It returns when all
 // is written or ctx is done.
--- a/acaciad/origins/exchange.go
+++ b/acaciad/origins/exchange.go
@@ -93,8 +93,8 @@
 	r.written = make(chan struct{})
 }
 
-// retryDelay returns the time from a failed call of the row to the next one. The first is repeated
-// at once if callers wait for a plan.
+// retryDelay returns the time from a failed call of the row to the next one. While callers wait for a
+// plan, calls are repeated soon.
 func (r *Registry) retryDelay() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/core/usage/adopt.go
+++ b/core/usage/adopt.go
@@ -37,6 +37,9 @@
 	written time.Time
 }
 
+// key returns the key of the row of the part under its own name.
+func (a *adoptedPart) key() string { return PartKey(a.part.Window, a.origin) }
+
 // adoptedKey returns the key of the row that marks a part as adopted.
 func adoptedKey(window time.Time, origin PartName) string {
 	return adoptedPrefix + FormatWindowStart(window) + "/" + origin.VM + "/" + origin.ID
@@ -154,7 +157,7 @@
 			return err
 		}
 		for _, row := range conflict.Rows {
-			if row.Version > 0 && (row.Key == key || slices.Contains(adopted.marks, row.Key)) {
+			if row.Version > 0 && (row.Key == key || row.Key == adopted.key() || slices.Contains(adopted.marks, row.Key)) {
 				return nil // an earlier attempt or another process has inserted it
 			}
 		}
@@ -170,7 +173,7 @@
 func (w *Writer) adoptedCommit(adopted adoptedPart, window time.Time) (*table.CommitPayload, string) {
 	key := PartKey(window, PartName{VM: w.vm, ID: adopted.origin.VM + "~" + adopted.origin.ID})
 	commit := &table.CommitPayload{
-		Conditions: []*table.Condition{{Key: ClosedKey(window)}, {Key: key}},
+		Conditions: []*table.Condition{{Key: ClosedKey(window)}, {Key: key}, {Key: adopted.key()}},
 		Writes:     []*table.Write{{Key: key, Value: encode(Part{Window: window, Lines: adopted.part.Lines})}},
 	}
 	for _, mark := range adopted.marks {
--- a/core/usage/writer.go
+++ b/core/usage/writer.go
@@ -58,6 +58,8 @@
 	// because it was restored from a backup.
 	lostMarks []string
 	sequence  uint64
+	// handingOver states that writes may be handed over to other processes.
+	handingOver bool
 	// earliestOpen is the start of the earliest window that is not known to be
 	// closed.
 	earliestOpen time.Time
@@ -109,6 +111,14 @@
 	}
 }
 
+// StartHandOver records that writes may be handed over to other processes from now on, which may
+// adopt a part that another one inserts.
+func (w *Writer) StartHandOver() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.handingOver = true
+}
+
 // Pending returns the sums of all usage that is not known to be in the table.
 func (w *Writer) Pending() []Line {
 	w.mu.Lock()
@@ -266,10 +276,13 @@
 // inserted, and counted is true, or its window is closed and its usage waits for a later window.
 func (w *Writer) send(ctx context.Context, sent *sentPart, length time.Duration) (counted bool, err error) {
 	key := PartKey(sent.part.Window, sent.name)
-	_, err = w.table.Commit(ctx, &table.CommitPayload{
-		Conditions: []*table.Condition{{Key: ClosedKey(sent.part.Window)}, {Key: key}},
-		Writes:     []*table.Write{{Key: key, Value: encode(sent.part)}},
-	})
+	conditions := []*table.Condition{{Key: ClosedKey(sent.part.Window)}, {Key: key}}
+	w.mu.Lock()
+	if w.handingOver || sent.restored {
+		conditions = append(conditions, &table.Condition{Key: adoptedKey(sent.part.Window, sent.name)})
+	}
+	w.mu.Unlock()
+	_, err = w.table.Commit(ctx, &table.CommitPayload{Conditions: conditions, Writes: []*table.Write{{Key: key, Value: encode(sent.part)}}})
 	if err == nil {
 		w.resolve(sent, true, length)
 		return true, nil
@@ -300,18 +313,18 @@
 	if err != nil {
 		return false, err
 	}
-	if window == nil {
-		return w.wasReported(ctx, sent)
-	}
-	if slices.Contains(window.Parts, sent.name) {
+	if window != nil && slices.Contains(window.Parts, sent.name) {
 		return true, nil
 	}
-	return w.wasMoved(ctx, sent)
+	if adopted, err := w.wasAdopted(ctx, sent); adopted || err != nil || window != nil {
+		return adopted, err
+	}
+	return w.wasReported(ctx, sent)
 }
 
-// wasMoved reports whether a reporter has moved a part to a later window, because its own
-// had been reported before the table was restored from a backup.
-func (w *Writer) wasMoved(ctx context.Context, sent *sentPart) (bool, error) {
+// wasAdopted reports whether another process has adopted a part, or a reporter has moved it to a later
+// window, because its own had been reported before the table was restored from a backup.
+func (w *Writer) wasAdopted(ctx context.Context, sent *sentPart) (bool, error) {
 	rows, err := w.table.Get(ctx, &table.GetPayload{Keys: []string{adoptedKey(sent.part.Window, sent.name)}})
 	return len(rows) > 0, err
 }
